--- /dev/null
+++ b/internal/owner/ports.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/rpcapi"
+)
+
+// Orders sends orders and questions to targets.
+type Orders interface {
+	// Execute sends the order of an intent and returns OrderDone, OrderFailed
+	// or OrderUnknown.
+	Execute(ctx context.Context, target model.Target, intent core.Intent) core.Event
+	// State asks for the target's slots and running requests.
+	State(ctx context.Context, target model.Target) (core.TargetState, error)
+	// LoadReport asks for the target's lagging report of its load.
+	LoadReport(ctx context.Context, target model.Target) (core.LoadReport, error)
+	// Cancel ends a request on the target.
+	Cancel(ctx context.Context, target model.Target, id model.RequestID) error
+}
+
+// Peers calls other VMs.
+type Peers interface {
+	ConfirmEpoch(ctx context.Context, vm string, request rpcapi.ConfirmEpochRequest) (rpcapi.ConfirmEpochReply, error)
+	Hedge(ctx context.Context, vm string, request core.HedgeRequest) error
+}
+
+// Loads hands out load permits. Granted permits are reported to the function
+// given with Ask, from any goroutine.
+type Loads interface {
+	Ask(group string, ask core.AskLoadPermit, due time.Duration, granted func(model.AdapterVersion))
+	Cancel(group string, adapter model.AdapterVersion)
+}
+
+// Accounts records what targets gave.
+type Accounts interface {
+	RecordGiven(given core.RecordGiven)
+}
+
+// Liveness says whether an incarnation is confirmed gone.
+type Liveness interface {
+	Gone(holder model.Holder) bool
+}
