--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,123 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+)
+
+var (
+	adapterA = model.AdapterVersion{Organisation: "baltzips", Adapter: "quotes", Version: "1"}
+	adapterB = model.AdapterVersion{Organisation: "baltzips", Adapter: "stock", Version: "1"}
+	holder   = model.Holder{VM: "vm1", Incarnation: 1}
+)
+
+func runner(name string, slots int) model.Target {
+	return model.Target{Name: name, Class: model.ClassRunner, BaseModel: "base", Slots: slots, Concurrency: 2}
+}
+
+func request(id string, adapter model.AdapterVersion) core.Request {
+	return core.Request{
+		ID: model.RequestID(id), Organisation: adapter.Organisation, Adapter: adapter, Kind: "quote",
+		Class: model.ClassRunner, BaseModel: "base", Deadline: 30 * time.Second, Worth: 1, Holder: holder,
+	}
+}
+
+// driver applies events to a core at a virtual time and collects commands.
+type driver struct {
+	core *core.Core
+	now  core.Time
+}
+
+func newDriver(targets ...model.Target) *driver {
+	d := &driver{core: core.New(core.Params{Group: "g"}, 1), now: time.Second}
+	d.core.Apply(d.now, core.TargetsChanged{Targets: targets})
+	return d
+}
+
+func (d *driver) step(events ...core.Event) []core.Command {
+	d.now += 100 * time.Millisecond
+	for _, event := range events {
+		d.core.Apply(d.now, event)
+	}
+	return d.core.Tick(d.now)
+}
+
+func (d *driver) state(target, instance string, resident ...model.AdapterVersion) core.TargetState {
+	return core.TargetState{Target: target, Instance: instance, AskedAt: d.now, Resident: resident}
+}
+
+func find[T core.Command](commands []core.Command) []T {
+	var found []T
+	for _, command := range commands {
+		if typed, ok := command.(T); ok {
+			found = append(found, typed)
+		}
+	}
+	return found
+}
+
+// Guards against an order that is sent before its intent is stored, and
+// against several loads for requests that wait for the same adapter.
+func TestRequestsForOneAdapterShareOneLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	d.step(core.TakenOver{Epoch: 1})
+	out := d.step(d.state("t1", "i"), core.RequestQueued{Request: request("r1", adapterA)},
+		core.RequestQueued{Request: request("r2", adapterA)})
+	g.Expect(find[core.AskLoadPermit](out)).To(gomega.HaveLen(1))
+	out = d.step(core.LoadPermitted{Adapter: adapterA})
+	intents := find[core.StoreIntent](out)
+	g.Expect(intents).To(gomega.HaveLen(1))
+	g.Expect(find[core.SendOrder](out)).To(gomega.BeEmpty())
+	out = d.step(core.IntentStored{ID: intents[0].Intent.ID})
+	g.Expect(find[core.SendOrder](out)).To(gomega.HaveLen(1))
+	out = d.step(core.OrderDone{ID: intents[0].Intent.ID})
+	g.Expect(find[core.GrantPermit](out)).To(gomega.HaveLen(2))
+}
+
+// Guards against an eviction while a VM that has not confirmed the epoch may
+// use a permit for the adapter.
+func TestNothingIsEvictedBeforeTheBarrier(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	d.step(core.TakenOver{Epoch: 2, Registered: []model.Holder{holder}})
+	d.step(d.state("t1", "i", adapterA), core.RequestQueued{Request: request("r1", adapterB)})
+	out := d.step(core.LoadPermitted{Adapter: adapterB})
+	g.Expect(find[core.StoreIntent](out)).To(gomega.BeEmpty())
+	out = d.step(core.EpochConfirmed{Holder: holder})
+	g.Expect(find[core.StoreIntent](out)).To(gomega.HaveLen(2))
+}
+
+// Guards against the use of an adapter that a paused former owner may still evict.
+func TestFormerEvictIntentBlocksTheAdapter(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	former := model.Holder{VM: "vm2", Incarnation: 1}
+	d.step(core.TakenOver{Epoch: 2, FormerOwner: former, Former: []core.Intent{
+		{ID: 7, Epoch: 1, Kind: core.IntentEvict, Target: "t1", Adapter: adapterA},
+	}})
+	out := d.step(d.state("t1", "i", adapterA), core.RequestQueued{Request: request("r1", adapterA)})
+	g.Expect(find[core.GrantPermit](out)).To(gomega.BeEmpty())
+	out = d.step(core.EpochConfirmed{Holder: former})
+	g.Expect(find[core.GrantPermit](out)).To(gomega.BeEmpty())
+	d.step()
+	out = d.step(d.state("t1", "i", adapterA))
+	g.Expect(find[core.GrantPermit](out)).To(gomega.HaveLen(1))
+	g.Expect(find[core.ClearIntent](out)).To(gomega.HaveLen(1))
+}
+
+// Guards against requests that hang when the owner shuts down.
+func TestDrainRefusesTheQueueAsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	d.step(core.TakenOver{Epoch: 1}, core.RequestQueued{Request: request("r1", adapterA)})
+	refused := find[core.RefuseRequest](d.step(core.DrainStarted{}))
+	g.Expect(refused).To(gomega.HaveLen(1))
+	g.Expect(refused[0].Err.Ran).To(gomega.Equal(errs.RanNo))
+}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -38,6 +38,11 @@
 	Target   model.Target
 	Adapter  model.AdapterVersion
 	Priority int // engine priority, 0 is the most urgent
+
+	// Organisation and Kind are those of the request, so that an owner that
+	// learns of the permit from its holder can account for it.
+	Organisation string
+	Kind         string
 }
 
 // IntentKind is the kind of an order to a target.
@@ -98,6 +103,11 @@
 	Usage      Usage
 	FirstToken time.Duration // from dispatch to first token, 0 if none
 	TokenGap   time.Duration // mean time between tokens, 0 if unknown
+
+	// Organisation and Kind are those of the permit, for an owner that does
+	// not know the permit yet.
+	Organisation string
+	Kind         string
 }
 
 // Progress reports the observed cadence of a running request.
