--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -17,8 +17,9 @@
 	// under a full weights store.
 	orderTimeout    = 20 * time.Second
 	questionTimeout = 2 * time.Second
-	confirmTimeout  = 2 * time.Second
-	confirmPause    = 250 * time.Millisecond
+	// confirmTimeout is above orderTimeout, because a former owner confirms
+	// only when its orders have ended.
+	confirmTimeout = orderTimeout + 2*time.Second
 	// pollInterval is the interval of the questions to each target.
 	pollInterval = time.Second
 )
@@ -51,7 +52,7 @@
 	case core.HedgeRequest:
 		go r.hedge(c)
 	case core.RecordGiven:
-		r.recordGiven(c)
+		r.ports.Accounts.RecordGiven(c)
 	}
 }
 
@@ -139,7 +140,7 @@
 	asked := r.now()
 	ctx, cancel := context.WithTimeout(r.ctx, questionTimeout)
 	defer cancel()
-	state, err := r.ports.Orders.State(ctx, target)
+	state, err := r.ports.Orders.State(ctx, target, r.epoch)
 	if err != nil {
 		r.log.Debug().Err(err).Str("target", name).Msg("target state not available")
 		return
@@ -195,36 +196,38 @@
 	}
 }
 
-// askConfirmation asks a VM until it confirms the epoch or is gone.
+// askConfirmation asks a VM to confirm the epoch. The core asks again until the
+// VM has confirmed or is gone; only one call per VM is in flight.
 func (r *runtime) askConfirmation(holder model.Holder) {
+	if !r.startAsking(holder) {
+		return
+	}
+	defer r.endAsking(holder)
+	ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
+	defer cancel()
 	request := rpcapi.ConfirmEpochRequest{Group: r.group, Epoch: r.epoch}
-	for r.ctx.Err() == nil && !r.ports.Liveness.Gone(holder) {
-		ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
-		reply, err := r.ports.Peers.ConfirmEpoch(ctx, holder.VM, request)
-		cancel()
-		if err == nil && reply.Err == nil && reply.Holder == holder {
-			r.record(timeline.EpochConfirmed, "", holder.VM)
-			r.post(core.EpochConfirmed{Holder: holder, Permits: r.unreleased(reply.Permits)})
-			return
-		}
-		select {
-		case <-r.ctx.Done():
-		case <-time.After(confirmPause):
-		}
+	reply, err := r.ports.Peers.ConfirmEpoch(ctx, holder.VM, request)
+	if err != nil || reply.Err != nil || reply.Holder != holder {
+		return
 	}
+	r.record(timeline.EpochConfirmed, "", holder.VM)
+	r.post(core.EpochConfirmed{Holder: holder, Permits: reply.Permits})
 }
 
-// unreleased drops the permits whose release has already arrived.
-func (r *runtime) unreleased(permits []core.Permit) []core.Permit {
+func (r *runtime) startAsking(holder model.Holder) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var held []core.Permit
-	for _, permit := range permits {
-		if !r.released.has(permit.Request) {
-			held = append(held, permit)
-		}
+	if r.asking[holder] {
+		return false
 	}
-	return held
+	r.asking[holder] = true
+	return true
+}
+
+func (r *runtime) endAsking(holder model.Holder) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asking, holder)
 }
 
 func (r *runtime) hedge(command core.HedgeRequest) {
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -253,7 +253,7 @@
 	if refusal != nil {
 		return rpcapi.ReleaseReply{Err: refusal}
 	}
-	r.release(request)
+	r.post(request.Release)
 	return rpcapi.ReleaseReply{}
 }
 
--- a/internal/owner/ports.go
+++ b/internal/owner/ports.go
@@ -14,8 +14,10 @@
 	// Execute sends the order of an intent and returns OrderDone, OrderFailed
 	// or OrderUnknown.
 	Execute(ctx context.Context, target model.Target, intent core.Intent) core.Event
-	// State asks for the target's slots and running requests.
-	State(ctx context.Context, target model.Target) (core.TargetState, error)
+	// State asks for the target's slots and running requests. The question
+	// carries the epoch, so that a target that checks the fencing token refuses
+	// older orders from then on.
+	State(ctx context.Context, target model.Target, epoch model.Epoch) (core.TargetState, error)
 	// LoadReport asks for the target's lagging report of its load.
 	LoadReport(ctx context.Context, target model.Target) (core.LoadReport, error)
 	// Cancel ends a request on the target.
@@ -39,8 +41,3 @@
 type Accounts interface {
 	RecordGiven(given core.RecordGiven)
 }
-
-// Liveness says whether an incarnation is confirmed gone.
-type Liveness interface {
-	Gone(holder model.Holder) bool
-}
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -37,8 +37,7 @@
 	stopped   bool
 	waiters   map[model.RequestID]chan rpcapi.AcquireReply
 	cancelled *recentIDs
-	released  *recentIDs
-	accounted *recentIDs
+	asking    map[model.Holder]bool // epoch confirmations in flight
 	targets   map[string]model.Target
 	resident  *residentSet
 	grants    rateMeter
@@ -50,13 +49,12 @@
 	Peers    Peers
 	Loads    Loads
 	Accounts Accounts
-	Liveness Liveness
 	Events   timeline.Recorder
 	Log      zerolog.Logger
 }
 
-// rememberedIDs bounds the memory of cancelled and released requests. An id
-// needs to be remembered only while a delayed message about it can arrive.
+// rememberedIDs bounds the memory of cancelled requests. An id needs to be
+// remembered only while a delayed Acquire with it can arrive.
 const rememberedIDs = 8192
 
 func newRuntime(ports Ports, handle *group.Handle, decider core.Decider, start time.Time, onLost func()) *runtime {
@@ -68,7 +66,7 @@
 		ctx: ctx, cancel: cancel, done: make(chan struct{}), onLost: onLost,
 		wake:    make(chan struct{}, 1),
 		waiters: map[model.RequestID]chan rpcapi.AcquireReply{}, targets: map[string]model.Target{},
-		cancelled: newRecentIDs(rememberedIDs), released: newRecentIDs(rememberedIDs), accounted: newRecentIDs(rememberedIDs),
+		cancelled: newRecentIDs(rememberedIDs), asking: map[model.Holder]bool{},
 		resident: newResidentSet(),
 	}
 	r.writer = newIntentWriter(handle, r)
@@ -208,32 +206,6 @@
 	r.post(core.PermitReleased{ID: id, Outcome: core.OutcomeNotSent})
 }
 
-// release ends a permit. A release may arrive before the confirmation that
-// lists the permit; the id is remembered so that the permit is not entered.
-func (r *runtime) release(request rpcapi.ReleaseRequest) {
-	release := request.Release
-	r.mu.Lock()
-	r.released.add(release.ID)
-	r.mu.Unlock()
-	r.post(release)
-	r.recordGiven(core.RecordGiven{
-		ID: release.ID, Organisation: request.Organisation, Kind: request.Kind,
-		Target: release.Target, Outcome: release.Outcome, Usage: release.Usage,
-	})
-}
-
-// recordGiven enters a request into the account once. The release itself is
-// the source, because the core of a new owner may not know the permit.
-func (r *runtime) recordGiven(given core.RecordGiven) {
-	r.mu.Lock()
-	known := r.accounted.has(given.ID)
-	r.accounted.add(given.ID)
-	r.mu.Unlock()
-	if !known {
-		r.ports.Accounts.RecordGiven(given)
-	}
-}
-
 func (r *runtime) answer(id model.RequestID, reply rpcapi.AcquireReply) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -125,7 +125,7 @@
 	if reply.Err != nil {
 		return core.Permit{}, reply.Err
 	}
-	if err := b.holdings.Accept(reply.Permit, request); err != nil {
+	if err := b.holdings.Accept(reply.Permit); err != nil {
 		b.events.Record(timeline.Event{Kind: timeline.PermitRejected, Request: request.ID, Group: group, Epoch: reply.Permit.Epoch})
 		return core.Permit{}, err
 	}
@@ -167,11 +167,8 @@
 		Kind: timeline.PermitReleased, Request: permit.Request, Target: permit.Target.Name,
 		Group: permit.Group, Epoch: permit.Epoch, Detail: string(release.Outcome),
 	})
-	held := b.holdings.get(permit.Request)
-	b.returns.add(returned{
-		group: permit.Group, epoch: permit.Epoch, release: &release,
-		organisation: held.organisation, kind: held.kind,
-	})
+	release.Organisation, release.Kind = permit.Organisation, permit.Kind
+	b.returns.add(returned{group: permit.Group, epoch: permit.Epoch, release: &release})
 	b.holdings.Drop(permit.Request)
 }
 
--- a/internal/permit/holdings.go
+++ b/internal/permit/holdings.go
@@ -13,44 +13,30 @@
 type Holdings struct {
 	mu      sync.Mutex
 	minimum map[string]model.Epoch
-	held    map[model.RequestID]holding
+	held    map[model.RequestID]core.Permit
 	raised  map[string]chan struct{} // closed when the group's epoch rises
 }
 
-// holding is a held permit with what the account needs to know of its request.
-type holding struct {
-	permit       core.Permit
-	organisation string
-	kind         string
-}
-
 // NewHoldings returns an empty table.
 func NewHoldings() *Holdings {
 	return &Holdings{
 		minimum: map[string]model.Epoch{},
-		held:    map[model.RequestID]holding{},
+		held:    map[model.RequestID]core.Permit{},
 		raised:  map[string]chan struct{}{},
 	}
 }
 
-// Accept enters the permit of a request, or refuses it as stale.
-func (h *Holdings) Accept(permit core.Permit, request core.Request) error {
+// Accept enters a permit, or refuses it as stale.
+func (h *Holdings) Accept(permit core.Permit) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if permit.Epoch < h.minimum[permit.Group] {
 		return errs.NotRun(errs.StaleEpoch, "permit of a former owner of "+permit.Group)
 	}
-	h.held[permit.Request] = holding{permit: permit, organisation: request.Organisation, kind: request.Kind}
+	h.held[permit.Request] = permit
 	return nil
 }
 
-// get returns what is held under a request id.
-func (h *Holdings) get(id model.RequestID) holding {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.held[id]
-}
-
 // Drop removes a permit whose work has ended.
 func (h *Holdings) Drop(id model.RequestID) {
 	h.mu.Lock()
@@ -68,9 +54,9 @@
 	}
 	h.raise(group, epoch)
 	var held []core.Permit
-	for _, item := range h.held {
-		if item.permit.Group == group {
-			held = append(held, item.permit)
+	for _, permit := range h.held {
+		if permit.Group == group {
+			held = append(held, permit)
 		}
 	}
 	return held, nil
--- a/internal/permit/holdings_test.go
+++ b/internal/permit/holdings_test.go
@@ -15,11 +15,11 @@
 func TestPermitOfFormerOwnerIsRefusedAfterConfirmation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	h := permit.NewHoldings()
-	g.Expect(h.Accept(core.Permit{Request: "r1", Group: "g", Epoch: 1}, core.Request{})).To(gomega.Succeed())
+	g.Expect(h.Accept(core.Permit{Request: "r1", Group: "g", Epoch: 1})).To(gomega.Succeed())
 	held, err := h.Confirm("g", 2)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(held).To(gomega.HaveLen(1))
-	err = h.Accept(core.Permit{Request: "r2", Group: "g", Epoch: 1}, core.Request{})
+	err = h.Accept(core.Permit{Request: "r2", Group: "g", Epoch: 1})
 	g.Expect(errs.Is(err, errs.StaleEpoch)).To(gomega.BeTrue())
 	_, err = h.Confirm("g", 1)
 	g.Expect(errs.Is(err, errs.StaleEpoch)).To(gomega.BeTrue())
--- a/internal/permit/returns.go
+++ b/internal/permit/returns.go
@@ -17,9 +17,6 @@
 	epoch   model.Epoch
 	cancel  model.RequestID      // a wait whose result is not known here
 	release *core.PermitReleased // a permit whose work has ended
-
-	organisation string
-	kind         string
 }
 
 // returnQueue tells owners about ended permits until they acknowledge.
@@ -127,7 +124,7 @@
 		reply, err := q.owners.Cancel(callCtx, owner.VM, rpcapi.CancelRequest{Group: item.group, ID: item.cancel})
 		return acknowledged(reply.Err, err)
 	}
-	request := rpcapi.ReleaseRequest{Group: item.group, Epoch: epoch, Release: *item.release, Organisation: item.organisation, Kind: item.kind}
+	request := rpcapi.ReleaseRequest{Group: item.group, Epoch: epoch, Release: *item.release}
 	reply, err := q.owners.Release(callCtx, owner.VM, request)
 	return acknowledged(reply.Err, err)
 }
--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -26,10 +26,6 @@
 	Group   string
 	Epoch   model.Epoch
 	Release core.PermitReleased
-	// Organisation and Kind enter the request into the account of what targets
-	// gave even when the owner does not know the permit.
-	Organisation string
-	Kind         string
 }
 
 // ReleaseReply is the reply of Release.
