--- /dev/null
+++ b/internal/platform/memstore/memstore_test.go
@@ -0,0 +1,217 @@
+package memstore_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/platform"
+	"cicadaslip/internal/platform/memstore"
+)
+
+var ctx = context.Background()
+
+// manualClock moves only when a test moves it.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+func (c *manualClock) After(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+
+func beCode(code errs.Code) gomega.OmegaMatcher {
+	return gomega.WithTransform(func(err error) bool { return errs.Is(err, code) }, gomega.BeTrue())
+}
+
+// Guards against a lost or delayed write that is reported as having no effect,
+// or that ignores its condition when it lands.
+func TestAmbiguousWrites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	s.Inject(
+		memstore.Rule{Fault: memstore.LoseResponse, Op: memstore.OpCreate, Count: 1},
+		memstore.Rule{Fault: memstore.DelayWrite, Op: memstore.OpUpdate, Count: 2},
+		memstore.Rule{Fault: memstore.LoseRequest, Op: memstore.OpPut, Count: 1},
+	)
+	_, err := s.Create(ctx, "a", []byte("1"))
+	g.Expect(err).To(beCode(errs.StoreAmbiguous))
+	object, err := s.Get(ctx, "a", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(object.Version).To(gomega.BeEquivalentTo(1))
+
+	for _, value := range []string{"2", "3"} {
+		_, err = s.Update(ctx, "a", []byte(value), 1)
+		g.Expect(err).To(beCode(errs.StoreAmbiguous))
+	}
+	_, err = s.Put(ctx, "b", nil)
+	g.Expect(err).To(beCode(errs.StoreAmbiguous))
+	g.Expect(s.ApplyDelayed(0)).To(gomega.Equal(1))
+	object, _ = s.Get(ctx, "a", 0)
+	g.Expect(string(object.Value)).To(gomega.Equal("2"))
+	_, err = s.Get(ctx, "b", 0)
+	g.Expect(err).To(beCode(errs.NotFound))
+}
+
+func TestDelayedWriteLandsAfterCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	s.Inject(memstore.Rule{Fault: memstore.DelayWrite, Count: 1, AfterCalls: 2})
+	_, err := s.Put(ctx, "a", nil)
+	g.Expect(err).To(beCode(errs.StoreAmbiguous))
+	_, err = s.Get(ctx, "a", 0)
+	g.Expect(err).To(beCode(errs.NotFound))
+	_, err = s.Get(ctx, "a", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// Guards against a stale replica that answers a read above its revision.
+func TestStaleReads(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	_, _ = s.Put(ctx, "a", []byte("1"))
+	second, _ := s.Put(ctx, "a", []byte("2"))
+	_, _ = s.Put(ctx, "ab", nil)
+	s.Inject(memstore.Rule{Fault: memstore.StaleRead, Lag: 2})
+	object, err := s.Get(ctx, "a", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(object.Value)).To(gomega.Equal("1"))
+	_, err = s.Get(ctx, "a", second.Revision)
+	g.Expect(err).To(beCode(errs.StoreStale))
+	page, err := s.List(ctx, "", "", 0, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(page.Objects).To(gomega.HaveLen(1))
+}
+
+func TestSlowWriteThatIsGivenUpLandsLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.NewWithClock(&manualClock{})
+	s.Inject(memstore.Rule{Fault: memstore.Slow, Delay: time.Second})
+	short, cancel := context.WithCancel(ctx)
+	time.AfterFunc(time.Millisecond, cancel)
+	_, err := s.Put(short, "a", nil)
+	g.Expect(err).To(beCode(errs.StoreAmbiguous))
+	g.Expect(s.ApplyDelayed(0)).To(gomega.Equal(1))
+}
+
+func TestOutageEndsWaitingWatch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Watch(ctx, "a", 0, time.Hour)
+		failed <- err
+	}()
+	g.Eventually(func() int { return s.Counts().Waiting }).Should(gomega.Equal(1))
+	s.SetOutage(true)
+	g.Eventually(failed).Should(gomega.Receive(beCode(errs.StoreUnavailable)))
+	g.Expect(s.Counts().Watch).To(gomega.BeEquivalentTo(1))
+}
+
+func TestWatchReturnsChangesOfItsPrefix(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	object, _ := s.Put(ctx, "a/1", nil)
+	_, _ = s.Put(ctx, "b/1", nil)
+	g.Expect(s.Delete(ctx, "a/1", object.Version)).To(gomega.Succeed())
+	changes, err := s.Watch(ctx, "a/", object.Revision, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(changes.Changes).To(gomega.HaveLen(1))
+	g.Expect(changes.Changes[0].Deleted).To(gomega.BeTrue())
+	g.Expect(changes.Revision).To(gomega.BeEquivalentTo(3))
+}
+
+func TestRatesAndLag(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := &manualClock{now: time.Unix(1, 0)}
+	s := memstore.NewWithClock(clock)
+	s.SetRates(memstore.Rates{Writes: 2})
+	for range 2 {
+		_, err := s.Put(ctx, "a", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	_, err := s.Put(ctx, "a", nil)
+	g.Expect(err).To(beCode(errs.StoreUnavailable))
+	g.Expect(errs.As(err).Retry).To(gomega.Equal(500 * time.Millisecond))
+
+	l := memstore.NewLister(s)
+	l.SetLag(time.Second)
+	l.Set(model.Listing{VMs: []model.ListedVM{{Name: "vm"}}})
+	listing, _ := l.List(ctx)
+	g.Expect(listing.VMs).To(gomega.BeEmpty())
+	clock.now = clock.now.Add(time.Second)
+	listing, _ = l.List(ctx)
+	g.Expect(listing.VMs).To(gomega.HaveLen(1))
+	_, err = s.Put(ctx, "a", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// Guards against two conditional updates that both succeed.
+func TestConcurrentUpdatesAreSerialised(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	_, _ = s.Create(ctx, "n", []byte{0})
+	const goroutines, increments = 8, 20
+	var group sync.WaitGroup
+	for range goroutines {
+		group.Go(func() {
+			for done := 0; done < increments; {
+				object, _ := s.Get(ctx, "n", 0)
+				if _, err := s.Update(ctx, "n", []byte{object.Value[0] + 1}, object.Version); err == nil {
+					done++
+				}
+			}
+		})
+	}
+	group.Wait()
+	object, _ := s.Get(ctx, "n", 0)
+	g.Expect(object.Value[0]).To(gomega.BeEquivalentTo(goroutines * increments))
+}
+
+// Guards against a stale state that never existed, and against a watch that
+// misses or repeats a write.
+func TestHistoryAgreesWithModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := memstore.New()
+		states := []map[string]string{{}}
+		keys := rapid.SampledFrom([]string{"a", "ab", "b"})
+		for range rapid.IntRange(1, 20).Draw(t, "writes") {
+			key, value := keys.Draw(t, "key"), rapid.StringN(0, 3, 3).Draw(t, "value")
+			next := map[string]string{}
+			for k, v := range states[len(states)-1] {
+				next[k] = v
+			}
+			if object, err := s.Get(ctx, key, 0); err == nil && rapid.Bool().Draw(t, "delete") {
+				_ = s.Delete(ctx, key, object.Version)
+				delete(next, key)
+			} else {
+				_, _ = s.Put(ctx, key, []byte(value))
+				next[key] = value
+			}
+			states = append(states, next)
+		}
+		lag := rapid.IntRange(0, len(states)-1).Draw(t, "lag")
+		s.Inject(memstore.Rule{Fault: memstore.StaleRead, Lag: int64(lag)})
+		page, err := s.List(ctx, "", "", 0, 0)
+		if err != nil || !same(page, states[len(states)-1-lag]) {
+			t.Fatalf("lag %d: %v, want %v", lag, page, states[len(states)-1-lag])
+		}
+		changes, err := s.Watch(ctx, "", int64(len(states)-1-lag), 0)
+		if err != nil || len(changes.Changes) != lag {
+			t.Fatalf("%d changes, want %d", len(changes.Changes), lag)
+		}
+	})
+}
+
+func same(page platform.Page, want map[string]string) bool {
+	for _, object := range page.Objects {
+		if value, ok := want[object.Key]; !ok || value != string(object.Value) {
+			return false
+		}
+	}
+	return len(page.Objects) == len(want)
+}
