--- a/internal/standin/runner/silence.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -1,4 +1,4 @@
-package runner
+package faultnet
 
 import (
 	"net"
@@ -6,32 +6,34 @@
 	"sync/atomic"
 )
 
-// connSet tracks the open connections of a server so that a fault can make
+// Listener tracks the open connections of a server so that a fault can make
 // them silent: what is written is dropped and what arrives is not read.
-type connSet struct {
+type Listener struct {
 	net.Listener
 	mu    sync.Mutex
-	conns map[*faultConn]struct{}
+	conns map[*Conn]struct{}
 }
 
-func newConnSet(l net.Listener) *connSet {
-	return &connSet{Listener: l, conns: map[*faultConn]struct{}{}}
+// New returns a listener that tracks its connections.
+func New(l net.Listener) *Listener {
+	return &Listener{Listener: l, conns: map[*Conn]struct{}{}}
 }
 
 // Accept returns the next connection and tracks it.
-func (s *connSet) Accept() (net.Conn, error) {
+func (s *Listener) Accept() (net.Conn, error) {
 	c, err := s.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	fc := &faultConn{Conn: c, set: s}
+	fc := &Conn{Conn: c, set: s}
 	s.mu.Lock()
 	s.conns[fc] = struct{}{}
 	s.mu.Unlock()
 	return fc, nil
 }
 
-func (s *connSet) silenceAll() {
+// SilenceAll makes all open connections silent for ever. New ones work.
+func (s *Listener) SilenceAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -39,7 +41,8 @@
 	}
 }
 
-func (s *connSet) closeAll() {
+// CloseAll closes all open connections.
+func (s *Listener) CloseAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -47,14 +50,15 @@
 	}
 }
 
-type faultConn struct {
+// Conn is a connection that can become silent.
+type Conn struct {
 	net.Conn
-	set    *connSet
+	set    *Listener
 	silent atomic.Bool
 }
 
 // Read reads, and drops what arrives on a silent connection.
-func (c *faultConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if err != nil || !c.silent.Load() {
@@ -64,7 +68,7 @@
 }
 
 // Write writes, and drops the data on a silent connection.
-func (c *faultConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if c.silent.Load() {
 		return len(p), nil
 	}
@@ -73,7 +77,7 @@
 
 // Close closes the connection. A silent one stays open until the process ends
 // or the other side closes it, because closing it would end the silence.
-func (c *faultConn) Close() error {
+func (c *Conn) Close() error {
 	c.set.mu.Lock()
 	delete(c.set.conns, c)
 	c.set.mu.Unlock()
@@ -84,7 +88,10 @@
 	return c.Conn.Close()
 }
 
-func (c *faultConn) closeAfterPeer() {
+// Silence makes this connection silent for ever.
+func (c *Conn) Silence() { c.silent.Store(true) }
+
+func (c *Conn) closeAfterPeer() {
 	buf := make([]byte, 1)
 	for {
 		if _, err := c.Conn.Read(buf); err != nil {
--- a/internal/standin/runner/engine.go
+++ b/internal/standin/runner/engine.go
@@ -8,6 +8,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/standin/faultnet"
 )
 
 // Runner is a stand-in model engine.
@@ -26,7 +27,7 @@
 	log      []LogEntry
 	reports  []report
 	cache    prefixCache
-	conns    *connSet
+	conns    *faultnet.Listener
 	closed   bool
 }
 
--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -97,7 +97,7 @@
 }
 
 // Silence makes all open connections silent for ever. New ones work.
-func (r *Runner) Silence() { r.conns.silenceAll() }
+func (r *Runner) Silence() { r.conns.SilenceAll() }
 
 func (r *Runner) record(e LogEntry) {
 	e.At = time.Now()
--- a/internal/standin/runner/http.go
+++ b/internal/standin/runner/http.go
@@ -11,6 +11,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/standin/faultnet"
 )
 
 // Headers of the runner's API.
@@ -21,7 +22,7 @@
 
 // Serve serves the runner's API on a listener until Close.
 func (r *Runner) Serve(l net.Listener) error {
-	conns := newConnSet(l)
+	conns := faultnet.New(l)
 	r.mu.Lock()
 	r.conns = conns
 	r.mu.Unlock()
@@ -38,7 +39,7 @@
 	r.mu.Unlock()
 	if conns != nil {
 		_ = conns.Close()
-		conns.closeAll()
+		conns.CloseAll()
 	}
 }
 
--- a/internal/standin/runner/stream.go
+++ b/internal/standin/runner/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/standin/faultnet"
 )
 
 const finishLength = "length"
@@ -86,8 +87,8 @@
 }
 
 func silence(conn net.Conn) {
-	if fc, ok := conn.(*faultConn); ok {
-		fc.silent.Store(true)
+	if fc, ok := conn.(*faultnet.Conn); ok {
+		fc.Silence()
 	}
 }
 
