--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -267,6 +267,18 @@
 	return rpcapi.CancelReply{}
 }
 
+// Progress enters the cadence of running requests.
+func (m *Manager) Progress(request rpcapi.ProgressRequest) *errs.Error {
+	r, refusal := m.runtime(request.Group)
+	if refusal != nil {
+		return refusal
+	}
+	for _, report := range request.Reports {
+		r.post(report)
+	}
+	return nil
+}
+
 // Resident lists the group's resident adapters.
 func (m *Manager) Resident(request rpcapi.ResidentRequest) rpcapi.ResidentReply {
 	r, refusal := m.runtime(request.Group)
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -22,6 +22,7 @@
 	Acquire(ctx context.Context, owner string, request rpcapi.AcquireRequest) (rpcapi.AcquireReply, error)
 	Release(ctx context.Context, owner string, request rpcapi.ReleaseRequest) (rpcapi.ReleaseReply, error)
 	Cancel(ctx context.Context, owner string, request rpcapi.CancelRequest) (rpcapi.CancelReply, error)
+	Progress(ctx context.Context, owner string, request rpcapi.ProgressRequest) (rpcapi.ProgressReply, error)
 }
 
 // Broker obtains and returns permits. It implements frontend.Permits.
@@ -31,6 +32,7 @@
 	holdings *Holdings
 	owners   Owners
 	returns  *returnQueue
+	progress *progressQueue
 	routing  routing.Params
 	events   timeline.Recorder
 	attempts atomic.Uint64
@@ -40,12 +42,23 @@
 func NewBroker(self model.VM, table *Table, holdings *Holdings, owners Owners, events timeline.Recorder) *Broker {
 	return &Broker{
 		self: self, table: table, holdings: holdings, owners: owners, events: events,
-		returns: newReturnQueue(table, holdings, owners), routing: routing.DefaultParams(),
+		returns: newReturnQueue(table, holdings, owners), progress: newProgressQueue(table, owners), routing: routing.DefaultParams(),
 	}
 }
 
-// Run returns permits until ctx ends.
-func (b *Broker) Run(ctx context.Context) { b.returns.run(ctx) }
+// Run returns permits and sends progress reports until ctx ends.
+func (b *Broker) Run(ctx context.Context) {
+	go b.progress.run(ctx)
+	b.returns.run(ctx)
+}
+
+// Report tells the permit's owner the cadence of a running request. It does not
+// block; reports that cannot be sent are dropped.
+func (b *Broker) Report(permit core.Permit, progress core.Progress) {
+	progress.ID = permit.Request
+	progress.Target = permit.Target.Name
+	b.progress.add(permit.Group, progress)
+}
 
 // Unreturned returns the number of permits whose return is not acknowledged.
 func (b *Broker) Unreturned() int { return b.returns.len() }
--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -165,3 +165,12 @@
 	Adapters []model.AdapterVersion
 	Err      *errs.Error
 }
+
+// ProgressRequest reports the cadence of running requests to a group's owner.
+type ProgressRequest struct {
+	Group   string
+	Reports []core.Progress
+}
+
+// ProgressReply is the reply of Progress.
+type ProgressReply struct{ Err *errs.Error }
