--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -6,6 +6,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/timeline"
 )
 
 // AcquireRequest asks a group's owner for a permit. The call waits in the
@@ -137,9 +138,13 @@
 // LookupRequest asks for the state of a key without claiming it.
 type LookupRequest struct{ Key ClaimKey }
 
-// Digest is what each heartbeat tells about its sender.
+// Digest is what each heartbeat tells about its sender. A digest with many
+// groups is sent as several digests, each with a part of the groups.
 type Digest struct {
 	From          model.Holder
+	To            string          // VM that the heartbeat is for
+	Heard         Acknowledgement // last heartbeat that the sender received from To
+	Stamp         timeline.Stamp
 	DataCentre    string
 	Sequence      uint64
 	Ready         bool
@@ -148,6 +153,13 @@
 	Groups        []GroupDigest // groups that the sender owns
 }
 
+// Acknowledgement names the last heartbeat that was received from a VM. It is
+// zero if there was none. It shows the VM that its heartbeats arrive.
+type Acknowledgement struct {
+	Incarnation model.Incarnation
+	Sequence    uint64
+}
+
 // GroupDigest summarises one target group for routing.
 type GroupDigest struct {
 	Group           string
