--- /dev/null
+++ b/internal/platform/httpapi/httpapi.go
@@ -0,0 +1,28 @@
+package httpapi
+
+// Paths.
+const (
+	ObjectsPath = "/v1/objects"
+	ObjectPath  = "/v1/objects/" // followed by the key
+	WatchPath   = "/v1/watch"
+	ListPath    = "/v1/list"
+)
+
+// Query parameters.
+const (
+	MinRevision = "min_revision"
+	Mode        = "mode"
+	Version     = "version"
+	Prefix      = "prefix"
+	After       = "after"
+	Limit       = "limit"
+	Since       = "since"
+	WaitMillis  = "wait_ms"
+)
+
+// Modes of a PUT.
+const (
+	ModeCreate = "create"
+	ModeUpdate = "update"
+	ModePut    = "put"
+)
