--- a/internal/frontend/ports.go
+++ b/internal/frontend/ports.go
@@ -6,6 +6,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/rpcapi"
+	"cicadaslip/internal/target"
 )
 
 // Permits obtains permits from the owners of target groups. Acquire picks a
@@ -16,6 +17,13 @@
 	Release(permit core.Permit, release core.PermitReleased)
 }
 
+// ProgressReporter takes the observed cadence of running requests. A Permits
+// that implements it gets reports for every permit that is in use. Report must
+// not block.
+type ProgressReporter interface {
+	Report(permit core.Permit, progress core.Progress)
+}
+
 // Claims records at-most-once calls in the journal.
 type Claims interface {
 	Claim(ctx context.Context, request rpcapi.ClaimRequest) (rpcapi.ClaimReply, error)
@@ -34,3 +42,16 @@
 type UsageRecorder interface {
 	RecordUsed(id model.RequestID, organisation, kind string, outcome core.Outcome, usage core.Usage)
 }
+
+// Targets sends work to targets. target.Client implements it.
+type Targets interface {
+	Stream(ctx context.Context, call target.Call, sink target.Sink) (target.Result, error)
+	CallService(ctx context.Context, call target.ServiceCall) (target.ServiceAnswer, error)
+	Cancel(ctx context.Context, to model.Target, id model.RequestID) error
+}
+
+// Readiness says whether this process may take traffic. Ready returns nil or
+// the reason why not.
+type Readiness interface {
+	Ready() error
+}
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -100,3 +100,10 @@
 		}
 	}
 }
+
+// Quiet is a logger of an HTTP server that drops everything: the connections
+// that faults close are expected.
+type Quiet struct{}
+
+// Printf drops a line.
+func (Quiet) Printf(string, ...any) {}
--- a/internal/standin/runner/http.go
+++ b/internal/standin/runner/http.go
@@ -26,7 +26,7 @@
 	r.mu.Lock()
 	r.conns = conns
 	r.mu.Unlock()
-	server := &fasthttp.Server{Handler: r.handle, Name: "standin-runner", NoDefaultDate: true, CloseOnShutdown: true}
+	server := &fasthttp.Server{Handler: r.handle, Name: "standin-runner", Logger: faultnet.Quiet{}, NoDefaultDate: true, CloseOnShutdown: true}
 	return server.Serve(conns)
 }
 
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -27,14 +27,14 @@
 }
 
 func serve(l net.Listener, handler fasthttp.RequestHandler) {
-	server := &fasthttp.Server{Handler: handler, Name: "standin-service"}
+	server := &fasthttp.Server{Handler: handler, Name: "standin-service", Logger: faultnet.Quiet{}}
 	_ = server.Serve(l)
 }
 
 // ServeControl serves the control API on a listener of its own, which stays
 // reachable while the service refuses connections.
 func (s *Service) ServeControl(l net.Listener) error {
-	server := &fasthttp.Server{Handler: s.handle, Name: "standin-service"}
+	server := &fasthttp.Server{Handler: s.handle, Name: "standin-service", Logger: faultnet.Quiet{}}
 	return server.Serve(l)
 }
 
