--- /dev/null
+++ b/internal/journal/fakestore_test.go
@@ -0,0 +1,184 @@
+package journal
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/platform"
+)
+
+// entryAt is one state of a key: the object, or its deletion.
+type entryAt struct {
+	object   platform.Object
+	revision int64
+	deleted  bool
+}
+
+// fakeStore keeps every state of every key, so that reads can be stale.
+type fakeStore struct {
+	revision int64
+	history  map[string][]entryAt
+	calls    int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{history: make(map[string][]entryAt)} }
+
+func (f *fakeStore) at(key string, revision int64) (platform.Object, bool) {
+	states := f.history[key]
+	for i := len(states) - 1; i >= 0; i-- {
+		if states[i].revision <= revision {
+			return states[i].object, !states[i].deleted
+		}
+	}
+	return platform.Object{}, false
+}
+
+func (f *fakeStore) write(key string, value []byte, version int64) platform.Object {
+	f.revision++
+	object := platform.Object{Key: key, Version: version, Revision: f.revision, Value: slices.Clone(value)}
+	f.history[key] = append(f.history[key], entryAt{object: object, revision: f.revision})
+	return object
+}
+
+func (f *fakeStore) create(key string, value []byte) (platform.Object, error) {
+	if _, found := f.at(key, f.revision); found {
+		return platform.Object{}, errs.New(errs.Conflict, "exists")
+	}
+	return f.write(key, value, 1), nil
+}
+
+func (f *fakeStore) update(key string, value []byte, version int64) (platform.Object, error) {
+	old, found := f.at(key, f.revision)
+	if !found || old.Version != version {
+		return platform.Object{}, errs.New(errs.Conflict, "other version")
+	}
+	return f.write(key, value, version+1), nil
+}
+
+func (f *fakeStore) remove(key string, version int64) error {
+	old, found := f.at(key, f.revision)
+	if !found || old.Version != version {
+		return errs.New(errs.Conflict, "other version")
+	}
+	f.revision++
+	f.history[key] = append(f.history[key], entryAt{revision: f.revision, deleted: true})
+	return nil
+}
+
+func (f *fakeStore) get(key string, revision int64) (platform.Object, error) {
+	object, found := f.at(key, revision)
+	if !found {
+		return object, errs.New(errs.NotFound, "no such object")
+	}
+	return object, nil
+}
+
+func (f *fakeStore) list(prefix, after string, limit int, revision int64) platform.Page {
+	page := platform.Page{Revision: revision}
+	var keys []string
+	for key := range f.history {
+		if _, found := f.at(key, revision); found && strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page.More = len(keys) > limit
+	for _, key := range keys[:min(limit, len(keys))] {
+		object, _ := f.at(key, revision)
+		page.Objects = append(page.Objects, object)
+	}
+	return page
+}
+
+// faults decides what happens to the store calls of one VM.
+type faults interface {
+	pause()                       // lets other actors act
+	writeFault() writeFault       // of the next write
+	delay(write func())           // keeps a write that takes effect later
+	readRevision(low int64) int64 // revision that a read sees; below low is answered with StoreStale
+}
+
+type writeFault int
+
+const (
+	writeApplied     writeFault = iota
+	writeUnavailable            // no effect
+	writeLost                   // no effect, ambiguous
+	writeUnanswered             // took effect, ambiguous
+	writeDelayed                // takes effect later, ambiguous
+	writePretended              // no effect, reported as success; only for switched-off mechanisms
+)
+
+// faultyStore is one VM's connection to the store.
+type faultyStore struct {
+	store  *fakeStore
+	faults faults
+}
+
+func (f *faultyStore) write(do func() (platform.Object, error)) (platform.Object, error) {
+	f.store.calls++
+	f.faults.pause()
+	defer f.faults.pause()
+	switch f.faults.writeFault() {
+	case writeUnavailable:
+		return platform.Object{}, errs.New(errs.StoreUnavailable, "store is down")
+	case writeLost:
+	case writeUnanswered:
+		_, _ = do()
+	case writeDelayed:
+		f.faults.delay(func() { _, _ = do() })
+	case writePretended:
+		return platform.Object{Version: 1, Revision: f.store.revision}, nil
+	default:
+		return do()
+	}
+	return platform.Object{}, errs.New(errs.StoreAmbiguous, "response lost")
+}
+
+func (f *faultyStore) read(low int64, do func(revision int64) error) error {
+	f.store.calls++
+	f.faults.pause()
+	defer f.faults.pause()
+	revision := f.faults.readRevision(low)
+	if revision < 0 {
+		return errs.New(errs.StoreUnavailable, "store is down")
+	}
+	if revision < low {
+		return errs.New(errs.StoreStale, "replica is behind")
+	}
+	return do(revision)
+}
+
+func (f *faultyStore) Get(_ context.Context, key string, low int64) (object platform.Object, err error) {
+	err = f.read(low, func(revision int64) (err error) { object, err = f.store.get(key, revision); return err })
+	return object, err
+}
+
+func (f *faultyStore) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
+	return f.write(func() (platform.Object, error) { return f.store.create(key, value) })
+}
+
+func (f *faultyStore) Update(_ context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	return f.write(func() (platform.Object, error) { return f.store.update(key, value, version) })
+}
+
+func (f *faultyStore) Put(context.Context, string, []byte) (platform.Object, error) {
+	return platform.Object{}, errs.New(errs.Internal, "not used by the journal")
+}
+
+func (f *faultyStore) Delete(_ context.Context, key string, version int64) error {
+	_, err := f.write(func() (platform.Object, error) { return platform.Object{}, f.store.remove(key, version) })
+	return err
+}
+
+func (f *faultyStore) List(_ context.Context, prefix, after string, limit int, low int64) (page platform.Page, err error) {
+	err = f.read(low, func(revision int64) error { page = f.store.list(prefix, after, limit, revision); return nil })
+	return page, err
+}
+
+func (f *faultyStore) Watch(context.Context, string, int64, time.Duration) (platform.Changes, error) {
+	return platform.Changes{}, errs.New(errs.Internal, "not used by the journal")
+}
--- /dev/null
+++ b/internal/journal/world_test.go
@@ -0,0 +1,458 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"iter"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/rpcapi"
+	"cicadaslip/internal/timeline"
+)
+
+// actor is a coroutine that the scheduler resumes. It runs only while next is
+// being called, so the whole world is single threaded and deterministic.
+type actor struct {
+	next  func() (struct{}, bool)
+	stop  func()
+	sleep int // scheduler step before which the actor is paused
+	done  bool
+}
+
+// stopped unwinds the coroutine of a VM that died.
+type stopped struct{}
+
+func newActor(body func(pause func())) *actor {
+	a := &actor{}
+	a.next, a.stop = iter.Pull(func(yield func(struct{}) bool) {
+		defer func() {
+			if r := recover(); r != nil && r != any(stopped{}) {
+				panic(r)
+			}
+		}()
+		body(func() {
+			if !yield(struct{}{}) {
+				panic(stopped{})
+			}
+		})
+	})
+	return a
+}
+
+// mechanism names a part of the design that a test switches off.
+type mechanism string
+
+const (
+	none              mechanism = ""
+	claimBeforeStored mechanism = "a claim counts before its batch is stored"
+	noTakeoverRecord  mechanism = "no takeover record is written"
+	releaseAfterSend  mechanism = "the front end releases a claim after dispatch"
+	dispatchOnError   mechanism = "the front end dispatches without a granted claim"
+	repeatInProgress  mechanism = "the front end dispatches a key that another claim id holds"
+	stepsPerRun                 = 1500
+	keysPerRun                  = 3
+	maxAttempts                 = 24
+	maxLivingVMs                = 4
+	awaitPauses                 = 40
+	claimTries                  = 5
+	endTries                    = 12
+)
+
+type simVM struct {
+	holder model.Holder
+	shard  *Shard
+	actors []*actor // shard and front end
+	dead   bool
+	gone   bool
+}
+
+type job struct {
+	attempt  *attempt
+	ran      bool
+	lost     bool
+	response []byte
+}
+
+// attempt is one call of a caller at one front end.
+type attempt struct {
+	key  rpcapi.ClaimKey
+	body byte
+	id   rpcapi.ClaimID
+	vm   *simVM
+	said string // what the caller was told; empty while it waits
+	got  []byte
+	sent bool
+}
+
+type world struct {
+	rng      *rand.Rand
+	store    *fakeStore
+	now      time.Time
+	step     int
+	calm     bool // no faults any more
+	down     bool
+	fault    float64 // share of store calls with a fault
+	off      mechanism
+	vms      []*simVM
+	jobs     []*job
+	runs     []*job
+	delayed  []func()
+	attempts []*attempt
+	trace    uint64 // hash of the schedule
+	counters Counters
+	seen     map[string]int
+}
+
+func newWorld(seed uint64, off mechanism) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), store: newFakeStore(), now: time.UnixMilli(1_700_000_000_000),
+		off: off, seen: make(map[string]int),
+	}
+	w.fault = []float64{0, 0.05, 0.2, 0.4}[w.rng.IntN(4)]
+	for range 2 {
+		w.startVM()
+	}
+	return w
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+// Gone implements Liveness.
+func (w *world) Gone(holder model.Holder) bool {
+	for _, vm := range w.vms {
+		if vm.holder == holder {
+			return vm.gone
+		}
+	}
+	return false
+}
+
+func (w *world) startVM() {
+	number := len(w.vms) + 1
+	vm := &simVM{holder: model.Holder{VM: fmt.Sprintf("vm%d", number%5), Incarnation: model.Incarnation(number)}}
+	settings := DefaultSettings(vm.holder)
+	settings.CompactPositions = 1 + w.rng.IntN(6)
+	settings.CommitInterval = time.Millisecond
+	conn := &vmFaults{world: w, pauseNow: func() {}}
+	vm.shard = NewShard(0, settings, Dependencies{
+		Store: &faultyStore{store: w.store, faults: conn}, Liveness: w, Now: func() time.Time { return w.now },
+		Rand: w.rng, Recorder: timeline.Discard{}, Log: zerolog.New(io.Discard), Counters: &w.counters,
+	})
+	vm.shard.SetWanted(w.chance(0.7))
+	w.vms = append(w.vms, vm)
+	vm.actors = append(vm.actors, newActor(func(pause func()) {
+		conn.pauseNow = pause
+		for {
+			vm.shard.Step(context.Background())
+			pause()
+		}
+	}))
+}
+
+// vmFaults draws the faults of one VM's store calls.
+type vmFaults struct {
+	world    *world
+	pauseNow func()
+}
+
+func (f *vmFaults) pause()             { f.pauseNow() }
+func (f *vmFaults) delay(write func()) { f.world.delayed = append(f.world.delayed, write) }
+
+func (f *vmFaults) writeFault() writeFault {
+	w := f.world
+	switch {
+	case w.calm:
+		return writeApplied
+	case w.down:
+		return writeUnavailable
+	case w.chance(w.fault):
+		return writeFault(1 + w.rng.IntN(int(writeDelayed)))
+	}
+	return writeApplied
+}
+
+func (f *vmFaults) readRevision(low int64) int64 {
+	w := f.world
+	switch {
+	case w.calm:
+		return w.store.revision
+	case w.down:
+		return -1
+	case w.chance(w.fault):
+		return max(0, w.store.revision-int64(w.rng.IntN(12)))
+	}
+	return w.store.revision
+}
+
+func (w *world) living() []*simVM {
+	var living []*simVM
+	for _, vm := range w.vms {
+		if !vm.dead {
+			living = append(living, vm)
+		}
+	}
+	return living
+}
+
+func (w *world) pickVM() *simVM {
+	living := w.living()
+	for _, vm := range living {
+		if vm.shard.Owned() && w.chance(0.5) {
+			return vm
+		}
+	}
+	return living[w.rng.IntN(len(living))]
+}
+
+// await waits for a reply. A false result is a lost reply or a dead owner.
+func (w *world) await(call *Call, pause func()) (rpcapi.ClaimReply, bool) {
+	for range awaitPauses {
+		select {
+		case <-call.Done():
+			return call.Reply(), w.calm || !w.chance(w.fault/2)
+		default:
+			pause()
+		}
+	}
+	return rpcapi.ClaimReply{}, false
+}
+
+// end repeats an outcome or release at any VM until it is accepted.
+func (w *world) end(pause func(), ask func(shard *Shard) *Call) {
+	for range endTries {
+		reply, ok := w.await(ask(w.pickVM().shard), pause)
+		if ok && (reply.Err == nil || errs.Is(reply.Err, errs.Conflict)) {
+			return
+		}
+		pause()
+	}
+}
+
+func (w *world) newAttempt() {
+	living := w.living()
+	a := &attempt{vm: living[w.rng.IntN(len(living))]}
+	a.key = rpcapi.ClaimKey{Organisation: "o", Kind: "k", Key: fmt.Sprint(w.rng.IntN(keysPerRun))}
+	if w.chance(0.1) {
+		a.body = 1
+	}
+	w.attempts = append(w.attempts, a)
+	a.id = rpcapi.ClaimID{Holder: a.vm.holder, Number: uint64(len(w.attempts))}
+	a.vm.actors = append(a.vm.actors, newActor(func(pause func()) { w.serve(a, pause) }))
+}
+
+// serve is the front end's part of one call.
+func (w *world) serve(a *attempt, pause func()) {
+	pause()
+	reply, found := w.claim(a, pause)
+	switch {
+	case w.off == dispatchOnError && !found:
+		w.dispatch(a, pause)
+	case !found:
+		a.say("not_run")
+		w.release(a, pause)
+	case reply.State == rpcapi.ClaimGranted && w.chance(0.15):
+		a.say("not_run")
+		w.release(a, pause)
+	case reply.State == rpcapi.ClaimGranted:
+		w.dispatch(a, pause)
+	case reply.State == rpcapi.ClaimFinished:
+		a.got = reply.Response.Body
+		a.say("answer")
+	case reply.State == rpcapi.ClaimRunning && w.off == repeatInProgress:
+		w.dispatch(a, pause)
+	default:
+		a.say(string(reply.State))
+	}
+}
+
+func (a *attempt) say(what string) { a.said = what }
+
+func (w *world) claim(a *attempt, pause func()) (rpcapi.ClaimReply, bool) {
+	request := rpcapi.ClaimRequest{Key: a.key, ID: a.id, BodyHash: [32]byte{a.body}}
+	for range claimTries {
+		reply, ok := w.await(w.pickVM().shard.Claim(request), pause)
+		if ok && reply.Err == nil {
+			return reply, true
+		}
+		pause()
+	}
+	return rpcapi.ClaimReply{}, false
+}
+
+func (w *world) release(a *attempt, pause func()) {
+	request := rpcapi.ReleaseClaimRequest{Key: a.key, ID: a.id}
+	w.end(pause, func(shard *Shard) *Call { return shard.Release(request) })
+}
+
+func (w *world) outcome(a *attempt, pause func(), unknown bool, body []byte) {
+	request := rpcapi.OutcomeRequest{
+		Key: a.key, ID: a.id, Unknown: unknown, Response: rpcapi.StoredResponse{Status: 200, Body: body},
+	}
+	w.end(pause, func(shard *Shard) *Call { return shard.Outcome(request) })
+}
+
+func (w *world) dispatch(a *attempt, pause func()) {
+	pause()
+	j := &job{attempt: a, lost: !w.calm && w.chance(0.1)}
+	a.sent = true
+	w.jobs = append(w.jobs, j)
+	if w.off == releaseAfterSend && w.chance(0.3) {
+		w.release(a, pause)
+	}
+	patience := 5 + w.rng.IntN(60)
+	for ; patience > 0 && !j.ran; patience-- {
+		pause()
+	}
+	if !j.ran {
+		a.say("unknown")
+		w.outcome(a, pause, true, nil)
+		for tries := 0; tries < awaitPauses && !j.ran; tries++ {
+			pause()
+		}
+	}
+	if j.ran {
+		w.answer(a, j, pause)
+	}
+}
+
+// answer stores the outcome before or after the caller gets it.
+func (w *world) answer(a *attempt, j *job, pause func()) {
+	before := w.chance(0.5)
+	if before {
+		w.outcome(a, pause, false, j.response)
+	}
+	if a.said == "" {
+		a.got = j.response
+		a.say("answer")
+	}
+	if !before {
+		w.outcome(a, pause, false, j.response)
+	}
+}
+
+// runTarget lets one job reach its target, possibly long after it was sent.
+func (w *world) runTarget() {
+	if len(w.jobs) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.jobs))
+	j := w.jobs[i]
+	w.jobs = append(w.jobs[:i], w.jobs[i+1:]...)
+	if !j.lost {
+		j.response = fmt.Appendf(nil, "run %d", len(w.runs))
+		j.ran = true
+		w.runs = append(w.runs, j)
+	}
+}
+
+func (w *world) resume() {
+	living := w.living()
+	vm := living[w.rng.IntN(len(living))]
+	i := w.rng.IntN(len(vm.actors))
+	a := vm.actors[i]
+	if a.done || (a.sleep > w.step && !w.calm) {
+		return
+	}
+	w.mix(uint64(vm.holder.Incarnation)<<16 | uint64(i))
+	if _, more := a.next(); !more {
+		a.done = true
+	}
+	if w.chance(0.01) {
+		a.sleep = w.step + w.rng.IntN(500) // a pause before or after a write
+	}
+}
+
+func (w *world) mix(choice uint64) {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, w.trace, choice, w.store.revision)
+	w.trace = h.Sum64()
+}
+
+func (w *world) crash() {
+	living := w.living()
+	if len(living) < 2 {
+		return
+	}
+	vm := living[w.rng.IntN(len(living))]
+	vm.dead = true
+	for _, a := range vm.actors {
+		a.stop()
+	}
+	w.startVM()
+}
+
+func (w *world) applyDelayed() {
+	if len(w.delayed) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.delayed))
+	write := w.delayed[i]
+	w.delayed = append(w.delayed[:i], w.delayed[i+1:]...)
+	write()
+}
+
+// event is everything that happens besides the actors' own steps.
+func (w *world) event() {
+	vm := w.vms[w.rng.IntN(len(w.vms))]
+	switch pick := w.rng.IntN(100); {
+	case pick < 30 && len(w.attempts) < maxAttempts:
+		w.newAttempt()
+	case pick < 60:
+		w.runTarget()
+	case pick < 75:
+		w.applyDelayed()
+	case pick < 85 && !vm.dead:
+		vm.shard.SetWanted(w.chance(0.6))
+	case pick < 88:
+		w.crash()
+	case pick < 93 && vm.dead:
+		vm.gone = true
+	case pick < 96:
+		w.down = w.chance(0.3)
+	case len(w.living()) < maxLivingVMs:
+		w.startVM()
+	}
+}
+
+func (w *world) run() {
+	defer w.stop()
+	for w.step = range stepsPerRun {
+		w.now = w.now.Add(time.Duration(w.rng.IntN(8)) * time.Millisecond)
+		if w.chance(0.12) {
+			w.event()
+		}
+		w.resume()
+	}
+	w.settle()
+}
+
+// settle ends all faults and lets everything finish at one owner.
+func (w *world) settle() {
+	w.calm, w.down = true, false
+	for len(w.delayed) > 0 {
+		w.applyDelayed()
+	}
+	for i, vm := range w.living() {
+		vm.shard.SetWanted(i == 0)
+	}
+	for range 4 * stepsPerRun {
+		w.now = w.now.Add(5 * time.Millisecond)
+		w.runTarget()
+		w.resume()
+	}
+}
+
+func (w *world) stop() {
+	for _, vm := range w.vms {
+		for _, a := range vm.actors {
+			a.stop()
+		}
+	}
+}
