target: Send the fencing token with state questions

A new owner takes a runner that checks fencing tokens as safe against older orders once the runner has answered a question of the new epoch. The question carried no token, so a delayed order of the former owner would still have been accepted after it.

--- a/internal/standin/runner/engine.go
+++ b/internal/standin/runner/engine.go
@@ -69,6 +69,13 @@
 	return nil
 }
 
+// observeFence checks the token of a question.
+func (r *Runner) observeFence(token uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.checkFence(token)
+}
+
 // Load makes an adapter resident. It waits for the load to end.
 func (r *Runner) Load(a model.AdapterVersion, token uint64) error {
 	r.mu.Lock()
--- a/internal/standin/runner/http.go
+++ b/internal/standin/runner/http.go
@@ -62,7 +62,7 @@
 		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 		reply(ctx, r.CacheEvents(after))
 	case path == "/state" && method == "GET":
-		reply(ctx, r.State())
+		r.handleState(ctx)
 	case path == "/load" && method == "GET":
 		reply(ctx, r.LoadReport())
 	case strings.HasPrefix(path, "/weights/"):
@@ -178,6 +178,23 @@
 	reply(ctx, struct{}{})
 }
 
+// handleState answers with the runner's state. A question that carries a
+// fencing token raises the highest token seen, as an order does.
+func (r *Runner) handleState(ctx *fasthttp.RequestCtx) {
+	if text := ctx.Request.Header.Peek(HeaderFencingToken); len(text) > 0 {
+		token, err := strconv.ParseUint(string(text), 10, 64)
+		if err != nil {
+			fail(ctx, errs.New(errs.InvalidRequest, "fencing token is not valid"))
+			return
+		}
+		if err := r.observeFence(token); err != nil {
+			fail(ctx, err)
+			return
+		}
+	}
+	reply(ctx, r.State())
+}
+
 func (r *Runner) handleTransit(ctx *fasthttp.RequestCtx, op string) {
 	switch op {
 	case "start":
--- a/internal/target/orders.go
+++ b/internal/target/orders.go
@@ -77,14 +77,16 @@
 	return nil
 }
 
-// State asks a runner for its statement about itself. The caller sets AskedAt.
-func (c *Client) State(ctx context.Context, to model.Target) (core.TargetState, error) {
+// State asks a runner for its statement about itself. The question carries the
+// fencing token, so that a runner that checks it refuses older orders from then
+// on. The caller sets AskedAt.
+func (c *Client) State(ctx context.Context, to model.Target, epoch model.Epoch) (core.TargetState, error) {
 	var body struct {
 		Instance string                 `json:"instance"`
 		Resident []model.AdapterVersion `json:"resident"`
 		Running  []model.RequestID      `json:"running"`
 	}
-	if err := c.get(ctx, to, "/state", &body); err != nil {
+	if err := c.get(ctx, to, "/state", epoch, &body); err != nil {
 		return core.TargetState{}, err
 	}
 	if body.Instance == "" {
@@ -99,7 +101,7 @@
 		Running int `json:"running"`
 		Waiting int `json:"waiting"`
 	}
-	err := c.get(ctx, to, "/load", &body)
+	err := c.get(ctx, to, "/load", 0, &body)
 	return core.LoadReport{Target: to.Name, Running: body.Running, Waiting: body.Waiting}, err
 }
 
@@ -113,12 +115,17 @@
 // CacheEvents asks a runner for its prefix cache events after a sequence.
 func (c *Client) CacheEvents(ctx context.Context, to model.Target, after uint64) ([]CacheEvent, error) {
 	var events []CacheEvent
-	err := c.get(ctx, to, "/v1/cache_events?after="+strconv.FormatUint(after, 10), &events)
+	err := c.get(ctx, to, "/v1/cache_events?after="+strconv.FormatUint(after, 10), 0, &events)
 	return events, err
 }
 
-func (c *Client) get(ctx context.Context, to model.Target, path string, out any) error {
-	resp, failure := c.exchange(ctx, to.Address, newRequest(fasthttp.MethodGet, to.Address, path), c.cfg.ControlTimeout, maxStateBytes)
+// get asks a question. An epoch of 0 sends no fencing token.
+func (c *Client) get(ctx context.Context, to model.Target, path string, epoch model.Epoch, out any) error {
+	request := newRequest(fasthttp.MethodGet, to.Address, path)
+	if epoch > 0 {
+		request.Header.Set(headerFencingToken, strconv.FormatUint(uint64(epoch), 10))
+	}
+	resp, failure := c.exchange(ctx, to.Address, request, c.cfg.ControlTimeout, maxStateBytes)
 	if failure != nil {
 		return failure.WithRan(errs.RanUnset)
 	}
