--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,228 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/config"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/platform"
+	"cicadaslip/internal/platform/memstore"
+)
+
+var ctx = context.Background()
+
+func beCode(code errs.Code) gomega.OmegaMatcher {
+	return gomega.WithTransform(func(err error) errs.Code { return errs.As(err).Code }, gomega.Equal(code))
+}
+
+// document returns a valid document with n adapters.
+func document(n int) *config.Document {
+	d := &config.Document{
+		BaseModels:    []string{"base-7b"},
+		LoadRate:      2,
+		Organisations: []config.Organisation{{Name: "baltzips", CredentialSHA256: strings.Repeat("ab", 32), Share: 1}},
+		Kinds: []config.Kind{{
+			Organisation: "baltzips", Name: "booking", Application: "bookings",
+			AtMostOnce: true, Worth: 5, Deadline: config.Duration(2 * time.Second),
+		}},
+	}
+	for i := range n {
+		d.Adapters = append(d.Adapters, config.Adapter{
+			Organisation: "baltzips", Name: fmt.Sprintf("shop-%06d", i), BaseModel: "base-7b", Versions: []string{"v1"},
+		})
+	}
+	return d
+}
+
+// Guards against a value that changes on its way through an encoding.
+func TestEncodingsKeepTheDocument(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := document(3).Normalised()
+	for _, encode := range []func() ([]byte, error){d.EncodeYAML, d.EncodeJSON} {
+		data, err := encode()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		decoded, err := config.Decode(data)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), string(data))
+		g.Expect(decoded).To(gomega.Equal(d))
+		g.Expect(decoded.Validate()).To(gomega.Succeed())
+	}
+}
+
+// Guards against input that is accepted although a part of it has no effect.
+func TestDecodingIsStrict(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for text, want := range map[string]string{
+		"load_rate: 2\nload_rat: 3\n":                   "line 2",
+		"load_rate: 2\nload_rate: 3\n":                  "line 2",
+		"load_rate: fast\n":                             "line 1",
+		"kinds:\n  - name: a\n    deadline: 5\n":        "unit",
+		"kinds:\n  - name: a\n    worht: 5\n":           "line 3",
+		`{"load_rate": 2, "load_rat": 3}`:               "load_rat",
+		`{"load_rate": 2} {}`:                           "follows",
+		`{"retention": "24"}`:                           "unit",
+		"load_rate: 2\n---\nload_rate: 3\n":             "more than one",
+		"":                                              "empty",
+		"adapters:\n  - organisation: a\n    name: [b]": "line 3",
+	} {
+		_, err := config.Decode([]byte(text))
+		g.Expect(err).To(beCode(errs.InvalidConfig), text)
+		described := err.Error() + strings.Join(errs.As(err).Details, " ")
+		g.Expect(described).To(gomega.ContainSubstring(want), text)
+	}
+}
+
+// Guards against validation that stops at the first fault or omits its path.
+func TestEveryFaultIsReportedWithItsPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := document(2)
+	d.LoadRate, d.JournalShards, d.Retention, d.GroupTargets = 0, -1, 1, 5000
+	d.BaseModels = append(d.BaseModels, "base-7b")
+	d.Organisations = append(d.Organisations,
+		config.Organisation{Name: "jegue", CredentialSHA256: strings.Repeat("ab", 32), Share: -1},
+		config.Organisation{Name: "a/b", CredentialSHA256: "zz", Share: 1})
+	d.Adapters[0].Versions = nil
+	d.Adapters[1] = config.Adapter{Organisation: "other", Name: "x", BaseModel: "none", Versions: []string{"v1", "v1", "a@b"}}
+	d.Kinds = append(d.Kinds, d.Kinds[0], config.Kind{Organisation: "baltzips", Name: "late"})
+	err := d.Normalised().Validate()
+	g.Expect(err).To(beCode(errs.InvalidConfig))
+	var paths []string
+	for _, detail := range errs.As(err).Details {
+		path, _, _ := strings.Cut(detail, ": ")
+		paths = append(paths, path)
+	}
+	g.Expect(paths).To(gomega.ConsistOf(
+		"load_rate", "journal_shards", "group_targets", "retention", "base_models[1]",
+		"organisations[a/b].name", "organisations[a/b].credential_sha256",
+		"organisations[jegue].share", "organisations[jegue].credential_sha256",
+		"adapters[baltzips/shop-000000].versions",
+		"adapters[other/x].organisation", "adapters[other/x].base_model",
+		"adapters[other/x].versions[1]", "adapters[other/x].versions[2]",
+		"kinds[baltzips/booking]", "kinds[baltzips/late].worth", "kinds[baltzips/late].deadline",
+	))
+}
+
+func TestDiffNamesEachDifference(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, updated := document(2).Normalised(), document(3).Normalised()
+	updated.LoadRate = 4
+	updated.Adapters = updated.Adapters[1:]
+	updated.Adapters[0].Versions = []string{"v1", "v2"}
+	var lines []string
+	for _, difference := range config.Diff(old, updated) {
+		lines = append(lines, difference.String())
+	}
+	g.Expect(lines).To(gomega.Equal([]string{
+		"load_rate: 2 -> 4",
+		"adapters[baltzips/shop-000000]: {organisation=baltzips name=shop-000000 base_model=base-7b versions=[v1]} -> absent",
+		"adapters[baltzips/shop-000001].versions: [v1] -> [v1 v2]",
+		"adapters[baltzips/shop-000002]: absent -> {organisation=baltzips name=shop-000002 base_model=base-7b versions=[v1]}",
+	}))
+}
+
+// Guards against a configuration of two years from now that does not fit the
+// store, and against a small change that rewrites it.
+func TestLargeDocumentIsPublishedInSmallParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	d := document(50_000)
+	_, err := config.Publish(ctx, s, d, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	before := s.Counts()
+	g.Expect(before.Writes()).To(gomega.BeNumerically(">", 20))
+	d.Adapters[25_000].Versions = append(d.Adapters[25_000].Versions, "v2")
+	result, err := config.Publish(ctx, s, d, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(result.Differences).To(gomega.HaveLen(1))
+	g.Expect(s.Counts().Writes() - before.Writes()).To(gomega.BeEquivalentTo(2))
+	snapshot, err := config.Load(ctx, s, result.Revision)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(config.Diff(snapshot.Document, d.Normalised())).To(gomega.BeEmpty())
+}
+
+// Guards against overwriting a change that the operator has not seen.
+func TestSecondOperatorGetsConflictWithDifferences(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	publish := func(rate float64, base uint64) error {
+		d := document(1)
+		d.LoadRate = rate
+		_, err := config.Publish(ctx, s, d, base)
+		return err
+	}
+	g.Expect(publish(1, 0)).To(gomega.Succeed())
+	g.Expect(publish(2, 1)).To(gomega.Succeed())
+	err := publish(3, 1)
+	g.Expect(err).To(beCode(errs.Conflict))
+	g.Expect(errs.As(err).Details).To(gomega.ConsistOf("load_rate: 2 -> 3"))
+
+	// The same with a read that does not show the other operator's change yet.
+	s.Inject(memstore.Rule{Fault: memstore.StaleRead, Op: memstore.OpList, Lag: 1, Count: 2})
+	err = publish(3, 1)
+	g.Expect(err).To(beCode(errs.Conflict))
+	g.Expect(errs.As(err).Details).To(gomega.ConsistOf("load_rate: 2 -> 3"))
+	g.Expect(publish(3, 7)).To(beCode(errs.StoreStale))
+}
+
+// Guards against a changed number of shards, after which a repeated call would
+// not find its first run.
+func TestJournalShardsCannotChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	d := document(1)
+	_, err := config.Publish(ctx, s, d, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	d.JournalShards = 16
+	_, err = config.Publish(ctx, s, d, 1)
+	g.Expect(err).To(beCode(errs.InvalidConfig))
+}
+
+// interfering runs a function before the first update of the root.
+type interfering struct {
+	platform.Store
+	before func()
+}
+
+func (s *interfering) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	if before := s.before; before != nil && key == config.RootKey {
+		s.before = nil
+		before()
+	}
+	return s.Store.Update(ctx, key, value, version)
+}
+
+// Guards against pruning a part that another operator takes into use at the
+// same time, and against parts that are never deleted.
+func TestPruningKeepsPartsInUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	publish := func(through platform.Store, n int, base uint64) error {
+		_, err := config.Publish(ctx, through, document(n), base)
+		return err
+	}
+	base := uint64(0)
+	for ; base < 30; base++ {
+		g.Expect(publish(s, 1+int(base), base)).To(gomega.Succeed())
+	}
+	page, err := s.List(ctx, "config/parts/", "", 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(page.Objects)).To(gomega.BeNumerically("<", 25))
+
+	// The slow operator is about to prune the oldest retired part; the other
+	// one makes it part of the configuration first, then the slow one goes on.
+	slow := &interfering{Store: s}
+	oldest := int(base) - 16 + 1
+	slow.before = func() { g.Expect(publish(s, oldest, base)).To(gomega.Succeed()) }
+	g.Expect(publish(slow, 100, base)).To(beCode(errs.Conflict))
+	for range 40 {
+		base++
+		g.Expect(publish(s, oldest+int(base%2), base)).To(gomega.Succeed())
+	}
+	_, err = config.Load(ctx, s, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -129,4 +129,7 @@
 	Kinds         map[string]Kind    // by "organisation/kind"
 	JournalShards int
 	Retention     time.Duration // of at-most-once claims
+	BaseModels    []string      // that adapters may belong to
+	LoadRate      float64       // of the weights store, loads/s
+	GroupTargets  int           // largest number of targets in one group
 }
