config: Use a fixed number of groups per pool

A bound on the size of a group moves targets between groups when targets are added, so that two owners could order the same target. Ruled out: keeping the assignment in the store, which needs another conditional write per target.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,7 +81,7 @@
 func TestEveryFaultIsReportedWithItsPath(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := document(2)
-	d.LoadRate, d.JournalShards, d.Retention, d.GroupTargets = 0, -1, 1, 5000
+	d.LoadRate, d.JournalShards, d.Retention, d.GroupsPerPool = 0, -1, 1, 5000
 	d.BaseModels = append(d.BaseModels, "base-7b")
 	d.Organisations = append(d.Organisations,
 		config.Organisation{Name: "jegue", CredentialSHA256: strings.Repeat("ab", 32), Share: -1},
@@ -97,7 +97,7 @@
 		paths = append(paths, path)
 	}
 	g.Expect(paths).To(gomega.ConsistOf(
-		"load_rate", "journal_shards", "group_targets", "retention", "base_models[1]",
+		"load_rate", "journal_shards", "groups_per_pool", "retention", "base_models[1]",
 		"organisations[a/b].name", "organisations[a/b].credential_sha256",
 		"organisations[jegue].share", "organisations[jegue].credential_sha256",
 		"adapters[baltzips/shop-000000].versions",
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -45,7 +45,7 @@
 	scalar("load_rate", old.LoadRate, updated.LoadRate)
 	scalar("journal_shards", old.JournalShards, updated.JournalShards)
 	scalar("retention", old.Retention, updated.Retention)
-	scalar("group_targets", old.GroupTargets, updated.GroupTargets)
+	scalar("groups_per_pool", old.GroupsPerPool, updated.GroupsPerPool)
 	out = append(out, diffList("organisations", old.Organisations, updated.Organisations, func(o Organisation) string { return o.Name })...)
 	out = append(out, diffList("adapters", old.Adapters, updated.Adapters, Adapter.Key)...)
 	return append(out, diffList("kinds", old.Kinds, updated.Kinds, Kind.Key)...)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -13,16 +13,16 @@
 const (
 	DefaultJournalShards = 8
 	DefaultRetention     = 24 * time.Hour
-	DefaultGroupTargets  = 16
+	DefaultGroupsPerPool = 1
 )
 
 // Document is the configuration as operators declare it.
 type Document struct {
 	BaseModels    []string       `yaml:"base_models" json:"base_models"`
-	LoadRate      float64        `yaml:"load_rate" json:"load_rate"`           // of the weights store, loads/s
-	JournalShards int            `yaml:"journal_shards" json:"journal_shards"` // cannot change later; 0: DefaultJournalShards
-	Retention     Duration       `yaml:"retention" json:"retention"`           // of at-most-once claims; 0: DefaultRetention
-	GroupTargets  int            `yaml:"group_targets" json:"group_targets"`   // largest target group; 0: DefaultGroupTargets
+	LoadRate      float64        `yaml:"load_rate" json:"load_rate"`             // of the weights store, loads/s
+	JournalShards int            `yaml:"journal_shards" json:"journal_shards"`   // cannot change later; 0: DefaultJournalShards
+	Retention     Duration       `yaml:"retention" json:"retention"`             // of at-most-once claims; 0: DefaultRetention
+	GroupsPerPool int            `yaml:"groups_per_pool" json:"groups_per_pool"` // target groups per data centre and base model or application; 0: DefaultGroupsPerPool
 	Organisations []Organisation `yaml:"organisations" json:"organisations"`
 	Adapters      []Adapter      `yaml:"adapters" json:"adapters"`
 	Kinds         []Kind         `yaml:"kinds" json:"kinds"`
@@ -97,8 +97,8 @@
 	if n.Retention == 0 {
 		n.Retention = Duration(DefaultRetention)
 	}
-	if n.GroupTargets == 0 {
-		n.GroupTargets = DefaultGroupTargets
+	if n.GroupsPerPool == 0 {
+		n.GroupsPerPool = DefaultGroupsPerPool
 	}
 	n.BaseModels = append([]string(nil), d.BaseModels...)
 	sort.Strings(n.BaseModels)
@@ -125,7 +125,7 @@
 		Retention:     time.Duration(d.Retention),
 		BaseModels:    d.BaseModels,
 		LoadRate:      d.LoadRate,
-		GroupTargets:  d.GroupTargets,
+		GroupsPerPool: d.GroupsPerPool,
 	}
 	for _, o := range d.Organisations {
 		c.Organisations[o.Name] = model.Organisation{Name: o.Name, CredentialHash: o.CredentialSHA256, Share: o.Share}
--- a/internal/config/root.go
+++ b/internal/config/root.go
@@ -32,7 +32,7 @@
 	LoadRate      float64       `json:"load_rate"`
 	JournalShards int           `json:"journal_shards"`
 	Retention     Duration      `json:"retention"`
-	GroupTargets  int           `json:"group_targets"`
+	GroupsPerPool int           `json:"groups_per_pool"`
 	Parts         []string      `json:"parts"`
 	Retired       []retiredPart `json:"retired,omitempty"`
 }
@@ -97,7 +97,7 @@
 func next(old *storedRoot, d *Document, parts []encodedPart, id string) root {
 	r := root{
 		Version: old.version() + 1, BaseModels: d.BaseModels, LoadRate: d.LoadRate,
-		JournalShards: d.JournalShards, Retention: d.Retention, GroupTargets: d.GroupTargets,
+		JournalShards: d.JournalShards, Retention: d.Retention, GroupsPerPool: d.GroupsPerPool,
 	}
 	used := map[string]bool{}
 	for _, p := range parts {
@@ -149,7 +149,7 @@
 func (r *root) document(fetch func(digest string) ([]byte, error)) (*Document, error) {
 	d := &Document{
 		BaseModels: r.BaseModels, LoadRate: r.LoadRate, JournalShards: r.JournalShards,
-		Retention: r.Retention, GroupTargets: r.GroupTargets,
+		Retention: r.Retention, GroupsPerPool: r.GroupsPerPool,
 	}
 	for _, digest := range r.Parts {
 		data, err := fetch(digest)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -12,16 +12,16 @@
 
 // Bounds of a document.
 const (
-	maxNameLength   = 64 // bytes
-	maxVersions     = 1000
-	maxLoadRate     = 10_000 // loads/s
-	maxJournal      = 256
-	maxGroupTargets = 1024
-	minRetention    = time.Minute
-	maxRetention    = 30 * 24 * time.Hour
-	maxDeadline     = time.Hour
-	maxWeight       = 1e6 // of shares and worths
-	credentialBytes = 32  // of a SHA-256
+	maxNameLength    = 64 // bytes
+	maxVersions      = 1000
+	maxLoadRate      = 10_000 // loads/s
+	maxJournal       = 256
+	maxGroupsPerPool = 1024
+	minRetention     = time.Minute
+	maxRetention     = 30 * 24 * time.Hour
+	maxDeadline      = time.Hour
+	maxWeight        = 1e6 // of shares and worths
+	credentialBytes  = 32  // of a SHA-256
 )
 
 // Validate reports every fault of a normalised document, each with its path,
@@ -68,8 +68,8 @@
 		"load_rate", "%v is refused; allowed: above 0, up to %v loads/s", d.LoadRate, maxLoadRate)
 	v.check(d.JournalShards >= 1 && d.JournalShards <= maxJournal,
 		"journal_shards", "%d is refused; allowed: 1 to %d", d.JournalShards, maxJournal)
-	v.check(d.GroupTargets >= 1 && d.GroupTargets <= maxGroupTargets,
-		"group_targets", "%d is refused; allowed: 1 to %d", d.GroupTargets, maxGroupTargets)
+	v.check(d.GroupsPerPool >= 1 && d.GroupsPerPool <= maxGroupsPerPool,
+		"groups_per_pool", "%d is refused; allowed: 1 to %d", d.GroupsPerPool, maxGroupsPerPool)
 	retention := time.Duration(d.Retention)
 	v.check(retention >= minRetention && retention <= maxRetention,
 		"retention", "%s is refused; allowed: %s to %s", d.Retention, Duration(minRetention), Duration(maxRetention))
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -131,5 +131,5 @@
 	Retention     time.Duration // of at-most-once claims
 	BaseModels    []string      // that adapters may belong to
 	LoadRate      float64       // of the weights store, loads/s
-	GroupTargets  int           // largest number of targets in one group
+	GroupsPerPool int           // target groups per data centre and base model or application
 }
