--- /dev/null
+++ b/internal/account/account_test.go
@@ -0,0 +1,253 @@
+package account
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+)
+
+var background = context.Background()
+
+func (n *node) used(id, organisation string, tokens int) {
+	n.ledger.RecordUsed(model.RequestID(id), organisation, "chat", core.OutcomeDone, core.Usage{PromptTokens: 1, GeneratedTokens: tokens})
+}
+
+func (n *node) given(id, organisation string, tokens int, entry *node) {
+	n.ledger.RecordGiven(core.RecordGiven{
+		ID: model.RequestID(id), Holder: entry.ledger.self, Organisation: organisation,
+		Outcome: core.OutcomeDone, Usage: core.Usage{PromptTokens: 1, GeneratedTokens: tokens},
+	})
+}
+
+// Guards against one-sided or unequal requests that the report hides, and
+// matched ones that it lists.
+func TestReportListsDifferences(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(2, Bounds{})
+	a, b := c.nodes[0], c.nodes[1]
+	a.used("both", "o", 10)
+	b.given("both", "o", 10, a)
+	a.used("hedged", "o", 7) // two attempts, two owners
+	b.given("hedged", "o", 2, a)
+	a.given("hedged", "o", 7, a)
+	a.used("hedged", "o", 2)
+	a.used("only used", "o", 1)
+	b.given("only given", "o", 2, a)
+	a.used("unequal", "o", 3)
+	b.given("unequal", "o", 4, a)
+	b.ledger.RecordGiven(core.RecordGiven{ID: "never sent", Holder: a.ledger.self, Organisation: "o", Outcome: core.OutcomeNotSent})
+	early := c.report()
+	g.Expect(early.Organisations[0].Differences).To(gomega.BeEmpty())
+	g.Expect(early.Organisations[0].Settling).To(gomega.Equal(4), "nothing was handed over yet")
+	c.settle()
+	report := c.report()
+	g.Expect(report.Complete()).To(gomega.BeTrue())
+	o := report.Organisations[0]
+	g.Expect(o.Used.GeneratedTokens).To(gomega.BeNumerically("==", 23))
+	g.Expect(o.Given.GeneratedTokens).To(gomega.BeNumerically("==", 25))
+	g.Expect(o.Given.Requests).To(gomega.Equal(map[core.Outcome]uint64{core.OutcomeDone: 5, core.OutcomeNotSent: 1}))
+	g.Expect(o.Differences).To(gomega.HaveExactElements(
+		gomega.HaveField("Request", model.RequestID("only given")),
+		gomega.HaveField("Request", model.RequestID("only used")),
+		gomega.HaveField("Request", model.RequestID("unequal"))))
+}
+
+// Guards against counters that are lost although a peer held them, when the
+// store is down until after the VM is gone.
+func TestPeersWriteTheCountersOfAGoneVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(3, Bounds{})
+	a := c.nodes[0]
+	c.store.down = true
+	a.used("r", "o", 5)
+	g.Expect(a.flusher.Flush(background)).NotTo(gomega.Succeed())
+	g.Expect(a.flusher.Exchange(background)).To(gomega.Succeed())
+	a.dead, c.nodes[1].dead = true, true
+	c.settle()
+	stored, err := Parse(c.store.objects["usage/a/1"].Value)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(stored.Rows["o"][GeneratedTokens(Used)]).To(gomega.BeNumerically("==", 5))
+	g.Expect(stored.Writer).To(gomega.Equal(c.nodes[2].ledger.self))
+	g.Expect(c.nodes[2].ledger.heldDocuments()).To(gomega.BeEmpty())
+	g.Expect(c.report().Unclean).To(gomega.ContainElement(a.ledger.self), "later records may be missing")
+}
+
+// Guards against a delayed write of a gone VM that takes back the counters that
+// a holder has written for it, and against a clean end reported as a loss.
+func TestWritesOnlyRaiseCounters(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(2, Bounds{})
+	a := c.nodes[0]
+	g.Expect(a.flusher.Flush(background)).To(gomega.Succeed())
+	old := c.store.objects["usage/a/1"]
+	a.used("r", "o", 5)
+	g.Expect(a.flusher.Finish(background)).To(gomega.Succeed())
+	_, err := c.store.Update(background, old.Key, old.Value, old.Version)
+	g.Expect(errs.Is(err, errs.Conflict)).To(gomega.BeTrue())
+	a.dead = true
+	g.Expect(c.report().Unclean).To(gomega.BeEmpty())
+	g.Expect(c.report().Organisations[0].Used.GeneratedTokens).To(gomega.BeNumerically("==", 5))
+}
+
+// Guards against memory without a bound and against a loss at the bound that
+// the report hides.
+func TestBoundsAreVisible(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(2, Bounds{OpenRequests: 2, OutboxEntries: 2, Organisations: 1})
+	a, b := c.nodes[0], c.nodes[1]
+	for i := range 5 {
+		a.used(fmt.Sprint("u", i), "o", 1)
+		b.given(fmt.Sprint("g", i), "o", 1, a)
+	}
+	a.used("other", "second", 1)
+	c.settle()
+	report := c.report()
+	g.Expect(a.ledger.OpenCount()).To(gomega.Equal(2))
+	rows := map[string]OrganisationUsage{}
+	for _, o := range report.Organisations {
+		rows[o.Organisation] = o
+	}
+	// Six used and two given entries compete for two places; three given
+	// entries did not fit into the outbox.
+	g.Expect(rows["o"].Dropped + rows[OtherOrganisations].Dropped).To(gomega.BeNumerically("==", 6+3))
+	g.Expect(rows["o"].Used.GeneratedTokens).To(gomega.BeNumerically("==", 5))
+	g.Expect(rows["o"].Given.GeneratedTokens).To(gomega.BeNumerically("==", 5))
+	g.Expect(rows[OtherOrganisations].Used.GeneratedTokens).To(gomega.BeNumerically("==", 1))
+
+	for i := range MaxHeldIncarnations - 1 { // and those of b
+		g.Expect(a.ledger.Hold(newDocument(model.Holder{VM: fmt.Sprint(i), Incarnation: 1}))).To(gomega.Succeed())
+	}
+	g.Expect(errs.Is(a.ledger.Hold(newDocument(model.Holder{VM: "x"})), errs.Overloaded)).To(gomega.BeTrue())
+	big := newDocument(model.Holder{VM: "1", Incarnation: 1})
+	for i := range MaxOrganisations + 2 {
+		big.Rows[fmt.Sprint(i)] = Row{}
+	}
+	g.Expect(errs.Is(a.ledger.Hold(big), errs.TooLarge)).To(gomega.BeTrue())
+}
+
+// Guards against a batch of a former incarnation that enters the account of the
+// present one, and against a repeated batch that counts twice.
+func TestBatchesCountOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(2, Bounds{})
+	a, b := c.nodes[0], c.nodes[1]
+	b.given("r", "o", 1, a)
+	batch, ok := b.ledger.batch(a.ledger.self)
+	g.Expect(ok).To(gomega.BeTrue())
+	for range 2 {
+		g.Expect(a.ledger.TakeOver(batch)).To(gomega.Succeed())
+	}
+	a.used("r", "o", 1)
+	g.Expect(a.ledger.OpenCount()).To(gomega.BeZero())
+	batch.To.Incarnation++
+	g.Expect(errs.Is(a.ledger.TakeOver(batch), errs.StaleEpoch)).To(gomega.BeTrue())
+}
+
+// expectation is what a random run recorded.
+type expectation struct {
+	tokens   map[Side]map[*node]uint64
+	oneSided map[string]bool
+}
+
+// Guards against totals that differ from what was recorded without a loss in
+// the report, and against wrong lists of one-sided requests, while calls and
+// writes fail, their responses are lost, and VMs are lost at any moment.
+func TestTotalsEqualRecordsOrLossIsReported(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(4, Bounds{})
+		c.everyone(func(f *Flusher) error { return f.Flush(background) })
+		c.fault.random = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		c.fault.percent = rapid.SampledFrom([]int{0, 10, 40}).Draw(t, "faults")
+		want := expectation{tokens: map[Side]map[*node]uint64{Used: {}, Given: {}}, oneSided: map[string]bool{}}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			randomStep(t, c, &want, i)
+		}
+		c.settle()
+		checkReport(t, c, want)
+	})
+}
+
+func randomStep(t *rapid.T, c *cluster, want *expectation, i int) {
+	n := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(t, "node")]
+	if n.dead {
+		return
+	}
+	switch rapid.IntRange(0, 15).Draw(t, "step") {
+	case 0:
+		_ = n.flusher.Flush(background)
+	case 1, 2:
+		_ = n.flusher.Exchange(background)
+	case 3:
+		c.store.down = !c.store.down
+	case 4:
+		// One VM stays, so that there is an answer.
+		n.dead = n != c.nodes[0] && rapid.Bool().Draw(t, "killed")
+	default:
+		owner := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(t, "owner")]
+		id, tokens := fmt.Sprint("r", i), rapid.IntRange(1, 9).Draw(t, "tokens")
+		sides := rapid.SampledFrom([]string{"both", "both", "used", "given"}).Draw(t, "sides")
+		if sides != "given" {
+			n.used(id, "o", tokens)
+			want.tokens[Used][n] += uint64(tokens)
+		}
+		if sides != "used" && !owner.dead {
+			owner.given(id, "o", tokens, n)
+			want.tokens[Given][owner] += uint64(tokens)
+		}
+		want.oneSided[id] = sides != "both" || owner.dead
+	}
+}
+
+func checkReport(t *rapid.T, c *cluster, want expectation) {
+	report := c.report()
+	var row OrganisationUsage
+	if len(report.Organisations) > 0 {
+		row = report.Organisations[0]
+	}
+	dead := 0
+	for _, n := range c.nodes {
+		if n.dead {
+			dead++
+		}
+	}
+	if len(report.Unclean) != dead || len(report.NoAnswer) > 0 || row.Dropped > 0 || row.Settling > 0 {
+		t.Fatalf("%d VMs are lost, the report says %+v", dead, report)
+	}
+	checkTotals(t, c, want.tokens[Used], row.Used.GeneratedTokens)
+	checkTotals(t, c, want.tokens[Given], row.Given.GeneratedTokens)
+	if dead > 0 {
+		return // the sides that a lost VM had not handed over are missing
+	}
+	listed := map[string]bool{}
+	for _, request := range row.Differences {
+		listed[string(request.Request)] = true
+	}
+	for id, oneSided := range want.oneSided {
+		if listed[id] != oneSided {
+			t.Fatalf("request %s: one-sided is %v, listed is %v", id, oneSided, listed[id])
+		}
+	}
+}
+
+// checkTotals demands the records of all live VMs, and of lost VMs no more than
+// they recorded.
+func checkTotals(t *rapid.T, c *cluster, recorded map[*node]uint64, reported uint64) {
+	live, all := uint64(0), uint64(0)
+	for _, n := range c.nodes {
+		all += recorded[n]
+		if !n.dead {
+			live += recorded[n]
+		}
+	}
+	if reported < live || reported > all {
+		t.Fatalf("reported %d tokens, live VMs recorded %d, all VMs %d", reported, live, all)
+	}
+}
--- /dev/null
+++ b/internal/account/report.go
@@ -0,0 +1,157 @@
+package account
+
+import (
+	"sort"
+	"strings"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/model"
+)
+
+// MaxAnswerRequests is the largest number of open requests in an answer.
+const MaxAnswerRequests = 5_000
+
+// Answer is what one live VM knows.
+type Answer struct {
+	Process     string // VM, or the address that was asked
+	Document    Document
+	Held        []Document
+	Open        []OpenRequest
+	OpenOmitted int // open requests that are not listed
+	NoAnswer    bool
+}
+
+// Answer returns this VM's part of a report.
+func (l *Ledger) Answer() Answer {
+	held := l.heldDocuments()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer := Answer{Process: l.self.VM, Document: l.document.clone(), Held: held}
+	answer.Open, answer.OpenOmitted = l.open.list(MaxAnswerRequests, l.round)
+	return answer
+}
+
+// Totals are one side's sums of an organisation.
+type Totals struct {
+	Requests        map[core.Outcome]uint64
+	PromptTokens    uint64
+	GeneratedTokens uint64
+}
+
+// OrganisationUsage is the account of one organisation.
+type OrganisationUsage struct {
+	Organisation string
+	Used, Given  Totals
+	Differences  []OpenRequest // one side only, or different sides
+	Settling     int           // open requests whose other side may still follow
+	Dropped      uint64        // entries dropped from matching at a bound
+}
+
+// Report is the reconciled account.
+type Report struct {
+	Organisations []OrganisationUsage
+	// Unclean lists incarnations that did not answer and whose counters are not
+	// final. Their last records may be missing: at most one hold interval of
+	// those that have ended.
+	Unclean     []model.Holder
+	NoAnswer    []string // processes whose open requests are missing
+	OpenOmitted int      // open requests that answers did not list
+}
+
+// Complete reports whether the report misses nothing.
+func (r Report) Complete() bool {
+	return len(r.Unclean) == 0 && len(r.NoAnswer) == 0 && r.OpenOmitted == 0
+}
+
+// Reconcile builds the report from the store's documents and the answers of all
+// live VMs.
+func Reconcile(stored []Document, answers []Answer) Report {
+	var report Report
+	documents, answered := map[model.Holder]*Document{}, map[model.Holder]bool{}
+	for _, document := range stored {
+		mergeInto(documents, document)
+	}
+	organisations := map[string]*OrganisationUsage{}
+	for _, answer := range answers {
+		if answer.NoAnswer {
+			report.NoAnswer = append(report.NoAnswer, answer.Process)
+			continue
+		}
+		answered[answer.Document.Holder] = true
+		report.OpenOmitted += answer.OpenOmitted
+		for _, document := range append(answer.Held, answer.Document) {
+			mergeInto(documents, document)
+		}
+		for _, request := range answer.Open {
+			usageOf(organisations, request.Organisation).addOpen(request)
+		}
+	}
+	for holder, document := range documents {
+		if !document.Final && !answered[holder] {
+			report.Unclean = append(report.Unclean, holder)
+		}
+		for organisation, row := range document.Rows {
+			usageOf(organisations, organisation).addRow(row)
+		}
+	}
+	report.Organisations = sorted(organisations)
+	sort.Strings(report.NoAnswer)
+	sort.Slice(report.Unclean, func(i, j int) bool { return Key(report.Unclean[i]) < Key(report.Unclean[j]) })
+	return report
+}
+
+func mergeInto(documents map[model.Holder]*Document, document Document) {
+	if documents[document.Holder] == nil {
+		empty := newDocument(document.Holder)
+		documents[document.Holder] = &empty
+	}
+	documents[document.Holder].merge(document)
+}
+
+func usageOf(organisations map[string]*OrganisationUsage, name string) *OrganisationUsage {
+	if organisations[name] == nil {
+		organisations[name] = &OrganisationUsage{
+			Organisation: name,
+			Used:         Totals{Requests: map[core.Outcome]uint64{}},
+			Given:        Totals{Requests: map[core.Outcome]uint64{}},
+		}
+	}
+	return organisations[name]
+}
+
+func (u *OrganisationUsage) addOpen(request OpenRequest) {
+	if request.Settling {
+		u.Settling++
+		return
+	}
+	u.Differences = append(u.Differences, request)
+}
+
+func (u *OrganisationUsage) addRow(row Row) {
+	u.Dropped += row[DroppedOpen] + row[DroppedGiven]
+	u.Used.add(Used, row)
+	u.Given.add(Given, row)
+}
+
+func (t *Totals) add(side Side, row Row) {
+	t.PromptTokens += row[PromptTokens(side)]
+	t.GeneratedTokens += row[GeneratedTokens(side)]
+	prefix := string(RequestsWith(side, ""))
+	for counter, value := range row {
+		if outcome, ok := strings.CutPrefix(string(counter), prefix); ok {
+			t.Requests[core.Outcome(outcome)] += value
+		}
+	}
+}
+
+func sorted(organisations map[string]*OrganisationUsage) []OrganisationUsage {
+	result := make([]OrganisationUsage, 0, len(organisations))
+	for _, usage := range organisations {
+		sort.Slice(usage.Differences, func(i, j int) bool {
+			return usage.Differences[i].Request < usage.Differences[j].Request
+		})
+		result = append(result, *usage)
+	}
+	sort.Slice(result, func(i, j int) bool { return result[i].Organisation < result[j].Organisation })
+	return result
+}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -249,6 +249,7 @@
 // RecordGiven enters a finished request into the account of what targets gave.
 type RecordGiven struct {
 	ID           model.RequestID
+	Holder       model.Holder // the entry VM, which records the used side
 	Organisation string
 	Kind         string
 	Target       string
