--- a/internal/group/record.go
+++ b/internal/group/record.go
@@ -41,7 +41,7 @@
 }
 
 // retryPause is the pause between attempts of a write whose result is unknown.
-const retryPause = 50 * time.Millisecond
+var retryPause = 50 * time.Millisecond
 
 // Handle is the record of a group that this VM owns. It is not safe for
 // concurrent use.
