--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -8,16 +8,22 @@
 	"cicadaslip/internal/model"
 )
 
-// MaxAnswerRequests is the largest number of open requests in an answer.
-const MaxAnswerRequests = 5_000
+// Bounds of an answer, which must fit into a message between peers (4 MiB).
+const (
+	// MaxAnswerRequests is the largest number of open requests in an answer.
+	MaxAnswerRequests = 5_000
+	// MaxAnswerRows is the largest number of held rows in an answer.
+	MaxAnswerRows = 4_000
+)
 
 // Answer is what one live VM knows.
 type Answer struct {
 	Process     string // VM, or the address that was asked
 	Document    Document
 	Held        []Document
+	HeldOmitted int // held documents over MaxAnswerRows
 	Open        []OpenRequest
-	OpenOmitted int // open requests that are not listed
+	OpenOmitted int // open requests over MaxAnswerRequests
 	NoAnswer    bool
 }
 
@@ -26,7 +32,15 @@
 	held := l.heldDocuments()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answer := Answer{Process: l.self.VM, Document: l.document.clone(), Held: held}
+	answer := Answer{Process: l.self.VM, Document: l.document.clone()}
+	rows := 0
+	for _, document := range held {
+		if rows += len(document.Rows); rows > MaxAnswerRows {
+			answer.HeldOmitted++
+			continue
+		}
+		answer.Held = append(answer.Held, document)
+	}
 	answer.Open, answer.OpenOmitted = l.open.list(MaxAnswerRequests, l.round)
 	return answer
 }
@@ -56,11 +70,12 @@
 	Unclean     []model.Holder
 	NoAnswer    []string // processes whose open requests are missing
 	OpenOmitted int      // open requests that answers did not list
+	HeldOmitted int      // held documents that answers did not list
 }
 
 // Complete reports whether the report misses nothing.
 func (r Report) Complete() bool {
-	return len(r.Unclean) == 0 && len(r.NoAnswer) == 0 && r.OpenOmitted == 0
+	return len(r.Unclean) == 0 && len(r.NoAnswer) == 0 && r.OpenOmitted == 0 && r.HeldOmitted == 0
 }
 
 // Reconcile builds the report from the store's documents and the answers of all
@@ -79,6 +94,7 @@
 		}
 		answered[answer.Document.Holder] = true
 		report.OpenOmitted += answer.OpenOmitted
+		report.HeldOmitted += answer.HeldOmitted
 		for _, document := range append(answer.Held, answer.Document) {
 			mergeInto(documents, document)
 		}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -7,6 +7,10 @@
 	"cicadaslip/internal/model"
 )
 
+// MaxDetailBytes bounds the detail of an event, and so the memory of a ring and
+// the size of an answer. The rest is cut off.
+const MaxDetailBytes = 256
+
 // Ring keeps the newest events of this process. It is safe for concurrent use.
 type Ring struct {
 	vm    string
@@ -24,6 +28,7 @@
 // Record adds an event with a stamp and the name of this VM. The oldest event
 // is overwritten when the ring is full.
 func (r *Ring) Record(event Event) {
+	event.Detail = event.Detail[:min(len(event.Detail), MaxDetailBytes)]
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// The stamp is taken under the lock, so that the ring is in stamp order.
