--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -156,8 +156,12 @@
 		return err
 	}
 	g.Expect(publish(1, 0)).To(gomega.Succeed())
+	// A write between the two roots lets a replica at a newer revision than the
+	// first root still show that root.
+	_, err := s.Put(ctx, "vms/a", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(publish(2, 1)).To(gomega.Succeed())
-	err := publish(3, 1)
+	err = publish(3, 1)
 	g.Expect(err).To(beCode(errs.Conflict))
 	g.Expect(errs.As(err).Details).To(gomega.ConsistOf("load_rate: 2 -> 3"))
 
@@ -182,10 +186,20 @@
 	g.Expect(err).To(beCode(errs.InvalidConfig))
 }
 
-// interfering runs a function before the first update of the root.
+// interfering runs a function once before an update of the root, and one
+// before a delete.
 type interfering struct {
 	platform.Store
-	before func()
+	before       func()
+	beforeDelete func()
+}
+
+func (s *interfering) Delete(ctx context.Context, key string, version int64) error {
+	if before := s.beforeDelete; before != nil {
+		s.beforeDelete = nil
+		before()
+	}
+	return s.Store.Delete(ctx, key, version)
 }
 
 func (s *interfering) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
@@ -213,16 +227,20 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(len(page.Objects)).To(gomega.BeNumerically("<", 25))
 
-	// The slow operator is about to prune the oldest retired part; the other
-	// one makes it part of the configuration first, then the slow one goes on.
+	// The slow operator is about to prune the oldest retired part. The other
+	// one makes it part of the configuration before the slow one's root is
+	// written, and in the second case before its delete.
+	oldest := int(base) - 16
 	slow := &interfering{Store: s}
-	oldest := int(base) - 16 + 1
 	slow.before = func() { g.Expect(publish(s, oldest, base)).To(gomega.Succeed()) }
 	g.Expect(publish(slow, 100, base)).To(beCode(errs.Conflict))
-	for range 40 {
-		base++
-		g.Expect(publish(s, oldest+int(base%2), base)).To(gomega.Succeed())
-	}
+	_, err = config.Load(ctx, s, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	base, oldest = base+1, oldest+1
+	slow.beforeDelete = func() { g.Expect(publish(s, oldest, base+1)).To(gomega.Succeed()) }
+	g.Expect(publish(slow, 100, base)).To(gomega.Succeed())
+	g.Expect(slow.beforeDelete).To(gomega.BeNil(), "a part was pruned")
 	_, err = config.Load(ctx, s, 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -60,6 +60,22 @@
 	g.Expect(result.Version).To(gomega.BeEquivalentTo(2))
 }
 
+// Guards against a claim about a write that is too old to be found.
+func TestOwnWriteBelowManyOthersStaysUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	s.Inject(memstore.Rule{Fault: memstore.LoseResponse, Prefix: config.RootKey, Op: memstore.OpCreate, Count: 1})
+	first := publisher(s)
+	first.Pause = func(context.Context, int) error {
+		for base := range uint64(40) {
+			published(g, s, 3, base+1)
+		}
+		return nil
+	}
+	_, err := first.Publish(ctx, document(2), 0)
+	g.Expect(err).To(beCode(errs.StoreAmbiguous))
+}
+
 // Guards against every combination of faults and operators: a publication that
 // was reported as accepted is accepted at its version, one that was refused
 // never is, and no follower goes back or differs from another.
