permit: Keep waits at the present owner when its own epoch is confirmed

A wait ended whenever any epoch of the group was confirmed, also the one it waited in, because the channel was shared by all epochs. The new test failed before.

--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -165,7 +165,7 @@
 		}
 	}()
 	reply, err := b.owners.Acquire(callCtx, owner, request)
-	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+	if callCtx.Err() != nil && ctx.Err() == nil {
 		return reply, errs.NotRun(errs.StaleEpoch, "group "+request.Group+" was taken over while waiting")
 	}
 	return reply, err
--- a/internal/permit/holdings.go
+++ b/internal/permit/holdings.go
@@ -14,7 +14,7 @@
 	mu      sync.Mutex
 	minimum map[string]model.Epoch
 	held    map[model.RequestID]core.Permit
-	raised  map[string]chan struct{} // closed when the group's epoch rises
+	raised  map[string]map[model.Epoch]chan struct{} // closed when the group's epoch is above the key
 }
 
 // NewHoldings returns an empty table.
@@ -22,7 +22,7 @@
 	return &Holdings{
 		minimum: map[string]model.Epoch{},
 		held:    map[model.RequestID]core.Permit{},
-		raised:  map[string]chan struct{}{},
+		raised:  map[string]map[model.Epoch]chan struct{}{},
 	}
 }
 
@@ -67,9 +67,11 @@
 		return
 	}
 	h.minimum[group] = epoch
-	if raised, ok := h.raised[group]; ok {
-		close(raised)
-		delete(h.raised, group)
+	for above, raised := range h.raised[group] {
+		if epoch > above {
+			close(raised)
+			delete(h.raised[group], above)
+		}
 	}
 }
 
@@ -91,9 +93,12 @@
 		return closed
 	}
 	if h.raised[group] == nil {
-		h.raised[group] = make(chan struct{})
+		h.raised[group] = map[model.Epoch]chan struct{}{}
+	}
+	if h.raised[group][above] == nil {
+		h.raised[group][above] = make(chan struct{})
 	}
-	return h.raised[group]
+	return h.raised[group][above]
 }
 
 // Len returns the number of permits held.
--- a/internal/permit/holdings_test.go
+++ b/internal/permit/holdings_test.go
@@ -36,3 +36,14 @@
 	g.Expect(raised).To(gomega.BeClosed())
 	g.Expect(h.Raised("g", 1)).To(gomega.BeClosed())
 }
+
+// Guards against a wait at the present owner that ends because a VM confirms
+// that owner's own epoch.
+func TestConfirmationKeepsWaitsOfTheSameEpoch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := permit.NewHoldings()
+	raised := h.Raised("g", 1)
+	_, err := h.Confirm("g", 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(raised).NotTo(gomega.BeClosed())
+}
