--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,140 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/platform"
+	"cicadaslip/internal/platform/httpstore"
+)
+
+// Streams are the standard streams of the process.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Global holds the options that all subcommands share.
+type Global struct {
+	Output   string        `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"form of results and failures"`
+	Platform string        `long:"platform" env:"CICADASLIP_PLATFORM" value-name:"IP:PORT" description:"address of the platform's object API"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"limit of the whole command, with unit"`
+}
+
+// Context is what a subcommand works with.
+type Context struct {
+	Global
+	Streams
+	// Base ends when the process is told to stop.
+	Base context.Context
+}
+
+// Registration is one subcommand. Execute of the Commander returns an
+// *errs.Error, whose code decides the exit code.
+type Registration struct {
+	Name  string
+	Short string // one line of help
+	Long  string
+	New   func(*Context) flags.Commander
+}
+
+// Commands returns the subcommands of this package.
+func Commands() []Registration {
+	return []Registration{applyCommand, diffCommand, getCommand, checkCommand}
+}
+
+// Run parses args (without the program's name), executes one subcommand and
+// returns the exit code.
+func Run(ctx context.Context, args []string, streams Streams, commands []Registration) int {
+	c := &Context{Streams: streams, Base: ctx}
+	parser := flags.NewNamedParser("cicadaslip", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Operates a cicadaslip deployment.\n\n" + exitCodeHelp()
+	if _, err := parser.AddGroup("Global options", "", &c.Global); err != nil {
+		return c.fail(errs.Wrap(err, errs.Internal, "the options cannot be registered"))
+	}
+	for _, command := range commands {
+		if _, err := parser.AddCommand(command.Name, command.Short, command.Long, command.New(c)); err != nil {
+			return c.fail(errs.Wrap(err, errs.Internal, "a subcommand cannot be registered"))
+		}
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
+		}
+		return command.Execute(nil)
+	}
+	_, err := parser.ParseArgs(args)
+	return c.exit(err)
+}
+
+func (c *Context) exit(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(c.Out, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintf(c.Err, "cicadaslip: %s\nUse --help for the options.\n", usage.Message)
+		return ExitUsage
+	case errors.Is(err, errDiffers):
+		return ExitDiffers
+	}
+	return c.fail(err)
+}
+
+// fail prints a failure and returns its exit code.
+func (c *Context) fail(err error) int {
+	typed := errs.As(err)
+	if c.Output == "json" {
+		_ = writeJSON(c.Err, typed)
+		return exitCode(typed.Code)
+	}
+	_, _ = fmt.Fprintln(c.Err, "cicadaslip:", typed)
+	for _, detail := range typed.Details {
+		_, _ = fmt.Fprintln(c.Err, "  "+detail)
+	}
+	return exitCode(typed.Code)
+}
+
+// Print writes a result: as JSON, or by text.
+func (c *Context) Print(result any, text func(w io.Writer) error) error {
+	var err error
+	if c.Output == "json" {
+		err = writeJSON(c.Out, result)
+	} else {
+		err = text(c.Out)
+	}
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "the result cannot be written")
+	}
+	return nil
+}
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// WithStore calls work with a client of the platform under the command's time
+// limit.
+func (c *Context) WithStore(work func(ctx context.Context, store platform.Store) error) error {
+	if c.Platform == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "--platform or CICADASLIP_PLATFORM is required"}
+	}
+	ctx, cancel := context.WithTimeout(c.Base, c.Timeout)
+	defer cancel()
+	client := httpstore.New(httpstore.Options{Address: c.Platform})
+	defer client.Close()
+	return work(ctx, client)
+}
--- /dev/null
+++ b/internal/cli/configcmd.go
@@ -0,0 +1,186 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"cicadaslip/internal/config"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/platform"
+)
+
+// maxDocumentBytes bounds the document that is read; 200,000 adapters take
+// about 20 MB in YAML.
+const maxDocumentBytes = 256 << 20
+
+// errDiffers ends diff with its own exit code and without a message.
+var errDiffers = errors.New("the documents differ")
+
+var applyCommand = Registration{
+	Name:  "apply",
+	Short: "Make a document the accepted configuration",
+	Long: "Publishes a configuration document if the accepted version is still the one given with --base. " +
+		"diff and get print that version; 0 stands for no configuration yet. When another operator was first, nothing is " +
+		"changed and the differences to the newer configuration are listed. The command prints the new version and a " +
+		"revision at which get --min-revision sees it.",
+	New: func(c *Context) flags.Commander { return &apply{context: c} },
+}
+
+type apply struct {
+	context *Context
+	File    string  `short:"f" long:"file" required:"true" value-name:"FILE" description:"document in YAML or JSON; - is standard input"`
+	Base    *uint64 `long:"base" required:"true" value-name:"VERSION" description:"accepted version that the change is based on"`
+}
+
+func (a *apply) Execute([]string) error {
+	document, err := a.context.document(a.File)
+	if err != nil {
+		return err
+	}
+	return a.context.WithStore(func(ctx context.Context, store platform.Store) error {
+		result, err := config.Publish(ctx, store, document, *a.Base)
+		if err != nil {
+			return err
+		}
+		return a.context.Print(result, func(w io.Writer) error {
+			if err := printDifferences(w, result.Differences); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(w, "accepted as version %d at revision %d\n", result.Version, result.Revision)
+			return err
+		})
+	})
+}
+
+var diffCommand = Registration{
+	Name:  "diff",
+	Short: "Show what a document would change",
+	Long: "Lists the differences between the accepted configuration and a document, and the accepted version " +
+		"for apply --base. Exit code 8 says that there are differences.",
+	New: func(c *Context) flags.Commander { return &diff{context: c} },
+}
+
+type diff struct {
+	context *Context
+	File    string `short:"f" long:"file" required:"true" value-name:"FILE" description:"document in YAML or JSON; - is standard input"`
+}
+
+type diffResult struct {
+	Base        uint64              `json:"base"`
+	Differences []config.Difference `json:"differences"`
+}
+
+func (d *diff) Execute([]string) error {
+	document, err := d.context.document(d.File)
+	if err != nil {
+		return err
+	}
+	return d.context.WithStore(func(ctx context.Context, store platform.Store) error {
+		result := diffResult{Differences: []config.Difference{}}
+		var accepted *config.Document
+		snapshot, err := config.Load(ctx, store, 0)
+		switch {
+		case err == nil:
+			accepted, result.Base = snapshot.Document, snapshot.Version
+		case !errs.Is(err, errs.NotFound):
+			return err
+		}
+		result.Differences = append(result.Differences, config.Diff(accepted, document)...)
+		err = d.context.Print(result, func(w io.Writer) error {
+			if err := printDifferences(w, result.Differences); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(w, "%d differences to version %d\n", len(result.Differences), result.Base)
+			return err
+		})
+		if err == nil && len(result.Differences) > 0 {
+			return errDiffers
+		}
+		return err
+	})
+}
+
+func printDifferences(w io.Writer, differences []config.Difference) error {
+	for _, difference := range differences {
+		if _, err := fmt.Fprintln(w, difference); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var getCommand = Registration{
+	Name:  "get",
+	Short: "Print the accepted configuration",
+	Long: "Prints the accepted configuration as a document that apply takes, with its version in the first line. " +
+		"With -o json it is one object with version, revision and document.",
+	New: func(c *Context) flags.Commander { return &get{context: c} },
+}
+
+type get struct {
+	context     *Context
+	MinRevision int64 `long:"min-revision" value-name:"REVISION" description:"refuse a state older than this revision, which apply prints"`
+}
+
+type getResult struct {
+	Version  uint64           `json:"version"`
+	Revision int64            `json:"revision"`
+	Document *config.Document `json:"document"`
+}
+
+func (g *get) Execute([]string) error {
+	return g.context.WithStore(func(ctx context.Context, store platform.Store) error {
+		snapshot, err := config.Load(ctx, store, g.MinRevision)
+		if err != nil {
+			return err
+		}
+		result := getResult{snapshot.Version, snapshot.Revision, snapshot.Document}
+		return g.context.Print(result, func(w io.Writer) error {
+			data, err := snapshot.Document.EncodeYAML()
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(w, "# version %d\n%s", snapshot.Version, data)
+			return err
+		})
+	})
+}
+
+// document reads, decodes and checks a document; "-" is standard input.
+func (c *Context) document(name string) (*config.Document, error) {
+	data, err := c.readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	document, err := config.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	document = document.Normalised()
+	return document, document.Validate()
+}
+
+func (c *Context) readFile(name string) ([]byte, error) {
+	input := c.In
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errs.Wrap(err, errs.InvalidConfig, "the document cannot be read")
+		}
+		defer func() { _ = file.Close() }()
+		input = file
+	}
+	data, err := io.ReadAll(io.LimitReader(input, maxDocumentBytes+1))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.InvalidConfig, "the document cannot be read")
+	}
+	if len(data) > maxDocumentBytes {
+		return nil, errs.New(errs.TooLarge, "the document is too large")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/cli/exit_test.go
@@ -0,0 +1,22 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against a page that disagrees with the exit codes.
+func TestPageListsExitCodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	page, err := os.ReadFile("../../docs/cli.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var rows strings.Builder
+	for _, e := range exitCodes {
+		fmt.Fprintf(&rows, "| %d | %s |\n", e.code, e.meaning)
+	}
+	g.Expect(string(page)).To(gomega.HaveSuffix("|---|---|\n" + rows.String()))
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
@@ -244,3 +245,26 @@
 	_, err = config.Load(ctx, s, 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
+
+// Guards against names that YAML reads as numbers, booleans or dates.
+func TestYAMLKeepsNamesThatLookLikeOtherValues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := document(1)
+		name := rapid.OneOf(
+			rapid.StringMatching(`[a-zA-Z0-9][a-zA-Z0-9._-]{0,8}`),
+			rapid.SampledFrom([]string{"1", "1.0", "0x1f", "0o7", "1e3", "true", "No", "null", "Null", "2026-12-04", ".inf", "1_0", "0b1", "y"}),
+		).Filter(func(s string) bool { return s[0] != '.' })
+		d.BaseModels[0] = name.Draw(t, "model")
+		d.Adapters[0].BaseModel = d.BaseModels[0]
+		d.Adapters[0].Versions = []string{name.Draw(t, "version")}
+		d = d.Normalised()
+		data, err := d.EncodeYAML()
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := config.Decode(data)
+		if err != nil || len(config.Diff(d, decoded)) > 0 {
+			t.Fatalf("%v\n%s", err, data)
+		}
+	})
+}
