--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -15,7 +15,7 @@
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		steps := rapid.IntRange(50, 500).Draw(t, "steps")
 		for range steps {
 			w.step()
 		}
@@ -27,25 +27,25 @@
 func (w *world) step() {
 	w.now += worldStep
 	switch action := rapid.IntRange(0, 99).Draw(w.t, "action"); {
-	case action < 18:
+	case action < 12:
 		w.arrive()
-	case action < 48:
-		w.runOwner()
 	case action < 60:
+		w.runOwner()
+	case action < 74:
 		w.actHolder()
-	case action < 70:
+	case action < 80:
 		w.finishOnTarget()
-	case action < 76:
+	case action < 84:
 		w.lateOrderArrives()
-	case action < 80:
+	case action < 88:
 		w.takeOverAnywhere()
-	case action < 84:
+	case action < 92:
 		w.pauseOrResume()
-	case action < 86:
+	case action < 93:
 		w.loseVM()
-	case action < 89:
+	case action < 94:
 		w.restartTarget()
-	case action < 93:
+	case action < 96:
 		w.changeList()
 	default:
 		w.now += time.Duration(rapid.IntRange(0, 500).Draw(w.t, "ms")) * time.Millisecond
@@ -100,13 +100,13 @@
 	if o == nil {
 		return
 	}
-	if rapid.Bool().Draw(w.t, "deliver") {
-		for range rapid.IntRange(0, len(o.inbox)).Draw(w.t, "events") {
+	if w.chance("deliver", 80) {
+		for range rapid.IntRange((len(o.inbox)+1)/2, len(o.inbox)).Draw(w.t, "events") {
 			w.apply(o, takeAny(w.t, &o.inbox))
 		}
 	}
 	w.tick(o)
-	for range rapid.IntRange(0, len(o.outbox)).Draw(w.t, "commands") {
+	for range rapid.IntRange(len(o.outbox)/2, len(o.outbox)).Draw(w.t, "commands") {
 		w.carryOut(o, takeAny(w.t, &o.outbox))
 	}
 }
@@ -224,7 +224,8 @@
 	}
 	w.takeOver(w.survivor())
 	o := w.current()
-	for range worldAdapters {
+	const lastRequests = 10
+	for range lastRequests {
 		w.arrive()
 	}
 	const calmRounds, calmStep = 600, 100 * time.Millisecond
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -76,9 +76,9 @@
 }
 
 const (
-	worldTargets  = 3
+	worldTargets  = 2
 	worldVMs      = 4
-	worldAdapters = 5
+	worldAdapters = 7
 	worldSlots    = 2
 	worldStep     = 20 * time.Millisecond
 )
