--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -49,6 +49,9 @@
 		if len(jobs) != 1 || !bytes.Equal(jobs[0].response, a.got) {
 			return fmt.Errorf("but the answer %q is not the first one", a.got)
 		}
+		if jobs[0].attempt.body != a.body {
+			return fmt.Errorf("but the answer is for another body")
+		}
 	case string(rpcapi.ClaimRunning):
 		if !others {
 			return fmt.Errorf("but no other call of the key exists")
