--- /dev/null
+++ b/cmd/cicadaslipd/main.go
@@ -0,0 +1,69 @@
+// Command cicadaslipd is the daemon of one entry VM. It drains on the first
+// SIGTERM or SIGINT and ends at once on the second. Exit codes: 0 after a
+// complete drain, 1 after a failure or a drain that cut requests, 2 for wrong
+// options or settings.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"cicadaslip/internal/daemon"
+	"cicadaslip/internal/settings"
+)
+
+type options struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"YAML file with the settings"`
+}
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(s *settings.Settings) error {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("vm", s.VM.Name).Logger()
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		log.Error().Msg("second signal, ending at once")
+		os.Exit(exitFailure)
+	}()
+	return d.Run(stop)
+}
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -50,10 +50,12 @@
 	return d
 }
 
-// GroupTargets sets the largest number of targets in one group. The default is
-// 16.
-func (d *Declaration) GroupTargets(targets int) *Declaration {
-	d.document.GroupTargets = targets
+// GroupsPerPool sets into how many groups, each with one owner, the targets of
+// one data centre and one base model or application are split. The default is
+// 1; a group should stay below about 16 targets. Changing it moves targets to
+// other owners, so drain the pool's targets first.
+func (d *Declaration) GroupsPerPool(groups int) *Declaration {
+	d.document.GroupsPerPool = groups
 	return d
 }
 
--- /dev/null
+++ b/internal/daemon/calls.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/rpcapi"
+	"cicadaslip/internal/target"
+)
+
+// call calls a method of another VM.
+func (d *Daemon) call(ctx context.Context, vm, method string, args, reply any) error {
+	address, known := d.members.address(vm)
+	if !known {
+		return errs.NotRun(errs.PeerUnavailable, "VM "+vm+" is not registered")
+	}
+	return d.client.Call(ctx, address, method, args, reply)
+}
+
+// ownerCalls implements permit.Owners: calls to an owner here or elsewhere.
+type ownerCalls struct{ d *Daemon }
+
+func (c ownerCalls) local(vm string) bool { return vm == c.d.self.Name }
+
+// Acquire implements permit.Owners.
+func (c ownerCalls) Acquire(ctx context.Context, vm string, request rpcapi.AcquireRequest) (rpcapi.AcquireReply, error) {
+	if c.local(vm) {
+		return c.d.owners.Acquire(ctx, request), nil
+	}
+	var reply rpcapi.AcquireReply
+	err := c.d.call(ctx, vm, ownerService+".Acquire", &request, &reply)
+	return reply, err
+}
+
+// Release implements permit.Owners.
+func (c ownerCalls) Release(ctx context.Context, vm string, request rpcapi.ReleaseRequest) (rpcapi.ReleaseReply, error) {
+	if c.local(vm) {
+		return c.d.owners.Release(request), nil
+	}
+	var reply rpcapi.ReleaseReply
+	err := c.d.call(ctx, vm, ownerService+".Release", &request, &reply)
+	return reply, err
+}
+
+// Cancel implements permit.Owners.
+func (c ownerCalls) Cancel(ctx context.Context, vm string, request rpcapi.CancelRequest) (rpcapi.CancelReply, error) {
+	if c.local(vm) {
+		return c.d.owners.Cancel(request), nil
+	}
+	var reply rpcapi.CancelReply
+	err := c.d.call(ctx, vm, ownerService+".Cancel", &request, &reply)
+	return reply, err
+}
+
+// Progress implements permit.Owners.
+func (c ownerCalls) Progress(ctx context.Context, vm string, request rpcapi.ProgressRequest) (rpcapi.ProgressReply, error) {
+	if c.local(vm) {
+		return rpcapi.ProgressReply{Err: c.d.owners.Progress(request)}, nil
+	}
+	var reply rpcapi.ProgressReply
+	err := c.d.call(ctx, vm, ownerService+".Progress", &request, &reply)
+	return reply, err
+}
+
+// ownerPeers implements owner.Peers.
+type ownerPeers struct{ d *Daemon }
+
+// ConfirmEpoch implements owner.Peers.
+func (p ownerPeers) ConfirmEpoch(ctx context.Context, vm string, request rpcapi.ConfirmEpochRequest) (rpcapi.ConfirmEpochReply, error) {
+	if vm == p.d.self.Name {
+		return p.d.owners.ConfirmEpoch(request), nil
+	}
+	var reply rpcapi.ConfirmEpochReply
+	err := p.d.call(ctx, vm, nodeService+".ConfirmEpoch", &request, &reply)
+	return reply, err
+}
+
+// Hedge implements owner.Peers.
+func (p ownerPeers) Hedge(ctx context.Context, vm string, request core.HedgeRequest) error {
+	if vm == p.d.self.Name {
+		p.d.frontend.Hedge(request)
+		return nil
+	}
+	var reply rpcapi.ReleaseReply
+	return p.d.call(ctx, vm, nodeService+".Hedge", &request, &reply)
+}
+
+// journalPeers implements journal.Peers.
+type journalPeers struct{ d *Daemon }
+
+// ShardOwner implements journal.Peers.
+func (p journalPeers) ShardOwner(shard int) (model.Holder, bool) {
+	vm, found := p.d.members.dutyOwner(shardDuty(shard), "")
+	return model.Holder{VM: vm.Name, Incarnation: vm.Incarnation}, found
+}
+
+// Call implements journal.Peers.
+func (p journalPeers) Call(ctx context.Context, to model.Holder, method string, args, reply any) error {
+	return p.d.call(ctx, to.VM, method, args, reply)
+}
+
+func shardDuty(shard int) string { return "shard/" + strconv.Itoa(shard) }
+
+func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
+
+// targetOrders implements owner.Orders.
+type targetOrders struct{ client *target.Client }
+
+// Execute implements owner.Orders.
+func (o targetOrders) Execute(ctx context.Context, to model.Target, intent core.Intent) core.Event {
+	return o.client.Order(ctx, to, intent)
+}
+
+// State implements owner.Orders.
+func (o targetOrders) State(ctx context.Context, to model.Target, epoch model.Epoch) (core.TargetState, error) {
+	return o.client.State(ctx, to, epoch)
+}
+
+// LoadReport implements owner.Orders.
+func (o targetOrders) LoadReport(ctx context.Context, to model.Target) (core.LoadReport, error) {
+	return o.client.LoadReport(ctx, to)
+}
+
+// Cancel implements owner.Orders.
+func (o targetOrders) Cancel(ctx context.Context, to model.Target, id model.RequestID) error {
+	return o.client.Cancel(ctx, to, id)
+}
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,314 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/group"
+	"cicadaslip/internal/membership"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/peer"
+	"cicadaslip/internal/rpcapi"
+	"cicadaslip/internal/timeline"
+)
+
+// members guards the membership table and remembers the platform's list.
+type members struct {
+	d *Daemon
+
+	mu        sync.Mutex
+	table     *membership.Table
+	addresses map[string]model.VM
+	targets   map[string]model.Target
+	listed    bool
+	heardAny  time.Time // last heartbeat of any peer
+
+	silentSince map[model.Holder]core.Time
+}
+
+func newMembers(d *Daemon) *members {
+	timing := d.settings.Membership
+	return &members{
+		d: d, addresses: map[string]model.VM{}, targets: map[string]model.Target{},
+		silentSince: map[model.Holder]core.Time{},
+		table: membership.New(d.now(), d.self, membership.Settings{
+			SuspectAfter: timing.SuspectAfter, UnreachableAfter: timing.UnreachableAfter,
+		}),
+	}
+}
+
+func (m *members) setRegistrations(vms []model.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.SetRegistrations(m.d.now(), vms)
+	for _, vm := range vms {
+		m.addresses[vm.Name] = vm
+	}
+}
+
+func (m *members) setListing(listing model.Listing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = true
+	m.table.SetListing(listing.VMs)
+	m.targets = make(map[string]model.Target, len(listing.Targets))
+	for _, target := range listing.Targets {
+		m.targets[target.Name] = target
+	}
+}
+
+func (m *members) targetGone(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, listed := m.targets[name]
+	return m.listed && !listed
+}
+
+// Gone implements journal.Liveness.
+func (m *members) Gone(holder model.Holder) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Track(m.d.now(), holder)
+	return m.table.IsGone(holder)
+}
+
+// address returns where a VM takes calls.
+func (m *members) address(vm string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.addresses[vm]
+	return known.PeerRPCAddr, ok
+}
+
+// dutyOwner returns the VM that should hold a duty.
+func (m *members) dutyOwner(duty, dataCentre string) (model.VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Owner(duty, dataCentre)
+}
+
+// foreignTakeoverAfter is the time for which a VM that is listed but silent
+// keeps the right to its data centre's groups. When regions are cut from each
+// other both sides still reach the store; without this time each would take the
+// other's groups over.
+const foreignTakeoverAfter = 30 * time.Second
+
+// groupOwner returns the VM that should own a group. A VM of another data centre
+// is chosen only when no VM of the group's data centre may be cut off.
+func (m *members) groupOwner(group, dataCentre string) (model.VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next, found := m.table.Owner("group/"+group, dataCentre)
+	if !found || next.DataCentre == dataCentre {
+		return next, found
+	}
+	for holder, since := range m.silentSince {
+		if m.addresses[holder.VM].DataCentre == dataCentre && m.d.now()-since < foreignTakeoverAfter {
+			return model.VM{}, false
+		}
+	}
+	return next, true
+}
+
+// noteSilent keeps since when each incarnation is unreachable and not gone. The
+// caller holds the lock.
+func (m *members) noteSilent(transitions []membership.Transition) {
+	for _, transition := range transitions {
+		if transition.To == membership.Unreachable {
+			m.silentSince[transition.Holder] = m.d.now()
+		} else {
+			delete(m.silentSince, transition.Holder)
+		}
+	}
+}
+
+// dataCentre returns the data centre of a VM.
+func (m *members) dataCentre(holder model.Holder) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.addresses[holder.VM].DataCentre
+}
+
+// newestConfig returns a VM that has announced the newest configuration.
+func (m *members) newestConfig() (model.Holder, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	version, holder := m.table.NewestConfig()
+	return holder, version > 0
+}
+
+// ranked returns up to n VMs for a duty, the owner first.
+func (m *members) ranked(duty string, n int) []model.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Ranked(duty, n)
+}
+
+// serves reports whether a VM incarnation is reachable and not leaving.
+func (m *members) serves(holder model.Holder) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, entry := range m.table.Entries() {
+		if entry.Holder() == holder {
+			reachable := entry.State == membership.Alive || entry.State == membership.Suspect
+			return reachable && entry.Registered && !entry.Digest.Draining && !entry.Leaving
+		}
+	}
+	return false
+}
+
+func (m *members) peers() []membership.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Peers()
+}
+
+func (m *members) entries() []membership.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Entries()
+}
+
+// receive takes a heartbeat. It runs on the event loop of the heartbeats.
+func (m *members) receive(digest rpcapi.Digest) {
+	m.mu.Lock()
+	err := m.table.Heartbeat(m.d.now(), digest)
+	if err == nil {
+		m.heardAny = time.Now()
+	}
+	m.mu.Unlock()
+	if err != nil {
+		return
+	}
+	for _, g := range digest.Groups {
+		m.d.table.Apply(digest.From, g)
+	}
+	m.d.follower.Hear(digest.ConfigVersion)
+}
+
+// heardWithin reports whether any peer was heard within a time.
+func (m *members) heardWithin(limit time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.heardAny) < limit
+}
+
+// startHeartbeats makes the membership table of the present incarnation and
+// binds the heartbeats' address, which becomes part of the registration. A
+// later attempt with a greater incarnation replaces both.
+func (d *Daemon) startHeartbeats() error {
+	if d.heartbeats != nil {
+		if err := d.heartbeats.Close(); err != nil {
+			return err
+		}
+	}
+	credentials, err := peer.NewCredentials([]byte(d.settings.Cluster.Secret))
+	if err != nil {
+		return err
+	}
+	d.members = newMembers(d)
+	d.heartbeats, err = peer.StartHeartbeats(peer.HeartbeatSettings{
+		Addr: d.settings.Addresses.PeerUDP, Self: d.holder(), Credentials: credentials, Clock: d.clock,
+		Receive: d.members.receive,
+	})
+	if err != nil {
+		return err
+	}
+	d.self.PeerUDPAddr = d.heartbeats.Addr()
+	return nil
+}
+
+// digest is what this VM tells its peers.
+func (d *Daemon) digest() rpcapi.Digest {
+	return rpcapi.Digest{
+		From: d.holder(), DataCentre: d.self.DataCentre, Ready: d.readiness.Ready() == nil,
+		Draining: d.readiness.draining(), ConfigVersion: d.follower.Version(), Groups: d.owners.Digests(),
+	}
+}
+
+// runMembership sends heartbeats and advances the table.
+func (d *Daemon) runMembership(ctx context.Context) {
+	ticker := time.NewTicker(d.settings.Membership.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		d.beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) beat() {
+	digest := d.digest()
+	for _, own := range digest.Groups {
+		d.table.Apply(d.holder(), own)
+	}
+	d.members.mu.Lock()
+	d.members.table.SetSelf(digest)
+	transitions := d.members.table.Advance(d.now())
+	d.members.noteSilent(transitions)
+	d.members.mu.Unlock()
+	for _, transition := range transitions {
+		d.peerChanged(transition)
+	}
+	for _, entry := range d.members.peers() {
+		if err := d.heartbeats.Send(entry.VM.Name, entry.VM.PeerUDPAddr, digest); err != nil {
+			d.log.Debug().Err(err).Str("peer", entry.VM.Name).Msg("heartbeat not sent")
+		}
+	}
+}
+
+func (d *Daemon) peerChanged(transition membership.Transition) {
+	kind := timeline.PeerSuspect
+	switch transition.To {
+	case membership.Alive:
+		kind = timeline.PeerAlive
+	case membership.Gone:
+		kind = timeline.PeerGone
+		d.owners.HolderGone(transition.Holder)
+	}
+	d.events.Record(timeline.Event{Kind: kind, Detail: transition.Holder.VM + " is " + string(transition.To)})
+	d.log.Info().Str("peer", transition.Holder.VM).Str("from", string(transition.From)).
+		Str("to", string(transition.To)).Msg("peer state changed")
+}
+
+// followList reads the platform's list.
+func (d *Daemon) followList(ctx context.Context) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, d.settings.Platform.CallTimeout)
+		listing, err := d.lister.List(callCtx)
+		cancel()
+		if err != nil {
+			d.log.Debug().Err(err).Msg("list of VMs and targets not available")
+		} else {
+			d.applyListing(listing)
+		}
+		sleep(ctx, d.settings.Platform.ListInterval)
+	}
+}
+
+func (d *Daemon) applyListing(listing model.Listing) {
+	configuration := d.follower.Current()
+	if configuration == nil {
+		return // the number of groups is part of the configuration
+	}
+	d.noteLeaving(listing.Targets)
+	d.members.setListing(listing)
+	groups := group.FromListing(listing.Targets, configuration.GroupsPerPool)
+	d.table.SetGroups(groups)
+	d.owners.SetGroups(groups)
+}
+
+func (d *Daemon) noteLeaving(targets []model.Target) {
+	d.members.mu.Lock()
+	defer d.members.mu.Unlock()
+	for _, target := range targets {
+		if target.Leaving && !d.members.targets[target.Name].Leaving {
+			d.events.Record(timeline.Event{Kind: timeline.TargetLeaving, Target: target.Name})
+		}
+	}
+}
--- a/internal/frontend/attempt.go
+++ b/internal/frontend/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
 	"cicadaslip/internal/target"
 	"cicadaslip/internal/timeline"
 )
@@ -18,6 +20,7 @@
 	if failure != nil {
 		return "", failure
 	}
+	r.rename(a, permit.Request)
 	body, err := j.targetBody(permit.Priority)
 	if err != nil {
 		s.finish(permit, asked, core.PermitReleased{Outcome: core.OutcomeNotSent})
@@ -46,13 +49,19 @@
 		return core.Permit{}, errs.As(err).WithRan(errs.RanNo)
 	}
 	s.event(timeline.PermitGranted, permit, asked.Organisation, "")
-	if permit.Request == asked.ID && permit.Adapter == asked.Adapter && permit.Target.Class == asked.Class {
+	if derived(permit.Request, asked.ID) && permit.Adapter == asked.Adapter && permit.Target.Class == asked.Class {
 		return permit, nil
 	}
 	s.finish(permit, asked, core.PermitReleased{Outcome: core.OutcomeNotSent})
 	return core.Permit{}, errs.NotRun(errs.Internal, "permit is not the one asked for")
 }
 
+// derived reports whether a permit's request id is the asked one or was derived
+// from it by Permits.
+func derived(granted, asked model.RequestID) bool {
+	return granted == asked || strings.HasPrefix(string(granted), string(asked)+".")
+}
+
 // settle ends a permit after an attempt. While the request may still run on
 // the target the permit is kept, because it pins the adapter there.
 func (s *Server) settle(ctx context.Context, permit core.Permit, asked core.Request, result target.Result, err error) {
--- a/internal/frontend/ports.go
+++ b/internal/frontend/ports.go
@@ -11,7 +11,8 @@
 
 // Permits obtains permits from the owners of target groups. Acquire picks a
 // group and waits in its owner's queue. Its errors say that the request was not
-// run.
+// run. The request id of the permit is the asked one or derived from it by a
+// suffix; it is the id of the attempt towards the target.
 type Permits interface {
 	Acquire(ctx context.Context, request core.Request) (core.Permit, error)
 	Release(permit core.Permit, release core.PermitReleased)
--- a/internal/frontend/race.go
+++ b/internal/frontend/race.go
@@ -70,6 +70,16 @@
 	})
 }
 
+// rename gives an attempt the request id of its permit, by which the target and
+// the group's owner know it.
+func (r *race) rename(a *attempt, id model.RequestID) {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	delete(r.s.running, a.id)
+	a.id = id
+	r.s.running[id] = r
+}
+
 // attemptID returns the id of one attempt of a request, counted from 1.
 func attemptID(id model.RequestID, number int) model.RequestID {
 	return id + model.RequestID("."+strconv.Itoa(number))
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -187,7 +187,7 @@
 			go r.askState(name)
 			go r.askLoad(name)
 		}
-		pause := pollInterval/2 + rand.N(pollInterval) //nolint:gosec // jitter only
+		pause := pollInterval/2 + rand.N(pollInterval)
 		select {
 		case <-r.ctx.Done():
 			return
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -32,13 +32,14 @@
 	groups   map[string]group.Group
 	shares   map[string]float64
 	draining bool
+	losses   map[string]loss
 }
 
 // NewManager returns a manager that owns nothing yet.
 func NewManager(self model.Holder, store platform.Store, holdings *permit.Holdings, ports Ports, newCore func(group string) core.Decider) *Manager {
 	return &Manager{
 		self: self, store: store, holdings: holdings, ports: ports, newCore: newCore, start: time.Now(),
-		owned: map[string]*runtime{}, ending: map[*runtime]string{}, taking: map[string]bool{}, groups: map[string]group.Group{},
+		owned: map[string]*runtime{}, ending: map[*runtime]string{}, taking: map[string]bool{}, groups: map[string]group.Group{}, losses: map[string]loss{},
 	}
 }
 
@@ -122,7 +123,7 @@
 func (m *Manager) TakeOver(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.owned[name] != nil || m.taking[name] || m.draining {
+	if m.owned[name] != nil || m.taking[name] || m.draining || time.Now().Before(m.losses[name].retryAt) {
 		return
 	}
 	if _, listed := m.groups[name]; !listed {
@@ -187,6 +188,7 @@
 	m.mu.Lock()
 	if m.owned[name] == r {
 		delete(m.owned, name)
+		m.losses[name] = m.losses[name].next(time.Since(r.began))
 	}
 	m.ending[r] = name
 	m.mu.Unlock()
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -30,6 +30,7 @@
 	orders sync.WaitGroup
 	writer *intentWriter
 	onLost func()
+	began  time.Time
 
 	mu        sync.Mutex
 	events    []core.Event
@@ -63,7 +64,7 @@
 	r := &runtime{
 		ports: ports, group: record.Group, epoch: record.Epoch, core: decider, start: start,
 		log: ports.Log.With().Str("group", record.Group).Uint64("epoch", uint64(record.Epoch)).Logger(),
-		ctx: ctx, cancel: cancel, done: make(chan struct{}), onLost: onLost,
+		ctx: ctx, cancel: cancel, done: make(chan struct{}), onLost: onLost, began: time.Now(),
 		wake:    make(chan struct{}, 1),
 		waiters: map[model.RequestID]chan rpcapi.AcquireReply{}, targets: map[string]model.Target{},
 		cancelled: newRecentIDs(rememberedIDs), asking: map[model.Holder]bool{},
--- a/internal/owner/writer.go
+++ b/internal/owner/writer.go
@@ -156,7 +156,7 @@
 	w.owner.post(core.StoreAvailability{Available: false})
 	w.owner.record(timeline.StoreDown, "", "")
 	for {
-		pause := storeRetryPause/2 + rand.N(storeRetryPause) //nolint:gosec // jitter only
+		pause := storeRetryPause/2 + rand.N(storeRetryPause)
 		select {
 		case <-ctx.Done():
 			return
