--- a/internal/platform/httpstore/httpstore_test.go
+++ b/internal/platform/httpstore/httpstore_test.go
@@ -146,6 +146,32 @@
 	g.Expect(relay.accepted.Load()).To(gomega.BeEquivalentTo(3))
 }
 
+// Guards against a pool of connections that went silent together and each cost
+// a call its time.
+func TestOneTimeoutReplacesAllSilentConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server, address := start(t)
+	relay := startRelay(t, address)
+	client := connect(t, relay.listener.Addr().String())
+	const connections = 4
+	server.Store.Inject(memstore.Rule{Fault: memstore.Slow, Delay: callTimeout / 10, Count: 2 * connections})
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() { _, _ = client.Watch(ctx, "a", 0, 0) })
+		group.Go(func() { _, _ = client.List(ctx, "a", "", 0, 0) })
+	}
+	group.Wait()
+	before := relay.accepted.Load()
+	relay.silence()
+	_, err := client.List(ctx, "a", "", 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = client.Watch(ctx, "a", 0, 0)
+	g.Expect(err).To(beCode(errs.StoreUnavailable), "a watch is not repeated")
+	_, err = client.Watch(ctx, "a", 0, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(relay.accepted.Load()).To(gomega.Equal(before + 2))
+}
+
 func TestDeadlineAndCancelEndCalls(t *testing.T) {
 	g := gomega.NewWithT(t)
 	server, address := start(t)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,8 +55,8 @@
 	CallTimeout time.Duration `yaml:"call_timeout" default:"2s" min:"10ms" max:"1m"`
 	// Limit of opening a connection.
 	DialTimeout time.Duration `yaml:"dial_timeout" default:"500ms" min:"10ms" max:"30s"`
-	// Longest time that one watch call waits at the platform.
-	WatchWait time.Duration `yaml:"watch_wait" default:"30s" min:"100ms" max:"5m"`
+	// Longest time that one watch call waits at the platform. News on a connection that went silent arrives later by up to this time and call_timeout.
+	WatchWait time.Duration `yaml:"watch_wait" default:"3s" min:"100ms" max:"1m"`
 	// Interval between reads of the list of VMs and targets.
 	ListInterval time.Duration `yaml:"list_interval" default:"1s" min:"50ms" max:"1m"`
 	// Largest number of connections to the platform.
