peer: Refuse an oversized message before it is sent

The test of oversized calls was flaky: the server's refusal and the end of the connection raced, and a refusal by the codec was reported as if the method had run. The sender now checks the size, and errors of calls whose method was not called are marked. The test now demands the code and that the call did not run. gnet logs go to the given logger.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -74,8 +74,12 @@
 //   - errs.Timeout, errs.Cancelled: the context ended while the call was
 //     waiting for the connection (RanNo) or for the reply (RanUnknown);
 //   - errs.Overloaded: the bound of concurrent calls is reached (RanNo);
+//   - errs.TooLarge: args are over MaxMessageBytes (RanNo); the connection is
+//     replaced, so that other calls on it fail with errs.PeerUnavailable;
+//   - errs.InvalidMessage: the peer could not decode args (RanNo);
 //   - errs.Unauthenticated: the peer holds another key (RanNo);
-//   - any other code: the peer's method returned this error (RanYes).
+//   - any other code: the peer's method returned this error (RanYes). A reply over
+//     MaxMessageBytes cannot be sent: it breaks the connection.
 func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -1,7 +1,7 @@
 package peer
 
 import (
-	"bufio"
+	"bytes"
 	"crypto/tls"
 	"encoding/gob"
 	"net"
@@ -17,6 +17,12 @@
 // the others' messages for ever.
 const writeTimeout = 5 * time.Second
 
+// keptBufferBytes is the largest write buffer that an idle connection keeps.
+const keptBufferBytes = 64 << 10
+
+// notRunPrefix marks errors of calls whose method was not called.
+const notRunPrefix = string(errs.RanNo) + ": "
+
 // Clock gives and merges timeline stamps. *timeline.Clock implements it.
 type Clock interface {
 	Now() timeline.Stamp
@@ -38,14 +44,14 @@
 	clock    Clock
 	reader   *messageReader
 	decoder  *gob.Decoder
-	buffer   *bufio.Writer
+	message  bytes.Buffer // the message that is being written
 	encoder  *gob.Encoder
 	received atomic.Uint64 // messages read, shows that the peer is alive
 }
 
 func newStream(conn net.Conn, clock Clock) *stream {
-	s := &stream{conn: conn, clock: clock, reader: newMessageReader(conn), buffer: bufio.NewWriter(conn)}
-	s.decoder, s.encoder = gob.NewDecoder(s.reader), gob.NewEncoder(s.buffer)
+	s := &stream{conn: conn, clock: clock, reader: newMessageReader(conn)}
+	s.decoder, s.encoder = gob.NewDecoder(s.reader), gob.NewEncoder(&s.message)
 	return s
 }
 
@@ -60,25 +66,41 @@
 	return h, nil
 }
 
+// write sends one message. After a failure the connection is useless: the
+// message may be sent in part, or types that the encoder defined are not sent.
+// The failure is errs.TooLarge if nothing was sent because of the size.
 func (s *stream) write(h header, body any) error {
 	h.Stamp = s.clock.Now()
-	err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := s.encode(h, body)
 	if err == nil {
-		err = s.encoder.Encode(h)
+		err = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 	if err == nil {
-		err = s.encoder.Encode(body)
-	}
-	if err == nil {
-		err = s.buffer.Flush()
+		_, err = s.conn.Write(s.message.Bytes())
 	}
 	if err != nil {
-		// A partly written message makes the connection useless.
 		_ = s.conn.Close()
 	}
+	s.message.Reset()
+	if s.message.Cap() > keptBufferBytes {
+		s.message = bytes.Buffer{}
+	}
 	return err
 }
 
+func (s *stream) encode(h header, body any) error {
+	if err := s.encoder.Encode(h); err != nil {
+		return err
+	}
+	if err := s.encoder.Encode(body); err != nil {
+		return err
+	}
+	if s.message.Len() > MaxMessageBytes {
+		return errs.New(errs.TooLarge, "the message to the peer is too large")
+	}
+	return nil
+}
+
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
 	*stream
@@ -127,15 +149,25 @@
 	if c.running.Load() > MaxCallsPerConnection {
 		body = nil
 	}
-	if err := c.decoder.Decode(body); err != nil {
-		return err
-	}
-	if body == nil {
-		return errs.New(errs.Overloaded, "too many concurrent calls on the connection")
+	err := c.decoder.Decode(body)
+	switch {
+	case err != nil:
+		return notRunError{errs.Wrap(err, errs.InvalidMessage, "decode the arguments")}
+	case body == nil:
+		return notRunError{errs.New(errs.Overloaded, "too many concurrent calls on the connection")}
 	}
 	return nil
 }
 
+// notRunError is the failure of a call whose method was not called.
+type notRunError struct{ cause *errs.Error }
+
+// Error returns the text from which the client restores the error.
+func (e notRunError) Error() string { return notRunPrefix + e.cause.Error() }
+
+// Unwrap returns the typed error.
+func (e notRunError) Unwrap() error { return e.cause }
+
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	c.running.Add(-1)
 	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -126,22 +126,27 @@
 	}
 	c.client.replace(c)
 	c.close()
+	if errs.Is(err, errs.TooLarge) {
+		return errs.Wrap(err, errs.TooLarge, method+" at "+c.addr).WithRan(errs.RanNo)
+	}
 	return errs.Wrap(err, errs.PeerUnavailable, method+" at "+c.addr).WithRan(errs.RanUnknown)
 }
 
 // serverError parses the text of an *errs.Error, which is all that net/rpc
 // transports of the error of a method.
 func serverError(text string) *errs.Error {
-	code, message, found := strings.Cut(text, ": ")
-	switch {
-	case found && errs.Code(code) == errs.Overloaded:
-		return errs.NotRun(errs.Overloaded, message)
-	case strings.HasPrefix(text, "rpc: can't find") || strings.HasPrefix(text, "rpc: service/method request ill-formed"):
+	if strings.HasPrefix(text, "rpc: can't find") || strings.HasPrefix(text, "rpc: service/method request ill-formed") {
 		return errs.NotRun(errs.InvalidRequest, text)
-	case found && !strings.ContainsAny(code, " /"):
-		return errs.New(errs.Code(code), message).WithRan(errs.RanYes)
 	}
-	return errs.New(errs.Internal, text).WithRan(errs.RanYes)
+	ran := errs.RanYes
+	if rest, found := strings.CutPrefix(text, notRunPrefix); found {
+		text, ran = rest, errs.RanNo
+	}
+	code, message, found := strings.Cut(text, ": ")
+	if !found || strings.ContainsAny(code, " /") {
+		code, message = string(errs.Internal), text
+	}
+	return errs.New(errs.Code(code), message).WithRan(ran)
 }
 
 // watch probes the connection until it fails, is stopped or has been idle for
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"github.com/rs/zerolog"
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
@@ -29,6 +30,7 @@
 	Self        model.Holder
 	Credentials *Credentials
 	Clock       Clock
+	Logger      zerolog.Logger // for failures of the socket
 	// Receive gets each accepted digest. It is called on the event loop and
 	// must not block.
 	Receive func(digest rpcapi.Digest)
@@ -71,7 +73,8 @@
 	go func() {
 		defer close(h.stopped)
 		err := gnet.Run(h, "udp://"+settings.Addr,
-			gnet.WithNumEventLoop(1), gnet.WithSocketRecvBuffer(receiveBufferBytes), gnet.WithReadBufferCap(readBufferBytes))
+			gnet.WithNumEventLoop(1), gnet.WithSocketRecvBuffer(receiveBufferBytes), gnet.WithReadBufferCap(readBufferBytes),
+			gnet.WithLogger(socketLogger{settings.Logger}))
 		if err != nil {
 			h.started <- err
 		}
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -238,7 +238,14 @@
 	f := newFixture(t, testTimes)
 	big := EchoArgs{Text: string(make([]byte, MaxMessageBytes+1))}
 	failure := errs.As(f.client.Call(context.Background(), f.server.Addr(), "Echo.Say", big, &EchoArgs{}))
-	f.Expect(failure.Code).To(gomega.Equal(errs.PeerUnavailable))
+	f.Expect(failure.Code).To(gomega.Equal(errs.TooLarge))
+	f.Expect(failure.Ran).To(gomega.Equal(errs.RanNo))
+	f.Expect(f.say(f.server.Addr())).To(gomega.Succeed())
+
+	type otherArgs struct{ Text []int }
+	failure = errs.As(f.client.Call(context.Background(), f.server.Addr(), "Echo.Say", otherArgs{Text: []int{1}}, &EchoArgs{}))
+	f.Expect(failure.Code).To(gomega.Equal(errs.InvalidMessage))
+	f.Expect(failure.Ran).To(gomega.Equal(errs.RanNo))
 	f.Expect(f.say(f.server.Addr())).To(gomega.Succeed())
 }
 
