--- /dev/null
+++ b/internal/policy/hedge/hedge.go
@@ -0,0 +1,64 @@
+package hedge
+
+import "time"
+
+// Attempt describes a running request that may be repeated.
+type Attempt struct {
+	Slow     bool          // its target is a straggler
+	Waited   time.Duration // since dispatch or the last token
+	Expected time.Duration // until the next token
+	Tokens   int           // received so far
+}
+
+// Policy decides whether a second attempt is worth its cost.
+type Policy interface {
+	// Granted enters a request that got a permit.
+	Granted()
+	// Hedge reports whether a second attempt starts now and takes it from the budget.
+	Hedge(a Attempt) bool
+}
+
+// Off never starts a second attempt.
+type Off struct{}
+
+// Granted implements Policy.
+func (Off) Granted() {}
+
+// Hedge implements Policy.
+func (Off) Hedge(Attempt) bool { return false }
+
+const (
+	// share of requests that may get a second attempt.
+	share = 0.02
+	// burst is the greatest number of second attempts at the same time.
+	burst = 8
+	// late is the multiple of the expected time after which a request on a
+	// normal target counts as stuck.
+	late = 8.0
+	// lateSlow is the multiple on a straggler.
+	lateSlow = 3.0
+	// minimumWait avoids second attempts for scheduling noise.
+	minimumWait = 50 * time.Millisecond
+	// mostTokens is the progress beyond which a second attempt would not overtake.
+	mostTokens = 32
+)
+
+// Budget hedges requests that are late, within a share of all requests.
+type Budget struct{ tokens float64 }
+
+// Granted implements Policy.
+func (b *Budget) Granted() { b.tokens = min(burst, b.tokens+share) }
+
+// Hedge implements Policy.
+func (b *Budget) Hedge(a Attempt) bool {
+	limit := late
+	if a.Slow {
+		limit = lateSlow
+	}
+	if a.Expected == 0 || a.Tokens > mostTokens || b.tokens < 1 ||
+		a.Waited < max(minimumWait, time.Duration(limit*float64(a.Expected))) {
+		return false
+	}
+	b.tokens--
+	return true
+}
