--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,6 @@
 
 	self     model.VM
 	revision int64 // of the own registration
-	epochs   bool  // the groups' epochs were read after the registration
 
 	follower    *config.Follower
 	members     *members
