peer: Tell unsent calls from unreadable replies; account: join sides in the report

A reply over the bound could be reported as a call that was not sent. Given entries without a known entry VM are matched when the report is built.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -43,6 +43,8 @@
 	b.given("only given", "o", 2, a)
 	a.used("unequal", "o", 3)
 	b.given("unequal", "o", 4, a)
+	a.used("no holder", "o", 0) // matched by the report
+	b.ledger.RecordGiven(core.RecordGiven{ID: "no holder", Organisation: "o", Outcome: core.OutcomeDone, Usage: core.Usage{PromptTokens: 1}})
 	b.ledger.RecordGiven(core.RecordGiven{ID: "never sent", Holder: a.ledger.self, Organisation: "o", Outcome: core.OutcomeNotSent})
 	early := c.report()
 	g.Expect(early.Organisations[0].Differences).To(gomega.BeEmpty())
@@ -53,7 +55,7 @@
 	o := report.Organisations[0]
 	g.Expect(o.Used.GeneratedTokens).To(gomega.BeNumerically("==", 23))
 	g.Expect(o.Given.GeneratedTokens).To(gomega.BeNumerically("==", 25))
-	g.Expect(o.Given.Requests).To(gomega.Equal(map[core.Outcome]uint64{core.OutcomeDone: 5, core.OutcomeNotSent: 1}))
+	g.Expect(o.Given.Requests).To(gomega.Equal(map[core.Outcome]uint64{core.OutcomeDone: 6, core.OutcomeNotSent: 1}))
 	g.Expect(o.Differences).To(gomega.HaveExactElements(
 		gomega.HaveField("Request", model.RequestID("only given")),
 		gomega.HaveField("Request", model.RequestID("only used")),
--- a/internal/account/ledger.go
+++ b/internal/account/ledger.go
@@ -87,7 +87,9 @@
 		return
 	}
 	entry := Entry{Request: given.ID, Organisation: given.Organisation, Usage: given.Usage}
-	if given.Holder == l.self {
+	// Without a holder, as for a permit of an earlier epoch, only the report can
+	// bring the two sides together.
+	if given.Holder == l.self || given.Holder.VM == "" {
 		l.enter(Given, entry)
 		return
 	}
--- a/internal/account/open.go
+++ b/internal/account/open.go
@@ -68,13 +68,11 @@
 		t.requests[entry.Request] = row
 	}
 	row.round = round
-	sum, has := &row.Used, &row.HasUsed
-	if side == Given {
-		sum, has = &row.Given, &row.HasGiven
+	if side == Used {
+		row.Used, row.HasUsed = sum(row.Used, entry.Usage), true
+	} else {
+		row.Given, row.HasGiven = sum(row.Given, entry.Usage), true
 	}
-	*has = true
-	sum.PromptTokens += entry.Usage.PromptTokens
-	sum.GeneratedTokens += entry.Usage.GeneratedTokens
 	if row.matches() {
 		t.remove(row)
 	}
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -86,7 +86,7 @@
 	for _, document := range stored {
 		mergeInto(documents, document)
 	}
-	organisations := map[string]*OrganisationUsage{}
+	organisations, open := map[string]*OrganisationUsage{}, map[model.RequestID]*OpenRequest{}
 	for _, answer := range answers {
 		if answer.NoAnswer {
 			report.NoAnswer = append(report.NoAnswer, answer.Process)
@@ -98,8 +98,11 @@
 		for _, document := range append(answer.Held, answer.Document) {
 			mergeInto(documents, document)
 		}
-		for _, request := range answer.Open {
-			usageOf(organisations, request.Organisation).addOpen(request)
+		joinOpen(open, answer.Open)
+	}
+	for _, request := range open {
+		if !request.matches() {
+			usageOf(organisations, request.Organisation).addOpen(*request)
 		}
 	}
 	for holder, document := range documents {
@@ -116,6 +119,25 @@
 	return report
 }
 
+// joinOpen adds up what several VMs have of the same request.
+func joinOpen(open map[model.RequestID]*OpenRequest, requests []OpenRequest) {
+	for _, request := range requests {
+		known := open[request.Request]
+		if known == nil {
+			open[request.Request] = &request
+			continue
+		}
+		known.Used, known.Given = sum(known.Used, request.Used), sum(known.Given, request.Given)
+		known.HasUsed, known.HasGiven = known.HasUsed || request.HasUsed, known.HasGiven || request.HasGiven
+		known.Settling = known.Settling || request.Settling
+		known.EntryVMGone = known.EntryVMGone || request.EntryVMGone
+	}
+}
+
+func sum(a, b core.Usage) core.Usage {
+	return core.Usage{PromptTokens: a.PromptTokens + b.PromptTokens, GeneratedTokens: a.GeneratedTokens + b.GeneratedTokens}
+}
+
 func mergeInto(documents map[model.Holder]*Document, document Document) {
 	if documents[document.Holder] == nil {
 		empty := newDocument(document.Holder)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -69,7 +69,7 @@
 // Call fails, reply is unchanged.
 //
 // Errors, with Ran saying whether the call ran on the peer:
-//   - errs.PeerUnavailable: no connection was made (RanNo), or the connection
+//   - errs.PeerUnavailable: the call was not sent (RanNo), or the connection
 //     broke or went silent during the call (RanUnknown);
 //   - errs.Timeout, errs.Cancelled: the context ended while the call was
 //     waiting for the connection (RanNo) or for the reply (RanUnknown);
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,7 @@
 	reader   *messageReader
 	decoder  *gob.Decoder
 	message  bytes.Buffer // the message that is being written
+	spoiled  bool         // the encoder defined types that were not sent
 	encoder  *gob.Encoder
 	received atomic.Uint64 // messages read, shows that the peer is alive
 }
@@ -66,15 +67,19 @@
 	return h, nil
 }
 
-// write sends one message. After a failure the connection is useless: the
-// message may be sent in part, or types that the encoder defined are not sent.
-// The failure is errs.TooLarge if nothing was sent because of the size.
+// write sends one message. Nothing was sent if the failure is an unsentError. No
+// failure leaves the connection usable: the message may be sent in part, or
+// types that the encoder has defined are not sent.
 func (s *stream) write(h header, body any) error {
+	if s.spoiled {
+		return unsentError{errs.New(errs.PeerUnavailable, "the connection is being replaced")}
+	}
 	h.Stamp = s.clock.Now()
-	err := s.encode(h, body)
-	if err == nil {
-		err = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := s.encode(h, body); err != nil {
+		s.spoiled = true
+		return unsentError{errs.As(err)}
 	}
+	err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err == nil {
 		_, err = s.conn.Write(s.message.Bytes())
 	}
@@ -88,6 +93,16 @@
 	return err
 }
 
+// unsentError is the failure of a message of which nothing was sent. A failure
+// to read has another type, also if it is about the size of a message.
+type unsentError struct{ cause *errs.Error }
+
+// Error returns the text of the cause.
+func (e unsentError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the typed error.
+func (e unsentError) Unwrap() error { return e.cause }
+
 func (s *stream) encode(h header, body any) error {
 	if err := s.encoder.Encode(h); err != nil {
 		return err
@@ -170,7 +185,11 @@
 
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	c.running.Add(-1)
-	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	err := c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	if err != nil {
+		_ = c.conn.Close()
+	}
+	return err
 }
 
 func (c *serverCodec) Close() error { return c.conn.Close() }
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -126,8 +126,9 @@
 	}
 	c.client.replace(c)
 	c.close()
-	if errs.Is(err, errs.TooLarge) {
-		return errs.Wrap(err, errs.TooLarge, method+" at "+c.addr).WithRan(errs.RanNo)
+	var unsent unsentError
+	if errors.As(err, &unsent) {
+		return errs.Wrap(err, unsent.cause.Code, method+" at "+c.addr).WithRan(errs.RanNo)
 	}
 	return errs.Wrap(err, errs.PeerUnavailable, method+" at "+c.addr).WithRan(errs.RanUnknown)
 }
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -37,6 +37,11 @@
 	return nil
 }
 
+func (*echo) Grow(_ EchoArgs, reply *EchoArgs) error {
+	reply.Text = string(make([]byte, MaxMessageBytes+1))
+	return nil
+}
+
 func (*echo) Fail(EchoArgs, *EchoArgs) error { return errs.New(errs.NotOwner, "another VM owns it") }
 
 type fixture struct {
@@ -247,6 +252,23 @@
 	f.Expect(failure.Code).To(gomega.Equal(errs.InvalidMessage))
 	f.Expect(failure.Ran).To(gomega.Equal(errs.RanNo))
 	f.Expect(f.say(f.server.Addr())).To(gomega.Succeed())
+
+	failure = errs.As(f.client.Call(context.Background(), f.server.Addr(), "Echo.Grow", EchoArgs{}, &EchoArgs{}))
+	f.Expect(failure.Code).To(gomega.Equal(errs.PeerUnavailable))
+	f.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+	f.Expect(f.say(f.server.Addr())).To(gomega.Succeed())
+}
+
+// Guards against a reply that is too large to read and is reported as a call
+// that was not sent.
+func TestUnreadableReplyIsNotReportedAsUnsent(t *testing.T) {
+	f := newFixture(t, testTimes)
+	conn := newConnection("peer", f.client)
+	failure := errs.As(conn.callError("Echo.Say", errs.New(errs.TooLarge, "peer message is too large")))
+	f.Expect(failure.Code).To(gomega.Equal(errs.PeerUnavailable))
+	f.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+	failure = errs.As(conn.callError("Echo.Say", unsentError{errs.New(errs.TooLarge, "too large")}))
+	f.Expect(failure.Ran).To(gomega.Equal(errs.RanNo))
 }
 
 // Guards against an error text that is mapped to a wrong statement.
