--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -34,14 +34,6 @@
 	return errs.NotRun(errs.Overloaded, "journal shard is full").WithRetry(retry)
 }
 
-// errStoreDown advises a retry time after the next attempt, spread over the same
-// length again. Callers hold the lock.
-func (s *Shard) errStoreDown() *errs.Error {
-	wait := max(s.notBefore.Sub(s.deps.Now()), s.settings.BackoffMin)
-	wait += time.Duration(s.deps.Rand.Int64N(int64(wait)))
-	return errs.NotRun(errs.StoreUnavailable, "the platform's store is unavailable").WithRetry(wait)
-}
-
 func (s *Shard) record(kind timeline.Kind, detail string) {
 	s.deps.Recorder.Record(timeline.Event{Kind: kind, Detail: shardPrefix(s.number) + " " + detail})
 }
--- a/internal/journal/fakestore_test.go
+++ b/internal/journal/fakestore_test.go
@@ -22,6 +22,7 @@
 	revision int64
 	history  map[string][]entryAt
 	calls    int
+	writes   int // of the calls
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{history: make(map[string][]entryAt)} }
@@ -120,6 +121,7 @@
 
 func (f *faultyStore) write(do func() (platform.Object, error)) (platform.Object, error) {
 	f.store.calls++
+	f.store.writes++
 	f.faults.pause()
 	defer f.faults.pause()
 	switch f.faults.writeFault() {
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -142,7 +142,7 @@
 		t.said, t.schedules = make(map[string]int), make(map[uint64]bool)
 	}
 	t.worlds++
-	t.steps += 5 * stepsPerRun
+	t.steps += stepsPerRun
 	t.runs += len(w.runs)
 	t.attempts += len(w.attempts)
 	t.calls += w.store.calls
@@ -156,7 +156,7 @@
 }
 
 func (t *totals) log(tb testing.TB) {
-	tb.Logf("%d seeds, %d different schedules, %d steps, %d store calls, %d attempts, %d runs, %d takeovers, %d losses, %d compactions, callers told %v",
+	tb.Logf("%d seeds, %d different schedules, %d steps under faults, %d store calls, %d attempts, %d runs, %d takeovers, %d losses, %d compactions, callers told %v",
 		t.worlds, len(t.schedules), t.steps, t.calls, t.attempts, t.runs, t.takeovers, t.lost, t.compactions, t.said)
 }
 
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -7,11 +7,11 @@
 	"io"
 	"iter"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
@@ -23,7 +23,6 @@
 	next  func() (struct{}, bool)
 	stop  func()
 	sleep int // scheduler step before which the actor is paused
-	done  bool
 }
 
 // stopped unwinds the coroutine of a VM that died.
@@ -56,7 +55,7 @@
 	dispatchOnError   mechanism = "the front end dispatches without a granted claim"
 	repeatInProgress  mechanism = "the front end dispatches a key that another claim id holds"
 	freshIDs                    = 1000
-	stepsPerRun                 = 1500
+	stepsPerRun                 = 2500
 	keysPerRun                  = 3
 	maxAttempts                 = 32
 	maxLivingVMs                = 4
@@ -157,43 +156,6 @@
 	}))
 }
 
-// vmFaults draws the faults of one VM's store calls.
-type vmFaults struct {
-	world    *world
-	pauseNow func()
-}
-
-func (f *vmFaults) pause()             { f.pauseNow() }
-func (f *vmFaults) delay(write func()) { f.world.delayed = append(f.world.delayed, write) }
-
-func (f *vmFaults) writeFault() writeFault {
-	w := f.world
-	switch {
-	case w.calm:
-		return writeApplied
-	case w.down:
-		return writeUnavailable
-	case w.off == claimBeforeStored && w.chance(0.2):
-		return writePretended
-	case w.chance(w.fault):
-		return writeFault(1 + w.rng.IntN(int(writeDelayed)))
-	}
-	return writeApplied
-}
-
-func (f *vmFaults) readRevision(low int64) int64 {
-	w := f.world
-	switch {
-	case w.calm:
-		return w.store.revision
-	case w.down:
-		return -1
-	case w.chance(w.fault):
-		return max(0, w.store.revision-int64(w.rng.IntN(12)))
-	}
-	return w.store.revision
-}
-
 func (w *world) living() []*simVM {
 	var living []*simVM
 	for _, vm := range w.vms {
@@ -214,132 +176,6 @@
 	return living[w.rng.IntN(len(living))]
 }
 
-// await waits for a reply. A false result is a lost reply or a dead owner.
-func (w *world) await(call *Call, pause func()) (rpcapi.ClaimReply, bool) {
-	for range awaitPauses {
-		select {
-		case <-call.Done():
-			return call.Reply(), w.calm || !w.chance(w.fault/2)
-		default:
-			pause()
-		}
-	}
-	return rpcapi.ClaimReply{}, false
-}
-
-// end repeats an outcome or release at any VM until it is accepted.
-func (w *world) end(pause func(), ask func(shard *Shard) *Call) {
-	for range endTries {
-		reply, ok := w.await(ask(w.pickVM().shard), pause)
-		if ok && (reply.Err == nil || errs.Is(reply.Err, errs.Conflict)) {
-			return
-		}
-		pause()
-	}
-}
-
-func (w *world) newAttempt() {
-	living := w.living()
-	a := &attempt{vm: living[w.rng.IntN(len(living))]}
-	a.key = rpcapi.ClaimKey{Organisation: "o", Kind: "k", Key: fmt.Sprint(w.rng.IntN(keysPerRun))}
-	if w.chance(0.1) {
-		a.body = 1
-	}
-	w.attempts = append(w.attempts, a)
-	a.id = rpcapi.ClaimID{Holder: a.vm.holder, Number: uint64(len(w.attempts))}
-	a.vm.actors = append(a.vm.actors, newActor(func(pause func()) { w.serve(a, pause) }))
-}
-
-// serve is the front end's part of one call.
-func (w *world) serve(a *attempt, pause func()) {
-	pause()
-	reply, found := w.claim(a, pause)
-	switch {
-	case w.off == dispatchOnError && !found:
-		w.dispatch(a, pause)
-	case !found:
-		a.say("not_run")
-		w.release(a, pause)
-	case reply.State == rpcapi.ClaimGranted && w.chance(0.15):
-		a.say("not_run")
-		w.release(a, pause)
-	case reply.State == rpcapi.ClaimGranted:
-		w.dispatch(a, pause)
-	case reply.State == rpcapi.ClaimFinished:
-		a.got = reply.Response.Body
-		a.say("answer")
-	case reply.State == rpcapi.ClaimRunning && w.off == repeatInProgress:
-		w.dispatch(a, pause)
-	default:
-		a.say(string(reply.State))
-	}
-}
-
-func (a *attempt) say(what string) { a.said = what }
-
-func (w *world) claim(a *attempt, pause func()) (rpcapi.ClaimReply, bool) {
-	request := rpcapi.ClaimRequest{Key: a.key, ID: a.id, BodyHash: [32]byte{a.body}}
-	for range claimTries {
-		reply, ok := w.await(w.pickVM().shard.Claim(request), pause)
-		if ok && reply.Err == nil {
-			return reply, true
-		}
-		pause()
-	}
-	return rpcapi.ClaimReply{}, false
-}
-
-func (w *world) release(a *attempt, pause func()) {
-	request := rpcapi.ReleaseClaimRequest{Key: a.key, ID: a.id}
-	w.end(pause, func(shard *Shard) *Call { return shard.Release(request) })
-}
-
-func (w *world) outcome(a *attempt, pause func(), unknown bool, body []byte) {
-	request := rpcapi.OutcomeRequest{
-		Key: a.key, ID: a.id, Unknown: unknown, Response: rpcapi.StoredResponse{Status: 200, Body: body},
-	}
-	w.end(pause, func(shard *Shard) *Call { return shard.Outcome(request) })
-}
-
-func (w *world) dispatch(a *attempt, pause func()) {
-	pause()
-	j := &job{attempt: a, lost: !w.calm && w.chance(0.1)}
-	a.sent = true
-	w.jobs = append(w.jobs, j)
-	if w.off == releaseAfterSend && w.chance(0.3) {
-		w.release(a, pause)
-	}
-	patience := 5 + w.rng.IntN(60)
-	for ; patience > 0 && !j.ran; patience-- {
-		pause()
-	}
-	if !j.ran {
-		a.say("unknown")
-		w.outcome(a, pause, true, nil)
-		for tries := 0; tries < awaitPauses && !j.ran; tries++ {
-			pause()
-		}
-	}
-	if j.ran {
-		w.answer(a, j, pause)
-	}
-}
-
-// answer stores the outcome before or after the caller gets it.
-func (w *world) answer(a *attempt, j *job, pause func()) {
-	before := w.chance(0.5)
-	if before {
-		w.outcome(a, pause, false, j.response)
-	}
-	if a.said == "" {
-		a.got = j.response
-		a.say("answer")
-	}
-	if !before {
-		w.outcome(a, pause, false, j.response)
-	}
-}
-
 // runTarget lets one job reach its target, possibly long after it was sent.
 func (w *world) runTarget() {
 	if len(w.jobs) == 0 {
@@ -360,12 +196,12 @@
 	vm := living[w.rng.IntN(len(living))]
 	i := w.rng.IntN(len(vm.actors))
 	a := vm.actors[i]
-	if a.done || (a.sleep > w.step && !w.calm) {
+	if a.sleep > w.step && !w.calm {
 		return
 	}
 	w.mix(uint64(vm.holder.Incarnation)<<16 | uint64(i))
 	if _, more := a.next(); !more {
-		a.done = true
+		vm.actors = slices.Delete(vm.actors, i, i+1)
 	}
 	if w.chance(0.01) {
 		a.sleep = w.step + w.rng.IntN(500) // a pause before or after a write
@@ -412,7 +248,7 @@
 	case pick < 75:
 		w.applyDelayed()
 	case pick < 82 && !vm.dead:
-		vm.shard.SetWanted(w.chance(0.6))
+		vm.shard.SetWanted(w.chance(0.75))
 	case pick < 84:
 		w.crash()
 	case pick < 93 && vm.dead:
@@ -458,14 +294,23 @@
 	}
 }
 
+// calmSteps runs until every call at a living VM has ended, within a bound.
 func (w *world) calmSteps() {
-	for range 2 * stepsPerRun {
+	for steps := range 20 * stepsPerRun {
+		if steps > stepsPerRun/4 && !w.busy() {
+			return
+		}
 		w.now = w.now.Add(5 * time.Millisecond)
 		w.runTarget()
 		w.resume()
 	}
 }
 
+// busy reports whether a living VM has an actor besides its shard.
+func (w *world) busy() bool {
+	return slices.ContainsFunc(w.living(), func(vm *simVM) bool { return len(vm.actors) > 1 })
+}
+
 func (w *world) stop() {
 	for _, vm := range w.vms {
 		for _, a := range vm.actors {
