Add the admin service to the daemon, the remaining subcommands and the full demo

make demo runs 3 daemons, 3 runners and 3 services on loopback: 3 equal answers of a cold adapter, one booking run once and replayed at two VMs, used and given equal in the account.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build demo test ci measure
 
 build:
-	go build -o bin/ ./cmd/...
+	go build -o bin/ ./cmd/... ./declare/examples/...
 
 demo: build
 	bin/demo
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,28 +1,27 @@
-// Command demo starts the stand-ins and daemons on loopback, applies a
-// configuration, sends requests as a caller does, prints the answers, the
-// account and the timeline, and stops everything. It exits with 1 when an
-// answer is not the expected one.
+// Command demo starts the stand-ins and daemons on loopback, applies the
+// Baltzips configuration, sends requests as callers do, prints the answers, the
+// account and the timeline, and stops everything. It exits with 1 when an answer
+// is not the expected one.
 package main
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
-	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/testcluster"
 )
 
 const (
-	demoLimit   = 2 * time.Minute
-	callLimit   = 20 * time.Second
-	demoToken   = "demo-token"
-	demoAdapter = "baltzips/quote@2"
+	demoLimit     = 2 * time.Minute
+	callLimit     = 20 * time.Second
+	organisation  = "riga"
+	token         = "baltzips-riga-demo-token"
+	adapter       = "riga/maker-0007@v1"
+	tokensPerCall = 12
 )
 
 func main() {
@@ -49,16 +48,14 @@
 		return err
 	}
 	defer cluster.Close()
-	if err := apply(ctx, cluster); err != nil {
-		return err
-	}
-	for _, vm := range cluster.VMs() {
-		if err := cluster.WaitReady(ctx, vm); err != nil {
+	d := &demo{cluster: cluster, binDir: filepath.Dir(program)}
+	steps := []func(context.Context) error{d.apply, d.waitReady, d.complete, d.book, d.show}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
 			return err
 		}
-		fmt.Println("ready:", vm)
 	}
-	return show(ctx, cluster)
+	return nil
 }
 
 func options(binDir, workDir string) testcluster.Options {
@@ -66,54 +63,124 @@
 		return testcluster.DataCentre{Name: name, Region: name, VMs: 1, Runners: 1, Services: 1}
 	}
 	return testcluster.Options{
-		BinDir: binDir, WorkDir: workDir, BaseModel: "base", Application: "booking",
+		BinDir: binDir, WorkDir: workDir, BaseModel: "garment-8b", Application: "booking-stock",
 		DataCentres: []testcluster.DataCentre{dataCentre("riga"), dataCentre("kurzeme"), dataCentre("latgale")},
 		Slots:       4, Concurrency: 8, TokenInterval: 5 * time.Millisecond, LoadTime: 250 * time.Millisecond,
 		ListLag: 200 * time.Millisecond,
 	}
 }
 
-func apply(ctx context.Context, cluster *testcluster.Cluster) error {
-	hash := sha256.Sum256([]byte(demoToken))
-	document := &config.Document{
-		BaseModels: []string{"base"}, LoadRate: 2,
-		Organisations: []config.Organisation{{Name: "baltzips", CredentialSHA256: hex.EncodeToString(hash[:]), Share: 1}},
-		Adapters:      []config.Adapter{{Organisation: "baltzips", Name: "quote", BaseModel: "base", Versions: []string{"1", "2"}}},
-		Kinds: []config.Kind{
-			{Organisation: "baltzips", Name: "quote", Worth: 1, Deadline: config.Duration(10 * time.Second)},
-			{Organisation: "baltzips", Name: "repair-booking", Application: "booking", AtMostOnce: true, Worth: 5, Deadline: config.Duration(10 * time.Second)},
-		},
+type demo struct {
+	cluster *testcluster.Cluster
+	binDir  string
+}
+
+// apply prints the declared configuration into "cicadaslip apply -f -".
+func (d *demo) apply(context.Context) error {
+	document, err := testcluster.Run(d.binDir, nil, "baltzips")
+	if err != nil {
+		return err
 	}
-	result, err := config.Publish(ctx, cluster.Store, document, 0)
+	output, err := testcluster.Run(d.binDir, document, "cicadaslip", "apply", "-f", "-", "--base", "0",
+		"--platform", d.cluster.Platform.Address)
 	if err != nil {
 		return err
 	}
-	fmt.Println("configuration accepted, version", result.Version)
+	fmt.Printf("\n$ baltzips | cicadaslip apply -f -\n%s", firstLines(output, 4))
+	return nil
+}
+
+func (d *demo) waitReady(ctx context.Context) error {
+	fmt.Println()
+	for _, vm := range d.cluster.VMs() {
+		if err := d.cluster.WaitReady(ctx, vm); err != nil {
+			return err
+		}
+		fmt.Println("ready:", vm)
+	}
 	return nil
 }
 
-func show(ctx context.Context, cluster *testcluster.Cluster) error {
-	for i, vm := range cluster.VMs() {
-		address, err := cluster.Address(ctx, vm)
+func (d *demo) caller(ctx context.Context, vm string) (testcluster.Caller, error) {
+	address, err := d.cluster.Address(ctx, vm)
+	return testcluster.Caller{Address: address, Token: token, Timeout: callLimit}, err
+}
+
+// complete asks every VM for the same completion of a cold adapter, streamed and
+// whole in turn. The stand-in's text depends on adapter, version and prompt, so
+// that all answers must be equal.
+func (d *demo) complete(ctx context.Context) error {
+	fmt.Println()
+	expected := ""
+	for i, vm := range d.cluster.VMs() {
+		caller, err := d.caller(ctx, vm)
 		if err != nil {
 			return err
 		}
-		caller := testcluster.Caller{Address: address, Token: demoToken, Timeout: callLimit}
-		answer, err := caller.Complete(demoAdapter, "the zipper of a coat is stuck", 12, i%2 == 0)
+		stream := i%2 == 0
+		answer, err := caller.Complete(adapter, "The zipper of a coat is stuck.", tokensPerCall, stream)
 		if err != nil {
 			return err
 		}
 		text, complete := answer.Text()
-		fmt.Printf("%s answered %d, complete %v: %s\n", vm, answer.Status, complete, text)
-		if !complete {
-			fmt.Println(string(answer.Body))
-			return errs.New(errs.TruncatedAnswer, "the answer is not complete")
+		fmt.Printf("%s (stream %v) answered %d: %s\n", vm, stream, answer.Status, text)
+		if expected == "" {
+			expected = text
+		}
+		if !complete || text != expected {
+			return errs.New(errs.WrongAnswer, "unexpected answer: "+string(answer.Body))
 		}
-		booking, err := caller.Post("/v1/services/repair-booking", "order-4711", []byte(`{"garment":"coat","repair":"zipper"}`))
+	}
+	return nil
+}
+
+// book sends one booking and repeats it at the other VMs.
+func (d *demo) book(ctx context.Context) error {
+	fmt.Println()
+	for i, vm := range d.cluster.VMs() {
+		caller, err := d.caller(ctx, vm)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%s booking answered %d (replayed %q): %s\n", vm, booking.Status, booking.Header.Get("Idempotent-Replayed"), booking.Body)
+		answer, err := caller.Post("/v1/services/repair-booking", "order-4711", []byte(`{"garment":"coat","repair":"zipper"}`))
+		if err != nil {
+			return err
+		}
+		replayed := answer.Header.Get("Idempotent-Replayed") == "true"
+		fmt.Printf("%s booking answered %d, replayed %v: %s\n", vm, answer.Status, replayed, answer.Body)
+		if answer.Status != 200 || replayed != (i > 0) {
+			return errs.New(errs.WrongAnswer, "the booking was not answered as expected")
+		}
 	}
 	return nil
 }
+
+// show prints what an operator sees.
+func (d *demo) show(ctx context.Context) error {
+	settings := d.cluster.Settings(d.cluster.VMs()[0])
+	for _, args := range [][]string{
+		{"status"},
+		{"targets"},
+		{"adapters"},
+		{"usage"},
+		{"timeline", "--organisation", organisation, "--limit", "200"},
+	} {
+		output, err := testcluster.Run(d.binDir, nil, "cicadaslip", append(args, "--settings", settings)...)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("\n$ cicadaslip %s\n%s", args[0], output)
+	}
+	return ctx.Err()
+}
+
+func firstLines(text []byte, lines int) []byte {
+	for i, c := range text {
+		if c == '\n' {
+			if lines--; lines == 0 {
+				return append(text[:i:i], "\n...\n"...)
+			}
+		}
+	}
+	return text
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,7 +48,10 @@
 
 // Commands returns the subcommands of this package.
 func Commands() []Registration {
-	return []Registration{applyCommand, diffCommand, getCommand, checkCommand}
+	return []Registration{
+		applyCommand, diffCommand, getCommand, checkCommand,
+		statusCommand, targetsCommand, adaptersCommand, drainCommand, timelineCommand, usageCommand,
+	}
 }
 
 // Run parses args (without the program's name), executes one subcommand and
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"cicadaslip/internal/account"
+	"cicadaslip/internal/admin"
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
@@ -61,6 +62,8 @@
 	frontend    *frontend.Server
 	readiness   *readiness
 
+	drainAsked chan struct{} // closed by the command line
+	drainOnce  sync.Once
 	background sync.WaitGroup
 }
 
@@ -70,7 +73,7 @@
 	d := &Daemon{
 		settings: s, log: log, ctx: ctx, cancel: cancel, start: time.Now(),
 		clock: timeline.NewClock(time.Now), targets: target.New(target.Config{}),
-		table: permit.NewTable(), holdings: permit.NewHoldings(), coordinator: newCoordinator(),
+		table: permit.NewTable(), holdings: permit.NewHoldings(), coordinator: newCoordinator(), drainAsked: make(chan struct{}),
 	}
 	d.events = timeline.NewRing(s.Timeline.RingLength, s.VM.Name, d.clock)
 	d.store = httpstore.New(httpstore.Options{
@@ -135,6 +138,8 @@
 		return err
 	case <-stop:
 		return d.drain()
+	case <-d.drainAsked:
+		return d.drain()
 	}
 }
 
@@ -178,6 +183,9 @@
 	services := map[string]any{
 		ownerService: &ownerRPC{d}, nodeService: &nodeRPC{d}, journal.ServiceName: &journalRPC{d.journal}, configService: &configRPC{d},
 		account.ServiceName: account.NewService(d.accounts),
+		admin.ServiceName: admin.NewService(admin.Sources{
+			Overview: overview{d}, Events: d.events, Account: d.accounts, Drainer: drainer{d},
+		}),
 	}
 	for name, service := range services {
 		if err := d.server.Register(name, service); err != nil {
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -35,6 +35,7 @@
 	mu        sync.Mutex
 	events    []core.Event
 	wake      chan struct{}
+	views     chan chan core.View
 	stopped   bool
 	waiters   map[model.RequestID]chan rpcapi.AcquireReply
 	cancelled *recentIDs
@@ -66,6 +67,7 @@
 		log: ports.Log.With().Str("group", record.Group).Uint64("epoch", uint64(record.Epoch)).Logger(),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}), onLost: onLost, began: time.Now(),
 		wake:    make(chan struct{}, 1),
+		views:   make(chan chan core.View),
 		waiters: map[model.RequestID]chan rpcapi.AcquireReply{}, targets: map[string]model.Target{},
 		cancelled: newRecentIDs(rememberedIDs), asking: map[model.Holder]bool{},
 		resident: newResidentSet(),
@@ -112,6 +114,9 @@
 		select {
 		case <-r.ctx.Done():
 			return
+		case answer := <-r.views:
+			r.showCore(answer)
+			continue
 		case <-r.wake:
 		case <-timer.C:
 		}
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -142,10 +142,6 @@
 		b.events.Record(timeline.Event{Kind: timeline.PermitRejected, Request: request.ID, Group: group, Epoch: reply.Permit.Epoch})
 		return core.Permit{}, err
 	}
-	b.events.Record(timeline.Event{
-		Kind: timeline.PermitGranted, Request: request.ID, Organisation: request.Organisation,
-		Target: reply.Permit.Target.Name, Group: group, Epoch: reply.Permit.Epoch,
-	})
 	return reply.Permit, nil
 }
 
@@ -176,10 +172,6 @@
 func (b *Broker) Release(permit core.Permit, release core.PermitReleased) {
 	release.ID = permit.Request
 	release.Target = permit.Target.Name
-	b.events.Record(timeline.Event{
-		Kind: timeline.PermitReleased, Request: permit.Request, Target: permit.Target.Name,
-		Group: permit.Group, Epoch: permit.Epoch, Detail: string(release.Outcome),
-	})
 	release.Organisation, release.Kind = permit.Organisation, permit.Kind
 	b.returns.add(returned{group: permit.Group, epoch: permit.Epoch, release: &release})
 	b.holdings.Drop(permit.Request)
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"os"
 	"os/exec"
@@ -80,3 +81,16 @@
 
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Run runs a program to its end and returns its output.
+func Run(binDir string, input []byte, program string, args ...string) ([]byte, error) {
+	cmd := exec.Command(filepath.Join(binDir, program), args...)
+	cmd.Stdin = bytes.NewReader(input)
+	var failure bytes.Buffer
+	cmd.Stderr = &failure
+	output, err := cmd.Output()
+	if err != nil {
+		return output, errs.Wrap(err, errs.Internal, program+": "+failure.String())
+	}
+	return output, nil
+}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -50,7 +51,7 @@
 
 // matches reports whether the filter selects the event.
 func (f Filter) matches(event Event) bool {
-	return (f.Request == "" || f.Request == event.Request) &&
+	return (f.Request == "" || f.matchesRequest(event.Request)) &&
 		(f.Target == "" || f.Target == event.Target) &&
 		(f.Organisation == "" || f.Organisation == event.Organisation) &&
 		(f.Group == "" || f.Group == event.Group) &&
@@ -58,6 +59,12 @@
 		(f.Until.IsZero() || event.Stamp.Wall < f.Until.UnixNano())
 }
 
+// matchesRequest also selects the attempts of a request, whose ids add suffixes
+// after a full stop.
+func (f Filter) matchesRequest(id model.RequestID) bool {
+	return id == f.Request || strings.HasPrefix(string(id), string(f.Request)+".")
+}
+
 // Answer is the part of the timeline that one process has.
 type Answer struct {
 	Process     string // VM, or the address that was asked
