--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -69,6 +69,10 @@
 		`{"retention": "24"}`:                           "unit",
 		"load_rate: 2\n---\nload_rate: 3\n":             "more than one",
 		"":                                              "empty",
+		"base_models: &a [x]\nload_rate: 1":             "line 1",
+		"adapters: &a\n  - *a":                          "anchors",
+		"load_rate: !!int 1":                            "tags",
+		"<<: {load_rate: 1}":                            "merge",
 		"adapters:\n  - organisation: a\n    name: [b]": "line 3",
 	} {
 		_, err := config.Decode([]byte(text))
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -91,7 +91,14 @@
 	return errs.New(errs.InvalidSettings, message).WithDetails(details...)
 }
 
+// document reads the whole text. A panic of the YAML library on a damaged file
+// becomes a fault.
 func (r *reader) document(data []byte) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.fail(1, "(file)", "the YAML library failed: %v", cause)
+		}
+	}()
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		r.syntaxFault(err)
