--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -102,6 +102,18 @@
 	g.Expect(c.report().Organisations[0].Used.GeneratedTokens).To(gomega.BeNumerically("==", 5))
 }
 
+// Guards against an incarnation that is lost with all its records and leaves no
+// trace in the report.
+func TestRunWritesADocumentAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(1, Bounds{})
+	ctx, cancel := context.WithCancel(background)
+	cancel()
+	c.nodes[0].flusher.Run(ctx, func(err error) { t.Error(err) })
+	c.nodes[0].dead = true
+	g.Expect(c.report().Unclean).To(gomega.ConsistOf(c.nodes[0].ledger.self))
+}
+
 // Guards against memory without a bound and against a loss at the bound that
 // the report hides.
 func TestBoundsAreVisible(t *testing.T) {
--- a/internal/account/flush.go
+++ b/internal/account/flush.go
@@ -87,9 +87,12 @@
 	}
 }
 
-// Run exchanges and flushes until the context ends. Failures are passed to
-// report and tried again at the next turn.
+// Run flushes at once and then exchanges and flushes until the context ends.
+// Failures are passed to report and tried again at the next turn.
 func (f *Flusher) Run(ctx context.Context, report func(error)) {
+	if err := f.Flush(ctx); err != nil && ctx.Err() == nil {
+		report(err)
+	}
 	exchange := time.NewTicker(f.settings.ExchangeEvery)
 	defer exchange.Stop()
 	flush := time.NewTimer(f.wait())
@@ -116,9 +119,9 @@
 }
 
 // Flush writes this VM's counters and those held for gone incarnations. The
-// first failure is returned; the rest is tried all the same. The daemon calls it
-// once before it is ready: the empty document shows that this incarnation
-// existed, even if it is lost with all its records.
+// first failure is returned; the rest is tried all the same. The first call
+// writes also an empty document, which shows that this incarnation existed, even
+// if it is lost with all its records.
 func (f *Flusher) Flush(ctx context.Context) error {
 	first := f.flushOwn(ctx, false)
 	for _, document := range f.ledger.heldDocuments() {
