--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -22,7 +22,7 @@
 	MaxBatchBytes    int           // of records in one batch, default 512 KiB
 	MaxQueue         int           // calls that wait for a batch, default 4,096
 	ResponseLimit    int           // bytes of a stored response body, default 32 KiB
-	IndexLimit       int           // bytes of one shard's index, default 12 MiB
+	IndexLimit       int           // bytes of one shard's index, default 24 MiB
 	CompactPositions int           // positions above the floor that start a compaction, default 2,000
 	BackoffMin       time.Duration // first wait after a failure of the store, default 50 ms
 	BackoffMax       time.Duration // longest wait, default 2 s
@@ -33,7 +33,7 @@
 func DefaultSettings(self model.Holder) Settings {
 	return Settings{
 		Self: self, CommitInterval: 40 * time.Millisecond, Retention: 24 * time.Hour,
-		MaxBatchBytes: 512 << 10, MaxQueue: 4096, ResponseLimit: 32 << 10, IndexLimit: 12 << 20,
+		MaxBatchBytes: 512 << 10, MaxQueue: 4096, ResponseLimit: 32 << 10, IndexLimit: 24 << 20,
 		CompactPositions: 2000, BackoffMin: 50 * time.Millisecond, BackoffMax: 2 * time.Second,
 		StoreTimeout: 2 * time.Second,
 	}
