--- a/internal/journal/actors_test.go
+++ b/internal/journal/actors_test.go
@@ -7,6 +7,24 @@
 	"cicadaslip/internal/rpcapi"
 )
 
+type job struct {
+	attempt  *attempt
+	ran      bool
+	lost     bool
+	response []byte
+}
+
+// attempt is one call of a caller at one front end.
+type attempt struct {
+	key  rpcapi.ClaimKey
+	body byte
+	id   rpcapi.ClaimID
+	vm   *simVM
+	said string // what the caller was told; empty while it waits
+	got  []byte
+	sent bool
+}
+
 // vmFaults draws the faults of one VM's store calls.
 type vmFaults struct {
 	world    *world
--- a/internal/journal/client_test.go
+++ b/internal/journal/client_test.go
@@ -13,12 +13,16 @@
 	"github.com/rs/zerolog"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/frontend"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/platform"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
 )
 
+// The front end uses the client through this interface.
+var _ frontend.Claims = (*Client)(nil)
+
 // lockedStore makes the fake store safe for several hosts.
 type lockedStore struct {
 	platform.Store
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -72,24 +72,6 @@
 	gone   bool
 }
 
-type job struct {
-	attempt  *attempt
-	ran      bool
-	lost     bool
-	response []byte
-}
-
-// attempt is one call of a caller at one front end.
-type attempt struct {
-	key  rpcapi.ClaimKey
-	body byte
-	id   rpcapi.ClaimID
-	vm   *simVM
-	said string // what the caller was told; empty while it waits
-	got  []byte
-	sent bool
-}
-
 type world struct {
 	rng      *rand.Rand
 	store    *fakeStore
