--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -72,24 +72,6 @@
 	gone   bool
 }
 
-type job struct {
-	attempt  *attempt
-	ran      bool
-	lost     bool
-	response []byte
-}
-
-// attempt is one call of a caller at one front end.
-type attempt struct {
-	key  rpcapi.ClaimKey
-	body byte
-	id   rpcapi.ClaimID
-	vm   *simVM
-	said string // what the caller was told; empty while it waits
-	got  []byte
-	sent bool
-}
-
 type world struct {
 	rng      *rand.Rand
 	store    *fakeStore
@@ -251,8 +233,8 @@
 		vm.shard.SetWanted(w.chance(0.75))
 	case pick < 84:
 		w.crash()
-	case pick < 93 && vm.dead:
-		vm.gone = true
+	case pick < 93 && (vm.dead || w.chance(0.2)):
+		vm.gone = true // also of a VM that is only paused and acts again
 	case pick < 96:
 		w.down = w.chance(0.3)
 	case len(w.living()) < maxLivingVMs:
