--- a/internal/processtest/checker_test.go
+++ b/internal/processtest/checker_test.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// count returns the number of completions answered so far.
+func (c *checker) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 func (c *checker) booking(key string, answer testcluster.Answer, err error) {
 	code, ran := answer.Error()
 	if err != nil {
--- a/internal/processtest/fault_test.go
+++ b/internal/processtest/fault_test.go
@@ -22,18 +22,32 @@
 	checker *checker
 	ctx     context.Context
 	group   sync.WaitGroup
+
+	mu    sync.Mutex
+	known map[string]string // addresses by VM
+}
+
+func newLoad(ctx context.Context, cluster *testcluster.Cluster) *load {
+	return &load{cluster: cluster, checker: newChecker(), ctx: ctx, known: map[string]string{}}
 }
 
 const answerTokens = 8
 
-func (l *load) run(seed uint64, workers, requests int) {
+// run starts workers that send requests until stop is closed, at most the given
+// number each.
+func (l *load) run(seed uint64, workers, requests int, stop <-chan struct{}) {
 	for worker := range workers {
 		l.group.Add(1)
 		go func() {
 			defer l.group.Done()
 			rng := rand.New(rand.NewPCG(seed, uint64(worker)))
 			for i := range requests {
-				l.one(rng, fmt.Sprintf("key-%d-%d", worker, i), i)
+				select {
+				case <-stop:
+					return
+				default:
+					l.one(rng, fmt.Sprintf("key-%d-%d", worker, i), i)
+				}
 			}
 		}()
 	}
@@ -58,8 +72,15 @@
 
 func (l *load) caller(rng *rand.Rand) (testcluster.Caller, bool) {
 	vms := l.cluster.VMs()
-	address, err := l.cluster.Address(l.ctx, vms[rng.IntN(len(vms))])
-	return testcluster.Caller{Address: address, Token: token, Timeout: callLimit}, err == nil
+	vm := vms[rng.IntN(len(vms))]
+	address, err := l.cluster.Address(l.ctx, vm)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.known[vm] = address
+	}
+	// While the platform is down the last known address is used.
+	return testcluster.Caller{Address: l.known[vm], Token: token, Timeout: callLimit}, l.known[vm] != ""
 }
 
 // Guards against wrong, mixed-up or incomplete answers, bookings that run twice
@@ -73,12 +94,14 @@
 			seed := uint64(20261204)
 			t.Logf("seed %d", seed)
 			ctx, cluster := deployment(t, g, func(o *testcluster.Options) { o.IgnoreFencing = ignoreFencing })
-			l := &load{cluster: cluster, checker: newChecker(), ctx: ctx}
-			l.run(seed, 8, 30)
+			l := newLoad(ctx, cluster)
+			stop := make(chan struct{})
+			l.run(seed, 8, maxRequests, stop)
 			rng := rand.New(rand.NewPCG(seed, 1))
-			for range 6 {
-				injectFault(t, g, cluster, rng)
+			for _, fault := range rng.Perm(2 * faultKinds) {
+				injectFault(t, g, cluster, rng, fault%faultKinds)
 			}
+			close(stop)
 			l.group.Wait()
 			l.checker.verify(t, g, cluster)
 			g.Expect(l.checker.answered).To(gomega.BeNumerically(">", 0))
@@ -86,13 +109,18 @@
 	}
 }
 
-func injectFault(t *testing.T, g gomega.Gomega, cluster *testcluster.Cluster, rng *rand.Rand) {
+const (
+	faultKinds  = 4
+	maxRequests = 5000 // of one worker
+)
+
+func injectFault(t *testing.T, g gomega.Gomega, cluster *testcluster.Cluster, rng *rand.Rand, kind int) {
 	vms := cluster.VMs()
 	vm := vms[rng.IntN(len(vms))]
-	targets := cluster.Listing().Targets
-	target := targets[rng.IntN(len(targets))]
-	pause := time.Duration(500+rng.IntN(4000)) * time.Millisecond
-	switch rng.IntN(4) {
+	runners := cluster.Runners()
+	target := runners[rng.IntN(len(runners))]
+	pause := time.Duration(500+rng.IntN(3500)) * time.Millisecond
+	switch kind {
 	case 0:
 		t.Log("kill and restart", vm)
 		cluster.Daemon(vm).Kill()
@@ -108,10 +136,8 @@
 		time.Sleep(pause)
 		outage(g, cluster, false)
 	case 3:
-		if target.Class == "runner" {
-			t.Log("restart", target.Name)
-			g.Expect(cluster.Control(http.MethodPost, target.Address, "/control/restart", nil)).To(gomega.Succeed())
-		}
+		t.Log("restart", target.Name)
+		g.Expect(cluster.Control(http.MethodPost, target.Address, "/control/restart", nil)).To(gomega.Succeed())
 	}
 	time.Sleep(500 * time.Millisecond)
 }
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -220,6 +220,17 @@
 	return c.listing
 }
 
+// Runners returns the listed model runners.
+func (c *Cluster) Runners() []model.Target {
+	var runners []model.Target
+	for _, target := range c.Listing().Targets {
+		if target.Class == model.ClassRunner {
+			runners = append(runners, target)
+		}
+	}
+	return runners
+}
+
 // SetLeaving marks a target as leaving and publishes the list.
 func (c *Cluster) SetLeaving(target string) error {
 	c.mu.Lock()
