core: Use the selectable policies, require a statement after the barrier

Faults found by the fault test at greater depth and fixed: - a request that its holder gave up before it confirmed the epoch could still run when its adapter was evicted: evictions now need a statement that was asked for after the barrier (the barrier test now demands this); - a slot entered from a statement ignored a later statement that was asked for before the first one arrived.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,13 +4,17 @@
 	"math/rand/v2"
 
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/policy/estimate"
+	"cicadaslip/internal/policy/placement"
 )
 
 // Core implements Decider. It is not safe for concurrent use.
 type Core struct {
-	params Params
-	rng    *rand.Rand
-	out    []Command
+	params   Params
+	rng      *rand.Rand
+	policies policySet
+	model    estimate.Model
+	out      []Command
 
 	targets     []*targetRow // in order of names
 	targetIndex map[string]*targetRow
@@ -35,7 +39,6 @@
 	vms         []*vmRow
 	barrier     bool // passed
 	barrierAt   Time
-	goneAtStart bool // a VM was gone before it confirmed
 	gone        map[model.Holder]bool
 	early       map[permitKey]bool // released before the holder confirmed
 
@@ -45,14 +48,27 @@
 	wanting       []*adapterRow
 	arrivals      []*requestRow
 	candidates    []*laneRow
+	touched       []*adapterRow
+	needs         []needRow
+	slots         []*slotRow
+	victims       []placement.Slot
+	scoredAt      Time
+
+	work        [2]float64 // queued work in token equivalents, short and long
+	concurrency int        // of the open runner targets
+	openTargets int        // open runner targets
+	indexes     int        // given to targets so far
+	sharesKnown bool
 }
 
 var _ Decider = (*Core)(nil)
 
 // New returns a core without targets. Equal seeds and inputs give equal commands.
 func New(params Params, seed uint64) *Core {
+	params = params.withDefaults()
 	return &Core{
-		params:      params.withDefaults(),
+		params:      params,
+		policies:    newPolicySet(params),
 		rng:         rand.New(rand.NewPCG(seed, seed)),
 		targetIndex: map[string]*targetRow{},
 		adapters:    map[adapterKey]*adapterRow{},
@@ -83,7 +99,7 @@
 	case TargetState:
 		c.applyState(now, e)
 	case LoadReport:
-		c.applyLoadReport(e)
+		// Not used: reports lag, and the permits show the load at once.
 	case LoadPermitted:
 		c.applyLoadPermitted(e)
 	default:
@@ -123,7 +139,8 @@
 		c.runFormerIntents(now)
 		c.runEnding(now)
 		c.runTargetState(now)
-		c.runOrders(now)
+		c.runOrders()
+		c.runHealth()
 	}
 	c.runAdmission(now)
 	if c.owner {
@@ -148,20 +165,41 @@
 func (c *Core) org(name string) *orgRow {
 	row := c.orgIndex[name]
 	if row == nil {
-		row = &orgRow{name: name, index: len(c.orgs), share: 1}
+		row = &orgRow{name: name, index: len(c.orgs)}
 		c.orgs = append(c.orgs, row)
 		c.orgIndex[name] = row
+		if !c.sharesKnown {
+			row.share = 1
+			c.divideShares()
+		}
+		c.policies.queue.SetShare(row.index, row.part)
 	}
 	return row
 }
 
 func (c *Core) applyShares(e SharesChanged) {
+	c.sharesKnown = true
 	for _, row := range c.orgs {
 		row.share = 0
 	}
 	for _, name := range sortedKeys(e.Shares) {
 		c.org(name).share = e.Shares[name]
 	}
+	c.divideShares()
+}
+
+// divideShares turns the relative shares into parts of the whole capacity.
+func (c *Core) divideShares() {
+	total := 0.0
+	for _, row := range c.orgs {
+		total += row.share
+	}
+	for _, row := range c.orgs {
+		if row.part = 0; total > 0 {
+			row.part = row.share / total
+		}
+		c.policies.queue.SetShare(row.index, row.part)
+	}
 }
 
 func (c *Core) adapter(key adapterKey) *adapterRow {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -91,6 +91,9 @@
 	out := d.step(core.LoadPermitted{Adapter: adapterB})
 	g.Expect(find[core.StoreIntent](out)).To(gomega.BeEmpty())
 	out = d.step(core.EpochConfirmed{Holder: holder})
+	g.Expect(find[core.StoreIntent](out)).To(gomega.BeEmpty()) // the last statement is older
+	d.step()
+	out = d.step(d.state("t1", "i", adapterA))
 	g.Expect(find[core.StoreIntent](out)).To(gomega.HaveLen(2))
 }
 
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,28 +1,41 @@
 package core
 
-import "cicadaslip/internal/model"
+import (
+	"time"
+
+	"cicadaslip/internal/model"
+)
+
+// urgentMargin is the time before a request's latest start from which it
+// overtakes others of its organisation.
+const urgentMargin = time.Second
 
 // runDispatch grants permits to the queued requests that a change since the
 // last tick may have made possible.
 func (c *Core) runDispatch(now Time) {
-	lanes := c.gatherCandidates()
+	lanes := c.gatherCandidates(now)
 	for len(lanes) > 0 && !c.draining {
 		best := c.pickLane(lanes)
 		lane := lanes[best]
-		if t := c.pickTarget(lane.head); t != nil {
+		if t := c.pickTarget(now, lane.head); t != nil {
 			c.grant(now, lane.head, t)
 			if lane.count > 0 {
+				c.refreshHead(now, lane)
 				continue
 			}
 		}
 		lanes[best] = lanes[len(lanes)-1]
 		lanes = lanes[:len(lanes)-1]
 	}
+	for _, a := range c.touched {
+		c.updateWanting(a)
+	}
+	c.touched = c.touched[:0]
 }
 
 // gatherCandidates returns the lanes of changed adapters and of the adapters
 // on changed targets.
-func (c *Core) gatherCandidates() []*laneRow {
+func (c *Core) gatherCandidates(now Time) []*laneRow {
 	for _, t := range c.dirtyTargets {
 		t.dirty = false
 		c.markWaiting(t)
@@ -31,13 +44,39 @@
 	c.candidates = c.candidates[:0]
 	for _, a := range c.dirtyAdapters {
 		a.dirty = false
-		c.candidates = append(c.candidates, a.lanes...)
-		c.updateWanting(a)
+		if a.waiting == 0 {
+			continue
+		}
+		c.touched = append(c.touched, a)
+		if !c.hasRoom(a) {
+			continue
+		}
+		for _, lane := range a.lanes {
+			c.refreshHead(now, lane)
+			c.candidates = append(c.candidates, lane)
+		}
 	}
 	c.dirtyAdapters = c.dirtyAdapters[:0]
 	return c.candidates
 }
 
+// hasRoom reports whether any target with the adapter has free capacity.
+func (c *Core) hasRoom(a *adapterRow) bool {
+	if a.key.application != "" {
+		return true
+	}
+	for _, s := range a.slots {
+		if s.usable() && s.target.open() && s.target.free() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) refreshHead(now Time, lane *laneRow) {
+	lane.head.head.Urgent = lane.head.latestStart-now < urgentMargin
+}
+
 func (c *Core) markWaiting(t *targetRow) {
 	for _, s := range t.slots {
 		if s.adapter.waiting > 0 {
@@ -53,48 +92,88 @@
 
 func (c *Core) pickLane(lanes []*laneRow) int {
 	best := 0
-	for i := range lanes {
-		if lanes[i].head.sequence < lanes[best].head.sequence {
+	for i := 1; i < len(lanes); i++ {
+		if c.policies.queue.Less(&lanes[i].head.head, &lanes[best].head.head) {
 			best = i
 		}
 	}
 	return best
 }
 
+// choice is the best target found so far for a request.
+type choice struct {
+	target *targetRow
+	cost   float64
+	ties   int
+	fast   bool // a target that is not slow has the adapter
+}
+
 // pickTarget returns the target for a request, or nil if none can take it now.
-func (c *Core) pickTarget(r *requestRow) *targetRow {
-	var best *targetRow
-	consider := func(t *targetRow) {
-		if t.open() && t.free() > 0 && matches(t, r) && (best == nil || t.free() > best.free()) {
-			best = t
-		}
-	}
+// A slow target is used if no other has the adapter, or as a probe.
+func (c *Core) pickTarget(now Time, r *requestRow) *targetRow {
+	var best, slow choice
 	if r.Class == model.ClassService {
 		for _, t := range c.targets {
-			consider(t)
+			c.consider(now, r, t, &best, &slow)
+		}
+	} else {
+		for _, s := range r.adapterRow.slots {
+			if s.usable() && s.target.stateKnown {
+				c.consider(now, r, s.target, &best, &slow)
+			}
 		}
-		return best
 	}
-	for _, s := range r.lane.adapter.slots {
-		if s.usable() && s.target.stateKnown {
-			consider(s.target)
+	if slow.target != nil && (!best.fast || c.probes(now, r, slow.target)) {
+		c.policies.slow.Probed(slow.target.index, now)
+		return slow.target
+	}
+	return best.target
+}
+
+// probes reports whether a request may test a slow target. Only requests that
+// may be repeated are used, because they can be hedged when it is still slow.
+func (c *Core) probes(now Time, r *requestRow, t *targetRow) bool {
+	return r.Repeatable && !r.long && c.policies.slow.Probe(t.index, now)
+}
+
+func (c *Core) consider(now Time, r *requestRow, t *targetRow, best, slow *choice) {
+	if !t.open() || !matches(t, r) {
+		return
+	}
+	into := best
+	if c.policies.slow.Slow(t.index) {
+		into = slow
+	} else {
+		best.fast = true
+	}
+	if t.free() <= 0 || (r.long && t.long >= c.policies.queue.LongLimit(t.info.Concurrency)) {
+		return
+	}
+	cost := float64(t.load())/float64(t.info.Concurrency) - c.policies.prefixes.Benefit(t.index, r.PrefixHashes)
+	switch {
+	case into.target == nil || cost < into.cost:
+		into.target, into.cost, into.ties = t, cost, 1
+	case cost == into.cost:
+		into.ties++
+		if c.rng.IntN(into.ties) == 0 {
+			into.target = t
 		}
 	}
-	return best
 }
 
 func (c *Core) grant(now Time, r *requestRow, t *targetRow) {
-	adapter := r.lane.adapter
+	adapter := r.adapterRow
+	org := r.lane.org
 	c.dequeue(r)
 	p := &permitRow{
 		permit: Permit{
 			Request: r.ID, Group: c.params.Group, Epoch: c.epoch, Target: t.info,
 			Adapter: r.Adapter, Organisation: r.Organisation, Kind: r.Kind,
+			Priority: c.policies.queue.Priority(r.long),
 		},
-		holder: r.Holder, target: t, request: r, long: r.long, grantedAt: now,
+		holder: r.Holder, target: t, request: r, org: org, long: r.long, grantedAt: now,
 	}
 	if r.long {
-		p.permit.Priority = 1
 		t.long++
 	}
 	if adapter.key.application == "" {
@@ -102,6 +181,9 @@
 		p.slot.pins++
 		p.slot.usedAt = now
 	}
+	c.policies.queue.Granted(org.index, r.head.Work)
+	c.policies.hedger.Granted()
+	c.policies.prefixes.Served(t.index, r.PrefixHashes)
 	c.permits[permitKey{r.ID, t.info.Name}] = p
 	t.permits[r.ID] = p
 	delete(t.released, r.ID)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -165,7 +165,7 @@
 }
 
 // runOrders asks for the state of targets with orders of unknown effect.
-func (c *Core) runOrders(Time) {
+func (c *Core) runOrders() {
 	for _, row := range c.intents {
 		if row.phase == intentUnknown {
 			row.slot.target.wantState = true
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -31,14 +31,13 @@
 		}
 	}
 	c.vms = append(c.vms, &vmRow{holder: holder, gone: c.gone[holder], doneAt: now})
-	c.goneAtStart = c.goneAtStart || c.gone[holder]
 }
 
 // resetOwnership forgets what an earlier ownership knew about targets. Queued
 // requests stay.
 func (c *Core) resetOwnership() {
 	c.vms, c.intents, c.ending = nil, nil, nil
-	c.barrier, c.goneAtStart = false, false
+	c.barrier = false
 	clear(c.intentIndex)
 	clear(c.permits)
 	clear(c.early)
@@ -127,7 +126,6 @@
 	c.gone[holder] = true
 	if v := c.vm(holder); v != nil && !v.done() {
 		v.gone, v.doneAt = true, now
-		c.goneAtStart = true
 	}
 	for _, t := range c.targets {
 		for _, id := range sortedIDs(t.permits) {
@@ -177,15 +175,16 @@
 	}
 }
 
-// mayEvict reports whether evictions from the target are allowed at all. When
-// a VM went away without listing its permits, the requests that it started
-// are seen only in the target's statement, which does not name their
-// adapters; nothing is evicted until they have ended.
+// mayEvict reports whether evictions from the target are allowed at all. A VM
+// may have gone away without listing its permits, or may have given up a
+// request, before it confirmed the epoch, that still runs. Such requests are
+// seen only in a statement that was asked for after the barrier. It does not
+// name their adapters, so nothing is evicted until they have ended.
 func (c *Core) mayEvict(t *targetRow) bool {
 	if !c.barrier || !t.stateKnown || len(t.unknown) > 0 {
 		return false
 	}
-	return !c.goneAtStart || t.stateAsked > c.barrierAt
+	return t.stateAsked > c.barrierAt
 }
 
 func sortedIDs[V any](m map[model.RequestID]V) []model.RequestID {
--- a/internal/core/params.go
+++ b/internal/core/params.go
@@ -88,7 +88,3 @@
 		*value = fallback
 	}
 }
-
-// Policies names the implementation of each decision. An empty name selects
-// the baseline.
-type Policies struct{}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,14 +1,50 @@
 package core
 
-import "cicadaslip/internal/model"
+import (
+	"slices"
+	"time"
 
-// updateWanting keeps the table of adapters that need a load.
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/policy/placement"
+)
+
+const (
+	// rescoreInterval is the time between two orderings of the adapters that
+	// wait for a load. Loads take a quarter of a second at best.
+	rescoreInterval = 50 * time.Millisecond
+	// placeRetry is the time between two attempts to find a slot for a
+	// permitted load.
+	placeRetry = 20 * time.Millisecond
+)
+
+// updateWanting enters an adapter that needs a load into its table.
 func (c *Core) updateWanting(a *adapterRow) {
-	if a.key.application != "" || a.wanting || a.waiting == 0 || a.anyUsable() {
-		return
+	if !a.wanting && c.wantsLoad(a) {
+		a.wanting = true
+		c.wanting = append(c.wanting, a)
+		c.scoredAt = 0 // new needs are ordered at once
+	}
+}
+
+// wantsLoad reports whether requests wait for an adapter that no target has,
+// or that only full targets have while others have free capacity.
+func (c *Core) wantsLoad(a *adapterRow) bool {
+	if a.key.application != "" || a.waiting == 0 {
+		return false
 	}
-	a.wanting = true
-	c.wanting = append(c.wanting, a)
+	if !a.anyUsable() {
+		return true
+	}
+	return c.policies.place.Replicates(a.waiting) && !c.hasRoom(a) && c.otherHasRoom(a)
+}
+
+func (c *Core) otherHasRoom(a *adapterRow) bool {
+	for _, t := range c.targets {
+		if t.open() && t.free() > 0 && t.info.BaseModel == a.baseModel && t.slot(a) == nil {
+			return true
+		}
+	}
+	return false
 }
 
 func (c *Core) applyLoadPermitted(e LoadPermitted) {
@@ -21,12 +57,16 @@
 // runPlacement asks for load permits and starts the loads that are permitted.
 func (c *Core) runPlacement(now Time) {
 	c.dropSatisfied()
-	if c.storeDown || c.draining {
+	if c.storeDown || c.draining || len(c.wanting) == 0 {
 		return
 	}
-	c.askLoads(now)
+	if c.scoredAt == 0 || now-c.scoredAt >= rescoreInterval {
+		c.scoredAt = now
+		c.askLoads(now)
+	}
 	for _, a := range c.wanting {
-		if a.permitted && !a.loading(now, c.params.LoadLimit) {
+		if a.permitted && now >= a.placeAt && !a.loading(now, c.params.LoadLimit) {
+			a.placeAt = now + placeRetry
 			c.startLoad(now, a)
 		}
 	}
@@ -36,77 +76,136 @@
 func (c *Core) dropSatisfied() {
 	kept := c.wanting[:0]
 	for _, a := range c.wanting {
-		if a.waiting > 0 && !a.anyUsable() {
+		if c.wantsLoad(a) {
 			kept = append(kept, a)
 			continue
 		}
 		a.wanting = false
-		if a.asked || a.permitted {
-			c.emit(CancelLoadPermit{Adapter: a.key.version})
-		}
-		a.asked, a.permitted = false, false
+		c.withdraw(a)
 	}
 	clear(c.wanting[len(kept):])
 	c.wanting = kept
 }
 
+func (c *Core) withdraw(a *adapterRow) {
+	if a.asked || a.permitted {
+		c.emit(CancelLoadPermit{Adapter: a.key.version})
+	}
+	a.asked, a.permitted = false, false
+}
+
+// askLoads asks for the most valuable loads. A request that is not among them
+// any more is withdrawn unless it was permitted already.
 func (c *Core) askLoads(now Time) {
-	asked := 0
+	c.needs = c.needs[:0]
 	for _, a := range c.wanting {
-		if a.asked {
-			asked++
+		if !a.loading(now, c.params.LoadLimit) {
+			c.needs = append(c.needs, needRow{c.need(now, a), a})
 		}
 	}
-	for _, a := range c.wanting {
-		if asked >= c.params.MaxLoadAsks {
-			return
+	if len(c.needs) > c.params.MaxLoadAsks {
+		slices.SortStableFunc(c.needs, c.compareNeeds)
+		for _, n := range c.needs[c.params.MaxLoadAsks:] {
+			if n.adapter.asked && !n.adapter.permitted {
+				c.withdraw(n.adapter)
+			}
 		}
-		if a.asked || a.loading(now, c.params.LoadLimit) {
-			continue
+		c.needs = c.needs[:c.params.MaxLoadAsks]
+	}
+	for _, n := range c.needs {
+		if !n.adapter.asked {
+			n.adapter.asked = true
+			c.emit(AskLoadPermit{Adapter: n.adapter.key.version, Worth: n.Worth, Due: now + n.Slack})
 		}
-		a.asked = true
-		asked++
-		c.emit(c.loadAsk(a))
 	}
 }
 
-func (c *Core) loadAsk(a *adapterRow) AskLoadPermit {
-	ask := AskLoadPermit{Adapter: a.key.version}
-	for _, lane := range a.lanes {
-		for r := lane.head; r != nil; r = r.next {
-			ask.Worth += r.Worth
-			if ask.Due == 0 || r.due < ask.Due {
-				ask.Due = r.due
-			}
+// needRow is an adapter's need for a load, as scored.
+type needRow struct {
+	placement.Need
+	adapter *adapterRow
+}
+
+func (c *Core) compareNeeds(a, b needRow) int {
+	switch {
+	case c.policies.place.Before(&a.Need, &b.Need):
+		return -1
+	case c.policies.place.Before(&b.Need, &a.Need):
+		return 1
+	}
+	return 0
+}
+
+// need describes what waits for the adapter, from the heads of its lanes.
+func (c *Core) need(now Time, a *adapterRow) placement.Need {
+	n := placement.Need{Waiting: a.waiting, Worth: a.worth, Demand: a.demand.read(now), Replica: a.anyUsable()}
+	for i, lane := range a.lanes {
+		r := lane.head
+		if i == 0 || r.sequence < n.Sequence {
+			n.Sequence, n.Oldest = r.sequence, now-r.queuedAt
+		}
+		if i == 0 || r.due-now < n.Slack {
+			n.Slack = r.due - now
 		}
 	}
-	return ask
+	return n
 }
 
-// startLoad places a load on the target with the most free slots, or in the
-// slot of the adapter that was least recently used.
+// startLoad places a load on the least loaded target that has a free slot, or
+// in a slot that the policy gives up.
 func (c *Core) startLoad(now Time, a *adapterRow) {
 	var target *targetRow
-	var victim *slotRow
+	c.slots, c.victims = c.slots[:0], c.victims[:0]
 	for _, t := range c.targets {
 		if !c.mayLoad(now, t, a) {
 			continue
 		}
-		if t.freeSlots() > 0 {
-			if target == nil || t.freeSlots() > target.freeSlots() {
-				target = t
-			}
-			continue
-		}
-		if v := c.leastRecentlyUsed(t); v != nil && (victim == nil || v.usedAt < victim.usedAt) {
-			victim = v
+		if t.freeSlots() == 0 {
+			c.addVictims(now, t)
+		} else if t.freeSlots() > 0 && (target == nil || c.loadsBefore(t, target)) {
+			target = t
 		}
 	}
-	switch {
-	case target != nil:
+	if target != nil {
 		c.placeLoad(now, a, target, nil)
-	case victim != nil:
-		c.placeLoad(now, a, victim.target, victim)
+		return
+	}
+	need := c.need(now, a)
+	if i := c.policies.place.Victim(&need, c.victims); i >= 0 {
+		c.placeLoad(now, a, c.slots[i].target, c.slots[i])
+	}
+}
+
+// loadsBefore prefers targets that are not slow, then free slots, then free capacity.
+func (c *Core) loadsBefore(a, b *targetRow) bool {
+	if sa, sb := c.policies.slow.Slow(a.index), c.policies.slow.Slow(b.index); sa != sb {
+		return sb
+	}
+	if fa, fb := a.freeSlots(), b.freeSlots(); fa != fb {
+		return fa > fb
+	}
+	return a.free() > b.free()
+}
+
+func (c *Core) addVictims(now Time, t *targetRow) {
+	if !c.mayEvict(t) || c.policies.slow.Slow(t.index) {
+		return
+	}
+	for _, s := range t.slots {
+		if !s.usable() || s.pins > 0 {
+			continue
+		}
+		replicas := 0
+		for _, other := range s.adapter.slots {
+			if other.usable() {
+				replicas++
+			}
+		}
+		c.slots = append(c.slots, s)
+		c.victims = append(c.victims, placement.Slot{
+			UsedAt: s.usedAt, Demand: s.adapter.demand.read(now), Worth: s.adapter.typicalWorth,
+			Waiting: s.adapter.waiting, Replicas: replicas,
+		})
 	}
 }
 
@@ -132,16 +231,3 @@
 	s := t.slot(a)
 	return s == nil || (s.state == slotAbsent && !s.barred && s.formerEvicts == 0 && now >= s.retry)
 }
-
-func (c *Core) leastRecentlyUsed(t *targetRow) *slotRow {
-	if !c.mayEvict(t) {
-		return nil
-	}
-	var victim *slotRow
-	for _, s := range t.slots {
-		if s.usable() && s.pins == 0 && (victim == nil || s.usedAt < victim.usedAt) {
-			victim = s
-		}
-	}
-	return victim
-}
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -91,6 +91,8 @@
 	w.nextID++
 	r.Holder = vm.holder
 	r.Deadline = time.Duration(rapid.IntRange(1, 20).Draw(w.t, "deadline")) * time.Second
+	r.Repeatable = w.chance("repeatable", 50)
+	r.PredictedTokens = rapid.IntRange(1, 2*core.DefaultLongTokens).Draw(w.t, "tokens")
 	o.inbox = append(o.inbox, core.RequestQueued{Request: r})
 }
 
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -7,8 +7,13 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/policy/estimate"
+	"cicadaslip/internal/policy/queueing"
 )
 
+// typicalWeight is the weight of a new request in an adapter's typical worth.
+const typicalWeight = 0.1
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
@@ -73,15 +78,22 @@
 		Request: request, sequence: c.sequence, queuedAt: now,
 		due: now + request.Deadline, long: request.PredictedTokens >= c.params.LongTokens,
 	}
-	r.latestStart = r.due
 	a := c.adapter(keyOf(request))
+	r.adapterRow = a
+	r.latestStart = c.policies.admit.LatestStart(r.due, c.serviceTime(r))
 	a.baseModel = request.BaseModel
 	a.demand.add(now, 1)
+	a.typicalWorth += typicalWeight * (request.Worth - a.typicalWorth)
 	lane := c.lane(a, request, r.long)
 	lane.push(r)
 	a.waiting++
 	lane.org.queued++
+	r.head = queueing.Head{
+		Sequence: r.sequence, Organisation: lane.org.index, Long: r.long,
+		Work: workOf(request), Worth: request.Worth, Due: int64(r.due),
+	}
 	c.requests[request.ID] = r
+	c.addWork(r, 1)
 	heap.Push(&c.starts, r)
 	c.arrivals = append(c.arrivals, r)
 	c.markAdapter(a)
@@ -120,6 +132,7 @@
 	if lane.count == 0 {
 		lane.adapter.lanes = without(lane.adapter.lanes, lane)
 	}
+	c.addWork(r, -1)
 	r.lane = nil
 }
 
@@ -144,6 +157,8 @@
 		return
 	}
 	c.record(p, e)
+	c.learn(now, p, e)
+	c.correct(p, e)
 	if e.Outcome == OutcomeDone || e.Outcome == OutcomeNotSent {
 		c.endPermit(now, p)
 		return
@@ -190,8 +205,14 @@
 	c.markTarget(t)
 }
 
-func (c *Core) applyProgress(_ Time, e Progress) {
-	if p := c.permits[permitKey{e.ID, e.Target}]; p != nil {
-		p.progress = e
+// correct replaces the predicted work of a request by the work that it was.
+func (c *Core) correct(p *permitRow, e PermitReleased) {
+	if p.request == nil {
+		return
+	}
+	done := 0.0
+	if e.Outcome != OutcomeNotSent {
+		done = estimate.Work(e.Usage.PromptTokens, e.Usage.GeneratedTokens)
 	}
+	c.policies.queue.Corrected(p.org.index, done-p.request.head.Work)
 }
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -4,6 +4,8 @@
 	"sort"
 
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/policy/estimate"
+	"cicadaslip/internal/policy/queueing"
 )
 
 type slotState uint8
@@ -51,6 +53,7 @@
 // targetRow is one target of the group.
 type targetRow struct {
 	info     model.Target
+	index    int // in policies
 	present  bool
 	instance string
 	slots    []*slotRow // in order of appearance
@@ -67,7 +70,6 @@
 	unknown  map[model.RequestID]bool // running according to the target, without a permit
 	released map[model.RequestID]Time // ended permits since the last statement
 	dirty    bool
-	reported LoadReport
 }
 
 func (t *targetRow) open() bool { return t.present && !t.info.Leaving }
@@ -127,16 +129,20 @@
 
 // adapterRow is one adapter version, or one service application, that was seen.
 type adapterRow struct {
-	key       adapterKey
-	baseModel string
-	lanes     []*laneRow
-	waiting   int
-	slots     []*slotRow
-	dirty     bool
-	wanting   bool // in the table of adapters that wait for a load
-	asked     bool // a load permit was asked for
-	permitted bool // a load permit was received
-	demand    decayed
+	key          adapterKey
+	baseModel    string
+	lanes        []*laneRow
+	waiting      int
+	slots        []*slotRow
+	dirty        bool
+	wanting      bool // in the table of adapters that wait for a load
+	asked        bool // a load permit was asked for
+	permitted    bool // a load permit was received
+	demand       decayed
+	worth        float64 // of the waiting requests
+	typicalWorth float64 // of one request
+	placeAt      Time    // no attempt to place a permitted load before
+	service      estimate.Average
 }
 
 // loading reports whether a load of the adapter is under way and not overdue.
@@ -209,6 +215,8 @@
 	due         Time // answer due
 	latestStart Time // later grants cannot be answered in time
 	long        bool
+	head        queueing.Head
+	adapterRow  *adapterRow
 	lane        *laneRow
 	prev, next  *requestRow
 	heapIndex   int
@@ -225,23 +233,28 @@
 	permit    Permit
 	holder    model.Holder
 	target    *targetRow
-	slot      *slotRow // nil for services
-	request   *requestRow
+	slot      *slotRow    // nil for services
+	request   *requestRow // nil for adopted permits
+	org       *orgRow
 	long      bool
 	grantedAt Time
 	ending    bool // ends when the target no longer lists the request
 	cancelled bool // CancelOnTarget was sent
 	cancelAt  Time
 	recorded  bool // entered into the account
-	progress  Progress
+	firstSeen bool // the first token's time was entered
+	hedged    bool
 }
 
 // orgRow is one organisation.
 type orgRow struct {
 	name   string
 	index  int
-	share  float64
+	share  float64 // relative weight as configured
+	part   float64 // of the whole capacity
 	queued int
+	work   [2]float64 // queued, in token equivalents, short and long
+	worth  float64    // queued
 }
 
 type intentPhase uint8
--- a/internal/core/targets.go
+++ b/internal/core/targets.go
@@ -15,16 +15,31 @@
 			c.unlistTarget(now, t)
 		}
 	}
+	c.sumCapacity()
+}
+
+// sumCapacity keeps the number of requests that the open runners serve.
+func (c *Core) sumCapacity() {
+	c.concurrency, c.openTargets = 0, 0
+	for _, t := range c.targets {
+		if t.open() && t.info.Class == model.ClassRunner {
+			c.concurrency += t.info.Concurrency
+			c.openTargets++
+		}
+	}
+	c.policies.queue.SetCapacity(c.concurrency)
 }
 
 func (c *Core) listTarget(info model.Target) {
 	t := c.targetIndex[info.Name]
 	if t == nil {
 		t = &targetRow{
+			index:    c.indexes,
 			permits:  map[model.RequestID]*permitRow{},
 			unknown:  map[model.RequestID]bool{},
 			released: map[model.RequestID]Time{},
 		}
+		c.indexes++
 		c.targetIndex[info.Name] = t
 		c.targets = append(c.targets, t)
 	}
@@ -75,12 +90,6 @@
 	c.markAdapter(s.adapter)
 }
 
-func (c *Core) applyLoadReport(e LoadReport) {
-	if t := c.targetIndex[e.Target]; t != nil {
-		t.reported = e
-	}
-}
-
 func (c *Core) applyState(now Time, e TargetState) {
 	t := c.targetIndex[e.Target]
 	if t == nil || !c.accepts(t, e) {
@@ -101,12 +110,14 @@
 	if !c.owner || !t.present || !t.asked || e.AskedAt < t.firstAsk {
 		return false
 	}
-	return !t.stateKnown || e.AskedAt >= t.stateAsked
+	return !t.stateKnown || e.AskedAt > t.stateAsked
 }
 
 // restarted clears what the former instance had. Orders under way keep their
 // rows, because they can still reach the new instance.
 func (c *Core) restarted(now Time, t *targetRow) {
+	c.policies.slow.Reset(t.index)
+	c.policies.prefixes.Reset(t.index)
 	for _, s := range append([]*slotRow(nil), t.slots...) {
 		s.barred = false
 		if s.state == slotResident {
@@ -139,9 +150,11 @@
 	switch {
 	case s.state == slotAbsent && askedAt > s.changedAt:
 		c.setSlot(now, s, slotResident)
+		s.changedAt = askedAt // a statement that was asked for later overrides this one
 	case s.state == slotLoading && s.intent.phase == intentUnknown:
 		c.resolve(s.intent)
 		c.setSlot(now, s, slotResident)
+		s.changedAt = askedAt
 	case s.state == slotEvicting && s.intent.phase == intentUnknown && askedAt > s.intent.unknownAt:
 		s.intent.shown++
 		c.retryEvict(now, s.intent)
@@ -216,13 +229,17 @@
 			c.dropTarget(t)
 			continue
 		}
-		need := t.wantState || !t.stateKnown || len(t.unknown) > 0 || now-t.lastAsk >= c.params.StateInterval
-		if need && (!t.asked || now-t.lastAsk >= c.params.StateRetry) {
+		if c.needsState(now, t) && (!t.asked || now-t.lastAsk >= c.params.StateRetry) {
 			c.askState(now, t)
 		}
 	}
 }
 
+func (c *Core) needsState(now Time, t *targetRow) bool {
+	return t.wantState || !t.stateKnown || len(t.unknown) > 0 ||
+		(c.barrier && t.stateAsked <= c.barrierAt) || now-t.lastAsk >= c.params.StateInterval
+}
+
 func (c *Core) askState(now Time, t *targetRow) {
 	if !t.asked {
 		t.asked, t.firstAsk = true, now
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -71,6 +71,7 @@
 	epoch      model.Epoch
 	intents    map[uint64]core.Intent // in the store
 	nextID     int
+	policies   core.Policies
 	evictFails bool // targets fail an evict order for an adapter that they do not have
 	ran        map[model.RequestID]bool
 }
@@ -85,6 +86,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: time.Second, intents: map[uint64]core.Intent{}, ran: map[model.RequestID]bool{}}
+	w.policies = rapid.SampledFrom([]core.Policies{core.BaselinePolicies(), core.ProductPolicies()}).Draw(t, "policies")
 	w.evictFails = rapid.Bool().Draw(t, "evictFails")
 	for i := range worldTargets {
 		info := runner(fmt.Sprintf("t%d", i), worldSlots)
@@ -141,7 +143,7 @@
 func (w *world) takeOver(vm *worldVM) {
 	w.epoch++
 	o := &owner{
-		core: core.New(core.Params{Group: "g", LoadLimit: time.Second, EvictRetries: 2}, uint64(w.epoch)),
+		core: core.New(core.Params{Group: "g", LoadLimit: time.Second, EvictRetries: 2, Policies: w.policies}, uint64(w.epoch)),
 		vm:   vm, epoch: w.epoch, queued: map[model.RequestID]core.Request{}, answered: map[model.RequestID]bool{},
 		stored: map[uint64]bool{}, believed: map[string]string{}, closed: map[string]bool{},
 		granted: map[model.RequestID]string{},
