--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -186,7 +186,7 @@
 }
 
 func (s *Shard) stepTakeover(ctx context.Context) {
-	if err := s.takeOver(ctx); err != nil {
+	if err := s.takeOver(ctx); err != nil && s.acquiring() {
 		s.fail(err, "takeover")
 	}
 }
--- a/internal/journal/takeover.go
+++ b/internal/journal/takeover.go
@@ -119,6 +119,9 @@
 // returns its revision. Positions found taken are read and applied.
 func (s *Shard) createTakeover(ctx context.Context, index *Index) (int64, error) {
 	for range maxChase {
+		if !s.acquiring() {
+			return 0, errNotOwner()
+		}
 		batch := s.takeoverBatch(index)
 		data, err := EncodeBatch(batch)
 		if err != nil {
@@ -141,6 +144,14 @@
 	return 0, errs.New(errs.StoreStale, "the former owner writes faster than its journal can be read")
 }
 
+// acquiring reports whether this VM still should own the shard. A takeover record
+// of a VM that no longer should would only interrupt the owner.
+func (s *Shard) acquiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode == modeAcquiring
+}
+
 func (s *Shard) takeoverBatch(index *Index) *Batch {
 	s.write++
 	return &Batch{
