--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -58,8 +58,6 @@
 	Group     string
 	Epoch     model.Epoch
 	Permits   int // requests that may run on it
-	Running   int // as it reported last
-	Waiting   int // as it reported last
 	Straggler bool
 	Intents   int // orders that are not resolved
 }
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -109,10 +109,10 @@
 }
 
 func (r targetsResult) write(w io.Writer) error {
-	return table(w, "TARGET\tCLASS\tDATA CENTRE\tGROUP\tEPOCH\tLEAVING\tPERMITS\tRUNNING\tWAITING\tINTENTS", func(add func(string, ...any)) {
+	return table(w, "TARGET\tCLASS\tDATA CENTRE\tGROUP\tEPOCH\tLEAVING\tPERMITS\tSTRAGGLER\tINTENTS", func(add func(string, ...any)) {
 		for _, t := range r.Targets {
-			add("%s\t%s\t%s\t%s\t%d\t%v\t%d/%d\t%d\t%d\t%d", t.Target.Name, t.Target.Class, t.Target.DataCentre, t.Group, t.Epoch,
-				t.Target.Leaving, t.Permits, t.Target.Concurrency, t.Running, t.Waiting, t.Intents)
+			add("%s\t%s\t%s\t%s\t%d\t%v\t%d/%d\t%v\t%d", t.Target.Name, t.Target.Class, t.Target.DataCentre, t.Group, t.Epoch,
+				t.Target.Leaving, t.Permits, t.Target.Concurrency, t.Straggler, t.Intents)
 		}
 	})
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -12,11 +12,10 @@
 
 // TargetView is one target of the group.
 type TargetView struct {
-	Target  model.Target
-	Permits int // requests that may run on it
-	Running int // as reported last
-	Waiting int // as reported last
-	Intents int // orders that are not resolved
+	Target    model.Target
+	Permits   int  // requests that may run on it
+	Straggler bool // slower than the others, as observed
+	Intents   int  // orders that are not resolved
 }
 
 // AdapterView is one adapter version in a slot.
@@ -36,8 +35,7 @@
 			continue
 		}
 		view.Targets = append(view.Targets, TargetView{
-			Target: t.info, Permits: len(t.permits), Running: t.reported.Running, Waiting: t.reported.Waiting,
-			Intents: c.intentsOf(t),
+			Target: t.info, Permits: len(t.permits), Straggler: c.policies.slow.Slow(t.index), Intents: c.intentsOf(t),
 		})
 		for _, s := range t.slots {
 			if s.state == slotAbsent {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -119,11 +119,6 @@
 	return o.client.State(ctx, to, epoch)
 }
 
-// LoadReport implements owner.Orders.
-func (o targetOrders) LoadReport(ctx context.Context, to model.Target) (core.LoadReport, error) {
-	return o.client.LoadReport(ctx, to)
-}
-
 // Cancel implements owner.Orders.
 func (o targetOrders) Cancel(ctx context.Context, to model.Target, id model.RequestID) error {
 	return o.client.Cancel(ctx, to, id)
--- a/internal/daemon/overview.go
+++ b/internal/daemon/overview.go
@@ -48,7 +48,7 @@
 		for _, t := range view.Targets {
 			targets = append(targets, admin.TargetStatus{
 				Target: t.Target, Group: view.Group, Epoch: view.Epoch, Permits: t.Permits,
-				Running: t.Running, Waiting: t.Waiting, Intents: t.Intents,
+				Straggler: t.Straggler, Intents: t.Intents,
 			})
 		}
 	}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -156,22 +156,8 @@
 	r.post(state)
 }
 
-func (r *runtime) askLoad(name string) {
-	target, ok := r.target(name)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, questionTimeout)
-	defer cancel()
-	report, err := r.ports.Orders.LoadReport(ctx, target)
-	if err != nil {
-		return
-	}
-	report.Target = name
-	r.post(report)
-}
-
-// pollTargets asks each target for its state and load. The first question is
+// pollTargets asks each target for its state. Reports of load are not asked for:
+// they lag, and stragglers are found from observed token times. The first question is
 // sent at once, the later ones with jitter so that they spread out.
 func (r *runtime) pollTargets() {
 	for {
@@ -185,7 +171,6 @@
 		r.mu.Unlock()
 		for _, name := range names {
 			go r.askState(name)
-			go r.askLoad(name)
 		}
 		pause := pollInterval/2 + rand.N(pollInterval)
 		select {
--- a/internal/owner/ports.go
+++ b/internal/owner/ports.go
@@ -18,8 +18,6 @@
 	// carries the epoch, so that a target that checks the fencing token refuses
 	// older orders from then on.
 	State(ctx context.Context, target model.Target, epoch model.Epoch) (core.TargetState, error)
-	// LoadReport asks for the target's lagging report of its load.
-	LoadReport(ctx context.Context, target model.Target) (core.LoadReport, error)
 	// Cancel ends a request on the target.
 	Cancel(ctx context.Context, target model.Target, id model.RequestID) error
 }
--- a/internal/processtest/checker_test.go
+++ b/internal/processtest/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -29,6 +30,7 @@
 	answered int
 	refused  int
 	faults   []string
+	refusals []string
 }
 
 func newChecker() *checker { return &checker{bookings: map[string][]attempt{}} }
@@ -39,6 +41,7 @@
 	text, complete := answer.Text()
 	if err != nil || !complete {
 		c.refused++
+		c.refusals = append(c.refusals, fmt.Sprintf("%s: status %d %s %v", adapter, answer.Status, answer.Body, err))
 		return
 	}
 	c.answered++
@@ -94,6 +97,9 @@
 	for key, attempts := range c.bookings {
 		c.verifyBooking(g, key, attempts, runs[key])
 	}
+	for _, refusal := range c.refusals {
+		t.Log("refused or broken:", refusal)
+	}
 	t.Logf("%d completions answered, %d refused or broken, %d bookings, %d runs", c.answered, c.refused, len(c.bookings), len(runs))
 }
 
