--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,8 @@
 	targetIndex map[string]*targetRow
 	adapters    map[adapterKey]*adapterRow
 	services    []*adapterRow // rows of applications
+	rows        []*adapterRow // rows of adapters, in no particular order
+	hand        int           // next row to be checked for idleness
 	orgs        []*orgRow
 	orgIndex    map[string]*orgRow
 	requests    map[model.RequestID]*requestRow
@@ -142,6 +144,7 @@
 		c.runOrders()
 		c.runHealth()
 	}
+	c.runPopularity(now)
 	c.runAdmission(now)
 	if c.owner {
 		c.runDispatch(now)
@@ -209,6 +212,8 @@
 		c.adapters[key] = row
 		if key.application != "" {
 			c.services = append(c.services, row)
+		} else {
+			c.rows = append(c.rows, row)
 		}
 	}
 	return row
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -32,16 +32,17 @@
 type driver struct {
 	core *core.Core
 	now  core.Time
+	pace time.Duration // of one step
 }
 
 func newDriver(targets ...model.Target) *driver {
-	d := &driver{core: core.New(core.Params{Group: "g"}, 1), now: time.Second}
+	d := &driver{core: core.New(core.Params{Group: "g"}, 1), now: time.Second, pace: 100 * time.Millisecond}
 	d.core.Apply(d.now, core.TargetsChanged{Targets: targets})
 	return d
 }
 
 func (d *driver) step(events ...core.Event) []core.Command {
-	d.now += 100 * time.Millisecond
+	d.now += d.pace
 	for _, event := range events {
 		d.core.Apply(d.now, event)
 	}
--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -9,7 +9,7 @@
 
 // mostRatio bounds the weight of one very late observation, so that a target
 // that was silent once returns after a few normal answers.
-const mostRatio = 20.0
+const mostRatio = 6.0
 
 // observe enters an observed time against the expected one. The expected times
 // are learned only from targets that are not slow.
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -116,14 +116,20 @@
 	if row == nil || row.phase != intentSent {
 		return
 	}
-	row.phase, row.unknownAt, row.restarted = intentUnknown, now, false
+	row.phase, row.unknownAt = intentUnknown, now
 	row.slot.changedAt = now
 	row.slot.target.wantState = true
 }
 
-// finishEvict frees the slot and lets the load that waits for it go ahead.
+// finishEvict frees the slot and lets the load that waits for it go ahead. An
+// absent adapter shows that an order of unknown effect was carried out, unless
+// the target restarted: then the order may still reach the new instance, and
+// the adapter is barred from the target until the next restart.
 func (c *Core) finishEvict(now Time, row *intentRow) {
 	next := row.next
+	if row.phase == intentUnknown && row.restarted {
+		row.slot.barred = true
+	}
 	c.resolve(row)
 	c.setSlot(now, row.slot, slotAbsent)
 	if next == nil {
--- /dev/null
+++ b/internal/core/policy_test.go
@@ -0,0 +1,145 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/core"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+)
+
+func productDriver(events ...core.Event) *driver {
+	d := &driver{core: core.New(core.Params{Group: "g", Policies: core.ProductPolicies()}, 1), now: time.Second, pace: 20 * time.Millisecond}
+	d.step(events...)
+	return d
+}
+
+// Guards against service calls that wait for adapter slots, which services do not have.
+func TestServicesNeedOnlyConcurrency(t *testing.T) {
+	g := gomega.NewWithT(t)
+	service := model.Target{Name: "s1", Class: model.ClassService, Application: "stock", Concurrency: 1}
+	d := productDriver(core.TargetsChanged{Targets: []model.Target{service}}, core.TakenOver{Epoch: 1})
+	call := func(id string) core.RequestQueued {
+		return core.RequestQueued{Request: core.Request{
+			ID: model.RequestID(id), Organisation: "baltzips", Class: model.ClassService,
+			Application: "stock", Deadline: 10 * time.Second, Holder: holder,
+		}}
+	}
+	g.Expect(find[core.GrantPermit](d.step(call("c1"), call("c2")))).To(gomega.HaveLen(1))
+	out := d.step(core.PermitReleased{ID: "c1", Target: "s1", Outcome: core.OutcomeDone})
+	g.Expect(find[core.GrantPermit](out)).To(gomega.HaveLen(1))
+	g.Expect(find[core.RecordGiven](out)).To(gomega.HaveLen(1))
+}
+
+// Guards against an organisation that gets more than its share while another waits.
+func TestSharesDivideTheCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := runner("t1", 2)
+	d := productDriver(core.TargetsChanged{Targets: []model.Target{target}}, core.TakenOver{Epoch: 1},
+		core.SharesChanged{Shares: map[string]float64{"baltzips": 3, "jegue": 1}})
+	other := model.AdapterVersion{Organisation: "jegue", Adapter: "trails", Version: "1"}
+	d.step(d.state("t1", "i", adapterA, other))
+	served := map[string]int{}
+	var running []model.RequestID
+	for n := range 400 {
+		var events []core.Event
+		for _, adapter := range []model.AdapterVersion{adapterA, other} {
+			for i := range 2 { // twice the capacity
+				r := request(fmt.Sprintf("%s-%d-%d", adapter.Organisation, n, i), adapter)
+				r.PredictedTokens, r.Deadline = 10, time.Hour
+				events = append(events, core.RequestQueued{Request: r})
+			}
+		}
+		for _, id := range running {
+			events = append(events, core.PermitReleased{
+				ID: id, Target: "t1", Outcome: core.OutcomeDone, Usage: core.Usage{GeneratedTokens: 10},
+			})
+		}
+		running = nil
+		for _, granted := range find[core.GrantPermit](d.step(events...)) {
+			running = append(running, granted.Permit.Request)
+			served[granted.Permit.Organisation]++
+		}
+	}
+	g.Expect(float64(served["baltzips"]) / float64(served["jegue"])).To(gomega.BeNumerically("~", 3, 0.15))
+}
+
+// Guards against new work on a straggler, and against a straggler that never
+// returns to service.
+func TestWorkAvoidsAStragglerUntilItRecovers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var targets []model.Target
+	for i := range 4 {
+		targets = append(targets, runner(fmt.Sprintf("t%d", i), 1))
+	}
+	d := productDriver(core.TargetsChanged{Targets: targets}, core.TakenOver{Epoch: 1})
+	for _, target := range targets {
+		d.step(d.state(target.Name, "i", adapterA))
+	}
+	serve := func(rounds int, slowGap time.Duration) (onSlow int) {
+		for n := range rounds {
+			r := request(fmt.Sprintf("r%v-%d", d.now, n), adapterA)
+			r.Repeatable = true
+			granted := find[core.GrantPermit](d.step(core.RequestQueued{Request: r}))
+			g.Expect(granted).To(gomega.HaveLen(1))
+			gap, target := 10*time.Millisecond, granted[0].Permit.Target.Name
+			if target == "t0" {
+				gap, onSlow = slowGap, onSlow+1
+			}
+			d.step(core.PermitReleased{ID: r.ID, Target: target, Outcome: core.OutcomeDone, TokenGap: gap})
+		}
+		return onSlow
+	}
+	const normalGap = 10 * time.Millisecond
+	g.Expect(serve(100, normalGap)).To(gomega.BeNumerically(">", 10))
+	serve(100, 20*normalGap)
+	g.Expect(serve(100, 20*normalGap)).To(gomega.BeNumerically("<=", 5))
+	serve(200, normalGap)
+	g.Expect(serve(100, normalGap)).To(gomega.BeNumerically(">", 10))
+}
+
+// Guards against a second attempt of a request that must not run twice.
+func TestOnlyRepeatableRequestsAreHedged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target := runner("t1", 1)
+	target.Concurrency = 300
+	d := productDriver(core.TargetsChanged{Targets: []model.Target{target}}, core.TakenOver{Epoch: 1})
+	d.step(d.state("t1", "i", adapterA))
+	hedged := map[bool]int{}
+	for n := range 200 {
+		r := request(fmt.Sprintf("r%d", n), adapterA)
+		r.Repeatable = n%2 == 0
+		d.step(core.RequestQueued{Request: r})
+		p := core.Progress{ID: r.ID, Target: "t1", Tokens: 2, TokenGap: 10 * time.Millisecond, FirstToken: 10 * time.Millisecond}
+		d.step(p)
+		p.SilentFor = 5 * time.Second
+		hedged[r.Repeatable] += len(find[core.HedgeRequest](d.step(p)))
+	}
+	g.Expect(hedged[false]).To(gomega.BeZero())
+	g.Expect(hedged[true]).To(gomega.BeNumerically("~", 4, 1)) // 2% of 200
+}
+
+// Guards against requests that wait although their answers can only be late.
+func TestLateRequestsAreRefusedEarly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := productDriver(core.TargetsChanged{Targets: []model.Target{runner("t1", 1)}}, core.TakenOver{Epoch: 1})
+	d.step(d.state("t1", "i", adapterA))
+	d.step(core.RequestQueued{Request: request("r1", adapterA)})
+	d.step(core.PermitReleased{ID: "r1", Target: "t1", Outcome: core.OutcomeDone, TokenGap: 100 * time.Millisecond})
+	late := request("r2", adapterA)
+	late.PredictedTokens, late.Deadline = 100, time.Second
+	refused := find[core.RefuseRequest](d.step(core.RequestQueued{Request: late}))
+	g.Expect(refused).To(gomega.HaveLen(1))
+	g.Expect(refused[0].Err.Ran).To(gomega.Equal(errs.RanNo))
+}
+
+// Guards against a name of a policy that is silently replaced by the baseline.
+func TestUnknownPoliciesAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(core.ProductPolicies().Validate()).To(gomega.BeNil())
+	g.Expect(core.Policies{Queueing: "lifo"}.Validate().Code).To(gomega.Equal(errs.InvalidSettings))
+}
--- a/internal/policy/straggler/straggler.go
+++ b/internal/policy/straggler/straggler.go
@@ -45,6 +45,9 @@
 const (
 	// weight of a new observation; a straggler is noticed after a few.
 	weight = 0.3
+	// recoveryWeight of an observation of a slow target. Probes are rare, so
+	// each one counts more.
+	recoveryWeight = 0.5
 	// slowRatio is the multiple of the other targets' median that makes a target slow.
 	slowRatio = 2.0
 	// normalRatio is the multiple below which it returns. The gap between the
@@ -53,7 +56,7 @@
 	// minimumTargets is the number of observed targets that a median needs.
 	minimumTargets = 3
 	// probeInterval is the time between two probes of a slow target.
-	probeInterval = 250 * time.Millisecond
+	probeInterval = time.Second
 )
 
 type targetRow struct {
@@ -86,7 +89,11 @@
 		r.ratio, r.known = ratio, true
 		return
 	}
-	r.ratio += weight * (ratio - r.ratio)
+	w := weight
+	if r.slow {
+		w = recoveryWeight
+	}
+	r.ratio += w * (ratio - r.ratio)
 }
 
 // Update implements Detector.
