--- /dev/null
+++ b/internal/policy/placement/placement_test.go
@@ -0,0 +1,35 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/policy/placement"
+)
+
+// Guards against an exchange of adapters that are worth about the same, which
+// costs a load each time, and against a rare adapter that is never loaded.
+func TestDemandEvictsOnlyForABetterUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slots := []placement.Slot{
+		{Demand: 10, Worth: 1, Replicas: 1},
+		{Demand: 4, Worth: 1, Replicas: 1},
+		{Demand: 6, Worth: 1, Replicas: 2},
+	}
+	need := &placement.Need{Waiting: 1, Worth: 1}
+	g.Expect(placement.Demand{}.Victim(need, slots)).To(gomega.Equal(-1))
+	need.Oldest = 4 * time.Second
+	g.Expect(placement.Demand{}.Victim(need, slots)).To(gomega.Equal(2)) // resident elsewhere too
+	g.Expect(placement.LRU{}.Victim(need, nil)).To(gomega.Equal(-1))
+}
+
+// Guards against loads that ignore how soon the waiting requests are due.
+func TestDemandLoadsWhatIsDueFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	late := &placement.Need{Waiting: 1, Worth: 1, Slack: 10 * time.Second}
+	soon := &placement.Need{Waiting: 1, Worth: 1, Slack: time.Second, Sequence: 1}
+	g.Expect(placement.Demand{}.Before(soon, late)).To(gomega.BeTrue())
+	g.Expect(placement.LRU{}.Before(soon, late)).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/internal/policy/straggler/straggler_test.go
@@ -0,0 +1,34 @@
+package straggler_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/policy/straggler"
+)
+
+// Guards against targets that count as slow when all are equally slow, and
+// against one that keeps changing its state between the two thresholds.
+func TestMedianComparesWithTheOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := &straggler.Median{}
+	for target := range 4 {
+		m.Observe(target, 5)
+	}
+	g.Expect(m.Update()).To(gomega.BeFalse())
+	for range 20 {
+		m.Observe(0, 15)
+	}
+	g.Expect(m.Update()).To(gomega.BeTrue())
+	g.Expect(m.Slow(0)).To(gomega.BeTrue())
+	for range 20 {
+		m.Observe(0, 8) // between the thresholds
+	}
+	g.Expect(m.Update()).To(gomega.BeFalse())
+	for range 20 {
+		m.Observe(0, 5)
+	}
+	g.Expect(m.Update()).To(gomega.BeTrue())
+	g.Expect(m.Slow(0)).To(gomega.BeFalse())
+}
