--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -125,3 +125,57 @@
 	g.Expect(refused).To(gomega.HaveLen(1))
 	g.Expect(refused[0].Err.Ran).To(gomega.Equal(errs.RanNo))
 }
+
+// Guards against loads whose intents cannot be stored, and against resident
+// adapters that are not served during a store outage.
+func TestStoreOutageFreezesPlacementOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 2))
+	d.step(core.TakenOver{Epoch: 1})
+	d.step(d.state("t1", "i", adapterA))
+	short := request("r2", adapterB)
+	short.Deadline = time.Second
+	out := d.step(core.StoreAvailability{Available: false},
+		core.RequestQueued{Request: request("r1", adapterA)}, core.RequestQueued{Request: short})
+	g.Expect(find[core.GrantPermit](out)).To(gomega.HaveLen(1))
+	g.Expect(find[core.AskLoadPermit](out)).To(gomega.BeEmpty())
+	d.now += time.Second
+	refused := find[core.RefuseRequest](d.step())
+	g.Expect(refused).To(gomega.HaveLen(1))
+	g.Expect(refused[0].Err.Code).To(gomega.Equal(errs.StoreUnavailable))
+	out = d.step(core.StoreAvailability{Available: true}, core.RequestQueued{Request: request("r3", adapterB)})
+	g.Expect(find[core.AskLoadPermit](out)).To(gomega.HaveLen(1))
+}
+
+// Guards against permits for adapters that a target lost in a restart.
+func TestRestartedTargetIsRebuiltFromItsStatement(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 2))
+	d.step(core.TakenOver{Epoch: 1})
+	d.step(d.state("t1", "i", adapterA, adapterB))
+	d.step(d.state("t1", "j", adapterB))
+	out := d.step(core.RequestQueued{Request: request("r1", adapterA)}, core.RequestQueued{Request: request("r2", adapterB)})
+	granted := find[core.GrantPermit](out)
+	g.Expect(granted).To(gomega.HaveLen(1))
+	g.Expect(granted[0].Permit.Adapter).To(gomega.Equal(adapterB))
+}
+
+// Guards against the end of a gone holder's permit while its request may run.
+func TestPermitOfGoneHolderEndsAfterCancelAndStatement(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	d.step(core.TakenOver{Epoch: 1})
+	d.step(d.state("t1", "i", adapterA))
+	d.step(core.RequestQueued{Request: request("r1", adapterA)})
+	out := d.step(core.HolderGone{Holder: holder})
+	g.Expect(find[core.CancelOnTarget](out)).To(gomega.HaveLen(1))
+	other := request("r2", adapterB)
+	other.Holder = model.Holder{VM: "vm2", Incarnation: 1}
+	d.step(core.RequestQueued{Request: other})
+	running := d.state("t1", "i", adapterA)
+	running.Running = []model.RequestID{"r1"}
+	d.step(running)
+	g.Expect(find[core.StoreIntent](d.step(core.LoadPermitted{Adapter: adapterB}))).To(gomega.BeEmpty())
+	d.step()
+	g.Expect(find[core.StoreIntent](d.step(d.state("t1", "i", adapterA)))).To(gomega.HaveLen(2))
+}
--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -71,6 +71,8 @@
 	}
 	attempt := hedge.Attempt{
 		Slow: c.policies.slow.Slow(p.target.index), Waited: e.SilentFor, Expected: expected, Tokens: e.Tokens,
+		Remaining: time.Duration(max(0, p.request.PredictedTokens-e.Tokens)) * max(e.TokenGap, e.SilentFor),
+		Again:     c.serviceTime(p.request),
 	}
 	if c.policies.hedger.Hedge(attempt) {
 		p.hedged = true
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -47,6 +47,8 @@
 		w.restartTarget()
 	case action < 96:
 		w.changeList()
+	case action < 97:
+		w.changeStore()
 	default:
 		w.now += time.Duration(rapid.IntRange(0, 500).Draw(w.t, "ms")) * time.Millisecond
 	}
@@ -215,6 +217,13 @@
 	}
 }
 
+// changeStore tells a core that the store is unavailable, or available again.
+func (w *world) changeStore() {
+	if o := w.pickOwner(); o != nil {
+		w.apply(o, core.StoreAvailability{Available: rapid.Bool().Draw(w.t, "available")})
+	}
+}
+
 // settle ends all faults and checks that the newest owner answers every
 // request and resolves every intent.
 func (w *world) settle() {
--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -8,6 +8,10 @@
 	Waited   time.Duration // since dispatch or the last token
 	Expected time.Duration // until the next token
 	Tokens   int           // received so far
+
+	// Remaining is the expected time to the end at the observed cadence, and
+	// Again that of a whole second attempt on a normal target. Zero if unknown.
+	Remaining, Again time.Duration
 }
 
 // Policy decides whether a second attempt is worth its cost.
@@ -39,8 +43,11 @@
 	lateSlow = 3.0
 	// minimumWait avoids second attempts for scheduling noise.
 	minimumWait = 50 * time.Millisecond
-	// mostTokens is the progress beyond which a second attempt would not overtake.
+	// mostTokens is the progress beyond which a silent request is rather resumed.
 	mostTokens = 32
+	// gain is how much longer than a whole second attempt a straggler must
+	// take for the rest, because the second attempt also waits for a permit.
+	gain = 1.5
 )
 
 // Budget hedges requests that are late, within a share of all requests.
@@ -51,14 +58,24 @@
 
 // Hedge implements Policy.
 func (b *Budget) Hedge(a Attempt) bool {
-	limit := late
-	if a.Slow {
-		limit = lateSlow
-	}
-	if a.Expected == 0 || a.Tokens > mostTokens || b.tokens < 1 ||
-		a.Waited < max(minimumWait, time.Duration(limit*float64(a.Expected))) {
+	if b.tokens < 1 || (!a.stuck() && !a.overtaken()) {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// stuck reports whether the request is silent for too long.
+func (a *Attempt) stuck() bool {
+	limit := late
+	if a.Slow {
+		limit = lateSlow
+	}
+	return a.Expected > 0 && a.Tokens <= mostTokens &&
+		a.Waited >= max(minimumWait, time.Duration(limit*float64(a.Expected)))
+}
+
+// overtaken reports whether a second attempt would end clearly earlier.
+func (a *Attempt) overtaken() bool {
+	return a.Slow && a.Again > 0 && float64(a.Remaining) > gain*float64(a.Again)
+}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -57,9 +57,9 @@
 	// margin is how much better the new use must be. Values close to each
 	// other would exchange two adapters back and forth at one load each time.
 	margin = 1.25
-	// ageing is the wait that doubles the value of a need, so that a rare
-	// adapter is not shut out by popular ones for ever.
-	ageing = time.Second
+	// ageing is the wait that doubles the value of a need. With a shorter one,
+	// loads for single requests displace adapters that are needed again.
+	ageing = 8 * time.Second
 	// replicaWaiting is the number of waiting requests that justify a replica.
 	replicaWaiting = 4
 	// replicaLoss is the part of a slot's value that is lost when the adapter
