--- a/internal/core/health.go
+++ b/internal/core/health.go
@@ -9,7 +9,7 @@
 
 // mostRatio bounds the weight of one very late observation, so that a target
 // that was silent once returns after a few normal answers.
-const mostRatio = 20.0
+const mostRatio = 6.0
 
 // observe enters an observed time against the expected one. The expected times
 // are learned only from targets that are not slow.
@@ -71,6 +71,8 @@
 	}
 	attempt := hedge.Attempt{
 		Slow: c.policies.slow.Slow(p.target.index), Waited: e.SilentFor, Expected: expected, Tokens: e.Tokens,
+		Remaining: time.Duration(max(0, p.request.PredictedTokens-e.Tokens)) * max(e.TokenGap, e.SilentFor),
+		Again:     c.serviceTime(p.request),
 	}
 	if c.policies.hedger.Hedge(attempt) {
 		p.hedged = true
