--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -71,6 +71,9 @@
 }
 
 func diffEntry(path string, old, updated any) []Difference {
+	if reflect.DeepEqual(old, updated) {
+		return nil
+	}
 	var out []Difference
 	a, b := reflect.ValueOf(old), reflect.ValueOf(updated)
 	for i := range a.NumField() {
--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -126,6 +127,10 @@
 			t.Fatalf("after the faults: %v", err)
 		}
 		observe(stored)
+		if snapshot, err := config.Load(ctx, s, 0); err == nil &&
+			!reflect.DeepEqual(stored.Current(), snapshot.Document.Configuration(snapshot.Version)) {
+			t.Fatalf("in force %v, accepted %v", stored.Current(), snapshot.Document)
+		}
 		for version := range accepted {
 			if version > stored.Version() {
 				t.Fatalf("version %d was accepted, %d is in force", version, stored.Version())
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -49,14 +49,6 @@
 	DefaultPollInterval = 5 * time.Second
 )
 
-// applied is a configuration in force with what peers may ask for.
-type applied struct {
-	root          root
-	data          []byte // of the root
-	parts         map[string][]byte
-	configuration *model.Configuration
-}
-
 // Follower keeps the newest accepted configuration of a node. It is safe for
 // concurrent use.
 type Follower struct {
@@ -129,8 +121,8 @@
 	if a == nil {
 		return nil, false
 	}
-	data, ok := a.parts[digest]
-	return data, ok
+	held, ok := a.parts[digest]
+	return held.data, ok
 }
 
 // Hear tells the follower of a version that a peer has in force.
@@ -255,30 +247,3 @@
 		return nil, err
 	}
 }
-
-// apply fetches the parts that are not at hand and puts the configuration in
-// force as a whole. The caller holds mu and has checked that the version is
-// newer.
-func (f *Follower) apply(r root, data []byte, fetch source) error {
-	parts := make(map[string][]byte, len(r.Parts))
-	d, err := r.document(func(digest string) ([]byte, error) {
-		part, ok := f.Part(digest)
-		if !ok {
-			var err error
-			if part, err = fetch(digest); err != nil {
-				return nil, err
-			}
-		}
-		parts[digest] = part
-		return part, nil
-	})
-	if err != nil {
-		return err
-	}
-	a := &applied{root: r, data: data, parts: parts, configuration: d.Configuration(r.Version)}
-	f.current.Store(a)
-	if f.options.OnApply != nil {
-		f.options.OnApply(a.configuration)
-	}
-	return nil
-}
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
@@ -172,3 +178,74 @@
 	defer all.mu.Unlock()
 	g.Expect(all.versions).To(gomega.Equal([]uint64{1, 2, 3}))
 }
+
+// Guards against an applied change that differs from the whole configuration,
+// for changes that move, add and remove adapters, organisations and models.
+func TestChangesGiveTheWholeConfiguration(t *testing.T) {
+	// Names that end a part, and some between them, so that few adapters give
+	// many parts.
+	const meanPartEntries = 512
+	var all []config.Adapter
+	for i, a := range document(5000).Adapters {
+		if i%100 == 0 || xxhash.Sum64String(a.Key())%meanPartEntries == 0 {
+			all = append(all, a)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		s := memstore.New()
+		f := config.NewFollower(config.Options{Store: s})
+		for base := range uint64(rapid.IntRange(2, 5).Draw(t, "changes")) {
+			d := document(0)
+			from := rapid.IntRange(0, len(all)).Draw(t, "from")
+			to := rapid.IntRange(from, len(all)).Draw(t, "to")
+			d.Adapters = append(append(d.Adapters, all[:from]...), all[to:]...)
+			if rapid.Bool().Draw(t, "more") {
+				d.BaseModels = append(d.BaseModels, "other")
+				d.Organisations = append(d.Organisations, config.Organisation{Name: "jegue", CredentialSHA256: strings.Repeat("cd", 32), Share: 1})
+				step := rapid.IntRange(1, 30).Draw(t, "step")
+				for i := 0; i < len(d.Adapters); i += step {
+					d.Adapters[i].Organisation, d.Adapters[i].BaseModel = "jegue", "other"
+				}
+			}
+			if _, err := publisher(s).Publish(ctx, d, base); err != nil {
+				t.Fatal(err)
+			}
+			if err := f.ReadStore(ctx, 0); err != nil {
+				t.Fatal(err)
+			}
+			if want := d.Normalised().Configuration(base + 1); !reflect.DeepEqual(f.Current(), want) {
+				t.Fatalf("version %d differs", base+1)
+			}
+		}
+	})
+}
+
+// Guards against faults between a changed root and the adapters of unchanged
+// parts: a base model that is gone, and an adapter that is declared twice.
+func TestRootThatContradictsUnchangedPartsIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	published(g, s, 3, 0)
+	f := config.NewFollower(config.Options{Store: s})
+	g.Expect(f.ReadStore(ctx, 0)).To(gomega.Succeed())
+	data, _ := f.Root()
+	var root map[string]any
+	g.Expect(json.Unmarshal(data, &root)).To(gomega.Succeed())
+	root["version"], root["base_models"] = 2, []string{"other"}
+	data, _ = json.Marshal(root)
+	_, err := s.Put(ctx, config.RootKey, data)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(f.ReadStore(ctx, 0)).To(beCode(errs.InvalidConfig))
+
+	// A further part that repeats an adapter of an unchanged part.
+	part := []byte(`{"adapters":[{"organisation":"baltzips","name":"shop-000000","base_model":"base-7b","versions":["v9"]}]}`)
+	digest := fmt.Sprintf("%x", sha256.Sum256(part))
+	_, err = s.Put(ctx, "config/parts/"+digest, part)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	root["base_models"], root["parts"] = []string{"base-7b"}, append(root["parts"].([]any), digest)
+	data, _ = json.Marshal(root)
+	_, err = s.Put(ctx, config.RootKey, data)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(f.ReadStore(ctx, 0)).To(beCode(errs.InvalidConfig))
+	g.Expect(f.Version()).To(gomega.BeEquivalentTo(1))
+}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -47,7 +47,7 @@
 func (s *storedRoot) load(ctx context.Context, store platform.Store) (*Snapshot, error) {
 	d, err := s.document(func(digest string) ([]byte, error) {
 		return fetchPart(ctx, store, digest, s.object.Revision)
-	})
+	}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/root.go
+++ b/internal/config/root.go
@@ -145,8 +145,9 @@
 }
 
 // document returns the root's scalars and the lists of the parts, which fetch
-// returns by digest.
-func (r *root) document(fetch func(digest string) ([]byte, error)) (*Document, error) {
+// returns by digest, and checks them. A part that fetch returns as nil is left
+// out. decoded is told the number of adapters of each other part; it may be nil.
+func (r *root) document(fetch func(digest string) ([]byte, error), decoded func(digest string, adapters int)) (*Document, error) {
 	d := &Document{
 		BaseModels: r.BaseModels, LoadRate: r.LoadRate, JournalShards: r.JournalShards,
 		Retention: r.Retention, GroupTargets: r.GroupTargets,
@@ -156,9 +157,16 @@
 		if err != nil {
 			return nil, err
 		}
+		if data == nil {
+			continue
+		}
+		before := len(d.Adapters)
 		if err := join(d, data); err != nil {
 			return nil, err
 		}
+		if decoded != nil {
+			decoded(digest, len(d.Adapters)-before)
+		}
 	}
 	return d, d.Validate()
 }
