--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"net"
 	"reflect"
 	"strings"
 	"sync"
@@ -18,7 +19,9 @@
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/platform/httpstore"
 	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/standin/platform"
 )
 
 func published(g *gomega.WithT, s *memstore.Store, n int, base uint64) config.Result {
@@ -133,6 +136,9 @@
 		f := config.NewFollower(options)
 		f.SetWatching(i == 0)
 		all.followers = append(all.followers, f)
+	}
+	// OnApply reads the list, so it is complete before the first one runs.
+	for _, f := range all.followers {
 		group.Go(func() { f.Run(running) })
 	}
 	return all
@@ -249,3 +255,32 @@
 	g.Expect(f.ReadStore(ctx, 0)).To(beCode(errs.InvalidConfig))
 	g.Expect(f.Version()).To(gomega.BeEquivalentTo(1))
 }
+
+// Guards against a follower that works on the in-memory store alone, and
+// against one that calls the platform without pause.
+func TestFollowerOverHTTP(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	server := platform.New()
+	go func() { _ = server.Serve(listener) }()
+	defer func() { g.Expect(server.Close()).To(gomega.Succeed()) }()
+	client := httpstore.New(httpstore.Options{Address: listener.Addr().String()})
+	defer client.Close()
+
+	running, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	f := config.NewFollower(config.Options{Store: client, WatchWait: time.Minute})
+	f.SetWatching(true)
+	group.Go(func() { f.Run(running) })
+	for base := range uint64(3) {
+		_, err := publisher(client).Publish(ctx, document(1+int(base)), base)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Eventually(f.Version).WithTimeout(time.Minute).Should(gomega.Equal(base + 1))
+		g.Eventually(func() int { return server.Store.Counts().Waiting }).WithTimeout(time.Minute).Should(gomega.Equal(1))
+	}
+	g.Expect(f.Current().Adapters).To(gomega.HaveLen(3))
+	g.Expect(server.Store.Counts().Watch).To(gomega.BeNumerically("<=", 6))
+}
