--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -170,3 +173,29 @@
 	}
 	return nil, errs.New(errs.NotFound, "no part")
 }
+
+// Guards against a node that takes itself for connected to the store because a
+// peer told it of a version while its watch was waiting.
+func TestNewsOfAPeerIsNoContactWithTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := memstore.New()
+	published(g, s, 1, 0)
+	var clock atomic.Int64
+	failed := make(chan error, 100)
+	f := config.NewFollower(config.Options{
+		Store: s, WatchWait: time.Hour, OnError: func(err error) { failed <- err },
+		Now: func() time.Time { return time.Unix(clock.Add(1), 0) },
+	})
+	f.SetWatching(true)
+	running, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	group.Go(func() { f.Run(running) })
+	g.Eventually(func() int { return s.Counts().Waiting }).WithTimeout(time.Minute).Should(gomega.Equal(1))
+	contact := f.LastStoreContact()
+	s.Inject(memstore.Rule{Fault: memstore.Unavailable, Op: memstore.OpList})
+	f.Hear(99)
+	g.Eventually(failed).WithTimeout(time.Minute).Should(gomega.Receive())
+	g.Expect(f.LastStoreContact()).To(gomega.Equal(contact))
+}
--- a/internal/config/run.go
+++ b/internal/config/run.go
@@ -106,7 +106,6 @@
 		}
 		return err
 	}
-	f.contact.Store(f.options.Now().UnixNano())
 	if len(changes.Changes) > 0 {
 		return f.ReadStore(ctx, changes.Revision)
 	}
@@ -131,6 +130,9 @@
 	}()
 	select {
 	case a := <-answers:
+		if a.err == nil {
+			f.contact.Store(f.options.Now().UnixNano())
+		}
 		return a.changes, a.err
 	case <-f.woken:
 		return platform.Changes{Revision: since}, nil
