--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -196,7 +196,7 @@
 		// Cannot happen while one batch is in flight; the log is read again then.
 		s.deps.Log.Error().Err(err).Int("shard", s.number).Msg("index is out of step")
 		s.dropWaiting(errNotOwner())
-		s.mode = modeAcquiring
+		s.mode, s.index = modeAcquiring, NewIndex()
 		return false
 	}
 	s.floor = floor
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -235,11 +235,12 @@
 	defer s.mu.Unlock()
 	s.deps.Counters.Lost.Add(1)
 	s.record(timeline.ShardLost, reason)
-	wanted := s.mode != modeSteppingDown
+	wanted, index := s.mode != modeSteppingDown, s.index
 	s.becomeIdle()
 	if !wanted {
 		return
 	}
+	s.index = index // committed records only; the next takeover reads on from here
 	now := s.deps.Now()
 	if now.Sub(s.ownedSince) > lossWindow {
 		s.losses = 0
--- a/internal/journal/shard_test.go
+++ b/internal/journal/shard_test.go
@@ -257,3 +257,25 @@
 	b.steps(1)
 	b.g.Expect(b.claim("7", 999).State).To(gomega.Equal(rpcapi.ClaimRunning))
 }
+
+// Guards against two VMs that both expect to own the shard and read the whole
+// journal at each takeover.
+func TestTakeoverAfterLossReadsOnlyWhatIsNew(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.CompactPositions = 1 << 40 })
+	former := b.shard
+	for i := range uint64(10 * chainPage) {
+		b.claim(fmt.Sprint(i), i)
+	}
+	b.shard = b.newShard("vm2", nil)
+	b.shard.SetWanted(true)
+	b.steps(1)
+	b.g.Expect(b.claim("new", 1000).State).To(gomega.Equal(rpcapi.ClaimGranted))
+	b.shard = former
+	b.g.Expect(b.claim("other", 1001).Err.Code).To(gomega.Equal(errs.NotOwner))
+	before := b.store.calls
+	b.steps(1)
+	b.g.Expect(b.shard.Owned()).To(gomega.BeTrue())
+	b.g.Expect(b.store.calls - before).To(gomega.Equal(4)) // floor, list, create, floor
+	b.g.Expect(b.claim("new", 1002).State).To(gomega.Equal(rpcapi.ClaimRunning))
+	b.g.Expect(b.claim("0", 1003).State).To(gomega.Equal(rpcapi.ClaimRunning))
+}
--- a/internal/journal/takeover.go
+++ b/internal/journal/takeover.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	index, err := s.loadSnapshot(ctx, floor)
+	index, err := s.startIndex(ctx, floor)
 	if err != nil {
 		return err
 	}
@@ -52,6 +52,21 @@
 	return nil
 }
 
+// startIndex returns the index of a lost ownership when the positions after it
+// are still in the log, else the snapshot. The former index is used for one
+// attempt only: an attempt that fails may have applied positions that a newer
+// floor makes void.
+func (s *Shard) startIndex(ctx context.Context, floor Floor) (*Index, error) {
+	s.mu.Lock()
+	former := s.index
+	s.index = NewIndex()
+	s.mu.Unlock()
+	if former.Position() > 0 && former.Position() >= floor.Position {
+		return former, nil
+	}
+	return s.loadSnapshot(ctx, floor)
+}
+
 func (s *Shard) loadSnapshot(ctx context.Context, floor Floor) (*Index, error) {
 	index := NewIndex()
 	for part := range floor.Parts {
