--- a/internal/journal/shard_test.go
+++ b/internal/journal/shard_test.go
@@ -172,6 +172,15 @@
 	b.g.Expect(again.Response.Truncated).To(gomega.BeTrue())
 }
 
+// Guards against an outcome that is refused for its size, which would leave the
+// call without an outcome.
+func TestOversizedOutcomeIsStoredWithoutBody(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.ResponseLimit = 1 << 40 })
+	b.claim("a", 1)
+	b.g.Expect(b.outcome("a", 1, make([]byte, maxResponseBytes+1))).To(gomega.BeNil())
+	b.g.Expect(b.claim("a", 2).Response).To(gomega.Equal(rpcapi.StoredResponse{Status: 200, Truncated: true}))
+}
+
 // Guards against calls that hang or are retried without a pause in an outage,
 // and against more than one store call per wait.
 func TestOutageRefusesClaimsWithRetryTime(t *testing.T) {
@@ -257,3 +266,25 @@
 	b.steps(1)
 	b.g.Expect(b.claim("7", 999).State).To(gomega.Equal(rpcapi.ClaimRunning))
 }
+
+// Guards against two VMs that both expect to own the shard and read the whole
+// journal at each takeover.
+func TestTakeoverAfterLossReadsOnlyWhatIsNew(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.CompactPositions = 1 << 40 })
+	former := b.shard
+	for i := range uint64(10 * chainPage) {
+		b.claim(fmt.Sprint(i), i)
+	}
+	b.shard = b.newShard("vm2", nil)
+	b.shard.SetWanted(true)
+	b.steps(1)
+	b.g.Expect(b.claim("new", 1000).State).To(gomega.Equal(rpcapi.ClaimGranted))
+	b.shard = former
+	b.g.Expect(b.claim("other", 1001).Err.Code).To(gomega.Equal(errs.NotOwner))
+	before := b.store.calls
+	b.steps(1)
+	b.g.Expect(b.shard.Owned()).To(gomega.BeTrue())
+	b.g.Expect(b.store.calls - before).To(gomega.Equal(4)) // floor, list, create, floor
+	b.g.Expect(b.claim("new", 1002).State).To(gomega.Equal(rpcapi.ClaimRunning))
+	b.g.Expect(b.claim("0", 1003).State).To(gomega.Equal(rpcapi.ClaimRunning))
+}
