Keep error responses of oversized requests readable

Closing a connection with unread input resets it, and the caller then lost the typed error. The sending side is closed first and the input is dropped for a short time.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +14,12 @@
 // Left to itself it grows to several megabytes, which hides the slow caller.
 const sendBufferBytes = 64 << 10
 
+// Limits of the input that is dropped after the last response.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 4 << 20
+)
+
 // listener bounds the number of connections and the time of each write.
 type listener struct {
 	net.Listener
@@ -61,12 +68,26 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection and frees its place.
+// Close ends the connection. Its place is freed when it is closed completely.
 func (c *callerConn) Close() error {
 	if !c.closed.Swap(true) {
-		c.from.open.Add(-1)
+		go c.linger()
+	}
+	return nil
+}
+
+// linger closes the sending side and drops what still arrives for a short
+// time. Closing with unread input would reset the connection, and a caller that
+// sent too much would lose the error response.
+func (c *callerConn) linger() {
+	defer c.from.open.Add(-1)
+	defer c.Conn.Close()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
 	}
-	return c.Conn.Close()
+	_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
 }
 
 // gone reports whether the caller has closed its side. It peeks at the socket,
