Wait out a slow target when nothing else can complete its stream

A streamed answer of which tokens were passed on cannot be repeated elsewhere, so it is resumed until its deadline while the target accepts resumptions. A permit that a panic left behind is released.

--- a/internal/frontend/attempt.go
+++ b/internal/frontend/attempt.go
@@ -23,10 +23,12 @@
 		s.finish(permit, asked, core.PermitReleased{Outcome: core.OutcomeNotSent})
 		return permit.Target.Name, errs.As(err).WithRan(errs.RanNo)
 	}
+	settled := false
+	defer s.orphaned(&settled, permit, asked)
 	a.watch = s.watchAttempt(permit)
 	defer a.watch.stop()
 	s.event(timeline.RequestDispatch, permit, j.org, "")
-	call := target.Call{Request: a.id, Target: permit.Target, Adapter: j.adapter, Chat: j.chat, Body: body}
+	call := target.Call{Request: a.id, Target: permit.Target, Adapter: j.adapter, Chat: j.chat, Body: body, Persist: j.stream || !j.repeatable()}
 	result, err := s.opt.Targets.Stream(a.ctx, call, func(c target.Chunk) error { return r.take(a, c) })
 	if result.Resumes > 0 {
 		s.event(timeline.RequestResumed, permit, j.org, strconv.Itoa(result.Resumes)+" times")
@@ -34,6 +36,7 @@
 	if err == nil {
 		s.predictor.learn(j.predictionKey(), j.maxTokens, result.Tokens)
 	}
+	settled = true
 	s.settle(a.ctx, permit, asked, result, err)
 	return permit.Target.Name, errs.As(err)
 }
@@ -42,7 +45,13 @@
 // is given back.
 func (s *Server) acquire(ctx context.Context, asked core.Request) (core.Permit, *errs.Error) {
 	permit, err := s.opt.Permits.Acquire(ctx, asked)
-	if err != nil {
+	switch {
+	case err == nil:
+	case ctx.Err() == context.DeadlineExceeded:
+		return core.Permit{}, errs.Wrap(err, errs.Timeout, "deadline passed before a permit was granted").WithRan(errs.RanNo)
+	case ctx.Err() != nil:
+		return core.Permit{}, errs.Wrap(err, errs.Cancelled, "request was cancelled before a permit was granted").WithRan(errs.RanNo)
+	default:
 		return core.Permit{}, errs.As(err).WithRan(errs.RanNo)
 	}
 	s.event(timeline.PermitGranted, permit, asked.Organisation, "")
@@ -53,6 +62,13 @@
 	return core.Permit{}, errs.NotRun(errs.Internal, "permit is not the one asked for")
 }
 
+// orphaned ends a permit that a panic left behind. It must be deferred.
+func (s *Server) orphaned(settled *bool, permit core.Permit, asked core.Request) {
+	if !*settled {
+		s.settle(s.stop, permit, asked, target.Result{Sent: true}, errs.New(errs.Internal, internalMessage).WithRan(errs.RanUnknown))
+	}
+}
+
 // settle ends a permit after an attempt. While the request may still run on
 // the target the permit is kept, because it pins the adapter there.
 func (s *Server) settle(ctx context.Context, permit core.Permit, asked core.Request, result target.Result, err error) {
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -103,7 +103,8 @@
 // dispatchService sends the call and releases its permit.
 func (s *Server) dispatchService(ctx context.Context, c *serviceCall, permit core.Permit, asked core.Request, limit time.Duration) (target.ServiceAnswer, *errs.Error) {
 	s.event(timeline.RequestDispatch, permit, c.org, "")
-	began := time.Now()
+	began, settled := time.Now(), false
+	defer s.orphaned(&settled, permit, asked)
 	answer, err := s.opt.Targets.CallService(ctx, target.ServiceCall{
 		Request: permit.Request, Target: permit.Target, Organisation: c.org, Kind: c.kind.Name,
 		Key: c.key, ContentType: c.contentType, Body: c.body, Limit: limit,
@@ -121,6 +122,7 @@
 	if failure != nil && failure.Code == errs.WrongAnswer {
 		s.event(timeline.AnswerDiscarded, permit, c.org, failure.Message)
 	}
+	settled = true
 	s.finish(permit, asked, release)
 	return answer, failure
 }
--- a/internal/target/config.go
+++ b/internal/target/config.go
@@ -15,7 +15,7 @@
 	DefaultFirstTokenWait   = 2 * time.Second
 	DefaultMinSilence       = 250 * time.Millisecond
 	DefaultSilenceFactor    = 10
-	DefaultMaxResumes       = 4
+	DefaultMaxResumes       = 2
 	DefaultResumeDelay      = 20 * time.Millisecond
 	DefaultOrderTimeout     = 10 * time.Second
 	DefaultControlTimeout   = 2 * time.Second
@@ -23,7 +23,7 @@
 	DefaultMaxAnswerBytes   = 4 << 20
 	maxChunkBytes           = 64 << 10 // one line of a stream
 	smoothing               = 0.2      // weight of the newest gap in the mean
-	silenceGrowth           = 2        // factor on the allowed silence after each resumption
+	maxDoublings            = 5        // of the allowed silence and the delay between resumptions
 	maxRefusalBytes         = 64 << 10 // body of a refusal that is read
 	maxStateBytes           = 4 << 20  // body of a state or a cache event list
 	headerRequestID         = "X-Request-Id"
@@ -50,7 +50,7 @@
 	FirstTokenWait time.Duration // silence allowed before the first token
 	MinSilence     time.Duration // least silence after which a stream is resumed
 	SilenceFactor  float64       // allowed silence in mean token gaps
-	MaxResumes     int           // resumptions of one stream without a new token
+	MaxResumes     int           // resumptions of one stream in a row without a new token
 	ResumeDelay    time.Duration // before a resumption
 	OrderTimeout   time.Duration // for a load or evict order
 	ControlTimeout time.Duration // for state, load report and cancel
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -48,6 +48,7 @@
 
 // connect performs one request on a new connection and reads its stream.
 func (s *stream) connect(ctx context.Context, req *fasthttp.Request) *errs.Error {
+	s.accepted = false
 	l, failure := s.client.open(ctx, s.call.Target.Address)
 	if failure != nil {
 		return failure
@@ -66,7 +67,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return s.refusal(l, resp)
 	}
-	s.result.Started = true
+	s.result.Started, s.accepted = true, true
 	if s.result.Resumes > 0 {
 		s.client.stats.Resumed.Add(1)
 	}
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -16,6 +16,7 @@
 	Adapter model.AdapterVersion
 	Chat    bool   // chat completion instead of completion
 	Body    []byte // JSON body for the runner, which asks for a stream
+	Persist bool   // after the first token, silence is waited out until ctx ends
 }
 
 // Result describes an attempt, also a failed one.
@@ -42,7 +43,9 @@
 	began     time.Time
 	lastRead  time.Time
 	discards  int
-	fruitless int // connections in a row without a new token
+	fruitless int  // connections in a row without a new token
+	broken    int  // those of them that the target did not accept or ended
+	accepted  bool // the target accepted the current connection
 	bytes     int
 	sinkErr   error
 }
@@ -56,7 +59,7 @@
 	s := &stream{client: c, call: call, sink: sink, began: time.Now()}
 	failure := s.dispatch(ctx)
 	for failure != nil && s.resumable(ctx, failure) {
-		if !pause(ctx, c.cfg.ResumeDelay) {
+		if !pause(ctx, s.grown(c.cfg.ResumeDelay)) {
 			break
 		}
 		failure = s.resume(ctx)
@@ -72,12 +75,19 @@
 	if ctx.Err() != nil || s.sinkErr != nil || !s.result.Sent {
 		return false
 	}
-	lost := failure.Code == errs.TruncatedAnswer || failure.Code == errs.Timeout || failure.Code == errs.TargetUnavailable
-	if !lost || s.fruitless >= s.client.cfg.MaxResumes {
+	switch failure.Code {
+	case errs.Timeout, errs.TruncatedAnswer, errs.TargetUnavailable:
+	default:
 		return false
 	}
 	s.fruitless++
-	return true
+	if !s.accepted || failure.Code != errs.Timeout {
+		s.broken++
+	}
+	if s.call.Persist && s.result.Tokens > 0 {
+		return s.broken <= s.client.cfg.MaxResumes
+	}
+	return s.fruitless <= s.client.cfg.MaxResumes
 }
 
 // describe completes the error of an attempt with what is known of the run.
@@ -144,7 +154,7 @@
 	}
 	s.result.Tokens += chunk.Tokens
 	s.result.Usage.GeneratedTokens = s.result.Tokens
-	s.fruitless = 0
+	s.fruitless, s.broken = 0, 0
 	if chunk.Final() {
 		s.result.Finished = true
 		s.result.Usage.PromptTokens = chunk.Usage.PromptTokens
@@ -163,19 +173,19 @@
 	s.lastRead = now
 }
 
-// silence returns how long the stream may be silent now. It doubles with each
-// resumption without a token, because a straggler must not be flooded with
-// resumptions.
+// silence returns how long the stream may be silent now.
 func (s *stream) silence() time.Duration {
 	cfg := &s.client.cfg
-	allowed := cfg.FirstTokenWait
-	if s.result.Tokens > 0 {
-		allowed = max(cfg.MinSilence, time.Duration(cfg.SilenceFactor*float64(s.result.TokenGap)))
+	if s.result.Tokens == 0 {
+		return s.grown(cfg.FirstTokenWait)
 	}
-	for range s.fruitless {
-		allowed *= silenceGrowth
-	}
-	return allowed
+	return s.grown(max(cfg.MinSilence, time.Duration(cfg.SilenceFactor*float64(s.result.TokenGap))))
+}
+
+// grown doubles d with each connection without a token, up to a limit, because
+// a straggler must not be flooded with resumptions.
+func (s *stream) grown(d time.Duration) time.Duration {
+	return d << min(s.fruitless, maxDoublings)
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/internal/target/stream_test.go
+++ b/internal/target/stream_test.go
@@ -66,6 +66,28 @@
 	})
 }
 
+// Guards against a stream that is given up while its target is only slow, when
+// nothing else can complete it, and against one that is waited for needlessly.
+func TestSlowTargetIsWaitedForOnlyIfNothingElseCanAnswer(t *testing.T) {
+	for _, persist := range []bool{true, false} {
+		g := gomega.NewWithT(t)
+		r, to := startRunner(t, runner.Config{})
+		g.Expect(r.Load(quote, 1)).To(gomega.Succeed())
+		var text strings.Builder
+		body := []byte(`{"model":"baltzips/quote@3","prompt":"hem","max_tokens":4,"stream":true}`)
+		call := target.Call{Request: "q1", Target: to, Adapter: quote, Body: body, Persist: persist}
+		cfg := quick
+		cfg.MinSilence, cfg.MaxResumes, cfg.SilenceFactor = time.Millisecond, 1, 1e-9
+		_, err := target.New(cfg).Stream(context.Background(), call, func(chunk target.Chunk) error {
+			r.SetFaults(runner.Faults{SlowFactor: 50})
+			text.WriteString(chunk.Text)
+			return nil
+		})
+		g.Expect(err == nil).To(gomega.Equal(persist))
+		g.Expect(text.String() == runner.Answer(quote.String(), "hem", 4)).To(gomega.Equal(persist))
+	}
+}
+
 // Guards against "not run" for a request that was sent, after its resumption
 // could not be sent.
 func TestLostResumptionDoesNotMeanNotRun(t *testing.T) {
