--- a/internal/frontend/race.go
+++ b/internal/frontend/race.go
@@ -77,7 +77,9 @@
 	defer r.s.mu.Unlock()
 	delete(r.s.running, a.id)
 	a.id = id
-	r.s.running[id] = r
+	if a.ctx.Err() == nil { // the race may have ended and forgotten its attempts
+		r.s.running[id] = r
+	}
 }
 
 // attemptID returns the id of one attempt of a request, counted from 1.
