Fix two stalls found by the process-level fault test

(1) A takeover barrier never passed when a VM that had to confirm was already known as gone before the takeover: the change of state had been told to the cores that existed then. The owner now asks liveness whenever the core asks for a confirmation. (2) A request waited until its deadline in a group that used its slots for other adapters although its adapter was resident in another group. The front end looks again every 300 ms and moves it. Ruled out: lost wake-ups of the owner's loop (timeline shows grants throughout).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,7 +157,8 @@
 func (d *Daemon) buildOwners() {
 	ports := owner.Ports{
 		Orders: targetOrders{d.targets}, Peers: ownerPeers{d}, Loads: newLoads(d), Accounts: d.accounts,
-		Events: d.events, Log: d.log,
+		Liveness: d.members,
+		Events:   d.events, Log: d.log,
 	}
 	seed := uint64(d.self.Incarnation)
 	d.owners = owner.NewManager(d.holder(), d.store, d.holdings, ports, func(group string) core.Decider {
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -184,6 +184,11 @@
 // askConfirmation asks a VM to confirm the epoch. The core asks again until the
 // VM has confirmed or is gone; only one call per VM is in flight.
 func (r *runtime) askConfirmation(holder model.Holder) {
+	if r.ports.Liveness.Gone(holder) {
+		// The holder may have gone before this runtime began, when nobody told it.
+		r.post(core.HolderGone{Holder: holder})
+		return
+	}
 	if !r.startAsking(holder) {
 		return
 	}
--- a/internal/owner/ports.go
+++ b/internal/owner/ports.go
@@ -39,3 +39,8 @@
 type Accounts interface {
 	RecordGiven(given core.RecordGiven)
 }
+
+// Liveness says whether an incarnation is confirmed gone.
+type Liveness interface {
+	Gone(holder model.Holder) bool
+}
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -51,6 +51,7 @@
 	Peers    Peers
 	Loads    Loads
 	Accounts Accounts
+	Liveness Liveness
 	Events   timeline.Recorder
 	Log      zerolog.Logger
 }
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -73,23 +73,22 @@
 
 // Acquire ranks the groups and waits in the queue of the best one. It moves to
 // another group only when the owner refuses in a way that another group can
-// help with. The error always says that the request was not run.
+// help with, or when the adapter has become resident elsewhere only. The error
+// always says that the request was not run.
 func (b *Broker) Acquire(ctx context.Context, request core.Request) (core.Permit, error) {
 	var last error = errs.NotRun(errs.NoTarget, "no target group serves the request")
 	started := time.Now()
 	for round := 0; round < ownerRounds; round++ {
-		ranked := routing.Rank(b.table.Candidates(request), b.self, b.routing, tiebreak(request.Adapter))
-		for _, candidate := range ranked {
-			attempt := request
-			attempt.Deadline = request.Deadline - time.Since(started)
-			permit, err := b.acquireFrom(ctx, candidate.Group, attempt)
-			if err == nil {
-				return permit, nil
-			}
-			last = err
-			if ctx.Err() != nil || !triesElsewhere(err) {
-				return core.Permit{}, notRun(err)
-			}
+		permit, err := b.acquireRound(ctx, request, started)
+		if err == nil {
+			return permit, nil
+		}
+		last = err
+		if ctx.Err() != nil || !triesElsewhere(err) {
+			break
+		}
+		if errs.Is(err, errs.AdapterNotResident) {
+			continue // resident elsewhere: rank again at once
 		}
 		if !sleep(ctx, noOwnerPause) {
 			break
@@ -98,11 +97,49 @@
 	return core.Permit{}, notRun(last)
 }
 
+// acquireRound asks the groups in the order of their rank.
+func (b *Broker) acquireRound(ctx context.Context, request core.Request, started time.Time) (core.Permit, error) {
+	var last error = errs.NotRun(errs.NoTarget, "no target group serves the request")
+	for _, candidate := range b.rank(request) {
+		attempt := request
+		attempt.Deadline = request.Deadline - time.Since(started)
+		permit, err := b.acquireFrom(ctx, candidate.Group, attempt)
+		if err == nil {
+			return permit, nil
+		}
+		last = err
+		if ctx.Err() != nil || !triesElsewhere(err) || errs.Is(err, errs.AdapterNotResident) {
+			break
+		}
+	}
+	return core.Permit{}, last
+}
+
+func (b *Broker) rank(request core.Request) []routing.Candidate {
+	return routing.Rank(b.table.Candidates(request), b.self, b.routing, tiebreak(request.Adapter))
+}
+
+// residentElsewhere reports whether the adapter of a waiting request is resident
+// in a better group and not in the one where it waits.
+func (b *Broker) residentElsewhere(request core.Request, group string) bool {
+	ranked := b.rank(request)
+	if len(ranked) == 0 || ranked[0].Group == group || !ranked[0].Resident {
+		return false
+	}
+	for _, candidate := range ranked {
+		if candidate.Group == group {
+			return candidate.NeedsLoad && !candidate.Resident
+		}
+	}
+	return false
+}
+
 // triesElsewhere reports whether another group or the group's next owner may
 // serve a request that was refused with err.
 func triesElsewhere(err error) bool {
 	switch errs.As(err).Code {
-	case errs.NotOwner, errs.StaleEpoch, errs.PeerUnavailable, errs.NoTarget, errs.Draining, errs.AdapterLoadFailed:
+	case errs.NotOwner, errs.StaleEpoch, errs.PeerUnavailable, errs.NoTarget, errs.Draining,
+		errs.AdapterLoadFailed, errs.AdapterNotResident:
 		return true
 	}
 	return false
@@ -145,26 +182,43 @@
 	return reply.Permit, nil
 }
 
-// call waits for the owner's reply, but not beyond a takeover of the group: a
-// paused former owner would keep the request waiting until its deadline.
+// call waits for the owner's reply, but not beyond a takeover of the group, since
+// a paused former owner would keep the request waiting until its deadline, and
+// not when the adapter has become resident in another group.
 func (b *Broker) call(ctx context.Context, owner string, epoch model.Epoch, request rpcapi.AcquireRequest) (rpcapi.AcquireReply, error) {
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go b.watch(callCtx, cancel, epoch, request)
+	reply, err := b.owners.Acquire(callCtx, owner, request)
+	if cause := context.Cause(callCtx); cause != nil && ctx.Err() == nil {
+		return reply, cause
+	}
+	return reply, err
+}
+
+// rerouteInterval is the time between looks whether a waiting request is better
+// off in another group.
+const rerouteInterval = 300 * time.Millisecond
+
+// watch cancels a wait when its group is taken over or another group is better.
+func (b *Broker) watch(ctx context.Context, cancel context.CancelCauseFunc, epoch model.Epoch, request rpcapi.AcquireRequest) {
 	raised := b.holdings.Raised(request.Group, epoch)
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
+	ticker := time.NewTicker(rerouteInterval)
+	defer ticker.Stop()
+	for {
 		select {
+		case <-ctx.Done():
+			return
 		case <-raised:
-			cancel()
-		case <-stop:
+			cancel(errs.NotRun(errs.StaleEpoch, "group "+request.Group+" was taken over while waiting"))
+			return
+		case <-ticker.C:
+			if b.residentElsewhere(request.Request, request.Group) {
+				cancel(errs.NotRun(errs.AdapterNotResident, "the adapter is resident in another group"))
+				return
+			}
 		}
-	}()
-	reply, err := b.owners.Acquire(callCtx, owner, request)
-	if callCtx.Err() != nil && ctx.Err() == nil {
-		return reply, errs.NotRun(errs.StaleEpoch, "group "+request.Group+" was taken over while waiting")
 	}
-	return reply, err
 }
 
 // Release ends the use of a permit and tells the group's owner, again and again
