core: Load adapters that only stragglers have on other targets

Policy indexes of removed targets are used again; the median of the other targets is found with one sort per update. The routing benchmark goes over all resident adapters.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -79,10 +79,16 @@
 func BenchmarkRoute(b *testing.B) {
 	forSizes(b, func(b *testing.B, targets, adapters int) {
 		c, now := benchCore(targets, adapters)
-		r := request("r", benchAdapter(3))
+		var requests []core.Request
+		for n := range targets * benchSlots {
+			requests = append(requests, request("r", benchAdapter(n%adapters)))
+		}
+		next := 0
 		b.ReportAllocs()
 		for b.Loop() {
 			now += time.Microsecond
+			next = (next + 1) % len(requests)
+			r := requests[next]
 			c.Apply(now, core.RequestQueued{Request: r})
 			granted := find[core.GrantPermit](c.Tick(now))
 			if len(granted) != 1 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	concurrency int        // of the open runner targets
 	openTargets int        // open runner targets
 	indexes     int        // given to targets so far
+	freeIndexes []int      // of removed targets
 	sharesKnown bool
 }
 
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -28,7 +28,7 @@
 		lanes = lanes[:len(lanes)-1]
 	}
 	for _, a := range c.touched {
-		c.updateWanting(a)
+		c.updateWanting(now, a)
 	}
 	c.touched = c.touched[:0]
 }
@@ -181,6 +181,9 @@
 		p.slot.pins++
 		p.slot.usedAt = now
 	}
+	if c.policies.slow.Slow(t.index) {
+		c.touched = append(c.touched, adapter) // may be needed on another target
+	}
 	c.policies.queue.Granted(org.index, r.head.Work)
 	c.policies.hedger.Granted()
 	c.policies.prefixes.Served(t.index, r.PrefixHashes)
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -15,11 +15,16 @@
 	// placeRetry is the time between two attempts to find a slot for a
 	// permitted load.
 	placeRetry = 20 * time.Millisecond
+	// strandedDemand is the decayed number of requests from which an adapter
+	// that only slow targets have is worth a load.
+	strandedDemand = 3.0
+	// strandedSlack is the urgency of such a load.
+	strandedSlack = time.Second
 )
 
 // updateWanting enters an adapter that needs a load into its table.
-func (c *Core) updateWanting(a *adapterRow) {
-	if !a.wanting && c.wantsLoad(a) {
+func (c *Core) updateWanting(now Time, a *adapterRow) {
+	if !a.wanting && c.wantsLoad(now, a) {
 		a.wanting = true
 		c.wanting = append(c.wanting, a)
 		c.scoredAt = 0 // new needs are ordered at once
@@ -28,16 +33,34 @@
 
 // wantsLoad reports whether requests wait for an adapter that no target has,
 // or that only full targets have while others have free capacity.
-func (c *Core) wantsLoad(a *adapterRow) bool {
-	if a.key.application != "" || a.waiting == 0 {
+func (c *Core) wantsLoad(now Time, a *adapterRow) bool {
+	if a.key.application != "" {
 		return false
 	}
-	if !a.anyUsable() {
+	if c.stranded(now, a) {
 		return true
 	}
+	if a.waiting == 0 || !a.anyUsable() {
+		return a.waiting > 0
+	}
 	return c.policies.place.Replicates(a.waiting) && !c.hasRoom(a) && c.otherHasRoom(a)
 }
 
+// stranded reports whether an adapter in demand is resident on slow targets
+// only. Its requests are served there, and it is loaded elsewhere meanwhile.
+func (c *Core) stranded(now Time, a *adapterRow) bool {
+	usable := false
+	for _, s := range a.slots {
+		if s.usable() && s.target.open() {
+			if !c.policies.slow.Slow(s.target.index) {
+				return false
+			}
+			usable = true
+		}
+	}
+	return usable && a.demand.read(now) >= strandedDemand
+}
+
 func (c *Core) otherHasRoom(a *adapterRow) bool {
 	for _, t := range c.targets {
 		if t.open() && t.free() > 0 && t.info.BaseModel == a.baseModel && t.slot(a) == nil {
@@ -56,7 +79,7 @@
 
 // runPlacement asks for load permits and starts the loads that are permitted.
 func (c *Core) runPlacement(now Time) {
-	c.dropSatisfied()
+	c.dropSatisfied(now)
 	if c.storeDown || c.draining || len(c.wanting) == 0 {
 		return
 	}
@@ -73,10 +96,10 @@
 }
 
 // dropSatisfied removes adapters that need no load any more.
-func (c *Core) dropSatisfied() {
+func (c *Core) dropSatisfied(now Time) {
 	kept := c.wanting[:0]
 	for _, a := range c.wanting {
-		if c.wantsLoad(a) {
+		if c.wantsLoad(now, a) {
 			kept = append(kept, a)
 			continue
 		}
@@ -139,6 +162,9 @@
 // need describes what waits for the adapter, from the heads of its lanes.
 func (c *Core) need(now Time, a *adapterRow) placement.Need {
 	n := placement.Need{Waiting: a.waiting, Worth: a.worth, Demand: a.demand.read(now), Replica: a.anyUsable()}
+	if a.waiting == 0 {
+		n.Worth, n.Slack = a.typicalWorth, strandedSlack
+	}
 	for i, lane := range a.lanes {
 		r := lane.head
 		if i == 0 || r.sequence < n.Sequence {
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -143,3 +143,34 @@
 	g.Expect(core.ProductPolicies().Validate()).To(gomega.BeNil())
 	g.Expect(core.Policies{Queueing: "lifo"}.Validate().Code).To(gomega.Equal(errs.InvalidSettings))
 }
+
+// Guards against an adapter whose requests all go to a straggler for as long as it is slow.
+func TestAdapterOnAStragglerIsLoadedElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var targets []model.Target
+	for i := range 4 {
+		targets = append(targets, runner(fmt.Sprintf("t%d", i), 2))
+	}
+	d := productDriver(core.TargetsChanged{Targets: targets}, core.TakenOver{Epoch: 1})
+	for i, target := range targets {
+		only := model.AdapterVersion{Organisation: "jegue", Adapter: fmt.Sprintf("a%d", i), Version: "1"}
+		d.step(d.state(target.Name, "i", only))
+	}
+	asked := map[string]bool{}
+	for n := range 80 {
+		i := n % 4
+		adapter := model.AdapterVersion{Organisation: "jegue", Adapter: fmt.Sprintf("a%d", i), Version: "1"}
+		r := request(fmt.Sprintf("r%d", n), adapter)
+		out := d.step(core.RequestQueued{Request: r})
+		g.Expect(find[core.GrantPermit](out)).To(gomega.HaveLen(1))
+		for _, ask := range find[core.AskLoadPermit](out) {
+			asked[ask.Adapter.Adapter] = true
+		}
+		gap := 10 * time.Millisecond
+		if i == 0 && n > 40 {
+			gap *= 10
+		}
+		d.step(core.PermitReleased{ID: r.ID, Target: targets[i].Name, Outcome: core.OutcomeDone, TokenGap: gap})
+	}
+	g.Expect(asked).To(gomega.Equal(map[string]bool{"a0": true}))
+}
--- a/internal/core/targets.go
+++ b/internal/core/targets.go
@@ -34,12 +34,11 @@
 	t := c.targetIndex[info.Name]
 	if t == nil {
 		t = &targetRow{
-			index:    c.indexes,
+			index:    c.newIndex(),
 			permits:  map[model.RequestID]*permitRow{},
 			unknown:  map[model.RequestID]bool{},
 			released: map[model.RequestID]Time{},
 		}
-		c.indexes++
 		c.targetIndex[info.Name] = t
 		c.targets = append(c.targets, t)
 	}
@@ -81,6 +80,21 @@
 	}
 	c.targets = without(c.targets, t)
 	delete(c.targetIndex, t.info.Name)
+	c.policies.slow.Reset(t.index)
+	c.policies.prefixes.Reset(t.index)
+	c.freeIndexes = append(c.freeIndexes, t.index)
+}
+
+// newIndex returns an index for a target in the policies. Indexes of removed
+// targets are used again, so that the policies' tables stay small.
+func (c *Core) newIndex() int {
+	if last := len(c.freeIndexes) - 1; last >= 0 {
+		index := c.freeIndexes[last]
+		c.freeIndexes = c.freeIndexes[:last]
+		return index
+	}
+	c.indexes++
+	return c.indexes - 1
 }
 
 func (c *Core) setSlot(now Time, s *slotRow, state slotState) {
--- a/internal/policy/straggler/straggler.go
+++ b/internal/policy/straggler/straggler.go
@@ -71,7 +71,7 @@
 type Median struct {
 	rows    []targetRow
 	changed bool
-	scratch []float64
+	sorted  []float64 // ratios of the observed targets
 }
 
 func (m *Median) row(target int) *targetRow {
@@ -102,13 +102,17 @@
 		return false
 	}
 	m.changed = false
+	m.sortKnown()
+	if len(m.sorted) < minimumTargets {
+		return false
+	}
 	flipped := false
 	for i := range m.rows {
 		r := &m.rows[i]
-		median, known := m.medianOfOthers(i)
-		if !r.known || !known {
+		if !r.known {
 			continue
 		}
+		median := m.medianWithout(r.ratio)
 		slow := r.ratio > slowRatio*median || (r.slow && r.ratio > normalRatio*median)
 		flipped = flipped || slow != r.slow
 		r.slow = slow
@@ -116,18 +120,23 @@
 	return flipped
 }
 
-func (m *Median) medianOfOthers(target int) (float64, bool) {
-	m.scratch = m.scratch[:0]
+func (m *Median) sortKnown() {
+	m.sorted = m.sorted[:0]
 	for i := range m.rows {
-		if i != target && m.rows[i].known {
-			m.scratch = append(m.scratch, m.rows[i].ratio)
+		if m.rows[i].known {
+			m.sorted = append(m.sorted, m.rows[i].ratio)
 		}
 	}
-	if len(m.scratch) < minimumTargets-1 {
-		return 0, false
+	slices.Sort(m.sorted)
+}
+
+// medianWithout returns the lower median of all ratios but one.
+func (m *Median) medianWithout(ratio float64) float64 {
+	middle := (len(m.sorted) - 2) / 2
+	if at, _ := slices.BinarySearch(m.sorted, ratio); at <= middle {
+		middle++
 	}
-	slices.Sort(m.scratch)
-	return m.scratch[(len(m.scratch)-1)/2], true
+	return m.sorted[middle]
 }
 
 // Slow implements Detector.
