--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -186,6 +186,7 @@
 	}
 	c.policies.queue.Granted(org.index, r.head.Work)
 	c.policies.hedger.Granted()
+	c.policies.slow.Granted()
 	c.policies.prefixes.Served(t.index, r.PrefixHashes)
 	c.permits[permitKey{r.ID, t.info.Name}] = p
 	t.permits[r.ID] = p
--- a/internal/policy/straggler/straggler.go
+++ b/internal/policy/straggler/straggler.go
@@ -17,6 +17,8 @@
 	Probe(target int, now time.Duration) bool
 	// Probed enters that the target got a request as a probe.
 	Probed(target int, now time.Duration)
+	// Granted enters that a request got a permit on any target.
+	Granted()
 	// Reset forgets a target, after a restart.
 	Reset(target int)
 }
@@ -39,6 +41,9 @@
 // Probed implements Detector.
 func (Off) Probed(int, time.Duration) {}
 
+// Granted implements Detector.
+func (Off) Granted() {}
+
 // Reset implements Detector.
 func (Off) Reset(int) {}
 
@@ -55,8 +60,13 @@
 	normalRatio = 1.4
 	// minimumTargets is the number of observed targets that a median needs.
 	minimumTargets = 3
-	// probeInterval is the time between two probes of a slow target.
+	// probeInterval is the least time between two probes of a slow target.
 	probeInterval = time.Second
+	// probeGrants is the least number of requests between two probes. With one
+	// probe a second, probes alone were 3% of 30 requests/s and set the p99.
+	probeGrants = 300
+	// probeLongest is the time after which a target is probed in any case.
+	probeLongest = 10 * time.Second
 )
 
 type targetRow struct {
@@ -65,12 +75,16 @@
 	slow     bool
 	probedAt time.Duration
 	probed   bool
+	grantsAt int     // grants at the last probe
+	median   float64 // of the other targets at the last update
+	fine     bool    // the last observation was normal, although the target counts as slow
 }
 
 // Median compares each target with the median of the others.
 type Median struct {
 	rows    []targetRow
 	changed bool
+	grants  int
 	sorted  []float64 // ratios of the observed targets
 }
 
@@ -92,6 +106,7 @@
 	w := weight
 	if r.slow {
 		w = recoveryWeight
+		r.fine = ratio < normalRatio*r.median
 	}
 	r.ratio += w * (ratio - r.ratio)
 }
@@ -114,8 +129,11 @@
 		}
 		median := m.medianWithout(r.ratio)
 		slow := r.ratio > slowRatio*median || (r.slow && r.ratio > normalRatio*median)
-		flipped = flipped || slow != r.slow
-		r.slow = slow
+		r.median = median
+		if slow != r.slow {
+			flipped = true
+			r.slow, r.fine, r.probed, r.grantsAt = slow, false, false, m.grants
+		}
 	}
 	return flipped
 }
@@ -142,16 +160,28 @@
 // Slow implements Detector.
 func (m *Median) Slow(target int) bool { return m.row(target).slow }
 
-// Probe implements Detector.
+// Probe implements Detector. After a normal answer further probes follow at
+// once, so that the target returns quickly.
 func (m *Median) Probe(target int, now time.Duration) bool {
 	r := m.row(target)
-	return !r.probed || now-r.probedAt >= probeInterval
+	if r.fine {
+		return true
+	}
+	if !r.probed {
+		r.probed, r.probedAt = true, now
+		return false
+	}
+	since := now - r.probedAt
+	return since >= probeLongest || (since >= probeInterval && m.grants-r.grantsAt >= probeGrants)
 }
 
+// Granted implements Detector.
+func (m *Median) Granted() { m.grants++ }
+
 // Probed implements Detector.
 func (m *Median) Probed(target int, now time.Duration) {
 	r := m.row(target)
-	r.probed, r.probedAt = true, now
+	r.probed, r.probedAt, r.grantsAt = true, now, m.grants
 }
 
 // Reset implements Detector.
