--- /dev/null
+++ b/internal/replay/figures.go
@@ -0,0 +1,225 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cicadaslip/internal/model"
+)
+
+// Names of the measures in reports and in files of expected outcomes. Shares
+// and ratios have no unit, times are in seconds.
+const (
+	StallShare       = "stall_share"        // of the measured runner requests, waited for a load
+	StallMean        = "stall_mean_s"       // mean wait for a load of those
+	StallP99         = "stall_p99_s"        // of those
+	BatchEfficiency  = "batch_efficiency"   // tokens per step used against possible
+	LoadsStarted     = "loads_started"      // in the whole run
+	AnsweredShare    = "answered_share"     // whole and in time, of the measured requests
+	PeakRatio        = "peak_worth_ratio"   // worth answered whole and in time against the bound
+	PeakOffered      = "peak_offered_ratio" // worth offered against the bound
+	WaitP50          = "short_wait_p50_s"   // arrival to the start on the target
+	WaitP99          = "short_wait_p99_s"   //
+	WaitP50NoLong    = "short_wait_p50_no_long_s"
+	WaitP99NoLong    = "short_wait_p99_no_long_s"
+	WaitP99Ratio     = "short_wait_p99_ratio"
+	LatencyP99       = "latency_p99_s"  // of short requests, arrival to whole answer at the caller
+	LatencyP999      = "latency_p999_s" //
+	LatencyP99Slow   = "latency_p99_straggler_s"
+	LatencyP999Slow  = "latency_p999_straggler_s"
+	LatencyP99Ratio  = "latency_p99_ratio"
+	LatencyP999Ratio = "latency_p999_ratio"
+	AnsweredSlow     = "answered_share_straggler"
+	ShareDeviation   = "share_deviation" // largest below the share over 10 s, of the share
+	ShareWindows     = "share_windows"   // windows in which an organisation demanded its share
+	Hedges           = "hedges"          // started, with stragglers
+	Violations       = "violations"      // of the invariants in all runs
+	EveryRequest     = "requests"        // arrivals in the whole trace
+)
+
+// Histograms hold times from 1 us to 10 min with three digits.
+const (
+	histogramHighest = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramHighest, histogramDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(1, d.Microseconds()), histogramHighest))
+}
+
+func quantile(h *hdrhistogram.Histogram, percent float64) float64 {
+	return (time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond).Seconds()
+}
+
+// Figures are the measures of one policy on one trace.
+type Figures map[string]float64
+
+// summary is what the measures need of one run.
+type summary struct {
+	wait, latency, stall *hdrhistogram.Histogram
+	runner, stalled      int
+	measured, answered   int
+	stallTime            time.Duration
+	peakWorth            float64
+	peakOffered          float64
+	steps                stepCounts
+}
+
+// inTime reports whether the caller got its whole answer by the deadline, which
+// is counted at the entry VM.
+func (r *request) inTime(d *Deployment) bool {
+	return r.ok && r.answeredAt-d.ClientDelay <= r.at+r.arrival.Deadline
+}
+
+func summarise(w *world) *summary {
+	s := &summary{wait: newHistogram(), latency: newHistogram(), stall: newHistogram()}
+	peaks := peaksOf(w.trace)
+	for _, r := range w.requests {
+		if r.at < w.trace.Header.MeasureFrom {
+			continue
+		}
+		s.measured++
+		inTime := r.inTime(w.deployment)
+		if inTime {
+			s.answered++
+		}
+		if peakOf(peaks, r.at) >= 0 {
+			s.peakOffered += r.arrival.Worth
+			if inTime {
+				s.peakWorth += r.arrival.Worth
+			}
+		}
+		s.runnerRequest(r, w.deployment)
+	}
+	for _, t := range w.order {
+		s.steps.tokens += t.steps.tokens
+		s.steps.possible += t.steps.possible
+	}
+	return s
+}
+
+func (s *summary) runnerRequest(r *request, d *Deployment) {
+	if r.arrival.Class != model.ClassRunner {
+		return
+	}
+	s.runner++
+	if r.stalled {
+		s.stalled++
+		s.stallTime += r.stall
+		record(s.stall, r.stall)
+	}
+	if r.ok && !r.arrival.Long {
+		record(s.wait, r.wait)
+		record(s.latency, r.answeredAt+d.ClientDelay-r.at)
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// measureRun returns the measures of one run.
+func measureRun(w *world, bound float64) Figures {
+	s := summarise(w)
+	deviation, windows := shareDeviation(w)
+	violations := 0
+	for _, n := range w.checker.counts {
+		violations += n
+	}
+	return Figures{
+		StallShare: ratio(float64(s.stalled), float64(s.runner)), StallP99: quantile(s.stall, 99),
+		StallMean:       ratio(s.stallTime.Seconds(), float64(s.stalled)),
+		BatchEfficiency: ratio(float64(s.steps.tokens), float64(s.steps.possible)),
+		LoadsStarted:    float64(w.loads.started),
+		AnsweredShare:   ratio(float64(s.answered), float64(s.measured)),
+		PeakRatio:       ratio(s.peakWorth, bound), PeakOffered: ratio(s.peakOffered, bound),
+		WaitP50: quantile(s.wait, 50), WaitP99: quantile(s.wait, 99),
+		LatencyP99: quantile(s.latency, 99), LatencyP999: quantile(s.latency, 99.9),
+		ShareDeviation: deviation, ShareWindows: float64(windows),
+		Violations: float64(violations), EveryRequest: float64(len(w.requests)),
+	}
+}
+
+// Windows of measure 5.
+const (
+	shareWindow = 10 // seconds
+	demandSpan  = 2  // seconds: in each such part of the window the demand must reach the share
+)
+
+// shareDeviation returns by how much of its share an organisation fell short at
+// most over any window of 10 s in which it demanded at least its share, and the
+// number of such windows. Demand is the least engine time of the arriving
+// requests, in each 2 s of the window at least the share of all runners' time.
+// What was received is compared with the share of what the runners gave in the
+// window to all, in the same unit.
+func shareDeviation(w *world) (worst float64, windows int) {
+	demand := demandPerSecond(w)
+	runners := 0.0
+	for _, t := range w.order {
+		if t.info.Class == model.ClassRunner {
+			runners++
+		}
+	}
+	total := 0.0
+	for _, share := range w.deployment.Shares {
+		total += share
+	}
+	first, last := int(w.trace.Header.MeasureFrom/time.Second), int(w.trace.end()/time.Second)
+	for from := first; from+shareWindow <= last; from++ {
+		var given time.Duration
+		for org := range w.deployment.Shares {
+			given += sumOf(w.work[org], from, shareWindow)
+		}
+		for org, share := range w.deployment.Shares {
+			part := share / total
+			if !demands(demand[org], from, part*runners) {
+				continue
+			}
+			windows++
+			received := sumOf(w.work[org], from, shareWindow).Seconds()
+			worst = max(worst, 1-ratio(received, part*given.Seconds()))
+		}
+	}
+	return worst, windows
+}
+
+func demandPerSecond(w *world) map[string][]time.Duration {
+	demand := map[string][]time.Duration{}
+	for _, r := range w.requests {
+		if r.arrival.Class != model.ClassRunner {
+			continue
+		}
+		row := demand[r.arrival.Organisation]
+		for len(row) <= int(r.at/time.Second) {
+			row = append(row, 0)
+		}
+		row[int(r.at/time.Second)] += leastWork(w.deployment, r.arrival)
+		demand[r.arrival.Organisation] = row
+	}
+	return demand
+}
+
+func demands(row []time.Duration, from int, perSecond float64) bool {
+	for at := from; at < from+shareWindow; at += demandSpan {
+		if sumOf(row, at, demandSpan).Seconds() < perSecond*demandSpan {
+			return false
+		}
+	}
+	return true
+}
+
+func sumOf(row []time.Duration, from, length int) time.Duration {
+	var sum time.Duration
+	for i := from; i < min(from+length, len(row)); i++ {
+		sum += row[i]
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/replay/policies.go
@@ -0,0 +1,6 @@
+package replay
+
+import "cicadaslip/internal/core"
+
+// productPolicies returns the policies that the daemon uses.
+func productPolicies() core.Policies { return core.Policies{} }
