--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,7 @@
 
 ci:
 	bash .ci/run
+
+# Prints the measures of both deployments for seeds 1 to 5; equal commits give equal figures.
+measure:
+	go run ./cmd/cicadaslip replay --synthetic baltzips --synthetic jegue
--- a/internal/replay/deployments.go
+++ b/internal/replay/deployments.go
@@ -95,7 +95,7 @@
 			LocalDelay: 500 * time.Microsecond, RegionDelay: 12 * time.Millisecond, ClientDelay: time.Millisecond,
 			ServiceTime: serviceTime, Engine: syntheticRule,
 		},
-		quietLoad: 0.25, crestLoad: 1.6,
+		quietLoad: 0.25, crestLoad: 2.0,
 		kinds: []syntheticKind{
 			{name: "quote", weight: 0.64, prompt: [2]int{150, 700}, output: [2]int{30, 110}, deadline: 5 * time.Second, worth: 3, repeatable: true},
 			{name: "lookup-note", weight: 0.20, prompt: [2]int{100, 400}, output: [2]int{20, 60}, deadline: 8 * time.Second, worth: 1, repeatable: true},
@@ -115,7 +115,7 @@
 			LocalDelay: 1500 * time.Microsecond, RegionDelay: 12 * time.Millisecond, ClientDelay: 3 * time.Millisecond,
 			ServiceTime: serviceTime, Engine: syntheticRule,
 		},
-		quietLoad: 0.25, crestLoad: 1.6,
+		quietLoad: 0.25, crestLoad: 2.0,
 		kinds: []syntheticKind{
 			{name: "trail-question", weight: 0.50, prompt: [2]int{100, 600}, output: [2]int{40, 120}, deadline: 5 * time.Second, worth: 2, repeatable: true},
 			{name: "ride-summary", weight: 0.30, prompt: [2]int{200, 900}, output: [2]int{20, 80}, deadline: 8 * time.Second, worth: 1, repeatable: true},
--- a/internal/replay/generator.go
+++ b/internal/replay/generator.go
@@ -17,10 +17,10 @@
 	zipfExponent  = 2.2
 	zipfOffset    = 4.0 // flattens the head: the first adapter draws about a quarter
 	warmUp        = 40 * time.Second
-	measuredTime  = 240 * time.Second
+	measuredTime  = 300 * time.Second
 	shortestCrest = 10 * time.Second
 	longestCrest  = 30 * time.Second
-	crestPause    = 70 * time.Second // mean time between crests
+	crestPause    = 90 * time.Second // mean time between crests
 	shiftInterval = 20 * time.Second // between changes of popularity
 	shiftSwaps    = 3                // ranks that change places at a shift
 	shiftHead     = 30               // of this many most popular ranks
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -86,30 +86,47 @@
 // MaxWorkers bounds the runs at the same time.
 const MaxWorkers = 6
 
+// task is one trace with one seed of the runs.
+type task struct {
+	trace func() (*Trace, *errs.Error)
+	seed  uint64
+}
+
 // MeasureSynthetic compares the variants on generated traces of the deployments,
 // several seeds at the same time. The order of the results and the figures do
-// not depend on the number of workers.
+// not depend on the number of workers. Error codes: invalid_request for an
+// unknown deployment, cancelled when ctx ends.
 func MeasureSynthetic(ctx context.Context, deployments []string, seeds []uint64, workers int) ([]*Compared, error) {
-	type task struct {
-		deployment string
-		seed       uint64
-	}
 	var tasks []task
 	for _, d := range deployments {
 		if _, err := profileOf(d); err != nil {
 			return nil, err
 		}
 		for _, s := range seeds {
-			tasks = append(tasks, task{d, s})
+			tasks = append(tasks, task{trace: func() (*Trace, *errs.Error) { return Generate(d, s) }, seed: s})
 		}
 	}
+	return compareAll(ctx, tasks, workers)
+}
+
+// MeasureTrace compares the variants on one trace with several seeds. Error
+// code: cancelled when ctx ends.
+func MeasureTrace(ctx context.Context, trace *Trace, seeds []uint64, workers int) ([]*Compared, error) {
+	var tasks []task
+	for _, s := range seeds {
+		tasks = append(tasks, task{trace: func() (*Trace, *errs.Error) { return trace, nil }, seed: s})
+	}
+	return compareAll(ctx, tasks, workers)
+}
+
+func compareAll(ctx context.Context, tasks []task, workers int) ([]*Compared, error) {
 	results := make([]*Compared, len(tasks))
 	next := make(chan int)
 	var running sync.WaitGroup
 	for range min(max(1, workers), MaxWorkers) {
 		running.Go(func() {
 			for i := range next {
-				if trace, err := Generate(tasks[i].deployment, tasks[i].seed); err == nil {
+				if trace, err := tasks[i].trace(); err == nil {
 					results[i] = Compare(trace, tasks[i].seed)
 				}
 			}
@@ -123,7 +140,7 @@
 	}
 	close(next)
 	running.Wait()
-	if ctx.Err() != nil || slices.Contains(results, nil) {
+	if slices.Contains(results, nil) {
 		return nil, errs.New(errs.Cancelled, "the measurement was stopped")
 	}
 	return results, nil
