--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -12,8 +12,8 @@
 // is, never its validity.
 const (
 	boundSlot       = 500 * time.Millisecond
-	boundIterations = 400
-	boundStep       = 0.5
+	boundIterations = 800
+	boundStep       = 0.1
 )
 
 // loadBoundDeadline is the longest deadline of the requests whose adapters the
--- a/internal/replay/frontend.go
+++ b/internal/replay/frontend.go
@@ -27,6 +27,7 @@
 	attempts []*attempt
 	exclude  []string
 	active   int
+	lost     bool // an attempt ran on a target that restarted
 
 	answeredAt time.Duration // at the caller, 0 before
 	ok         bool          // whole answer
@@ -184,9 +185,13 @@
 // giveUp ends an attempt that got no permit.
 func (w *world) giveUp(a *attempt, err *errs.Error) {
 	w.end(a)
-	if a.request.active == 0 && a.request.answeredAt == 0 {
-		w.answer(a.request, false, err)
+	if a.request.active > 0 || a.request.answeredAt != 0 {
+		return
+	}
+	if a.request.lost {
+		err = err.WithRan(errs.RanUnknown) // an earlier attempt ran
 	}
+	w.answer(a.request, false, err)
 }
 
 func (w *world) end(a *attempt) {
@@ -299,13 +304,18 @@
 		w.release(a, core.PermitReleased{Outcome: outcome})
 		r := a.request
 		r.exclude = append(r.exclude, t.info.Name)
+		r.lost = r.lost || outcome == core.OutcomeFailed
+		ran := errs.RanNo
+		if r.lost {
+			ran = errs.RanUnknown
+		}
 		mayRepeat := outcome == core.OutcomeNotSent || w.repeatable(r.arrival)
 		switch {
 		case r.answeredAt != 0 || r.active > 0:
 		case mayRepeat && len(r.attempts) < maxAttempts && w.now < r.at+r.arrival.Deadline:
 			w.begin(r)
 		default:
-			w.answer(r, false, errs.New(errs.TargetUnavailable, "the target restarted").WithRan(errs.RanUnknown))
+			w.answer(r, false, errs.New(errs.TargetUnavailable, "the target restarted").WithRan(ran))
 		}
 	})
 }
--- a/internal/replay/generator.go
+++ b/internal/replay/generator.go
@@ -164,11 +164,17 @@
 )
 
 // withStragglers returns the trace with one target in nine slow at any time of
-// the measured part, each for a spell, and with lagging load reports.
+// the measured part, each for a spell, and with lagging load reports. Only
+// runners are made slow: a slow plain service would not show in the latencies.
 func (t *Trace) withStragglers(seed uint64) *Trace {
 	rng := rand.New(rand.NewPCG(seed, stragglerPart))
-	targets := t.Header.Deployment.Targets
-	count := max(1, len(targets)/stragglerPart)
+	var targets []model.Target
+	for _, target := range t.Header.Deployment.Targets {
+		if target.Class == model.ClassRunner {
+			targets = append(targets, target)
+		}
+	}
+	count := min(len(targets), max(1, len(t.Header.Deployment.Targets)/stragglerPart))
 	var events []Record
 	for at := t.Header.MeasureFrom; at < t.end(); at += stragglerSpell {
 		for _, i := range rng.Perm(len(targets))[:count] {
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -73,6 +73,8 @@
 	f[WaitP50NoLong], f[WaitP99NoLong] = quantile(s.wait, 50), quantile(s.wait, 99)
 	f[WaitP99Ratio] = ratio(f[WaitP99], f[WaitP99NoLong])
 	f[HotWaitP99NoLong] = quantile(s.hotWait, 99)
+	f[QuietWaitP99NoLong] = quantile(s.quietWait, 99)
+	f[QuietWaitP99Ratio] = ratio(f[QuietWaitP99], f[QuietWaitP99NoLong])
 	f[HotWaitP99Ratio] = ratio(f[HotWaitP99], f[HotWaitP99NoLong])
 }
 
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -31,6 +31,8 @@
 	Goal    string  `json:"goal"`
 	Median  float64 `json:"median"`
 	Worst   float64 `json:"worst"`
+	// Measured is false if the trace shows nothing of the goal.
+	Measured bool `json:"measured"`
 	// Met says whether the worst seed meets the goal, MetMedian the median.
 	Met       bool `json:"met"`
 	MetMedian bool `json:"met_median"`
@@ -82,13 +84,16 @@
 	for _, c := range r.Results {
 		stalls = append(stalls, ratio(c.Figures[VariantPolicy][StallShare], c.Figures[VariantBaseline][StallShare]))
 	}
+	shares := goal("deviation below the share over 10 s", r.Spreads[VariantPolicy][ShareDeviation], goalShare, false)
+	shares.Measured = r.Spreads[VariantPolicy][ShareWindows].Median > 0
 	r.Goals = []Goal{
 		goal("load stalls against the baseline", spread(stalls, false), goalStalls, false),
 		goal("worth at peak demand against the bound", r.Spreads[VariantPolicy][PeakRatio], goalPeak, true),
 		goal("p99 wait of short requests with long jobs", r.Spreads[VariantPolicy][WaitP99Ratio], goalWait, false),
 		goal("the same of those that need no load", r.Spreads[VariantPolicy][HotWaitP99Ratio], goalWait, false),
+		goal("the same outside of peaks", r.Spreads[VariantPolicy][QuietWaitP99Ratio], goalWait, false),
 		goal("p99 latency with stragglers", r.Spreads[VariantPolicy][LatencyP99Ratio], goalLatency, false),
-		goal("deviation below the share over 10 s", r.Spreads[VariantPolicy][ShareDeviation], goalShare, false),
+		shares,
 	}
 }
 
@@ -111,7 +116,7 @@
 }
 
 func goal(measure string, s Spread, limit float64, higher bool) Goal {
-	g := Goal{Measure: measure, Median: s.Median, Worst: s.Worst}
+	g := Goal{Measure: measure, Median: s.Median, Worst: s.Worst, Measured: s.Worst > 0}
 	if higher {
 		g.Goal = fmt.Sprintf("at least %.2f", limit)
 		g.Met, g.MetMedian = s.Worst >= limit, s.Median >= limit
@@ -127,6 +132,7 @@
 	StallShare, StallMean, StallP99, LoadsStarted, BatchEfficiency,
 	PeakRatio, PeakOffered, AnsweredShare,
 	WaitP50, WaitP99, WaitP50NoLong, WaitP99NoLong, WaitP99Ratio, HotWaitP99, HotWaitP99NoLong, HotWaitP99Ratio,
+	QuietWaitP99, QuietWaitP99NoLong, QuietWaitP99Ratio,
 	LatencyP99, LatencyP999, LatencyP99Slow, LatencyP999Slow, LatencyP99Ratio, LatencyP999Ratio, AnsweredSlow, Hedges,
 	ShareDeviation, ShareWindows, Violations, EveryRequest,
 }
@@ -161,7 +167,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "goal\tlimit\tmedian\tworst\tmedian meets it\tevery seed meets it")
 	for _, g := range r.Goals {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%.4g\t%.4g\t%s\t%s\n", g.Measure, g.Goal, g.Median, g.Worst, yes(g.MetMedian), yes(g.Met))
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.4g\t%.4g\t%s\t%s\n", g.Measure, g.Goal, g.Median, g.Worst, g.verdict(g.MetMedian), g.verdict(g.Met))
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -188,8 +194,11 @@
 	return strings.Join(found, "; ")
 }
 
-func yes(met bool) string {
-	if met {
+func (g Goal) verdict(met bool) string {
+	switch {
+	case !g.Measured:
+		return "not measured"
+	case met:
 		return "yes"
 	}
 	return "no"
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -53,6 +53,16 @@
 
 // run replays a trace. It uses no clock and no goroutine.
 func run(trace *Trace, options Options) *world {
+	w := newWorld(trace, options)
+	w.after(0, w.tell)
+	w.after(reportInterval, w.report)
+	w.feed(0)
+	w.timeline.run(trace.end() + drainTime)
+	w.checker.finish()
+	return w
+}
+
+func newWorld(trace *Trace, options Options) *world {
 	w := &world{
 		trace: trace, deployment: &trace.Header.Deployment, options: options,
 		targets: map[string]*target{}, listed: map[string]model.Target{}, groups: map[string]*groupSim{},
@@ -66,11 +76,6 @@
 		coordinator: loadcoord.New(loadcoord.Params{LoadsPerSecond: rate, Burst: loadBurst}),
 	}
 	w.build()
-	w.after(0, w.tell)
-	w.after(reportInterval, w.report)
-	w.feed(0)
-	w.timeline.run(trace.end() + drainTime)
-	w.checker.finish()
 	return w
 }
 
