--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -37,9 +37,9 @@
 //     steps of a runner do not overlap, so capacity_t is the slot's length times
 //     the number of runners; slow spells, restarts and waits only reduce it.
 //   - an adapter that serves a request of a peak was in a slot at the start of
-//     the peak (at most all slots of all runners, where a load takes its slot
-//     from its start) or its load started by the last deadline (at most the
-//     burst plus the rate times that time).
+//     the peak (at most all slots of all runners, because a load takes its slot
+//     from the order on) or the store started its load by the last deadline (at
+//     most the burst plus the rate times that time).
 //   - all other work, delays, batch limits and where an adapter is are ignored;
 //     calls of plain services count as answered.
 //
--- a/internal/replay/checker.go
+++ b/internal/replay/checker.go
@@ -101,13 +101,8 @@
 	}
 }
 
-// loadFailed is called when a load ended without the adapter; full says that
-// the target had no free slot.
-func (c *checker) loadFailed(t *target, full bool) {
-	if full {
-		c.violate(InvariantSlots, t.info.Name)
-	}
-}
+// noSlot is called when a load order reaches a target without a free slot.
+func (c *checker) noSlot(t *target) { c.violate(InvariantSlots, t.info.Name) }
 
 // answered is called when a caller gets its answer or its error.
 func (c *checker) answered(r *request, err *errs.Error) {
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -29,6 +29,7 @@
 	region      string
 	instance    int
 	restartedAt time.Duration
+	arriving    int // loads under way
 	resident    map[model.AdapterVersion]bool
 	running     []*job
 	waiting     []*job
@@ -213,6 +214,7 @@
 	t.instance++
 	t.restartedAt = t.w.now
 	t.stepping = false
+	t.arriving = 0
 	clear(t.resident)
 	t.cache = prefixCache{}
 	lost := append(append([]*job(nil), t.running...), t.waiting...)
--- a/internal/replay/groups.go
+++ b/internal/replay/groups.go
@@ -6,7 +6,6 @@
 
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/group"
-	"cicadaslip/internal/loadcoord"
 	"cicadaslip/internal/model"
 )
 
@@ -151,61 +150,6 @@
 	return all
 }
 
-// loads is the load coordinator with the weights store's counters. The plain
-// baseline asks for all loads with the same worth and a far deadline, which
-// makes the coordinator start them in the order of asking.
-type loads struct {
-	w           *world
-	coordinator *loadcoord.Coordinator
-	asks        map[loadcoord.Key]*groupSim
-	timers      uint64
-	inTransit   int
-	started     int
-	rate        float64
-}
-
-// baselineDue is later than the end of every trace.
-const baselineDue = 48 * time.Hour
-
-func (l *loads) ask(g *groupSim, c core.AskLoadPermit) {
-	ask := loadcoord.Ask{Key: loadcoord.Key{Group: g.info.Name, Adapter: c.Adapter}, Worth: c.Worth, Due: c.Due}
-	if l.w.options.Baseline {
-		ask.Worth, ask.Due = 1, baselineDue
-	}
-	l.w.after(l.w.deployment.LocalDelay, func() {
-		l.asks[ask.Key] = g
-		l.coordinator.Add(l.w.now, ask)
-		l.tick()
-	})
-}
-
-func (l *loads) cancel(g *groupSim, adapter model.AdapterVersion) {
-	key := loadcoord.Key{Group: g.info.Name, Adapter: adapter}
-	l.w.after(l.w.deployment.LocalDelay, func() { l.coordinator.Remove(key) })
-}
-
-func (l *loads) setRate(rate float64) {
-	l.rate = rate
-	l.coordinator.SetRate(l.w.now, loadcoord.Params{LoadsPerSecond: rate, Burst: loadBurst})
-	l.tick()
-}
-
-func (l *loads) tick() {
-	for _, key := range l.coordinator.Tick(l.w.now) {
-		g := l.asks[key]
-		l.w.after(l.w.deployment.LocalDelay, func() { g.apply(core.LoadPermitted{Adapter: key.Adapter}) })
-	}
-	l.timers++
-	number := l.timers
-	if next, ok := l.coordinator.NextTick(l.w.now); ok {
-		l.w.after(max(next-l.w.now, time.Microsecond), func() {
-			if l.timers == number {
-				l.tick()
-			}
-		})
-	}
-}
-
 func sortedAdapters(set map[model.AdapterVersion]bool) []model.AdapterVersion {
 	out := make([]model.AdapterVersion, 0, len(set))
 	for adapter := range set {
--- a/internal/replay/orders.go
+++ b/internal/replay/orders.go
@@ -32,29 +32,47 @@
 }
 
 // load takes loadTime while at most fullSpeedLoads are in transit in the whole
-// deployment, and proportionally longer beyond.
+// deployment, and proportionally longer beyond. It starts when the weights
+// store's rate allows it. Its slot is taken from the order on.
 func (t *target) load(intent core.Intent, done func(core.Event)) {
-	t.w.loads.inTransit++
-	t.w.loads.started++
-	took := loadTime * time.Duration(max(t.w.loads.inTransit, fullSpeedLoads)) / fullSpeedLoads
-	instance := t.instance
-	fails := t.failLoads > 0
-	if fails {
-		t.failLoads--
+	failed := core.OrderFailed{ID: intent.ID, Err: errs.New(errs.AdapterLoadFailed, "the load failed")}
+	if len(t.resident)+t.arriving >= t.info.Slots {
+		t.w.checker.noSlot(t)
+		done(failed)
+		return
 	}
-	t.w.after(took, func() {
-		t.w.loads.inTransit--
-		if fails || t.instance != instance || len(t.resident) >= t.info.Slots {
-			t.w.checker.loadFailed(t, !fails && t.instance == instance)
-			done(core.OrderFailed{ID: intent.ID, Err: errs.New(errs.AdapterLoadFailed, "the load failed")})
-			return
-		}
-		t.resident[intent.Adapter] = true
-		t.w.loaded(t, intent.Adapter)
-		done(core.OrderDone{ID: intent.ID})
+	t.arriving++
+	instance := t.instance
+	t.w.after(t.w.loads.next()-t.w.now, func() {
+		t.w.loads.inTransit++
+		t.w.loads.started++
+		took := loadTime * time.Duration(max(t.w.loads.inTransit, fullSpeedLoads)) / fullSpeedLoads
+		t.w.after(took, func() {
+			t.w.loads.inTransit--
+			if t.instance != instance || t.fails() {
+				if t.instance == instance {
+					t.arriving--
+				}
+				done(failed)
+				return
+			}
+			t.arriving--
+			t.resident[intent.Adapter] = true
+			t.w.loaded(t, intent.Adapter)
+			done(core.OrderDone{ID: intent.ID})
+		})
 	})
 }
 
+// fails reports whether the fault of the trace lets a load fail.
+func (t *target) fails() bool {
+	if t.failLoads == 0 {
+		return false
+	}
+	t.failLoads--
+	return true
+}
+
 // state returns the target's own statement.
 func (t *target) state(askedAt time.Duration) core.TargetState {
 	s := core.TargetState{
--- a/internal/replay/run_test.go
+++ b/internal/replay/run_test.go
@@ -122,7 +122,6 @@
 				t.resident[model.AdapterVersion{Adapter: string(rune('k' + i))}] = true
 			}
 			t.execute(core.Intent{Kind: core.IntentLoad, Adapter: a.adapter()}, func(core.Event) {})
-			w.timeline.run(w.now + 2*loadTime)
 		},
 	}
 	trace := testTrace(t, "peak")
