Fix leaked permits and exclusion of restarted targets

(1) A caller that gave up a wait after the grant released the permit without naming the target, so the core did not find it and the adapter stayed pinned. The owner remembers the target of each granted permit. (2) A target that restarted empty refuses a request as not resident; the front end excluded it for the rest of the request, and where it was the group's only target the request waited until its deadline. It is not excluded any more, the owner is told, and groups without an allowed target are not asked.

--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -104,6 +104,10 @@
 	FirstToken time.Duration // from dispatch to first token, 0 if none
 	TokenGap   time.Duration // mean time between tokens, 0 if unknown
 
+	// NotResident says that the target refused the request because it does not
+	// have the adapter.
+	NotResident bool
+
 	// Organisation and Kind are those of the permit, for an owner that does
 	// not know the permit yet.
 	Organisation string
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -159,6 +159,11 @@
 	c.record(p, e)
 	c.learn(now, p, e)
 	c.correct(p, e)
+	if e.NotResident && p.slot != nil && p.slot.state == slotResident {
+		// The target restarted; its next statement shows what it has.
+		c.setSlot(now, p.slot, slotAbsent)
+		p.target.wantState = true
+	}
 	if e.Outcome == OutcomeDone || e.Outcome == OutcomeNotSent {
 		c.endPermit(now, p)
 		return
--- a/internal/frontend/attempt.go
+++ b/internal/frontend/attempt.go
@@ -96,7 +96,8 @@
 		s.event(timeline.AnswerDiscarded, permit, asked.Organisation, e.Message)
 	}
 	if !result.Sent || e.Ran == errs.RanNo {
-		s.finish(permit, asked, core.PermitReleased{Outcome: core.OutcomeNotSent})
+		notResident := e.Code == errs.AdapterNotResident
+		s.finish(permit, asked, core.PermitReleased{Outcome: core.OutcomeNotSent, NotResident: notResident})
 		return
 	}
 	release.Outcome = core.OutcomeFailed
--- a/internal/frontend/infer.go
+++ b/internal/frontend/infer.go
@@ -76,8 +76,10 @@
 // failed notes what is known of a failed attempt.
 func (r *race) failed(result attemptResult) {
 	if result.target != "" {
-		r.exclude = append(r.exclude, result.target)
 		r.cause = result.err
+		if result.err.Code != errs.AdapterNotResident { // the target works, it only restarted
+			r.exclude = append(r.exclude, result.target)
+		}
 	}
 	r.ran = strongestRan(r.ran, result.err.Ran)
 	r.s.log.Debug().Str("request", string(result.attempt.id)).Str("organisation", r.job.org).Str("target", result.target).
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -52,6 +52,7 @@
 	case core.HedgeRequest:
 		go r.hedge(c)
 	case core.RecordGiven:
+		r.ended(c.ID)
 		r.ports.Accounts.RecordGiven(c)
 	}
 }
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -38,6 +38,7 @@
 	views     chan chan core.View
 	stopped   bool
 	waiters   map[model.RequestID]chan rpcapi.AcquireReply
+	granted   map[model.RequestID]string // targets of permits that have not ended
 	cancelled *recentIDs
 	asking    map[model.Holder]bool // epoch confirmations in flight
 	targets   map[string]model.Target
@@ -70,6 +71,7 @@
 		wake:    make(chan struct{}, 1),
 		views:   make(chan chan core.View),
 		waiters: map[model.RequestID]chan rpcapi.AcquireReply{}, targets: map[string]model.Target{},
+		granted:   map[model.RequestID]string{},
 		cancelled: newRecentIDs(rememberedIDs), asking: map[model.Holder]bool{},
 		resident: newResidentSet(),
 	}
@@ -208,9 +210,12 @@
 		waiter <- rpcapi.AcquireReply{Err: errs.NotRun(errs.Cancelled, "the caller stopped waiting")}
 		delete(r.waiters, id)
 	}
+	target, granted := r.granted[id]
 	r.mu.Unlock()
 	r.post(core.RequestCancelled{ID: id})
-	r.post(core.PermitReleased{ID: id, Outcome: core.OutcomeNotSent})
+	if granted {
+		r.post(core.PermitReleased{ID: id, Target: target, Outcome: core.OutcomeNotSent})
+	}
 }
 
 func (r *runtime) answer(id model.RequestID, reply rpcapi.AcquireReply) bool {
@@ -222,10 +227,20 @@
 	}
 	delete(r.waiters, id)
 	r.grants.add(r.now())
+	if reply.Err == nil {
+		r.granted[id] = reply.Permit.Target.Name
+	}
 	waiter <- reply
 	return true
 }
 
+// ended forgets a permit that has ended.
+func (r *runtime) ended(id model.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.granted, id)
+}
+
 // digest summarises the group for routing.
 func (r *runtime) digest() rpcapi.GroupDigest {
 	r.mu.Lock()
--- a/internal/permit/table.go
+++ b/internal/permit/table.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -109,7 +110,7 @@
 	defer t.mu.RUnlock()
 	var candidates []routing.Candidate
 	for name, known := range t.groups {
-		if !serves(known.group, request) {
+		if !serves(known.group, request) || !hasTarget(known.group, request.Exclude) {
 			continue
 		}
 		_, resident := known.resident[request.Adapter]
@@ -121,6 +122,16 @@
 	return candidates
 }
 
+// hasTarget reports whether the group has a target that may be used.
+func hasTarget(g group.Group, exclude []string) bool {
+	for _, target := range g.Targets {
+		if !target.Leaving && !slices.Contains(exclude, target.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 func serves(g group.Group, request core.Request) bool {
 	if g.Class != request.Class {
 		return false
