--- a/internal/core/world_effects_test.go
+++ b/internal/core/world_effects_test.go
@@ -184,8 +184,8 @@
 	t.running[h.request.ID] = h.request.Adapter
 }
 
-// release ends a held permit. The release goes to the newest owner, or is
-// queued at an older one that the VM still believes in.
+// release ends a held permit. The release goes to the owners that the VM knows
+// of, and sometimes also to newer ones whose epoch it has not confirmed yet.
 func (w *world) release(vm *worldVM, h *heldPermit, outcome core.Outcome) {
 	for i, other := range vm.held {
 		if other == h {
@@ -194,8 +194,12 @@
 		}
 	}
 	event := core.PermitReleased{ID: h.request.ID, Target: h.permit.Target.Name, Outcome: outcome}
+	known := max(vm.epoch, h.permit.Epoch)
+	if w.chance("release to newer owners", 50) {
+		known = w.epoch
+	}
 	for _, o := range w.owners {
-		if o.epoch >= h.permit.Epoch && !o.stopped {
+		if o.epoch >= h.permit.Epoch && o.epoch <= known && !o.stopped {
 			o.inbox = append(o.inbox, event)
 		}
 	}
