core: Order load needs by score and displace load requests sparingly

A tick with a full queue of 4,096 requests for 1,000 adapters that wait for loads: see BenchmarkTickBacklog. Load permits are asked for again when the waiting worth has doubled.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -101,3 +101,21 @@
 		}
 	})
 }
+
+// BenchmarkTickBacklog measures a tick while a full queue waits for loads.
+func BenchmarkTickBacklog(b *testing.B) {
+	forSizes(b, func(b *testing.B, targets, adapters int) {
+		c, now := benchCore(targets, adapters)
+		for n := range core.DefaultQueueBound {
+			r := request(fmt.Sprintf("r%d", n), benchAdapter(targets*benchSlots+n%1000))
+			r.Deadline = time.Hour
+			c.Apply(now, core.RequestQueued{Request: r})
+		}
+		c.Tick(now)
+		b.ReportAllocs()
+		for b.Loop() {
+			now += core.DefaultBusyInterval
+			c.Tick(now)
+		}
+	})
+}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 	// placeRetry is the time between two attempts to find a slot for a
 	// permitted load.
 	placeRetry = 20 * time.Millisecond
+	// repeatGrowth is the growth of the waiting worth from which a load permit
+	// is asked for again.
+	repeatGrowth = 2.0
 	// strandedDemand is the decayed number of requests from which an adapter
 	// that only slow targets have is worth a load.
 	strandedDemand = 3.0
@@ -117,46 +121,80 @@
 	a.asked, a.permitted = false, false
 }
 
-// askLoads asks for the most valuable loads. A request that is not among them
-// any more is withdrawn unless it was permitted already.
+// askLoads asks for the most valuable loads and repeats a request when the
+// worth of what waits has grown.
 func (c *Core) askLoads(now Time) {
+	asked := c.scoreNeeds(now)
+	for i := range c.needs {
+		n := &c.needs[i]
+		switch {
+		case n.adapter.asked:
+			if n.Worth >= repeatGrowth*n.adapter.askedWorth && !n.adapter.permitted {
+				c.ask(now, n)
+			}
+		case asked < c.params.MaxLoadAsks:
+			asked++
+			c.ask(now, n)
+		case i < c.params.MaxLoadAsks/2 && c.displace():
+			c.ask(now, n)
+		}
+	}
+}
+
+// scoreNeeds fills the list of needs, the most valuable first, and returns how
+// many of them were asked for.
+func (c *Core) scoreNeeds(now Time) (asked int) {
 	c.needs = c.needs[:0]
 	for _, a := range c.wanting {
-		if !a.loading(now, c.params.LoadLimit) {
-			c.needs = append(c.needs, needRow{c.need(now, a), a})
+		if a.loading(now, c.params.LoadLimit) {
+			continue
+		}
+		c.needs = append(c.needs, needRow{Need: c.need(now, a), adapter: a})
+		n := &c.needs[len(c.needs)-1]
+		n.score = c.policies.place.Score(&n.Need)
+		if a.asked {
+			asked++
 		}
 	}
 	if len(c.needs) > c.params.MaxLoadAsks {
-		slices.SortStableFunc(c.needs, c.compareNeeds)
-		for _, n := range c.needs[c.params.MaxLoadAsks:] {
-			if n.adapter.asked && !n.adapter.permitted {
-				c.withdraw(n.adapter)
-			}
-		}
-		c.needs = c.needs[:c.params.MaxLoadAsks]
+		slices.SortFunc(c.needs, compareNeeds)
 	}
-	for _, n := range c.needs {
-		if !n.adapter.asked {
-			n.adapter.asked = true
-			c.emit(AskLoadPermit{Adapter: n.adapter.key.version, Worth: n.Worth, Due: now + n.Slack})
+	return asked
+}
+
+func (c *Core) ask(now Time, n *needRow) {
+	n.adapter.asked, n.adapter.askedWorth = true, n.Worth
+	c.emit(AskLoadPermit{Adapter: n.adapter.key.version, Worth: n.Worth, Due: now + n.Slack})
+}
+
+// displace withdraws the least valuable request for a load permit that is not
+// among the best. Only needs in the upper half displace others, so that needs
+// of like value do not cause messages at every ordering.
+func (c *Core) displace() bool {
+	for i := len(c.needs) - 1; i >= c.params.MaxLoadAsks; i-- {
+		if a := c.needs[i].adapter; a.asked && !a.permitted {
+			c.withdraw(a)
+			return true
 		}
 	}
+	return false
 }
 
 // needRow is an adapter's need for a load, as scored.
 type needRow struct {
 	placement.Need
 	adapter *adapterRow
+	score   float64
 }
 
-func (c *Core) compareNeeds(a, b needRow) int {
-	switch {
-	case c.policies.place.Before(&a.Need, &b.Need):
-		return -1
-	case c.policies.place.Before(&b.Need, &a.Need):
-		return 1
-	}
-	return 0
+// compareNeeds orders by score, then by arrival. Arrival numbers are unique
+// but for adapters without waiting requests, which compare by name.
+func compareNeeds(a, b needRow) int {
+	return cmp.Or(
+		cmp.Compare(b.score, a.score),
+		cmp.Compare(a.Sequence, b.Sequence),
+		cmp.Compare(a.adapter.key.version.Adapter, b.adapter.key.version.Adapter),
+	)
 }
 
 // need describes what waits for the adapter, from the heads of its lanes.
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -141,6 +141,7 @@
 	demand       decayed
 	worth        float64 // of the waiting requests
 	typicalWorth float64 // of one request
+	askedWorth   float64 // of the last request for a load permit
 	placeAt      Time    // no attempt to place a permitted load before
 	service      estimate.Average
 }
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -24,8 +24,8 @@
 
 // Policy orders loads and chooses the slot that a load takes over.
 type Policy interface {
-	// Before reports whether a is loaded before b.
-	Before(a, b *Need) bool
+	// Score orders loads: the need with the highest score is loaded first.
+	Score(n *Need) float64
 	// Victim returns the index of the slot to give up, or -1.
 	Victim(need *Need, slots []Slot) int
 	// Replicates reports whether an adapter is loaded on a further target
@@ -36,8 +36,8 @@
 // LRU loads in order of arrival and evicts the least recently used adapter.
 type LRU struct{}
 
-// Before implements Policy.
-func (LRU) Before(a, b *Need) bool { return a.Sequence < b.Sequence }
+// Score implements Policy.
+func (LRU) Score(n *Need) float64 { return -float64(n.Sequence) }
 
 // Replicates implements Policy.
 func (LRU) Replicates(int) bool { return false }
@@ -81,16 +81,9 @@
 	return worth * (1 + float64(n.Oldest)/float64(ageing))
 }
 
-// Before implements Policy. Needs with less time left go first when their
+// Score implements Policy. Needs with less time left go first when their
 // values are alike.
-func (Demand) Before(a, b *Need) bool {
-	ua := value(a) / max(a.Slack, soon).Seconds()
-	ub := value(b) / max(b.Slack, soon).Seconds()
-	if ua != ub {
-		return ua > ub
-	}
-	return a.Sequence < b.Sequence
-}
+func (Demand) Score(n *Need) float64 { return value(n) / max(n.Slack, soon).Seconds() }
 
 // Replicates implements Policy.
 func (Demand) Replicates(waiting int) bool { return waiting >= replicaWaiting }
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -30,6 +30,6 @@
 	g := gomega.NewWithT(t)
 	late := &placement.Need{Waiting: 1, Worth: 1, Slack: 10 * time.Second}
 	soon := &placement.Need{Waiting: 1, Worth: 1, Slack: time.Second, Sequence: 1}
-	g.Expect(placement.Demand{}.Before(soon, late)).To(gomega.BeTrue())
-	g.Expect(placement.LRU{}.Before(soon, late)).To(gomega.BeFalse())
+	g.Expect(placement.Demand{}.Score(soon)).To(gomega.BeNumerically(">", placement.Demand{}.Score(late)))
+	g.Expect(placement.LRU{}.Score(soon)).To(gomega.BeNumerically("<", placement.LRU{}.Score(late)))
 }
