--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -178,12 +178,16 @@
 const (
 	shareWindow = 10 // seconds
 	demandSpan  = 2  // seconds: in each such part of the window the demand must reach the share
+	// demandLead is the time before the window from which the demand must reach
+	// the share, in seconds. A short answer takes about as long in a full batch,
+	// so that earlier demand is what a window at first receives.
+	demandLead = 2
 )
 
 // shareDeviation returns by how much of its share an organisation fell short at
 // most over any window of 10 s in which it demanded at least its share, and the
 // number of such windows. Demand is the least engine time of the arriving
-// requests, in each 2 s of the window at least the share of all runners' time.
+// requests, in each 2 s of the window and before it at least the share of all runners' time.
 // What was received is compared with the share of what the runners gave in the
 // window to all, in the same unit.
 func shareDeviation(w *world) (worst float64, windows int) {
@@ -234,7 +238,7 @@
 }
 
 func demands(row []time.Duration, from int, perSecond float64) bool {
-	for at := from; at < from+shareWindow; at += demandSpan {
+	for at := from - demandLead; at < from+shareWindow; at += demandSpan {
 		if sumOf(row, at, demandSpan).Seconds() < perSecond*demandSpan {
 			return false
 		}
@@ -244,7 +248,7 @@
 
 func sumOf(row []time.Duration, from, length int) time.Duration {
 	var sum time.Duration
-	for i := from; i < min(from+length, len(row)); i++ {
+	for i := max(0, from); i < min(from+length, len(row)); i++ {
 		sum += row[i]
 	}
 	return sum
--- a/internal/replay/validate.go
+++ b/internal/replay/validate.go
@@ -15,7 +15,10 @@
 	maxPrefixBlocks = 1 << 10
 	maxTargets      = 10_000
 	maxConcurrency  = 4096
-	maxSlowFactor   = 1e4
+	maxSlowFactor   = 1e3
+	maxEngineTime   = time.Second
+	maxServiceTime  = time.Hour
+	maxNameBytes    = 64
 	maxWorth        = 1e9
 	maxShare        = 1e6
 	minLoadRate     = 1e-3 // loads/s
@@ -43,17 +46,19 @@
 func (d *Deployment) validate() *errs.Error {
 	e := d.Engine
 	switch {
+	case !validName(d.Name):
+		return invalid("the deployment's name must be 1 to 64 letters, digits and hyphens")
 	case len(d.Targets) == 0 || len(d.Targets) > maxTargets:
 		return invalid("number of targets is out of bounds")
 	case !within(d.LoadRate, minLoadRate, maxLoadRate):
 		return invalid("load_rate is out of bounds")
 	case !validTime(d.LocalDelay) || !validTime(d.RegionDelay) || !validTime(d.ClientDelay):
 		return invalid("a delay is out of bounds")
-	case d.ServiceTime < minStep || d.ServiceTime > maxTime:
+	case d.ServiceTime < minStep || d.ServiceTime > maxServiceTime:
 		return invalid("service_time_ns is out of bounds")
-	case e.Base < minStep || !validTime(e.Base) || !validTime(e.PerSequence) || !validTime(e.PerPrompt):
+	case e.Base < minStep || e.PerSequence < 0 || e.PerPrompt < 0 || max(e.Base, e.PerSequence, e.PerPrompt) > maxEngineTime:
 		return invalid("a time of the engine rule is out of bounds")
-	case e.PromptChunk < 1 || e.BlockTokens < 1 || e.PrefixBlocks < 0:
+	case e.PromptChunk < 1 || e.BlockTokens < 1 || e.PrefixBlocks < 0 || max(e.PromptChunk, e.BlockTokens, e.PrefixBlocks) > maxTokens:
 		return invalid("a size of the engine rule is out of bounds")
 	case d.GroupsPerPool < 0 || d.GroupsPerPool > maxTargets:
 		return invalid("groups_per_pool is out of bounds")
@@ -83,6 +88,16 @@
 	return nil
 }
 
+// validName reports whether a name can be part of a file name.
+func validName(name string) bool {
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxNameBytes
+}
+
 func validShares(shares map[string]float64) *errs.Error {
 	for _, share := range shares {
 		if !within(share, 0, maxShare) {
