--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -26,6 +26,7 @@
 	Plots     string   `long:"plots" value-name:"DIR" description:"write PNG plots of the measures into DIR"`
 	Seeds     []uint64 `long:"seed" value-name:"N" description:"seed; may be repeated; default 1, with --synthetic 1 to 5"`
 	Synthetic []string `long:"synthetic" value-name:"DEPLOYMENT" choice:"baltzips" choice:"jegue" description:"measure generated traces of a deployment instead of TRACE; may be repeated"`
+	Without   []string `long:"without" value-name:"DECISION" choice:"queueing" choice:"admission" choice:"placement" choice:"straggler" choice:"hedge" choice:"prefix" description:"set a decision of the policies back to its baseline; may be repeated"`
 	Write     string   `long:"write" value-name:"FILE" description:"write the generated trace of the only --synthetic and --seed to FILE and end"`
 	Workers   int      `long:"workers" default:"6" value-name:"N" description:"runs at the same time, at most 6"`
 	Args      struct {
@@ -102,12 +103,16 @@
 var defaultSeeds = []uint64{1, 2, 3, 4, 5}
 
 func (r *replayCmd) results() ([]*replay.Compared, error) {
+	policies, err := replay.PoliciesWithout(r.Without)
+	if err != nil {
+		return nil, err
+	}
 	if len(r.Synthetic) > 0 {
 		seeds := r.Seeds
 		if len(seeds) == 0 {
 			seeds = defaultSeeds
 		}
-		return replay.MeasureSynthetic(r.context.Base, r.Synthetic, seeds, r.Workers)
+		return replay.MeasureSynthetic(r.context.Base, r.Synthetic, policies, seeds, r.Workers)
 	}
 	trace, err := r.read()
 	if err != nil {
@@ -117,7 +122,7 @@
 	if len(seeds) == 0 {
 		seeds = defaultSeeds[:1]
 	}
-	return replay.MeasureTrace(r.context.Base, trace, seeds, r.Workers)
+	return replay.MeasureTrace(r.context.Base, trace, policies, seeds, r.Workers)
 }
 
 func (r *replayCmd) read() (*replay.Trace, error) {
--- a/internal/replay/figures.go
+++ b/internal/replay/figures.go
@@ -19,6 +19,9 @@
 	AnsweredShare      = "answered_share"     // whole and in time, of the measured requests
 	PeakRatio          = "peak_worth_ratio"   // worth answered whole and in time against the bound
 	PeakOffered        = "peak_offered_ratio" // worth offered against the bound
+	PeakLostLate       = "peak_lost_late"     // of the worth offered: answered, but late
+	PeakLostLoad       = "peak_lost_load"     // of the worth offered: refused or failed after a wait for a load
+	PeakLostOther      = "peak_lost_other"    // of the worth offered: refused or failed otherwise
 	WaitP50            = "short_wait_p50_s"   // arrival to the start on the target
 	WaitP99            = "short_wait_p99_s"   //
 	WaitP50NoLong      = "short_wait_p50_no_long_s"
@@ -73,6 +76,7 @@
 	stallTime                                time.Duration
 	peakWorth                                float64
 	peakOffered                              float64
+	lostLate, lostLoad, lostOther            float64
 	steps                                    stepCounts
 }
 
@@ -108,10 +112,7 @@
 			s.answered++
 		}
 		if peakOf(peaks, r.at) >= 0 {
-			s.peakOffered += r.arrival.Worth
-			if inTime {
-				s.peakWorth += r.arrival.Worth
-			}
+			s.peak(r, inTime)
 		}
 		s.runnerRequest(r, w.deployment, peaks)
 	}
@@ -122,6 +123,21 @@
 	return s
 }
 
+// peak enters a request that arrived at peak demand.
+func (s *summary) peak(r *request, inTime bool) {
+	s.peakOffered += r.arrival.Worth
+	switch {
+	case inTime:
+		s.peakWorth += r.arrival.Worth
+	case r.ok:
+		s.lostLate += r.arrival.Worth
+	case r.stalled:
+		s.lostLoad += r.arrival.Worth
+	default:
+		s.lostOther += r.arrival.Worth
+	}
+}
+
 func (s *summary) runnerRequest(r *request, d *Deployment, peaks []Interval) {
 	if r.arrival.Class != model.ClassRunner {
 		return
@@ -166,90 +182,12 @@
 		LoadsStarted:    float64(w.loads.started),
 		AnsweredShare:   ratio(float64(s.answered), float64(s.measured)),
 		PeakRatio:       ratio(s.peakWorth, bound), PeakOffered: ratio(s.peakOffered, bound),
-		WaitP50: quantile(s.wait, 50), WaitP99: quantile(s.wait, 99),
+		PeakLostLate: ratio(s.lostLate, s.peakOffered), PeakLostLoad: ratio(s.lostLoad, s.peakOffered),
+		PeakLostOther: ratio(s.lostOther, s.peakOffered),
+		WaitP50:       quantile(s.wait, 50), WaitP99: quantile(s.wait, 99),
 		HotWaitP99: quantile(s.hotWait, 99), QuietWaitP99: quantile(s.quietWait, 99),
 		LatencyP99: quantile(s.latency, 99), LatencyP999: quantile(s.latency, 99.9),
 		ShareDeviation: deviation, ShareWindows: float64(windows),
 		Violations: float64(violations), EveryRequest: float64(len(w.requests)),
 	}
 }
-
-// Windows of measure 5.
-const (
-	shareWindow = 10 // seconds
-	demandSpan  = 2  // seconds: in each such part of the window the demand must reach the share
-	// demandLead is the time before the window from which the demand must reach
-	// the share, in seconds. A short answer takes about as long in a full batch,
-	// so that earlier demand is what a window at first receives.
-	demandLead = 2
-)
-
-// shareDeviation returns by how much of its share an organisation fell short at
-// most over any window of 10 s in which it demanded at least its share, and the
-// number of such windows. Demand is the least engine time of the arriving
-// requests, in each 2 s of the window and before it at least the share of all runners' time.
-// What was received is compared with the share of what the runners gave in the
-// window to all, in the same unit.
-func shareDeviation(w *world) (worst float64, windows int) {
-	demand := demandPerSecond(w)
-	runners := 0.0
-	for _, t := range w.order {
-		if t.info.Class == model.ClassRunner {
-			runners++
-		}
-	}
-	total := 0.0
-	for _, share := range w.deployment.Shares {
-		total += share
-	}
-	first, last := int(w.trace.Header.MeasureFrom/time.Second), int(w.trace.end()/time.Second)
-	for from := first; from+shareWindow <= last; from++ {
-		var given time.Duration
-		for org := range w.deployment.Shares {
-			given += sumOf(w.work[org], from, shareWindow)
-		}
-		for org, share := range w.deployment.Shares {
-			part := share / total
-			if !demands(demand[org], from, part*runners) {
-				continue
-			}
-			windows++
-			received := sumOf(w.work[org], from, shareWindow).Seconds()
-			worst = max(worst, 1-ratio(received, part*given.Seconds()))
-		}
-	}
-	return worst, windows
-}
-
-func demandPerSecond(w *world) map[string][]time.Duration {
-	demand := map[string][]time.Duration{}
-	for _, r := range w.requests {
-		if r.arrival.Class != model.ClassRunner {
-			continue
-		}
-		row := demand[r.arrival.Organisation]
-		for len(row) <= int(r.at/time.Second) {
-			row = append(row, 0)
-		}
-		row[int(r.at/time.Second)] += leastWork(w.deployment, r.arrival)
-		demand[r.arrival.Organisation] = row
-	}
-	return demand
-}
-
-func demands(row []time.Duration, from int, perSecond float64) bool {
-	for at := from - demandLead; at < from+shareWindow; at += demandSpan {
-		if sumOf(row, at, demandSpan).Seconds() < perSecond*demandSpan {
-			return false
-		}
-	}
-	return true
-}
-
-func sumOf(row []time.Duration, from, length int) time.Duration {
-	var sum time.Duration
-	for i := max(0, from); i < min(from+length, len(row)); i++ {
-		sum += row[i]
-	}
-	return sum
-}
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -18,11 +18,11 @@
 // Variants lists the compared variants.
 func Variants() []string { return []string{VariantPolicy, VariantBaseline} }
 
-func optionsOf(variant string, seed uint64) Options {
+func optionsOf(variant string, policies core.Policies, seed uint64) Options {
 	if variant == VariantBaseline {
 		return Options{Baseline: true, Seed: seed}
 	}
-	return Options{Params: core.Params{Policies: productPolicies()}, Seed: seed}
+	return Options{Params: core.Params{Policies: policies}, Seed: seed}
 }
 
 // Compared is the result of one trace: the figures by variant, and what the
@@ -39,7 +39,7 @@
 
 // Compare runs all variants on one trace: as it is, without its long jobs and
 // with stragglers.
-func Compare(trace *Trace, seed uint64) *Compared {
+func Compare(trace *Trace, policies core.Policies, seed uint64) *Compared {
 	c := &Compared{
 		Deployment: trace.Header.Deployment.Name, Seed: seed, Origin: trace.Header.Origin,
 		Figures: map[string]Figures{}, Violations: map[string]map[string]int{},
@@ -47,7 +47,7 @@
 	bound := upperBound(trace)
 	noLong, slow := trace.withoutLong(), trace.withStragglers(seed)
 	for _, variant := range Variants() {
-		options := optionsOf(variant, seed)
+		options := optionsOf(variant, policies, seed)
 		whole, short, straggling := run(trace, options), run(noLong, options), run(slow, options)
 		f := measureRun(whole, bound)
 		f.addNoLong(summarise(short))
@@ -98,7 +98,7 @@
 // several seeds at the same time. The order of the results and the figures do
 // not depend on the number of workers. Error codes: invalid_request for an
 // unknown deployment, cancelled when ctx ends.
-func MeasureSynthetic(ctx context.Context, deployments []string, seeds []uint64, workers int) ([]*Compared, error) {
+func MeasureSynthetic(ctx context.Context, deployments []string, policies core.Policies, seeds []uint64, workers int) ([]*Compared, error) {
 	var tasks []task
 	for _, d := range deployments {
 		if _, err := profileOf(d); err != nil {
@@ -108,20 +108,20 @@
 			tasks = append(tasks, task{trace: func() (*Trace, *errs.Error) { return Generate(d, s) }, seed: s})
 		}
 	}
-	return compareAll(ctx, tasks, workers)
+	return compareAll(ctx, tasks, policies, workers)
 }
 
 // MeasureTrace compares the variants on one trace with several seeds. Error
 // code: cancelled when ctx ends.
-func MeasureTrace(ctx context.Context, trace *Trace, seeds []uint64, workers int) ([]*Compared, error) {
+func MeasureTrace(ctx context.Context, trace *Trace, policies core.Policies, seeds []uint64, workers int) ([]*Compared, error) {
 	var tasks []task
 	for _, s := range seeds {
 		tasks = append(tasks, task{trace: func() (*Trace, *errs.Error) { return trace, nil }, seed: s})
 	}
-	return compareAll(ctx, tasks, workers)
+	return compareAll(ctx, tasks, policies, workers)
 }
 
-func compareAll(ctx context.Context, tasks []task, workers int) ([]*Compared, error) {
+func compareAll(ctx context.Context, tasks []task, policies core.Policies, workers int) ([]*Compared, error) {
 	results := make([]*Compared, len(tasks))
 	next := make(chan int)
 	var running sync.WaitGroup
@@ -129,7 +129,7 @@
 		running.Go(func() {
 			for i := range next {
 				if trace, err := tasks[i].trace(); err == nil {
-					results[i] = Compare(trace, tasks[i].seed)
+					results[i] = Compare(trace, policies, tasks[i].seed)
 				}
 			}
 		})
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -130,7 +130,7 @@
 // measures in the order of the table.
 var measures = []string{
 	StallShare, StallMean, StallP99, LoadsStarted, BatchEfficiency,
-	PeakRatio, PeakOffered, AnsweredShare,
+	PeakRatio, PeakOffered, PeakLostLate, PeakLostLoad, PeakLostOther, AnsweredShare,
 	WaitP50, WaitP99, WaitP50NoLong, WaitP99NoLong, WaitP99Ratio, HotWaitP99, HotWaitP99NoLong, HotWaitP99Ratio,
 	QuietWaitP99, QuietWaitP99NoLong, QuietWaitP99Ratio,
 	LatencyP99, LatencyP999, LatencyP99Slow, LatencyP999Slow, LatencyP99Ratio, LatencyP999Ratio, AnsweredSlow, Hedges,
