--- a/internal/replay/plots.go
+++ b/internal/replay/plots.go
@@ -55,6 +55,7 @@
 	p.Title.Text = fmt.Sprintf("%s, %s trace, %d seeds: %s", r.Deployment, r.Origin, len(r.Seeds), measure)
 	p.Y.Label.Text, p.Y.Min = axis, 0
 	p.NominalX(Variants()...)
+	p.X.Min, p.X.Max = -0.5, float64(len(Variants()))-0.5
 	for i, variant := range Variants() {
 		bars, err := plotter.NewBarChart(plotter.Values{r.Spreads[variant][measure].Median}, barWidth)
 		if err != nil {
