daemon: Become ready only with the newest configuration; two VMs per data centre watch it

A restarted VM applied whatever the first read returned, which may be stale. It now reads at a revision not older than its registration, or takes the newest version of the ready peers while the store does not answer. No VM watched the configuration; all polled every 5 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -210,6 +210,7 @@
 
 func (d *Daemon) startLoops() {
 	d.goRun(d.follower.Run)
+	d.goRun(d.readiness.ensureCurrent)
 	d.goRun(d.broker.Run)
 	d.goRun(d.journal.run)
 	d.goRun(d.followRegistrations)
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -21,6 +21,7 @@
 	// Heartbeats of the present owners must have had time to arrive.
 	settled := time.Now().Add(d.settings.Membership.SuspectAfter + d.settings.Membership.HeartbeatInterval)
 	for sleep(ctx, dutyInterval) {
+		d.follower.SetWatching(d.members.watchesConfig())
 		if time.Now().Before(settled) || d.readiness.draining() || d.follower.Current() == nil {
 			continue
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -139,6 +139,34 @@
 	return holder, version > 0
 }
 
+// anyReadyPeer reports whether a reachable peer is ready.
+func (m *members) anyReadyPeer() bool {
+	for _, entry := range m.peers() {
+		if entry.Digest.Ready && (entry.State == membership.Alive || entry.State == membership.Suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// watchesConfig reports whether this VM is one of the two of its data centre that
+// watch the configuration in the store. The others hear of new versions by
+// heartbeats, so that the store's read rate does not follow the number of VMs.
+func (m *members) watchesConfig() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, vm := range m.table.RankedIn("config-watch", m.d.self.DataCentre, configWatchers) {
+		if vm.Name == m.d.self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// configWatchers is the number of VMs of one data centre that watch the
+// configuration: a second one covers the loss of the first.
+const configWatchers = 2
+
 // ranked returns up to n VMs for a duty, the owner first.
 func (m *members) ranked(duty string, n int) []model.VM {
 	m.mu.Lock()
