--- a/internal/permit/returns.go
+++ b/internal/permit/returns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadaslip/internal/core"
@@ -25,8 +26,10 @@
 	holdings *Holdings
 	owners   Owners
 
+	outstanding atomic.Int64
+
 	mu      sync.Mutex
-	pending map[string][]returned // by group
+	pending []returned
 	wake    chan struct{}
 }
 
@@ -41,13 +44,19 @@
 func newReturnQueue(table *Table, holdings *Holdings, owners Owners) *returnQueue {
 	return &returnQueue{
 		table: table, holdings: holdings, owners: owners,
-		pending: map[string][]returned{}, wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1),
 	}
 }
 
+// add enters an item that is outstanding until an owner acknowledges it.
 func (q *returnQueue) add(item returned) {
+	q.outstanding.Add(1)
+	q.enqueue(item)
+}
+
+func (q *returnQueue) enqueue(item returned) {
 	q.mu.Lock()
-	q.pending[item.group] = append(q.pending[item.group], item)
+	q.pending = append(q.pending, item)
 	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
@@ -55,15 +64,8 @@
 	}
 }
 
-func (q *returnQueue) len() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	total := 0
-	for _, items := range q.pending {
-		total += len(items)
-	}
-	return total
-}
+// len returns the number of items that no owner has acknowledged.
+func (q *returnQueue) len() int { return int(q.outstanding.Load()) }
 
 // run sends what is pending. Items whose call fails are put back and sent again
 // after a pause.
@@ -92,11 +94,8 @@
 func (q *returnQueue) take() []returned {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var all []returned
-	for group, items := range q.pending {
-		all = append(all, items...)
-		delete(q.pending, group)
-	}
+	all := q.pending
+	q.pending = nil
 	return all
 }
 
@@ -104,13 +103,12 @@
 // before the confirmed one needs no message: its owner has been replaced and
 // the confirmation did not list it as held.
 func (q *returnQueue) send(ctx context.Context, item returned) {
-	if item.release == nil && q.holdings.Minimum(item.group) > item.epoch {
-		return
-	}
-	if q.deliver(ctx, item) {
+	outdated := item.release == nil && q.holdings.Minimum(item.group) > item.epoch
+	if outdated || q.deliver(ctx, item) {
+		q.outstanding.Add(-1)
 		return
 	}
-	time.AfterFunc(returnPause, func() { q.add(item) })
+	time.AfterFunc(returnPause, func() { q.enqueue(item) })
 }
 
 func (q *returnQueue) deliver(ctx context.Context, item returned) bool {
