core: Keep the intent of a repeated evict order until its target restarts

A copy of the order could take effect after a takeover, when the new owner did not find the intent any more.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -127,10 +127,11 @@
 // the adapter is barred from the target until the next restart.
 func (c *Core) finishEvict(now Time, row *intentRow) {
 	next := row.next
-	if row.phase == intentUnknown && row.restarted {
-		row.slot.barred = true
+	if row.resent || (row.phase == intentUnknown && row.restarted) {
+		c.bar(row)
+	} else {
+		c.resolve(row)
 	}
-	c.resolve(row)
 	c.setSlot(now, row.slot, slotAbsent)
 	if next == nil {
 		return
@@ -141,6 +142,24 @@
 	}
 }
 
+// bar keeps an adapter off the target until its next restart, because another
+// copy of the evict order may still take effect. The intent stays in the store
+// meanwhile, so that a later owner knows of it.
+func (c *Core) bar(row *intentRow) {
+	c.forget(row)
+	row.slot.barred = true
+	row.slot.barredBy = append(row.slot.barredBy, row.intent.ID)
+}
+
+// unbar ends the bar after a restart of the target.
+func (c *Core) unbar(s *slotRow) {
+	s.barred = false
+	for _, id := range s.barredBy {
+		c.emit(ClearIntent{ID: id})
+	}
+	s.barredBy = nil
+}
+
 // keepEvicted enters that the adapter of an evict intent stays on its target.
 // The load that waited for the slot is given up; its order was never sent.
 func (c *Core) keepEvicted(now Time, row *intentRow) {
--- a/internal/core/targets.go
+++ b/internal/core/targets.go
@@ -133,7 +133,7 @@
 	c.policies.slow.Reset(t.index)
 	c.policies.prefixes.Reset(t.index)
 	for _, s := range append([]*slotRow(nil), t.slots...) {
-		s.barred = false
+		c.unbar(s)
 		if s.state == slotResident {
 			c.setSlot(now, s, slotAbsent)
 			s.changedAt = -1 // the statement of the new instance decides
--- a/internal/core/world_effects_test.go
+++ b/internal/core/world_effects_test.go
@@ -58,6 +58,7 @@
 // order lets a target carry out an order, or loses or delays it.
 func (w *world) order(o *owner, intent core.Intent) {
 	t := w.target(intent.Target)
+	w.sent[intent.ID]++
 	switch fate := rapid.IntRange(0, 9).Draw(w.t, "order fate"); fate {
 	case 0:
 		o.inbox = append(o.inbox, core.OrderUnknown{ID: intent.ID})
