--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,11 +157,14 @@
 func (d *Daemon) buildOwners() {
 	ports := owner.Ports{
 		Orders: targetOrders{d.targets}, Peers: ownerPeers{d}, Loads: newLoads(d), Accounts: d.accounts,
-		Events: d.events, Log: d.log,
+		Liveness: d.members,
+		Events:   d.events, Log: d.log,
 	}
 	seed := uint64(d.self.Incarnation)
 	d.owners = owner.NewManager(d.holder(), d.store, d.holdings, ports, func(group string) core.Decider {
-		return core.New(core.Params{Group: group, QueueBound: d.settings.Limits.QueueLength}, seed)
+		return core.New(core.Params{
+			Group: group, QueueBound: d.settings.Limits.QueueLength, Policies: core.ProductPolicies(),
+		}, seed)
 	})
 }
 
