--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,10 +102,7 @@
 	case TargetState:
 		c.applyState(now, e)
 	case LoadReport:
-		// Only shown: reports lag, and the permits show the load at once.
-		if t := c.targetIndex[e.Target]; t != nil {
-			t.reported = e
-		}
+		// Not used: reports lag, and the permits show the load at once.
 	case LoadPermitted:
 		c.applyLoadPermitted(e)
 	default:
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -28,8 +28,9 @@
 	intent    *intentRow
 	formerEvicts,
 	formerLoads int // unresolved intents of former owners
-	barred bool // an evict order without a result may still take effect
-	retry  Time // no load of the adapter here before
+	barred   bool     // an evict order without a result may still take effect
+	barredBy []uint64 // stored intents of such orders
+	retry    Time     // no load of the adapter here before
 }
 
 // usable reports whether requests may be sent to the adapter on the target.
@@ -70,7 +71,6 @@
 	unknown  map[model.RequestID]bool // running according to the target, without a permit
 	released map[model.RequestID]Time // ended permits since the last statement
 	dirty    bool
-	reported LoadReport // shown to operators only
 }
 
 func (t *targetRow) open() bool { return t.present && !t.info.Leaving }
