--- a/internal/policy/estimate/estimate.go
+++ b/internal/policy/estimate/estimate.go
@@ -39,7 +39,21 @@
 
 func bucket(n int) int { return min(bits.Len(uint(max(n, 0))), buckets-1) }
 
-func (t *table) observe(n int, d time.Duration) { t[bucket(n)].Observe(d) }
+// observe enters a duration. Larger arguments change in proportion: while
+// estimates are too high, requests are refused, large batches do not occur, and
+// their values would otherwise stay as a slow target has left them.
+func (t *table) observe(n int, d time.Duration) {
+	i := bucket(n)
+	before := t[i]
+	t[i].Observe(d)
+	if !before.known || before.seconds <= 0 {
+		return
+	}
+	ratio := min(1, t[i].seconds/before.seconds)
+	for j := i + 1; j < buckets; j++ {
+		t[j].seconds = max(t[j].seconds*ratio, min(t[i].seconds, t[j].seconds))
+	}
+}
 
 // value returns the average of the nearest bucket that has one.
 func (t *table) value(n int) time.Duration {
