--- a/internal/policy/straggler/straggler.go
+++ b/internal/policy/straggler/straggler.go
@@ -58,8 +58,9 @@
 	// normalRatio is the multiple below which it returns. The gap between the
 	// two ratios prevents a target from changing state with every observation.
 	normalRatio = 1.4
-	// minimumTargets is the number of observed targets that a median needs.
-	minimumTargets = 3
+	// minimumTargets is the number of observed targets that a comparison needs. Of
+	// two targets each is compared with the other.
+	minimumTargets = 2
 	// probeInterval is the least time between two probes of a slow target.
 	probeInterval = time.Second
 	// probeGrants is the least number of requests between two probes. With one
