--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/rpcapi"
-	"cicadaslip/internal/target"
 )
 
 // call calls a method of another VM.
@@ -17,7 +18,17 @@
 	if !known {
 		return errs.NotRun(errs.PeerUnavailable, "VM "+vm+" is not registered")
 	}
-	return d.client.Call(ctx, address, method, args, reply)
+	began := time.Now()
+	err := d.client.Call(ctx, address, method, args, reply)
+	if !waitingMethods[method] {
+		d.metrics.Observe(metrics.PeerLatency, time.Since(began))
+	}
+	return d.metrics.CountError(metrics.PeerCallsByOutcome, err)
+}
+
+// waitingMethods are the calls that wait in a queue of the called VM.
+var waitingMethods = map[string]bool{
+	ownerService + ".Acquire": true, ownerService + ".LoadPermit": true, nodeService + ".ConfirmEpoch": true,
 }
 
 // ownerCalls implements permit.Owners: calls to an owner here or elsewhere.
@@ -28,7 +39,7 @@
 // Acquire implements permit.Owners.
 func (c ownerCalls) Acquire(ctx context.Context, vm string, request rpcapi.AcquireRequest) (rpcapi.AcquireReply, error) {
 	if c.local(vm) {
-		return c.d.owners.Acquire(ctx, request), nil
+		return c.d.acquireHere(ctx, request), nil
 	}
 	var reply rpcapi.AcquireReply
 	err := c.d.call(ctx, vm, ownerService+".Acquire", &request, &reply)
@@ -105,21 +116,3 @@
 func shardDuty(shard int) string { return "shard/" + strconv.Itoa(shard) }
 
 func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
-
-// targetOrders implements owner.Orders.
-type targetOrders struct{ client *target.Client }
-
-// Execute implements owner.Orders.
-func (o targetOrders) Execute(ctx context.Context, to model.Target, intent core.Intent) core.Event {
-	return o.client.Order(ctx, to, intent)
-}
-
-// State implements owner.Orders.
-func (o targetOrders) State(ctx context.Context, to model.Target, epoch model.Epoch) (core.TargetState, error) {
-	return o.client.State(ctx, to, epoch)
-}
-
-// Cancel implements owner.Orders.
-func (o targetOrders) Cancel(ctx context.Context, to model.Target, id model.RequestID) error {
-	return o.client.Cancel(ctx, to, id)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/frontend"
 	"cicadaslip/internal/journal"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/owner"
 	"cicadaslip/internal/peer"
@@ -34,16 +35,20 @@
 	cancel   context.CancelFunc
 	start    time.Time
 
-	store   *httpstore.Client
+	store   platform.Store
 	lister  platform.Lister
 	clock   *timeline.Clock
 	events  *timeline.Ring
-	targets *target.Client
+	metrics *metrics.Registry
+	// recorder enters events into the timeline and the metrics.
+	recorder *eventMetrics
+	targets  *target.Client
 
-	listener   net.Listener
-	server     *peer.Server
-	client     *peer.Client
-	heartbeats *peer.Heartbeats
+	listener        net.Listener
+	metricsListener net.Listener // nil without metrics
+	server          *peer.Server
+	client          *peer.Client
+	heartbeats      *peer.Heartbeats
 
 	self     model.VM
 	revision int64 // of the own registration
@@ -76,11 +81,14 @@
 		table: permit.NewTable(), holdings: permit.NewHoldings(), coordinator: newCoordinator(), drainAsked: make(chan struct{}),
 	}
 	d.events = timeline.NewRing(s.Timeline.RingLength, s.VM.Name, d.clock)
-	d.store = httpstore.New(httpstore.Options{
+	d.metrics = metrics.New()
+	d.recorder = newEventMetrics(d.events, d.metrics)
+	client := httpstore.New(httpstore.Options{
 		Address: s.Platform.Address, CallTimeout: s.Platform.CallTimeout,
 		DialTimeout: s.Platform.DialTimeout, Connections: s.Platform.Connections,
 	})
-	d.lister = d.store.Lister()
+	d.store = meteredStore{client, d.metrics}
+	d.lister = meteredLister{client.Lister(), d.metrics}
 	d.follower = config.NewFollower(config.Options{
 		Store: d.store, Peers: configPeers{d}, OnApply: d.configured, WatchWait: d.settings.Platform.WatchWait,
 		OnError: func(err error) { d.log.Warn().Err(err).Msg("configuration could not be read") },
@@ -104,6 +112,9 @@
 	if d.server, err = peer.Listen(d.settings.Addresses.PeerRPC, credentials, d.clock); err != nil {
 		return err
 	}
+	if err := d.openMetrics(); err != nil {
+		return err
+	}
 	d.self = model.VM{
 		Name: d.settings.VM.Name, DataCentre: d.settings.VM.DataCentre, Region: d.settings.VM.Region,
 		CallerAddr: d.listener.Addr().String(), PeerRPCAddr: d.server.Addr(),
@@ -145,7 +156,7 @@
 
 // build makes the parts that need the VM's incarnation.
 func (d *Daemon) build() error {
-	d.broker = permit.NewBroker(d.self, d.table, d.holdings, ownerCalls{d}, d.events)
+	d.broker = permit.NewBroker(d.self, d.table, d.holdings, ownerCalls{d}, d.recorder)
 	d.buildAccounts()
 	d.buildOwners()
 	d.readiness = newReadiness(d)
@@ -156,9 +167,9 @@
 
 func (d *Daemon) buildOwners() {
 	ports := owner.Ports{
-		Orders: targetOrders{d.targets}, Peers: ownerPeers{d}, Loads: newLoads(d), Accounts: d.accounts,
+		Orders: targetOrders{d.targets, d.metrics}, Peers: ownerPeers{d}, Loads: newLoads(d), Accounts: d.accounts,
 		Liveness: d.members,
-		Events:   d.events, Log: d.log,
+		Events:   d.recorder, Log: d.log,
 	}
 	seed := uint64(d.self.Incarnation)
 	d.owners = owner.NewManager(d.holder(), d.store, d.holdings, ports, func(group string) core.Decider {
@@ -171,8 +182,8 @@
 func (d *Daemon) buildFrontend() {
 	limits := d.settings.Limits
 	d.frontend = frontend.New(frontend.Options{
-		Holder: d.holder(), Permits: d.broker, Claims: journalClaims{d.journal}, Configuration: d.follower,
-		Usage: d.accounts, Targets: d.targets, Readiness: d.readiness, Timeline: d.events, Log: d.log,
+		Holder: d.holder(), Permits: &meteredPermits{Broker: d.broker, d: d}, Claims: journalClaims{d.journal}, Configuration: d.follower,
+		Usage: d.accounts, Targets: d.targets, Readiness: d.readiness, Timeline: d.recorder, Log: d.log,
 		TargetGone: d.members.targetGone, Seed: uint64(d.self.Incarnation),
 		Limits: frontend.Limits{
 			MaxConnections: limits.Connections, MaxHeaderBytes: int(limits.HeaderBytes),
@@ -217,6 +228,7 @@
 	d.goRun(d.runMembership)
 	d.goRun(d.runDuties)
 	d.goRun(d.fetchResident)
+	d.goRun(d.runMetrics)
 	d.startAccounts()
 }
 
@@ -261,5 +273,8 @@
 	if d.listener != nil {
 		_ = d.listener.Close()
 	}
+	if d.metricsListener != nil {
+		_ = d.metricsListener.Close()
+	}
 	d.background.Wait()
 }
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -8,6 +8,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/journal"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/rpcapi"
 )
@@ -84,11 +85,26 @@
 // Claim implements frontend.Claims.
 func (j journalClaims) Claim(ctx context.Context, request rpcapi.ClaimRequest) (rpcapi.ClaimReply, error) {
 	if parts := j.parts.Load(); parts != nil {
-		return parts.client.Claim(ctx, request)
+		began := time.Now()
+		reply, err := parts.client.Claim(ctx, request)
+		j.d.metrics.Observe(metrics.ClaimLatency, time.Since(began))
+		j.d.metrics.Count(metrics.ClaimsByState, claimLabel(reply, err))
+		return reply, err
 	}
 	return rpcapi.ClaimReply{}, noJournal()
 }
 
+// claimLabel returns the state of an answered claim, or the error code.
+func claimLabel(reply rpcapi.ClaimReply, err error) string {
+	switch {
+	case err != nil:
+		return metrics.Label(err)
+	case reply.Err != nil:
+		return string(reply.Err.Code)
+	}
+	return string(reply.State)
+}
+
 // Outcome implements frontend.Claims.
 func (j journalClaims) Outcome(ctx context.Context, request rpcapi.OutcomeRequest) error {
 	if parts := j.parts.Load(); parts != nil {
--- a/internal/daemon/rpc.go
+++ b/internal/daemon/rpc.go
@@ -26,7 +26,7 @@
 func (s *ownerRPC) Acquire(request *rpcapi.AcquireRequest, reply *rpcapi.AcquireReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), request.Request.Deadline+acquireSlack)
 	defer cancel()
-	*reply = s.d.owners.Acquire(ctx, *request)
+	*reply = s.d.acquireHere(ctx, *request)
 	return nil
 }
 
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -33,7 +33,14 @@
 	AdapterLoadsByOutcome Name = "adapter_loads_by_outcome"
 	AdapterEvictions      Name = "adapter_evictions"
 	ClaimsByState         Name = "claims_by_state"
-	JournalCommitLatency  Name = "journal_commit_latency"
+	ClaimLatency          Name = "claim_latency"
+	JournalBatches        Name = "journal_batches"
+	JournalRecords        Name = "journal_records"
+	JournalTakeovers      Name = "journal_takeovers"
+	JournalStoreFailures  Name = "journal_store_failures"
+	JournalRefused        Name = "journal_refused"
+	JournalBacklog        Name = "journal_backlog"
+	JournalBacklogLost    Name = "journal_backlog_lost"
 	StoreCallsByOutcome   Name = "store_calls_by_outcome"
 	StoreLatency          Name = "store_latency"
 	PeerCallsByOutcome    Name = "peer_calls_by_outcome"
@@ -63,14 +70,14 @@
 
 // Definitions lists all metrics.
 var Definitions = []Definition{
-	{RequestsByOutcome, ByLabel, "requests", "callers' requests by error code, \"ok\" for complete responses"},
+	{RequestsByOutcome, ByLabel, "requests", "completions and service calls by error code, \"ok\" for complete responses, and refused queries"},
 	{RequestsInFlight, Gauge, "requests", "accepted and not yet answered"},
 	{RequestLatency, Latency, microseconds, "from arrival to the end of the response"},
-	{FirstTokenLatency, Latency, microseconds, "from arrival to the first token"},
+	{FirstTokenLatency, Latency, microseconds, "from arrival to the first token, of attempts that completed"},
 	{TokenGap, Latency, microseconds, "mean time between tokens of each request"},
-	{QueueWait, Latency, microseconds, "from arrival at the group's owner to the permit"},
-	{AdapterWait, Latency, microseconds, "wait of requests whose adapter had to be loaded"},
-	{AdapterWaits, Counter, "requests", "requests that waited for an adapter load"},
+	{QueueWait, Latency, microseconds, "from arrival at the group's owner, which is this VM, to the permit"},
+	{AdapterWait, Latency, microseconds, "wait for a permit while no group was known to have the adapter"},
+	{AdapterWaits, Counter, "attempts", "attempts that asked for a permit while no group was known to have the adapter"},
 	{AnswersDiscarded, Counter, "responses", "responses of a target to another request, adapter or version"},
 	{StreamsResumed, Counter, "streams", "streams resumed at their offset on a new connection"},
 	{RequestsHedged, Counter, "requests", "requests with a second attempt beside the first"},
@@ -80,10 +87,17 @@
 	{AdapterLoadsByOutcome, ByLabel, "loads", "adapter loads by error code, \"ok\" when resident"},
 	{AdapterEvictions, Counter, "evictions", "adapters evicted from a slot"},
 	{ClaimsByState, ByLabel, "claims", "answers to at-most-once claims by state"},
-	{JournalCommitLatency, Latency, microseconds, "from a claim's arrival to its commit"},
-	{StoreCallsByOutcome, ByLabel, "calls", "calls to the object API by error code, \"ok\" for success"},
-	{StoreLatency, Latency, microseconds, "calls to the object API, without watches"},
-	{PeerCallsByOutcome, ByLabel, "calls", "calls to peers by error code, \"ok\" for success"},
+	{ClaimLatency, Latency, microseconds, "claims, from the front end's call to the answer of the shard's owner"},
+	{JournalBatches, Counter, "batches", "batches that this VM's shards committed"},
+	{JournalRecords, Counter, "records", "records in committed batches"},
+	{JournalTakeovers, Counter, "takeovers", "journal shards that this VM took over"},
+	{JournalStoreFailures, Counter, "calls", "store calls of the journal that failed"},
+	{JournalRefused, Counter, "calls", "calls that this VM's shards refused without an answer"},
+	{JournalBacklog, Gauge, "records", "outcomes and releases that wait to be sent again"},
+	{JournalBacklogLost, Counter, "records", "outcomes and releases dropped from a full backlog"},
+	{StoreCallsByOutcome, ByLabel, "calls", "calls to the object API and reads of the list by error code, \"ok\" for success"},
+	{StoreLatency, Latency, microseconds, "calls to the object API and reads of the list, without watches"},
+	{PeerCallsByOutcome, ByLabel, "calls", "calls to peers by error code of the transport, \"ok\" for an answer"},
 	{PeerLatency, Latency, microseconds, "calls to peers that do not wait in a queue"},
 	{PeerConnections, Gauge, "connections", "authenticated connections from peers"},
 	{PeersRefused, Counter, "connections", "connections refused for identity or a bound"},
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -38,6 +38,21 @@
 	r.count++
 }
 
+// Overwritten returns the number of events that the ring has lost since the start.
+func (r *Ring) Overwritten() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.overwritten()
+}
+
+// overwritten is Overwritten under the lock.
+func (r *Ring) overwritten() uint64 {
+	if size := uint64(len(r.slots)); r.count > size {
+		return r.count - size
+	}
+	return 0
+}
+
 // Filter selects events. Empty fields select all.
 type Filter struct {
 	Request      model.RequestID
@@ -79,10 +94,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	answer := Answer{Process: r.vm}
-	first := uint64(0)
-	if size := uint64(len(r.slots)); r.count > size {
-		first = r.count - size
-	}
+	first := r.overwritten()
 	answer.Overwritten = first
 	for i := first; i < r.count; i++ {
 		if event := r.slots[i%uint64(len(r.slots))]; filter.matches(event) {
