--- a/internal/replay/attempts.go
+++ b/internal/replay/attempts.go
@@ -14,7 +14,7 @@
 		return
 	}
 	switch err.Code {
-	case errs.NotOwner, errs.NoTarget, errs.Draining, errs.AdapterLoadFailed, errs.Overloaded:
+	case errs.NotOwner, errs.NoTarget, errs.Draining, errs.AdapterLoadFailed:
 		a.tried = append(a.tried, a.group.info.Name)
 		w.acquire(a)
 		return
