--- /dev/null
+++ b/internal/processtest/config_test.go
@@ -0,0 +1,87 @@
+package processtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/admin"
+	"cicadaslip/internal/config"
+	"cicadaslip/internal/testcluster"
+)
+
+// versions returns the configuration version in force on each VM that answers.
+func versions(g gomega.Gomega, cluster *testcluster.Cluster) map[string]uint64 {
+	// The tool fails when a daemon does not answer, which is no fault here.
+	output, _ := testcluster.Run(binDir, nil, "cicadaslip", "status", "-o", "json", "--timeout", "3s",
+		"--settings", cluster.Settings(cluster.VMs()[0]))
+	var result struct {
+		Daemons []admin.Status `json:"daemons"`
+	}
+	g.Expect(json.Unmarshal(output, &result)).To(gomega.Succeed())
+	found := map[string]uint64{}
+	for _, daemon := range result.Daemons {
+		found[daemon.VM.Name] = daemon.ConfigVersion
+	}
+	return found
+}
+
+// Guards against a configuration that does not reach a VM, or that reverts on a
+// VM that is paused during the change or restarted after it.
+func TestConfigurationReachesAllVMs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cluster := deployment(t, g, nil)
+	paused, restarted := cluster.VMs()[0], cluster.VMs()[1]
+	cluster.Daemon(paused).Signal(syscall.SIGSTOP)
+	changed := document()
+	changed.Organisations[0].Share = 2
+	result, err := config.Publish(ctx, cluster.Store, changed, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	accepted := time.Now()
+	others := func() bool {
+		v := versions(g, cluster)
+		return v[cluster.VMs()[1]] == result.Version && v[cluster.VMs()[2]] == result.Version
+	}
+	g.Eventually(others).WithTimeout(testLimit).Should(gomega.BeTrue())
+	t.Logf("in force on the running VMs %v after it was accepted", time.Since(accepted))
+	cluster.Daemon(paused).Signal(syscall.SIGCONT)
+	cluster.Daemon(restarted).Kill()
+	g.Expect(cluster.StartDaemon(restarted)).To(gomega.Succeed())
+	g.Expect(cluster.WaitReady(ctx, restarted)).To(gomega.Succeed())
+	g.Expect(versions(g, cluster)[restarted]).To(gomega.Equal(result.Version))
+	g.Eventually(func() uint64 { return versions(g, cluster)[paused] }).WithTimeout(testLimit).Should(gomega.Equal(result.Version))
+}
+
+// Guards against a VM that takes requests before it knows the newest
+// configuration, and against resident adapters that are not served in an outage.
+func TestRestartDuringAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cluster := deployment(t, g, nil)
+	c := caller(ctx, g, cluster, cluster.VMs()[0])
+	answer, err := c.Complete(adapterName(0), "before", answerTokens, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Status).To(gomega.Equal(http.StatusOK))
+	restarted := cluster.VMs()[2]
+	old := caller(ctx, g, cluster, restarted)
+	outage(g, cluster, true)
+	cluster.Daemon(restarted).Kill()
+	g.Expect(cluster.StartDaemon(restarted)).To(gomega.Succeed())
+	answer, err = c.Complete(adapterName(0), "during", answerTokens, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Status).To(gomega.Equal(http.StatusOK), string(answer.Body))
+	booked, err := c.Post("/v1/services/"+booking, "outage-key", []byte(`{}`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, ran := booked.Error()
+	g.Expect(ran).To(gomega.Equal("not_run"), string(booked.Body))
+	_, err = old.Complete(adapterName(0), "at the old address", answerTokens, false)
+	g.Expect(err).To(gomega.HaveOccurred(), "the VM is not back")
+	outage(g, cluster, false)
+	g.Expect(cluster.WaitReady(ctx, restarted)).To(gomega.Succeed())
+	booked, err = c.Post("/v1/services/"+booking, "outage-key", []byte(`{}`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(booked.Status).To(gomega.Equal(http.StatusOK), string(booked.Body))
+}
