--- a/internal/core/accounting.go
+++ b/internal/core/accounting.go
@@ -8,6 +8,6 @@
 	p.recorded = true
 	c.emit(RecordGiven{
 		ID: p.permit.Request, Organisation: p.permit.Organisation, Kind: p.permit.Kind,
-		Target: p.target.info.Name, Outcome: e.Outcome, Usage: e.Usage,
+		Target: p.target.info.Name, Holder: p.holder, Outcome: e.Outcome, Usage: e.Usage,
 	})
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -108,10 +108,11 @@
 	// have the adapter.
 	NotResident bool
 
-	// Organisation and Kind are those of the permit, for an owner that does
-	// not know the permit yet.
+	// Organisation, Kind and Holder are those of the permit, for an owner that
+	// does not know the permit yet.
 	Organisation string
 	Kind         string
+	Holder       model.Holder
 }
 
 // Progress reports the observed cadence of a running request.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -180,7 +180,7 @@
 	}
 	c.early[key] = true
 	c.emit(RecordGiven{
-		ID: e.ID, Organisation: e.Organisation, Kind: e.Kind, Target: e.Target,
+		ID: e.ID, Organisation: e.Organisation, Kind: e.Kind, Target: e.Target, Holder: e.Holder,
 		Outcome: e.Outcome, Usage: e.Usage,
 	})
 }
--- a/internal/frontend/render.go
+++ b/internal/frontend/render.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	contentJSON       = "application/json"
-	headerRetryAfter  = "Retry-After"
-	headerRequestID   = "X-Request-Id"
-	statusRefusedLoad = fasthttp.StatusServiceUnavailable
+	contentJSON      = "application/json"
+	headerRetryAfter = "Retry-After"
+	headerRequestID  = "X-Request-Id"
 )
 
 // errorBody is the OpenAI error form with the field ran added.
@@ -41,7 +40,7 @@
 // renderError returns status, Retry-After in seconds (empty: no advice) and
 // body. Causes are not shown, because they can name internal addresses.
 func renderError(e *errs.Error) (status int, retry string, body []byte) {
-	status = statusOf(e.Code)
+	status = errs.HTTPStatus(e.Code)
 	fields := errorFields{Message: e.Message, Type: typeServer, Code: e.Code, Ran: e.Ran, Details: e.Details}
 	if status < fasthttp.StatusInternalServerError {
 		fields.Type = typeRequest
@@ -60,16 +59,6 @@
 	return status, retry, body
 }
 
-// statusOf gives codes that the table of package errs lacks a caller's status.
-func statusOf(code errs.Code) int {
-	switch code {
-	case errs.AdapterNotResident, errs.StaleEpoch, errs.PeerUnavailable, errs.StoreAmbiguous, errs.StoreStale:
-		return statusRefusedLoad
-	default:
-		return errs.HTTPStatus(code)
-	}
-}
-
 func writeError(ctx *fasthttp.RequestCtx, e *errs.Error) {
 	status, retry, body := renderError(e)
 	ctx.Response.ResetBody()
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -227,6 +227,7 @@
 	release.ID = permit.Request
 	release.Target = permit.Target.Name
 	release.Organisation, release.Kind = permit.Organisation, permit.Kind
+	release.Holder = model.Holder{VM: b.self.Name, Incarnation: b.self.Incarnation}
 	b.returns.add(returned{group: permit.Group, epoch: permit.Epoch, release: &release})
 	b.holdings.Drop(permit.Request)
 }
--- a/internal/processtest/config_test.go
+++ b/internal/processtest/config_test.go
@@ -14,11 +14,14 @@
 	"cicadaslip/internal/testcluster"
 )
 
-// versions returns the configuration version in force on each VM that answers.
-func versions(g gomega.Gomega, cluster *testcluster.Cluster) map[string]uint64 {
-	// The tool fails when a daemon does not answer, which is no fault here.
-	output, _ := testcluster.Run(binDir, nil, "cicadaslip", "status", "-o", "json", "--timeout", "3s",
-		"--settings", cluster.Settings(cluster.VMs()[0]))
+// versions returns the configuration versions in force on VMs.
+func versions(g gomega.Gomega, cluster *testcluster.Cluster, vms ...string) map[string]uint64 {
+	args := []string{"status", "-o", "json", "--settings", cluster.Settings(cluster.VMs()[0])}
+	for _, vm := range vms {
+		args = append(args, "--vm", vm)
+	}
+	output, err := testcluster.Run(binDir, nil, "cicadaslip", args...)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	var result struct {
 		Daemons []admin.Status `json:"daemons"`
 	}
@@ -43,7 +46,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	accepted := time.Now()
 	others := func() bool {
-		v := versions(g, cluster)
+		v := versions(g, cluster, cluster.VMs()[1:]...)
 		return v[cluster.VMs()[1]] == result.Version && v[cluster.VMs()[2]] == result.Version
 	}
 	g.Eventually(others).WithTimeout(testLimit).Should(gomega.BeTrue())
@@ -52,8 +55,8 @@
 	cluster.Daemon(restarted).Kill()
 	g.Expect(cluster.StartDaemon(restarted)).To(gomega.Succeed())
 	g.Expect(cluster.WaitReady(ctx, restarted)).To(gomega.Succeed())
-	g.Expect(versions(g, cluster)[restarted]).To(gomega.Equal(result.Version))
-	g.Eventually(func() uint64 { return versions(g, cluster)[paused] }).WithTimeout(testLimit).Should(gomega.Equal(result.Version))
+	g.Expect(versions(g, cluster, restarted)[restarted]).To(gomega.Equal(result.Version))
+	g.Eventually(func() uint64 { return versions(g, cluster, paused)[paused] }).WithTimeout(testLimit).Should(gomega.Equal(result.Version))
 }
 
 // Guards against a VM that takes requests before it knows the newest
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -74,7 +74,7 @@
 
 // deployment starts three VMs, three runners with three slots and three
 // services, and waits until all VMs are ready.
-func deployment(t *testing.T, g gomega.Gomega, change func(*testcluster.Options)) (context.Context, *testcluster.Cluster) {
+func deployment(t testing.TB, g gomega.Gomega, change func(*testcluster.Options)) (context.Context, *testcluster.Cluster) {
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
 	dataCentre := func(name string) testcluster.DataCentre {
