--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -18,6 +18,7 @@
 	ctx, cancel := d.drainContext()
 	defer cancel()
 	err := d.frontend.Drain(ctx)
+	d.journal.flush(ctx)
 	d.handOver(ctx)
 	d.flushAccounts(ctx)
 	if err != nil {
@@ -45,13 +46,25 @@
 	}
 	for d.broker.Unreturned() > 0 || d.owners.Owned() > 0 && !d.alone() {
 		if !sleep(ctx, dutyInterval) {
-			d.log.Warn().Int("groups", d.owners.Owned()).Int("permits", d.broker.Unreturned()).
-				Msg("duties were not handed over in time")
+			d.logRefused()
 			return
 		}
 	}
 }
 
+// logRefused logs each duty that no other VM has taken over in time.
+func (d *Daemon) logRefused() {
+	for _, group := range d.owners.Digests() {
+		d.log.Warn().Str("group", group.Group).Uint64("epoch", uint64(group.Epoch)).Msg("group was not handed over in time")
+	}
+	for _, shard := range d.journal.owned() {
+		d.log.Warn().Int("shard", shard).Msg("journal shard was not handed over in time")
+	}
+	if permits := d.broker.Unreturned(); permits > 0 {
+		d.log.Warn().Int("permits", permits).Msg("returns of permits were not acknowledged in time")
+	}
+}
+
 // alone reports whether no other VM could take duties over.
 func (d *Daemon) alone() bool {
 	for _, entry := range d.members.peers() {
@@ -61,3 +74,38 @@
 	}
 	return true
 }
+
+// flushPause is the time between attempts to store the journal's backlog. The
+// shards' owners refuse calls for longer than this during a store outage.
+const flushPause = 250 * time.Millisecond
+
+// flush stores the outcomes and releases of at-most-once calls that have ended.
+// Without them a repeat of such a call gets outcome_unknown once this VM is gone.
+func (j *journalDuty) flush(ctx context.Context) {
+	parts := j.parts.Load()
+	if parts == nil {
+		return
+	}
+	if left := flushUntilEmpty(ctx, parts.client.FlushBacklog); left > 0 {
+		j.d.log.Error().Int("records", left).Msg("outcomes of at-most-once calls were not stored before the drain's limit")
+	}
+}
+
+// flushUntilEmpty calls flush until nothing is left or ctx ends, and returns
+// what is left. It calls flush at least once.
+func flushUntilEmpty(ctx context.Context, flush func(context.Context) int) int {
+	for {
+		left := flush(ctx)
+		if left == 0 || !sleep(ctx, flushPause) {
+			return left
+		}
+	}
+}
+
+// owned returns the shards that this VM owns.
+func (j *journalDuty) owned() []int {
+	if parts := j.parts.Load(); parts != nil {
+		return parts.host.Owned()
+	}
+	return nil
+}
