cleanup: Delete registrations and usage documents of gone VMs

One VM has the duty by rendezvous. Documents of gone incarnations are moved into one roll-up per VM name at once, merged by maximum so that repeats and late flushes change nothing, and folded into its totals after the retention. A flush after the fold cannot be told from what was folded; it stays in the store and the usage report shows its incarnation as ended without its last records. Since when a registration's VM is gone is stored, so that the retention does not start again with each move of the duty. Adding documents to a sum directly was ruled out: a lost response or a late flush would be counted twice.

--- a/internal/account/counters.go
+++ b/internal/account/counters.go
@@ -58,11 +58,14 @@
 
 // Document holds the counters of one VM incarnation, or a part of its rows.
 type Document struct {
-	Holder model.Holder   `json:"holder"`
-	Writer model.Holder   `json:"writer"`       // the holder, or a peer that writes for it
-	Write  uint64         `json:"write_number"` // of the writer
-	Final  bool           `json:"final"`        // written after the last record
-	Rows   map[string]Row `json:"organisations"`
+	Holder model.Holder `json:"holder"`
+	Writer model.Holder `json:"writer"`       // the holder, or a peer that writes for it
+	Write  uint64       `json:"write_number"` // of the writer
+	Final  bool         `json:"final"`        // written after the last record
+	// Folded is set in the totals of a roll-up: the documents of this VM up to this
+	// incarnation are part of them.
+	Folded model.Incarnation `json:"folded,omitempty"`
+	Rows   map[string]Row    `json:"organisations"`
 }
 
 // newDocument returns an empty document.
@@ -75,6 +78,7 @@
 func (d *Document) merge(from Document) bool {
 	changed := from.Final && !d.Final
 	d.Final = d.Final || from.Final
+	d.Folded = max(d.Folded, from.Folded)
 	for organisation, row := range from.Rows {
 		if d.Rows[organisation] == nil {
 			d.Rows[organisation] = Row{}
--- a/internal/account/report.go
+++ b/internal/account/report.go
@@ -100,6 +100,7 @@
 		}
 		joinOpen(open, answer.Open)
 	}
+	dropFolded(documents)
 	for _, request := range open {
 		if !request.matches() {
 			usageOf(organisations, request.Organisation).addOpen(*request)
--- /dev/null
+++ b/internal/cleanup/cleanup.go
@@ -0,0 +1,79 @@
+package cleanup
+
+import (
+	"context"
+	"time"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/model"
+	"cicadaslip/internal/platform"
+)
+
+// Liveness says what is known of VMs.
+type Liveness interface {
+	// Gone reports whether an incarnation is confirmed gone.
+	Gone(holder model.Holder) bool
+	// Listed reports whether the platform's newest list shows a VM, or whether
+	// no list was read yet.
+	Listed(vm string) bool
+}
+
+// Cleaner has the duty of one VM. Its methods must not be called concurrently.
+type Cleaner struct {
+	Self      model.Holder
+	Store     platform.Store
+	Liveness  Liveness
+	Retention time.Duration // from the time at which an object was first found to be unneeded
+	Now       func() time.Time
+}
+
+// pageSize is the number of objects read with one call.
+const pageSize = 500
+
+// Pass looks at all objects once. What fails is tried again by the next pass;
+// the first failure is returned, and the other parts are tried all the same.
+func (c *Cleaner) Pass(ctx context.Context) error {
+	first := c.registrations(ctx)
+	if err := c.usage(ctx); first == nil {
+		first = err
+	}
+	return first
+}
+
+// list reads all objects with a prefix at a revision of at least minRevision.
+func (c *Cleaner) list(ctx context.Context, prefix string, minRevision int64) ([]platform.Object, int64, error) {
+	var all []platform.Object
+	after := ""
+	for {
+		page, err := c.Store.List(ctx, prefix, after, pageSize, minRevision)
+		if err != nil {
+			return nil, 0, err
+		}
+		all = append(all, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			return all, page.Revision, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Key
+	}
+}
+
+// write replaces an object whose version was read; version 0 creates it.
+func (c *Cleaner) write(ctx context.Context, key string, value []byte, version int64) error {
+	var err error
+	if version == 0 {
+		_, err = c.Store.Create(ctx, key, value)
+	} else {
+		_, err = c.Store.Update(ctx, key, value, version)
+	}
+	return err
+}
+
+// remove deletes an object unless it has changed. One that is gone already is no
+// failure: an earlier attempt's response was lost.
+func (c *Cleaner) remove(ctx context.Context, object platform.Object) error {
+	err := c.Store.Delete(ctx, object.Key, object.Version)
+	if errs.Is(err, errs.NotFound) {
+		return nil
+	}
+	return err
+}
--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -109,6 +109,28 @@
 			}
 			all = append(all, document)
 		}
+		if !page.More {
+			return withRollups(ctx, store, all, page.Revision)
+		}
+	}
+}
+
+// withRollups adds the counters of incarnations whose documents were rolled up.
+func withRollups(ctx context.Context, store platform.Store, all []account.Document, minRevision int64) ([]account.Document, error) {
+	after := ""
+	for {
+		page, err := store.List(ctx, account.RollupPrefix, after, usagePage, minRevision)
+		if err != nil {
+			return nil, err
+		}
+		for _, object := range page.Objects {
+			after = object.Key
+			rollup, err := account.ParseRollup(object.Value)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, rollup.Documents()...)
+		}
 		if !page.More {
 			return all, nil
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -229,6 +229,7 @@
 	d.goRun(d.runDuties)
 	d.goRun(d.fetchResident)
 	d.goRun(d.runMetrics)
+	d.goRun(d.runCleanup)
 	d.startAccounts()
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -23,6 +23,7 @@
 	addresses map[string]model.VM
 	targets   map[string]model.Target
 	listed    bool
+	listedVMs map[string]bool
 	heardAny  time.Time // last heartbeat of any peer
 
 	silentSince map[model.Holder]core.Time
@@ -53,6 +54,7 @@
 	defer m.mu.Unlock()
 	m.listed = true
 	m.table.SetListing(listing.VMs)
+	m.listedVMs = listedNames(listing.VMs)
 	m.targets = make(map[string]model.Target, len(listing.Targets))
 	for _, target := range listing.Targets {
 		m.targets[target.Name] = target
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	Limits     Limits     `yaml:"limits"`
 	Membership Membership `yaml:"membership"`
 	Shutdown   Shutdown   `yaml:"shutdown"`
+	Cleanup    Cleanup    `yaml:"cleanup"`
 	Timeline   Timeline   `yaml:"timeline"`
 	Log        Log        `yaml:"log"`
 }
@@ -103,6 +104,14 @@
 	Limit time.Duration `yaml:"limit" default:"0s" min:"0s" max:"24h"`
 }
 
+// Cleanup is the deletion of objects in the store that belong to gone VMs.
+type Cleanup struct {
+	// Interval between looks at the store. One VM has the duty.
+	Interval time.Duration `yaml:"interval" default:"10m" min:"100ms" max:"24h"`
+	// Time for which a VM is gone from the platform's list before its registration is deleted, and for which a gone incarnation's counters are kept apart in the roll-up of its VM.
+	Retention time.Duration `yaml:"retention" default:"24h" min:"1s" max:"8760h"`
+}
+
 // Timeline is the ring of events of this process.
 type Timeline struct {
 	// Number of events kept.
