--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -85,3 +86,11 @@
 	}
 	return errs.New(errs.PeerUnavailable, "the result is incomplete: daemons did not answer").WithDetails(s.NoAnswer...)
 }
+
+// printPartial prints a result and fails if daemons are missing in it.
+func (c *Context) printPartial(result any, text func(w io.Writer) error, missing silent) error {
+	if err := c.Print(result, text); err != nil {
+		return err
+	}
+	return missing.incomplete()
+}
--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -43,10 +43,8 @@
 	}
 	return t.c.withDaemons(t.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
 		merged := daemons.Timeline(ctx, filter)
-		if err := t.c.Print(merged, func(w io.Writer) error { return writeTimeline(w, merged) }); err != nil {
-			return err
-		}
-		return silent{merged.NoAnswer}.incomplete()
+		write := func(w io.Writer) error { return writeTimeline(w, merged) }
+		return t.c.printPartial(merged, write, silent{merged.NoAnswer})
 	})
 }
 
@@ -83,10 +81,8 @@
 			return err
 		}
 		report := daemons.Usage(ctx, stored)
-		if err := u.c.Print(report, func(w io.Writer) error { return writeUsage(w, report) }); err != nil {
-			return err
-		}
-		return silent{report.NoAnswer}.incomplete()
+		write := func(w io.Writer) error { return writeUsage(w, report) }
+		return u.c.printPartial(report, write, silent{report.NoAnswer})
 	})
 }
 
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -50,10 +50,7 @@
 				result.Daemons = append(result.Daemons, answer.Value)
 			}
 		}
-		if err := s.c.Print(result, result.write); err != nil {
-			return err
-		}
-		return result.incomplete()
+		return s.c.printPartial(result, result.write, result.silent)
 	})
 }
 
@@ -101,10 +98,7 @@
 			result.Targets = append(result.Targets, answer.Value.Targets...)
 			result.Omitted += answer.Value.Omitted
 		}
-		if err := t.c.Print(result, result.write); err != nil {
-			return err
-		}
-		return result.incomplete()
+		return t.c.printPartial(result, result.write, result.silent)
 	})
 }
 
@@ -147,10 +141,7 @@
 			result.Adapters = append(result.Adapters, answer.Value.Adapters...)
 			result.Omitted += answer.Value.Omitted
 		}
-		if err := a.c.Print(result, result.write); err != nil {
-			return err
-		}
-		return result.incomplete()
+		return a.c.printPartial(result, result.write, result.silent)
 	})
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -36,14 +36,19 @@
 
 func (c ownerCalls) local(vm string) bool { return vm == c.d.self.Name }
 
+// remote calls a method of another VM and returns its reply.
+func remote[Request, Reply any](ctx context.Context, d *Daemon, vm, method string, request Request) (Reply, error) {
+	var reply Reply
+	err := d.call(ctx, vm, method, &request, &reply)
+	return reply, err
+}
+
 // Acquire implements permit.Owners.
 func (c ownerCalls) Acquire(ctx context.Context, vm string, request rpcapi.AcquireRequest) (rpcapi.AcquireReply, error) {
 	if c.local(vm) {
-		return c.d.acquireHere(ctx, request), nil
+		return c.d.owners.Acquire(ctx, request), nil
 	}
-	var reply rpcapi.AcquireReply
-	err := c.d.call(ctx, vm, ownerService+".Acquire", &request, &reply)
-	return reply, err
+	return remote[rpcapi.AcquireRequest, rpcapi.AcquireReply](ctx, c.d, vm, ownerService+".Acquire", request)
 }
 
 // Release implements permit.Owners.
@@ -51,9 +56,7 @@
 	if c.local(vm) {
 		return c.d.owners.Release(request), nil
 	}
-	var reply rpcapi.ReleaseReply
-	err := c.d.call(ctx, vm, ownerService+".Release", &request, &reply)
-	return reply, err
+	return remote[rpcapi.ReleaseRequest, rpcapi.ReleaseReply](ctx, c.d, vm, ownerService+".Release", request)
 }
 
 // Cancel implements permit.Owners.
@@ -61,9 +64,7 @@
 	if c.local(vm) {
 		return c.d.owners.Cancel(request), nil
 	}
-	var reply rpcapi.CancelReply
-	err := c.d.call(ctx, vm, ownerService+".Cancel", &request, &reply)
-	return reply, err
+	return remote[rpcapi.CancelRequest, rpcapi.CancelReply](ctx, c.d, vm, ownerService+".Cancel", request)
 }
 
 // Progress implements permit.Owners.
@@ -71,9 +72,7 @@
 	if c.local(vm) {
 		return rpcapi.ProgressReply{Err: c.d.owners.Progress(request)}, nil
 	}
-	var reply rpcapi.ProgressReply
-	err := c.d.call(ctx, vm, ownerService+".Progress", &request, &reply)
-	return reply, err
+	return remote[rpcapi.ProgressRequest, rpcapi.ProgressReply](ctx, c.d, vm, ownerService+".Progress", request)
 }
 
 // ownerPeers implements owner.Peers.
@@ -84,9 +83,7 @@
 	if vm == p.d.self.Name {
 		return p.d.owners.ConfirmEpoch(request), nil
 	}
-	var reply rpcapi.ConfirmEpochReply
-	err := p.d.call(ctx, vm, nodeService+".ConfirmEpoch", &request, &reply)
-	return reply, err
+	return remote[rpcapi.ConfirmEpochRequest, rpcapi.ConfirmEpochReply](ctx, p.d, vm, nodeService+".ConfirmEpoch", request)
 }
 
 // Hedge implements owner.Peers.
