--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -78,7 +78,8 @@
 	if n.Replica {
 		worth *= replicaLoss
 	}
-	return worth * (1 + float64(n.Oldest)/float64(ageing))
+	waited := float64(n.Oldest) / float64(ageing)
+	return worth * (1 + waited + waited*waited*waited)
 }
 
 // Score implements Policy. Needs with less time left go first when their
