daemon: End when a later incarnation of the VM is registered

Peers count the earlier incarnation as gone and abandon its permits; a process that was paused and resumed went on sending requests under them. The new test failed before: the earlier process kept running.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,9 +67,11 @@
 	frontend    *frontend.Server
 	readiness   *readiness
 
-	drainAsked chan struct{} // closed by the command line
-	drainOnce  sync.Once
-	background sync.WaitGroup
+	superseded     chan struct{} // closed when a later incarnation is registered
+	supersededOnce sync.Once
+	drainAsked     chan struct{} // closed by the command line
+	drainOnce      sync.Once
+	background     sync.WaitGroup
 }
 
 // New opens the daemon's sockets. Run starts it.
@@ -79,6 +81,7 @@
 		settings: s, log: log, ctx: ctx, cancel: cancel, start: time.Now(),
 		clock: timeline.NewClock(time.Now), targets: target.New(target.Config{}),
 		table: permit.NewTable(), holdings: permit.NewHoldings(), coordinator: newCoordinator(), drainAsked: make(chan struct{}),
+		superseded: make(chan struct{}),
 	}
 	d.events = timeline.NewRing(s.Timeline.RingLength, s.VM.Name, d.clock)
 	d.metrics = metrics.New()
@@ -151,6 +154,8 @@
 		return d.drain()
 	case <-d.drainAsked:
 		return d.drain()
+	case <-d.superseded:
+		return errs.New(errs.Conflict, "a later incarnation of this VM is registered")
 	}
 }
 
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -153,6 +153,9 @@
 				continue
 			}
 			all = append(all, vm)
+			if vm.Name == d.self.Name && vm.Incarnation > d.self.Incarnation {
+				d.endSuperseded()
+			}
 		}
 		if !page.More {
 			d.members.setRegistrations(all)
@@ -160,3 +163,10 @@
 		}
 	}
 }
+
+// endSuperseded ends this process, because another one has registered the same
+// VM later: peers count this incarnation as gone and its permits as abandoned,
+// so it must not send requests any more.
+func (d *Daemon) endSuperseded() {
+	d.supersededOnce.Do(func() { close(d.superseded) })
+}
--- a/internal/processtest/config_test.go
+++ b/internal/processtest/config_test.go
@@ -88,3 +88,21 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(booked.Status).To(gomega.Equal(http.StatusOK), string(booked.Body))
 }
+
+// Guards against two processes of one VM: the earlier one counts as gone and
+// must not go on when it resumes.
+func TestEarlierIncarnationEndsWhenItResumes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cluster := deployment(t, g, nil)
+	vm := cluster.VMs()[0]
+	earlier := cluster.Daemon(vm)
+	earlier.Signal(syscall.SIGSTOP)
+	g.Expect(cluster.StartDaemon(vm)).To(gomega.Succeed())
+	g.Expect(cluster.WaitReady(ctx, vm)).To(gomega.Succeed())
+	earlier.Signal(syscall.SIGCONT)
+	g.Eventually(earlier.Done()).WithTimeout(testLimit).Should(gomega.BeClosed())
+	g.Expect(earlier.Wait()).To(gomega.Equal(1))
+	answer, err := caller(ctx, g, cluster, vm).Complete(adapterName(0), "later", answerTokens, false)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Status).To(gomega.Equal(http.StatusOK), string(answer.Body))
+}
