--- a/internal/processtest/config_test.go
+++ b/internal/processtest/config_test.go
@@ -11,6 +11,7 @@
 
 	"cicadaslip/internal/admin"
 	"cicadaslip/internal/config"
+	"cicadaslip/internal/platform/memstore"
 	"cicadaslip/internal/testcluster"
 )
 
@@ -106,3 +107,38 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(answer.Status).To(gomega.Equal(http.StatusOK), string(answer.Body))
 }
+
+// Limits of the platform for all calls together, from the requirements.
+const (
+	writesPerSecond = 300
+	readsPerSecond  = 2000
+	recoverySeconds = 3
+)
+
+// Guards against a stampede on the platform when it comes back.
+func TestRecoveryStaysWithinThePlatformsRates(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cluster := deployment(t, g, nil)
+	l := newLoad(ctx, cluster)
+	stop := make(chan struct{})
+	l.run(13, 6, maxRequests, stop)
+	outage(g, cluster, true)
+	time.Sleep(recoverySeconds * time.Second)
+	before := counts(g, cluster)
+	outage(g, cluster, false)
+	time.Sleep(recoverySeconds * time.Second)
+	after := counts(g, cluster)
+	close(stop)
+	l.group.Wait()
+	writes, reads := after.Writes()-before.Writes(), after.Reads()-before.Reads()
+	t.Logf("%d writes and %d reads in the %d s after an outage", writes, reads, recoverySeconds)
+	g.Expect(writes).To(gomega.BeNumerically("<=", writesPerSecond*recoverySeconds))
+	g.Expect(reads).To(gomega.BeNumerically("<=", readsPerSecond*recoverySeconds))
+	l.checker.verify(t, g, cluster)
+}
+
+func counts(g gomega.Gomega, cluster *testcluster.Cluster) memstore.Counts {
+	var c memstore.Counts
+	get(g, cluster.Platform.Address, "/control/counts", &c)
+	return c
+}
