--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 )
 
 var (
-	benchTargets  = []int{9, 18, 64}
+	benchTargets  = []int{9, 16, 18, 64}
 	benchAdapters = []int{3_000, 30_000, 200_000}
 )
 
@@ -119,3 +120,23 @@
 		}
 	})
 }
+
+// BenchmarkMemory reports the heap of a core with its targets and the adapters
+// that it has seen.
+func BenchmarkMemory(b *testing.B) {
+	forSizes(b, func(b *testing.B, targets, adapters int) {
+		for b.Loop() {
+			before := heap()
+			c, _ := benchCore(targets, adapters)
+			b.ReportMetric(float64(heap()-before), "heap_B")
+			runtime.KeepAlive(c)
+		}
+	})
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
