--- a/internal/permit/bench_test.go
+++ b/internal/permit/bench_test.go
@@ -149,3 +149,17 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkHoldingsMemory reports the heap of held permits.
+func BenchmarkHoldingsMemory(b *testing.B) {
+	for _, held := range benchHeld {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				h := benchHoldings(held)
+				b.ReportMetric(float64(heap()-before), "heap_B")
+				runtime.KeepAlive(h)
+			}
+		})
+	}
+}
