--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/errs"
@@ -59,6 +60,11 @@
 	return ask(ctx, c, "Adapters", filter, func(r AdaptersReply) (AdaptersReply, *errs.Error) { return r, r.Err })
 }
 
+// Arrivals asks every daemon for the requests that arrived from a time on.
+func (c *Client) Arrivals(ctx context.Context, from time.Time) []Answer[ArrivalsReply] {
+	return ask(ctx, c, "Arrivals", ArrivalsRequest{From: from}, func(r ArrivalsReply) (ArrivalsReply, *errs.Error) { return r, r.Err })
+}
+
 // Drain asks every daemon to drain.
 func (c *Client) Drain(ctx context.Context) []Answer[Empty] {
 	return ask(ctx, c, "Drain", Empty{}, func(r DrainReply) (Empty, *errs.Error) { return Empty{}, r.Err })
--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -1,7 +1,10 @@
 package admin
 
 import (
+	"time"
+
 	"cicadaslip/internal/account"
+	"cicadaslip/internal/arrivals"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/timeline"
 )
@@ -28,12 +31,19 @@
 // end. A repeat has no effect.
 type Drainer interface{ Drain() error }
 
+// Arrivals gives the newest requests of this VM's callers. *arrivals.Log
+// implements it.
+type Arrivals interface {
+	Since(from time.Time, limit int) ([]arrivals.Arrival, int)
+}
+
 // Sources are what the service shows.
 type Sources struct {
 	Overview Overview
 	Events   Events
 	Account  Account
 	Drainer  Drainer
+	Arrivals Arrivals
 }
 
 // Service is the net/rpc service. Its methods put failures into the reply.
@@ -80,6 +90,12 @@
 	return nil
 }
 
+// Arrivals lists the newest requests of this VM's callers.
+func (s *Service) Arrivals(request ArrivalsRequest, reply *ArrivalsReply) error {
+	reply.Arrivals, reply.Omitted = s.sources.Arrivals.Since(request.From, MaxArrivals)
+	return nil
+}
+
 // Drain starts the drain of the daemon.
 func (s *Service) Drain(_ Empty, reply *DrainReply) error {
 	reply.Err = errs.As(s.sources.Drainer.Drain())
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadaslip/internal/account"
+	"cicadaslip/internal/arrivals"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/membership"
 	"cicadaslip/internal/model"
@@ -16,6 +17,8 @@
 	MaxEvents = 8_000
 	// MaxRows is the largest number of targets or adapters in a reply.
 	MaxRows = 10_000
+	// MaxArrivals is the largest number of arrivals in a reply.
+	MaxArrivals = 5_000
 )
 
 // Status is what one daemon tells about itself.
@@ -128,3 +131,13 @@
 
 // DrainReply is the reply of Drain.
 type DrainReply struct{ Err *errs.Error }
+
+// ArrivalsRequest asks for the arrivals from a time on.
+type ArrivalsRequest struct{ From time.Time }
+
+// ArrivalsReply is the reply of Arrivals.
+type ArrivalsReply struct {
+	Arrivals []arrivals.Arrival
+	Omitted  int // over MaxArrivals, the oldest ones
+	Err      *errs.Error
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/admin"
+	"cicadaslip/internal/arrivals"
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
@@ -35,11 +36,12 @@
 	cancel   context.CancelFunc
 	start    time.Time
 
-	store   platform.Store
-	lister  platform.Lister
-	clock   *timeline.Clock
-	events  *timeline.Ring
-	metrics *metrics.Registry
+	store    platform.Store
+	lister   platform.Lister
+	clock    *timeline.Clock
+	events   *timeline.Ring
+	arrivals *arrivals.Log
+	metrics  *metrics.Registry
 	// recorder enters events into the timeline and the metrics.
 	recorder *eventMetrics
 	targets  *target.Client
@@ -74,6 +76,9 @@
 	background     sync.WaitGroup
 }
 
+// arrivalsKept is the number of requests kept for recorded traces, about 2 MB.
+const arrivalsKept = 10_000
+
 // New opens the daemon's sockets. Run starts it.
 func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -84,6 +89,7 @@
 		superseded: make(chan struct{}),
 	}
 	d.events = timeline.NewRing(s.Timeline.RingLength, s.VM.Name, d.clock)
+	d.arrivals = arrivals.NewLog(arrivalsKept, s.VM.DataCentre)
 	d.metrics = metrics.New()
 	d.recorder = newEventMetrics(d.events, d.metrics)
 	client := httpstore.New(httpstore.Options{
@@ -203,7 +209,7 @@
 		ownerService: &ownerRPC{d}, nodeService: &nodeRPC{d}, journal.ServiceName: &journalRPC{d.journal}, configService: &configRPC{d},
 		account.ServiceName: account.NewService(d.accounts),
 		admin.ServiceName: admin.NewService(admin.Sources{
-			Overview: overview{d}, Events: d.events, Account: d.accounts, Drainer: drainer{d},
+			Overview: overview{d}, Events: d.events, Account: d.accounts, Drainer: drainer{d}, Arrivals: d.arrivals,
 		}),
 	}
 	for name, service := range services {
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -118,6 +118,7 @@
 // Acquire implements frontend.Permits.
 func (p *meteredPermits) Acquire(ctx context.Context, request core.Request) (core.Permit, error) {
 	began, cold := time.Now(), p.d.needsLoad(request)
+	p.d.arrivals.Arrived(began, requestOf(request.ID), request)
 	granted, err := p.Broker.Acquire(ctx, request)
 	if cold {
 		p.d.metrics.Add(metrics.AdapterWaits, 1)
@@ -135,6 +136,9 @@
 // Release implements frontend.Permits.
 func (p *meteredPermits) Release(granted core.Permit, release core.PermitReleased) {
 	p.Broker.Release(granted, release)
+	if release.Outcome == core.OutcomeDone {
+		p.d.arrivals.Answered(attemptedBy(granted.Request), release.Usage.GeneratedTokens)
+	}
 	wait, known := p.waits.LoadAndDelete(granted.Request)
 	if granted.Target.Class != model.ClassRunner || release.Outcome != core.OutcomeDone {
 		return
@@ -147,6 +151,18 @@
 	}
 }
 
+// requestOf returns the id of the request that an attempt asks for.
+func requestOf(attempt model.RequestID) model.RequestID {
+	if cut := strings.LastIndexByte(string(attempt), '.'); cut > 0 {
+		return attempt[:cut]
+	}
+	return attempt
+}
+
+// attemptedBy returns the id of the request that a permit was granted for. The
+// broker adds a suffix of its own to the attempt's.
+func attemptedBy(granted model.RequestID) model.RequestID { return requestOf(requestOf(granted)) }
+
 // needsLoad reports whether no group is known to have the request's adapter.
 func (d *Daemon) needsLoad(request core.Request) bool {
 	if request.Class != model.ClassRunner {
--- a/internal/replay/deployments.go
+++ b/internal/replay/deployments.go
@@ -56,6 +56,13 @@
 // Deployments lists the names of the synthetic deployments.
 func Deployments() []string { return []string{Baltzips, Jegue} }
 
+// Surroundings returns the delays and the engine rule of a synthetic deployment,
+// for a trace that was recorded in one like it.
+func Surroundings(name string) (Deployment, *errs.Error) {
+	p, failure := profileOf(name)
+	return p.deployment, failure
+}
+
 func profileOf(name string) (profile, *errs.Error) {
 	switch name {
 	case Baltzips:
--- a/internal/replay/reader.go
+++ b/internal/replay/reader.go
@@ -95,7 +95,7 @@
 }
 
 func (r *Reader) fault(err *errs.Error) *errs.Error {
-	return errs.Wrap(err, err.Code, fmt.Sprintf("line %d", r.line))
+	return errs.New(err.Code, fmt.Sprintf("line %d: %s", r.line, err.Message))
 }
 
 func decode(line []byte, into any) *errs.Error {
