core: Send loads to other targets while loads fail or hang on one

A target where a load failed in the last 5 s or hangs for 2 s gets no loads while another target has no such trouble.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -180,6 +180,7 @@
 
 // failLoad frees the slot of a load that certainly did not and will not happen.
 func (c *Core) failLoad(now Time, row *intentRow) {
+	row.slot.target.loadFailed, row.slot.target.loadFailedAt = true, now
 	c.resolve(row)
 	c.endLoad(now, row)
 }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -292,6 +292,9 @@
 	if !t.open() || t.info.Class != model.ClassRunner || t.info.BaseModel != a.baseModel || !t.stateKnown {
 		return false
 	}
+	if c.avoided(now, t) {
+		return false
+	}
 	s := t.slot(a)
 	return s == nil || (s.state == slotAbsent && !s.barred && s.formerEvicts == 0 && now >= s.retry)
 }
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -68,6 +68,9 @@
 	lastAsk    Time
 	wantState  bool
 
+	loadFailed   bool // at loadFailedAt
+	loadFailedAt Time
+
 	unknown  map[model.RequestID]bool // running according to the target, without a permit
 	released map[model.RequestID]Time // ended permits since the last statement
 	dirty    bool
