--- a/internal/cli/configcmd.go
+++ b/internal/cli/configcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -19,7 +18,7 @@
 const maxDocumentBytes = 256 << 20
 
 // errDiffers ends diff with its own exit code and without a message.
-var errDiffers = errors.New("the documents differ")
+var errDiffers = errs.New(errs.Conflict, "the documents differ")
 
 var applyCommand = Registration{
 	Name:  "apply",
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 	background     sync.WaitGroup
 }
 
-// arrivalsKept is the number of requests kept for recorded traces, about 2 MB.
+// arrivalsKept is the number of requests kept for recorded traces.
 const arrivalsKept = 10_000
 
 // New opens the daemon's sockets. Run starts it.
--- a/internal/platform/httpstore/client.go
+++ b/internal/platform/httpstore/client.go
@@ -132,7 +132,7 @@
 }
 
 // errSilent marks a connection that gave no answer, as opposed to a refusal.
-var errSilent = errors.New("no response")
+var errSilent = errs.New(errs.Timeout, "no response")
 
 // attempt runs the exchange in its own goroutine, because fasthttp does not
 // know contexts. An exchange that is given up ends by its deadline.
--- a/internal/platform/httpstore/response.go
+++ b/internal/platform/httpstore/response.go
@@ -29,7 +29,7 @@
 	}
 	var refused errs.Error
 	if err := json.Unmarshal(r.body, &refused); err != nil || !knownRefusal(refused.Code) {
-		return lost(write, errors.New("unexpected response from the platform"))
+		return lost(write, errs.New(errs.InvalidMessage, "unexpected response from the platform"))
 	}
 	return &refused
 }
