--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,8 +82,6 @@
 	Connections int `yaml:"connections" default:"4096" min:"1" max:"65536"`
 	// Largest number of requests queued in one target group.
 	QueueLength int `yaml:"queue_length" default:"1024" min:"1" max:"65536"`
-	// Largest number of responses of at-most-once calls kept per journal shard.
-	RetainedResults int `yaml:"retained_results" default:"4096" min:"1" max:"1048576"`
 	// Largest body of a response kept for repeats of an at-most-once call.
 	RetainedResultBytes Bytes `yaml:"retained_result_bytes" default:"16KiB" min:"0B" max:"256KiB"`
 }
