queueing: Let urgent long work overtake short work again

Cause: with worth per work before urgency, long work always came after short work of its organisation and could wait until its deadline as long as short work kept coming.

--- a/internal/policy/queueing/queueing.go
+++ b/internal/policy/queueing/queueing.go
@@ -61,10 +61,10 @@
 const creditPerRequest = 100
 
 // Fair grants to the organisation that received the least work relative to its
-// share. Within an organisation short requests go first, then those with the
-// greatest worth per work, then urgent ones. Urgent requests do not go first:
-// when more is queued than can be answered, they would take the capacity of
-// requests that are worth more.
+// share. Within an organisation short requests go before long ones that are not
+// urgent, then those with the greatest worth per work, then urgent ones. Urgent
+// short requests do not go first: when more is queued than can be answered, they
+// would take the capacity of requests that are worth more.
 type Fair struct {
 	ledger   shares.Ledger
 	longPart float64
@@ -83,6 +83,9 @@
 		}
 	}
 	if a.Long != b.Long {
+		if long := longOf(a, b); long.Urgent {
+			return long == a
+		}
 		return b.Long
 	}
 	if da, db := a.Worth*b.Work, b.Worth*a.Work; da != db {
@@ -97,6 +100,14 @@
 	return a.Sequence < b.Sequence
 }
 
+// longOf returns the long one of two requests.
+func longOf(a, b *Head) *Head {
+	if a.Long {
+		return a
+	}
+	return b
+}
+
 // SetShare implements Policy.
 func (f *Fair) SetShare(organisation int, share float64) { f.ledger.SetShare(organisation, share) }
 
--- a/internal/policy/queueing/queueing_test.go
+++ b/internal/policy/queueing/queueing_test.go
@@ -24,7 +24,7 @@
 	g.Expect(f.Less(short, poor)).To(gomega.BeTrue())
 	g.Expect(f.Less(urgent, short)).To(gomega.BeTrue())
 	g.Expect(f.Less(short, urgentPoor)).To(gomega.BeTrue())
-	g.Expect(f.Less(short, urgentLong)).To(gomega.BeTrue())
+	g.Expect(f.Less(urgentLong, short)).To(gomega.BeTrue(), "long work is not starved")
 	g.Expect(f.LongLimit(8)).To(gomega.Equal(4))
 	g.Expect(f.LongLimit(1)).To(gomega.Equal(1))
 }
