platform: Read whole prefixes with one ListAll; name reachable states once

The loop over the pages of a list stood six times (owner, daemon twice, command line twice, clean-up), and the test for alive or suspect four times. Behaviour is the same; a page that is empty although more are announced now ends every loop, as it did in the clean-up.

--- a/internal/cleanup/cleanup.go
+++ b/internal/cleanup/cleanup.go
@@ -27,9 +27,6 @@
 	Now       func() time.Time
 }
 
-// pageSize is the number of objects read with one call.
-const pageSize = 500
-
 // Pass looks at all objects once. What fails is tried again by the next pass;
 // the first failure is returned, and the other parts are tried all the same.
 func (c *Cleaner) Pass(ctx context.Context) error {
@@ -40,23 +37,6 @@
 	return first
 }
 
-// list reads all objects with a prefix at a revision of at least minRevision.
-func (c *Cleaner) list(ctx context.Context, prefix string, minRevision int64) ([]platform.Object, int64, error) {
-	var all []platform.Object
-	after := ""
-	for {
-		page, err := c.Store.List(ctx, prefix, after, pageSize, minRevision)
-		if err != nil {
-			return nil, 0, err
-		}
-		all = append(all, page.Objects...)
-		if !page.More || len(page.Objects) == 0 {
-			return all, page.Revision, nil
-		}
-		after = page.Objects[len(page.Objects)-1].Key
-	}
-}
-
 // write replaces an object whose version was read; version 0 creates it.
 func (c *Cleaner) write(ctx context.Context, key string, value []byte, version int64) error {
 	var err error
--- a/internal/cleanup/registrations.go
+++ b/internal/cleanup/registrations.go
@@ -36,7 +36,7 @@
 // takeover barrier waits for every registered VM to confirm the new epoch, so a
 // VM without a registration could hold permits that a new owner does not know of.
 func (c *Cleaner) registrations(ctx context.Context) error {
-	objects, revision, err := c.list(ctx, owner.VMKeyPrefix, 0)
+	objects, revision, err := platform.ListAll(ctx, c.Store, owner.VMKeyPrefix, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/cleanup/usage.go
+++ b/internal/cleanup/usage.go
@@ -40,11 +40,11 @@
 // readUsage reads the documents before the roll-ups: a document that is moved in
 // between is then seen in both, which does no harm.
 func (c *Cleaner) readUsage(ctx context.Context) (map[string]*vmUsage, error) {
-	documents, revision, err := c.list(ctx, account.Prefix, 0)
+	documents, revision, err := platform.ListAll(ctx, c.Store, account.Prefix, 0)
 	if err != nil {
 		return nil, err
 	}
-	rollups, _, err := c.list(ctx, account.RollupPrefix, revision)
+	rollups, _, err := platform.ListAll(ctx, c.Store, account.RollupPrefix, revision)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -86,51 +86,37 @@
 	})
 }
 
-const usagePage = 500
-
 // storedUsage reads the counters of all incarnations.
 func storedUsage(ctx context.Context, store platform.Store) ([]account.Document, error) {
+	objects, revision, err := platform.ListAll(ctx, store, account.Prefix, 0)
+	if err != nil {
+		return nil, err
+	}
 	var all []account.Document
-	after := ""
-	for {
-		page, err := store.List(ctx, account.Prefix, after, usagePage, 0)
+	for _, object := range objects {
+		document, err := account.Parse(object.Value)
 		if err != nil {
 			return nil, err
 		}
-		for _, object := range page.Objects {
-			after = object.Key
-			document, err := account.Parse(object.Value)
-			if err != nil {
-				return nil, err
-			}
-			all = append(all, document)
-		}
-		if !page.More {
-			return withRollups(ctx, store, all, page.Revision)
-		}
+		all = append(all, document)
 	}
+	return withRollups(ctx, store, all, revision)
 }
 
 // withRollups adds the counters of incarnations whose documents were rolled up.
 func withRollups(ctx context.Context, store platform.Store, all []account.Document, minRevision int64) ([]account.Document, error) {
-	after := ""
-	for {
-		page, err := store.List(ctx, account.RollupPrefix, after, usagePage, minRevision)
+	objects, _, err := platform.ListAll(ctx, store, account.RollupPrefix, minRevision)
+	if err != nil {
+		return nil, err
+	}
+	for _, object := range objects {
+		rollup, err := account.ParseRollup(object.Value)
 		if err != nil {
 			return nil, err
 		}
-		for _, object := range page.Objects {
-			after = object.Key
-			rollup, err := account.ParseRollup(object.Value)
-			if err != nil {
-				return nil, err
-			}
-			all = append(all, rollup.Documents()...)
-		}
-		if !page.More {
-			return all, nil
-		}
+		all = append(all, rollup.Documents()...)
 	}
+	return all, nil
 }
 
 func writeUsage(w io.Writer, report account.Report) error {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -148,7 +148,7 @@
 func (m *members) alive() int {
 	count := 1
 	for _, entry := range m.peers() {
-		if entry.State == membership.Alive || entry.State == membership.Suspect {
+		if entry.State.Reachable() {
 			count++
 		}
 	}
@@ -158,7 +158,7 @@
 // anyReadyPeer reports whether a reachable peer is ready.
 func (m *members) anyReadyPeer() bool {
 	for _, entry := range m.peers() {
-		if entry.Digest.Ready && (entry.State == membership.Alive || entry.State == membership.Suspect) {
+		if entry.Digest.Ready && entry.State.Reachable() {
 			return true
 		}
 	}
@@ -198,8 +198,7 @@
 	if !known {
 		return false
 	}
-	reachable := entry.State == membership.Alive || entry.State == membership.Suspect
-	return reachable && entry.Registered && !entry.Digest.Draining && !entry.Leaving
+	return entry.State.Reachable() && entry.Registered && !entry.Digest.Draining && !entry.Leaving
 }
 
 func (m *members) peers() []membership.Entry {
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -17,7 +17,6 @@
 	// registerPause is the mean pause between attempts while the store is down,
 	// with jitter so that VMs that start together do not call together.
 	registerPause = 500 * time.Millisecond
-	listPage      = 500
 	watchWait     = 20 * time.Second
 	watchRetry    = time.Second
 )
@@ -92,27 +91,21 @@
 // readEpochs raises the oldest accepted epoch of each group to what the store
 // holds at a revision after the registration.
 func (d *Daemon) readEpochs(ctx context.Context) error {
-	after := ""
-	for {
-		page, err := d.store.List(ctx, group.KeyPrefix, after, listPage, d.revision)
+	objects, _, err := platform.ListAll(ctx, d.store, group.KeyPrefix, d.revision)
+	if err != nil {
+		return err
+	}
+	for _, object := range objects {
+		record, err := group.DecodeRecord(object.Value)
 		if err != nil {
-			return err
-		}
-		for _, object := range page.Objects {
-			after = object.Key
-			record, err := group.DecodeRecord(object.Value)
-			if err != nil {
-				d.log.Error().Err(err).Str("key", object.Key).Msg("group record is unreadable")
-				continue
-			}
-			if _, err := d.holdings.Confirm(record.Group, record.Epoch); err != nil {
-				return err
-			}
+			d.log.Error().Err(err).Str("key", object.Key).Msg("group record is unreadable")
+			continue
 		}
-		if !page.More {
-			return nil
+		if _, err := d.holdings.Confirm(record.Group, record.Epoch); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // followRegistrations keeps the table of registrations current by a watch.
@@ -137,31 +130,24 @@
 // readRegistrations reads all registrations. The store counts one call per
 // page; registrations change with the replacement of VMs only.
 func (d *Daemon) readRegistrations(ctx context.Context, minRevision int64) (int64, error) {
-	var all []model.VM
-	after, revision := "", int64(0)
-	for {
-		page, err := d.store.List(ctx, owner.VMKeyPrefix, after, listPage, minRevision)
-		if err != nil {
-			return 0, err
-		}
-		revision = page.Revision
-		for _, object := range page.Objects {
-			after = object.Key
-			var vm model.VM
-			if err := json.Unmarshal(object.Value, &vm); err != nil {
-				d.log.Error().Err(err).Str("key", object.Key).Msg("registration is unreadable")
-				continue
-			}
-			all = append(all, vm)
-			if vm.Name == d.self.Name && vm.Incarnation > d.self.Incarnation {
-				d.endSuperseded()
-			}
+	objects, revision, err := platform.ListAll(ctx, d.store, owner.VMKeyPrefix, minRevision)
+	if err != nil {
+		return 0, err
+	}
+	all := make([]model.VM, 0, len(objects))
+	for _, object := range objects {
+		var vm model.VM
+		if err := json.Unmarshal(object.Value, &vm); err != nil {
+			d.log.Error().Err(err).Str("key", object.Key).Msg("registration is unreadable")
+			continue
 		}
-		if !page.More {
-			d.members.setRegistrations(all)
-			return revision, nil
+		all = append(all, vm)
+		if vm.Name == d.self.Name && vm.Incarnation > d.self.Incarnation {
+			d.endSuperseded()
 		}
 	}
+	d.members.setRegistrations(all)
+	return revision, nil
 }
 
 // endSuperseded ends this process, because another one has registered the same
--- a/internal/membership/duties.go
+++ b/internal/membership/duties.go
@@ -20,7 +20,8 @@
 	tierCount
 )
 
-func reachable(state State) bool { return state == Alive || state == Suspect }
+// Reachable reports whether calls to the VM can be expected to arrive.
+func (s State) Reachable() bool { return s == Alive || s == Suspect }
 
 func tierOf(entry Entry) tier {
 	switch {
@@ -37,7 +38,7 @@
 func (t *Table) bestTier() []model.VM {
 	var tiers [tierCount][]model.VM
 	for _, r := range t.rows {
-		if r.Registered && reachable(r.State) {
+		if r.Registered && r.State.Reachable() {
 			tiers[tierOf(r.Entry)] = append(tiers[tierOf(r.Entry)], r.VM)
 		}
 	}
--- a/internal/membership/groups.go
+++ b/internal/membership/groups.go
@@ -47,7 +47,7 @@
 	version, holders := uint64(0), []model.Holder(nil)
 	for _, entry := range t.Entries() {
 		switch announced := entry.Digest.ConfigVersion; {
-		case !reachable(entry.State) || announced == 0 || announced < version:
+		case !entry.State.Reachable() || announced == 0 || announced < version:
 		case announced > version:
 			version, holders = announced, []model.Holder{entry.Holder()}
 		default:
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -46,30 +46,21 @@
 // VMKeyPrefix is the store prefix of the VMs' registrations.
 const VMKeyPrefix = "vms/"
 
-// listPageSize is the number of registrations read with one call.
-const listPageSize = 500
-
 // Registered reads all VM registrations at a revision of at least minRevision.
 func Registered(ctx context.Context, store platform.Store, minRevision int64) ([]model.VM, error) {
-	var all []model.VM
-	after := ""
-	for {
-		page, err := store.List(ctx, VMKeyPrefix, after, listPageSize, minRevision)
-		if err != nil {
-			return nil, err
-		}
-		for _, object := range page.Objects {
-			var vm model.VM
-			if err := json.Unmarshal(object.Value, &vm); err != nil {
-				return nil, errs.Wrap(err, errs.InvalidMessage, "decode registration "+object.Key)
-			}
-			all = append(all, vm)
-			after = object.Key
-		}
-		if !page.More {
-			return all, nil
+	objects, _, err := platform.ListAll(ctx, store, VMKeyPrefix, minRevision)
+	if err != nil {
+		return nil, err
+	}
+	all := make([]model.VM, 0, len(objects))
+	for _, object := range objects {
+		var vm model.VM
+		if err := json.Unmarshal(object.Value, &vm); err != nil {
+			return nil, errs.Wrap(err, errs.InvalidMessage, "decode registration "+object.Key)
 		}
+		all = append(all, vm)
 	}
+	return all, nil
 }
 
 // SetGroups tells the groups of the newest listing.
