core: Give an overdue load a slot whatever the demand for others

Demand.Victim compares the waiting worth with the decayed demand of resident adapters, which reaches thousands while callers repeat short requests; and a slot whose permits overlap is never free of pins.

Change: a need that waited for longer than the time it has left wins against any demand, and reserves a pinned slot, which gets no further permits.

Before: TestRareAdapterIsServedBeforeItsDeadline failed in both cases.

--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -52,6 +52,7 @@
 		c.markTarget(t)
 	}
 	for _, a := range c.wanting {
+		a.claim = nil
 		a.asked, a.permitted = false, false
 		c.markAdapter(a)
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -108,6 +108,7 @@
 			continue
 		}
 		a.wanting = false
+		c.unclaim(a)
 		c.withdraw(a)
 	}
 	clear(c.wanting[len(kept):])
@@ -218,6 +219,10 @@
 // startLoad places a load on the least loaded target that has a free slot, or
 // in a slot that the policy gives up.
 func (c *Core) startLoad(now Time, a *adapterRow) {
+	if s := a.claim; s != nil {
+		c.useClaim(now, a, s)
+		return
+	}
 	var target *targetRow
 	c.slots, c.victims = c.slots[:0], c.victims[:0]
 	for _, t := range c.targets {
@@ -237,6 +242,46 @@
 	need := c.need(now, a)
 	if i := c.policies.place.Victim(&need, c.victims); i >= 0 {
 		c.placeLoad(now, a, c.slots[i].target, c.slots[i])
+	} else if need.Overdue() && a.claim == nil {
+		c.claimPinned(now, a, &need)
+	}
+}
+
+// useClaim places a load in the slot that was reserved for it once the slot is
+// free of permits. A reservation whose slot can no longer be evicted is dropped.
+func (c *Core) useClaim(now Time, a *adapterRow, s *slotRow) {
+	if s.state != slotResident || s.formerEvicts > 0 || s.barred || !c.mayLoad(now, s.target, a) || !c.mayEvict(s.target) {
+		c.unclaim(a)
+		return
+	}
+	if s.pins == 0 {
+		c.unclaim(a)
+		c.placeLoad(now, a, s.target, s)
+	}
+}
+
+// claimPinned reserves a pinned slot for an overdue load: it gets no further
+// permits, so that it can be evicted once the present ones have ended. Adapters
+// in steady use would otherwise never give up a slot.
+func (c *Core) claimPinned(now Time, a *adapterRow, need *placement.Need) {
+	c.slots, c.victims = c.slots[:0], c.victims[:0]
+	for _, t := range c.targets {
+		if c.mayLoad(now, t, a) && c.mayEvict(t) && t.freeSlots() == 0 {
+			c.addSlots(now, t, func(s *slotRow) bool { return s.usable() && s.pins > 0 })
+		}
+	}
+	if i := c.policies.place.Victim(need, c.victims); i >= 0 {
+		a.claim = c.slots[i]
+		a.claim.claimed = true
+	}
+}
+
+// unclaim ends the reservation of a slot.
+func (c *Core) unclaim(a *adapterRow) {
+	if a.claim != nil {
+		a.claim.claimed = false
+		c.markAdapter(a.claim.adapter)
+		a.claim = nil
 	}
 }
 
@@ -255,8 +300,13 @@
 	if !c.mayEvict(t) || c.policies.slow.Slow(t.index) {
 		return
 	}
+	c.addSlots(now, t, func(s *slotRow) bool { return s.usable() && s.pins == 0 })
+}
+
+// addSlots enters the slots of a target that may be given up.
+func (c *Core) addSlots(now Time, t *targetRow, allowed func(*slotRow) bool) {
 	for _, s := range t.slots {
-		if !s.usable() || s.pins > 0 {
+		if !allowed(s) {
 			continue
 		}
 		replicas := 0
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -174,3 +174,49 @@
 	}
 	g.Expect(asked).To(gomega.Equal(map[string]bool{"a0": true}))
 }
+
+// Guards against a request for a rare adapter that starves until its deadline
+// while another adapter is in steady use: by many short requests, or by
+// requests that overlap so that its slot is never free of permits.
+func TestRareAdapterIsServedBeforeItsDeadline(t *testing.T) {
+	for name, steps := range map[string]int{"short requests": 1, "overlapping requests": 2} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := productDriver(core.TargetsChanged{Targets: []model.Target{runner("t1", 1)}}, core.TakenOver{Epoch: 1})
+			d.step()
+			d.step(d.state("t1", "i", adapterA))
+			ends := map[int][]core.Event{} // by step
+			events := []core.Event{core.RequestQueued{Request: request("rare", adapterB)}}
+			for n := range 1400 { // 28 s
+				r := request(fmt.Sprintf("hot-%d", n), adapterA)
+				out := d.step(append(events, core.RequestQueued{Request: r})...)
+				for _, granted := range find[core.GrantPermit](out) {
+					if granted.Permit.Request == "rare" {
+						return
+					}
+					ended := core.PermitReleased{ID: granted.Permit.Request, Target: "t1", Outcome: core.OutcomeDone}
+					ends[n+steps] = append(ends[n+steps], ended)
+				}
+				events = append(completed(out), ends[n+1]...)
+			}
+			g.Expect("rare").To(gomega.BeEmpty(), "the request was not granted")
+		})
+	}
+}
+
+// completed returns the events of a store and a target that carry out every
+// command at once.
+func completed(commands []core.Command) []core.Event {
+	var events []core.Event
+	for _, command := range commands {
+		switch c := command.(type) {
+		case core.AskLoadPermit:
+			events = append(events, core.LoadPermitted{Adapter: c.Adapter})
+		case core.StoreIntent:
+			events = append(events, core.IntentStored{ID: c.Intent.ID})
+		case core.SendOrder:
+			events = append(events, core.OrderDone{ID: c.Intent.ID})
+		}
+	}
+	return events
+}
--- a/internal/core/tables.go
+++ b/internal/core/tables.go
@@ -31,11 +31,12 @@
 	barred   bool     // an evict order without a result may still take effect
 	barredBy []uint64 // stored intents of such orders
 	retry    Time     // no load of the adapter here before
+	claimed  bool     // an overdue load takes the slot when its permits have ended
 }
 
 // usable reports whether requests may be sent to the adapter on the target.
 func (s *slotRow) usable() bool {
-	return s.state == slotResident && s.formerEvicts == 0 && !s.barred
+	return s.state == slotResident && s.formerEvicts == 0 && !s.barred && !s.claimed
 }
 
 // occupies reports whether the row takes one of the target's slots.
@@ -143,10 +144,11 @@
 	asked        bool // a load permit was asked for
 	permitted    bool // a load permit was received
 	demand       decayed
-	worth        float64 // of the waiting requests
-	typicalWorth float64 // of one request
-	askedWorth   float64 // of the last request for a load permit
-	placeAt      Time    // no attempt to place a permitted load before
+	worth        float64  // of the waiting requests
+	typicalWorth float64  // of one request
+	askedWorth   float64  // of the last request for a load permit
+	placeAt      Time     // no attempt to place a permitted load before
+	claim        *slotRow // pinned slot that the overdue load waits for
 	service      estimate.Average
 }
 
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -97,6 +97,11 @@
 	return worth
 }
 
+// Overdue reports whether the first request has waited for longer than what is
+// left of its time. Such a need is served before a more valuable use: demand for
+// other adapters would otherwise keep it out until its deadline.
+func (n *Need) Overdue() bool { return n.Waiting > 0 && n.Oldest > n.Slack }
+
 // Victim implements Policy.
 func (Demand) Victim(need *Need, slots []Slot) int {
 	victim, lowest := -1, 0.0
@@ -106,7 +111,7 @@
 			victim, lowest = i, k
 		}
 	}
-	if victim >= 0 && value(need) < margin*lowest {
+	if victim >= 0 && !need.Overdue() && value(need) < margin*lowest {
 		return -1
 	}
 	return victim
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -33,3 +33,14 @@
 	g.Expect(placement.Demand{}.Score(soon)).To(gomega.BeNumerically(">", placement.Demand{}.Score(late)))
 	g.Expect(placement.LRU{}.Score(soon)).To(gomega.BeNumerically("<", placement.LRU{}.Score(late)))
 }
+
+// Guards against a rare adapter that never gets a slot while others are in
+// steady demand.
+func TestOverdueNeedIsServedWhateverTheDemand(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slots := []placement.Slot{{Demand: 5000, Worth: 1, Replicas: 1}, {Demand: 4000, Worth: 1, Replicas: 1}}
+	need := &placement.Need{Waiting: 1, Worth: 1, Oldest: 14 * time.Second, Slack: 16 * time.Second}
+	g.Expect(placement.Demand{}.Victim(need, slots)).To(gomega.Equal(-1))
+	need.Oldest, need.Slack = 16*time.Second, 14*time.Second
+	g.Expect(placement.Demand{}.Victim(need, slots)).To(gomega.Equal(1))
+}
