--- a/internal/account/fake_test.go
+++ b/internal/account/fake_test.go
@@ -7,7 +7,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // fault makes the next calls fail: a value below the probability in percent.
@@ -20,40 +20,40 @@
 
 // fakeStore is an object API that can fail before or after a write.
 type fakeStore struct {
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	down    bool
 	lost    int // responses of writes to lose
 	fault   *fault
 }
 
-func (s *fakeStore) Get(_ context.Context, key string, _ int64) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, key string, _ int64) (objectstore.Object, error) {
 	if s.down || s.fault.hits() {
-		return platform.Object{}, errs.New(errs.StoreUnavailable, "fault")
+		return objectstore.Object{}, errs.New(errs.StoreUnavailable, "fault")
 	}
 	object, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, errs.New(errs.NotFound, key)
+		return objectstore.Object{}, errs.New(errs.NotFound, key)
 	}
 	return object, nil
 }
 
-func (s *fakeStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (s *fakeStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return s.Update(ctx, key, value, 0)
 }
 
-func (s *fakeStore) Update(_ context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s *fakeStore) Update(_ context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
 	switch {
 	case s.down || s.fault.hits():
-		return platform.Object{}, errs.New(errs.StoreUnavailable, "fault")
+		return objectstore.Object{}, errs.New(errs.StoreUnavailable, "fault")
 	case s.objects[key].Version != version:
-		return platform.Object{}, errs.New(errs.Conflict, key)
+		return objectstore.Object{}, errs.New(errs.Conflict, key)
 	case s.fault.hits():
-		return platform.Object{}, errs.New(errs.StoreAmbiguous, "lost request")
+		return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "lost request")
 	}
-	s.objects[key] = platform.Object{Key: key, Version: version + 1, Value: append([]byte(nil), value...)}
+	s.objects[key] = objectstore.Object{Key: key, Version: version + 1, Value: append([]byte(nil), value...)}
 	if s.lost > 0 || s.fault.hits() {
 		s.lost--
-		return platform.Object{}, errs.New(errs.StoreAmbiguous, "lost response")
+		return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "lost response")
 	}
 	return s.objects[key], nil
 }
@@ -74,7 +74,7 @@
 
 func newCluster(n int, bounds Bounds) *cluster {
 	f := &fault{random: rand.New(rand.NewPCG(1, 2))}
-	c := &cluster{fault: f, store: &fakeStore{objects: map[string]platform.Object{}, fault: f}}
+	c := &cluster{fault: f, store: &fakeStore{objects: map[string]objectstore.Object{}, fault: f}}
 	for i := range n {
 		c.add(model.Holder{VM: string(rune('a' + i)), Incarnation: 1}, bounds)
 	}
--- a/internal/account/flush.go
+++ b/internal/account/flush.go
@@ -7,14 +7,14 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // Store is the part of the object API that the account uses.
 type Store interface {
-	Get(ctx context.Context, key string, minRevision int64) (platform.Object, error)
-	Create(ctx context.Context, key string, value []byte) (platform.Object, error)
-	Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error)
+	Get(ctx context.Context, key string, minRevision int64) (objectstore.Object, error)
+	Create(ctx context.Context, key string, value []byte) (objectstore.Object, error)
+	Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error)
 }
 
 // Peers reaches the other VMs.
--- a/internal/cleanup/cleanup.go
+++ b/internal/cleanup/cleanup.go
@@ -6,7 +6,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // Liveness says what is known of VMs.
@@ -21,7 +21,7 @@
 // Cleaner has the duty of one VM. Its methods must not be called concurrently.
 type Cleaner struct {
 	Self      model.Holder
-	Store     platform.Store
+	Store     objectstore.Store
 	Liveness  Liveness
 	Retention time.Duration // from the time at which an object was first found to be unneeded
 	Now       func() time.Time
@@ -50,7 +50,7 @@
 
 // remove deletes an object unless it has changed. One that is gone already is no
 // failure: an earlier attempt's response was lost.
-func (c *Cleaner) remove(ctx context.Context, object platform.Object) error {
+func (c *Cleaner) remove(ctx context.Context, object objectstore.Object) error {
 	err := c.Store.Delete(ctx, object.Key, object.Version)
 	if errs.Is(err, errs.NotFound) {
 		return nil
--- a/internal/cleanup/cleanup_test.go
+++ b/internal/cleanup/cleanup_test.go
@@ -14,8 +14,8 @@
 	"cicadaslip/internal/cleanup"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/owner"
-	"cicadaslip/internal/platform/memstore"
 )
 
 const retention = time.Hour
--- a/internal/cleanup/registrations.go
+++ b/internal/cleanup/registrations.go
@@ -8,8 +8,8 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/owner"
-	"cicadaslip/internal/platform"
 )
 
 // MarksKey is the key of the object that holds since when registered VMs are
@@ -36,7 +36,7 @@
 // takeover barrier waits for every registered VM to confirm the new epoch, so a
 // VM without a registration could hold permits that a new owner does not know of.
 func (c *Cleaner) registrations(ctx context.Context) error {
-	objects, revision, err := platform.ListAll(ctx, c.Store, owner.VMKeyPrefix, 0)
+	objects, revision, err := objectstore.ListAll(ctx, c.Store, owner.VMKeyPrefix, 0)
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 	return nil
 }
 
-func registration(object platform.Object) (model.VM, bool) {
+func registration(object objectstore.Object) (model.VM, bool) {
 	var vm model.VM
 	err := json.Unmarshal(object.Value, &vm)
 	return vm, err == nil && owner.VMKeyPrefix+vm.Name == object.Key
@@ -83,7 +83,7 @@
 }
 
 // gone returns the marks that hold now. A VM that is listed again loses its mark.
-func (c *Cleaner) gone(objects []platform.Object, known map[string]mark) map[string]mark {
+func (c *Cleaner) gone(objects []objectstore.Object, known map[string]mark) map[string]mark {
 	gone := map[string]mark{}
 	for _, object := range objects {
 		vm, readable := registration(object)
--- a/internal/cleanup/usage.go
+++ b/internal/cleanup/usage.go
@@ -5,7 +5,7 @@
 
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // vmUsage is what the store has of one VM's account.
@@ -17,7 +17,7 @@
 }
 
 type storedDocument struct {
-	object   platform.Object
+	object   objectstore.Object
 	document account.Document
 }
 
@@ -40,11 +40,11 @@
 // readUsage reads the documents before the roll-ups: a document that is moved in
 // between is then seen in both, which does no harm.
 func (c *Cleaner) readUsage(ctx context.Context) (map[string]*vmUsage, error) {
-	documents, revision, err := platform.ListAll(ctx, c.Store, account.Prefix, 0)
+	documents, revision, err := objectstore.ListAll(ctx, c.Store, account.Prefix, 0)
 	if err != nil {
 		return nil, err
 	}
-	rollups, _, err := platform.ListAll(ctx, c.Store, account.RollupPrefix, revision)
+	rollups, _, err := objectstore.ListAll(ctx, c.Store, account.RollupPrefix, revision)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,8 +11,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpstore"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpstore"
 )
 
 // Streams are the standard streams of the process.
@@ -131,7 +131,7 @@
 
 // WithStore calls work with a client of the platform under the command's time
 // limit.
-func (c *Context) WithStore(work func(ctx context.Context, store platform.Store) error) error {
+func (c *Context) WithStore(work func(ctx context.Context, store objectstore.Store) error) error {
 	if c.Platform == "" {
 		return &flags.Error{Type: flags.ErrRequired, Message: "--platform or CICADASLIP_PLATFORM is required"}
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,7 +15,7 @@
 
 	"cicadaslip/internal/cli"
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/standin/platform"
 )
 
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -9,10 +9,10 @@
 
 	"cicadaslip/internal/admin"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpstore"
 	"cicadaslip/internal/owner"
 	"cicadaslip/internal/peer"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpstore"
 	"cicadaslip/internal/settings"
 	"cicadaslip/internal/timeline"
 )
@@ -25,7 +25,7 @@
 
 // withDaemons calls work with a client of the registered daemons and a client
 // of the platform.
-func (c *Context) withDaemons(o Daemons, work func(ctx context.Context, daemons *admin.Client, store platform.Store) error) error {
+func (c *Context) withDaemons(o Daemons, work func(ctx context.Context, daemons *admin.Client, store objectstore.Store) error) error {
 	if o.Settings == "" {
 		return &flags.Error{Type: flags.ErrRequired, Message: "--settings or CICADASLIP_SETTINGS is required"}
 	}
@@ -51,7 +51,7 @@
 }
 
 // addressesOf returns where the named VMs, or all, take calls.
-func addressesOf(ctx context.Context, store platform.Store, names []string) ([]string, error) {
+func addressesOf(ctx context.Context, store objectstore.Store, names []string) ([]string, error) {
 	registered, err := owner.Registered(ctx, store, 0)
 	if err != nil {
 		return nil, err
--- a/internal/cli/configcmd.go
+++ b/internal/cli/configcmd.go
@@ -10,7 +10,7 @@
 
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // maxDocumentBytes bounds the document that is read; 200,000 adapters take
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	return a.context.WithStore(func(ctx context.Context, store platform.Store) error {
+	return a.context.WithStore(func(ctx context.Context, store objectstore.Store) error {
 		result, err := config.Publish(ctx, store, document, *a.Base)
 		if err != nil {
 			return err
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	return d.context.WithStore(func(ctx context.Context, store platform.Store) error {
+	return d.context.WithStore(func(ctx context.Context, store objectstore.Store) error {
 		result := diffResult{Differences: []config.Difference{}}
 		var accepted *config.Document
 		snapshot, err := config.Load(ctx, store, 0)
@@ -133,7 +133,7 @@
 }
 
 func (g *get) Execute([]string) error {
-	return g.context.WithStore(func(ctx context.Context, store platform.Store) error {
+	return g.context.WithStore(func(ctx context.Context, store objectstore.Store) error {
 		snapshot, err := config.Load(ctx, store, g.MinRevision)
 		if err != nil {
 			return err
--- a/internal/cli/events.go
+++ b/internal/cli/events.go
@@ -12,7 +12,7 @@
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/admin"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/timeline"
 )
 
@@ -41,7 +41,7 @@
 	if t.Last > 0 {
 		filter.From = time.Now().Add(-t.Last)
 	}
-	return t.c.withDaemons(t.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
+	return t.c.withDaemons(t.Daemons, func(ctx context.Context, daemons *admin.Client, _ objectstore.Store) error {
 		merged := daemons.Timeline(ctx, filter)
 		write := func(w io.Writer) error { return writeTimeline(w, merged) }
 		return t.c.printPartial(merged, write, silent{merged.NoAnswer})
@@ -75,7 +75,7 @@
 
 // Execute implements flags.Commander.
 func (u *usageCmd) Execute([]string) error {
-	return u.c.withDaemons(u.Daemons, func(ctx context.Context, daemons *admin.Client, store platform.Store) error {
+	return u.c.withDaemons(u.Daemons, func(ctx context.Context, daemons *admin.Client, store objectstore.Store) error {
 		stored, err := storedUsage(ctx, store)
 		if err != nil {
 			return err
@@ -87,8 +87,8 @@
 }
 
 // storedUsage reads the counters of all incarnations.
-func storedUsage(ctx context.Context, store platform.Store) ([]account.Document, error) {
-	objects, revision, err := platform.ListAll(ctx, store, account.Prefix, 0)
+func storedUsage(ctx context.Context, store objectstore.Store) ([]account.Document, error) {
+	objects, revision, err := objectstore.ListAll(ctx, store, account.Prefix, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -104,8 +104,8 @@
 }
 
 // withRollups adds the counters of incarnations whose documents were rolled up.
-func withRollups(ctx context.Context, store platform.Store, all []account.Document, minRevision int64) ([]account.Document, error) {
-	objects, _, err := platform.ListAll(ctx, store, account.RollupPrefix, minRevision)
+func withRollups(ctx context.Context, store objectstore.Store, all []account.Document, minRevision int64) ([]account.Document, error) {
+	objects, _, err := objectstore.ListAll(ctx, store, account.RollupPrefix, minRevision)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/record.go
+++ b/internal/cli/record.go
@@ -13,8 +13,8 @@
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpstore"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpstore"
 	"cicadaslip/internal/replay"
 )
 
@@ -36,7 +36,7 @@
 // Execute implements flags.Commander.
 func (r *recordCmd) Execute([]string) error {
 	from := time.Now().Add(-r.Last)
-	return r.c.withDaemons(r.Daemons, func(ctx context.Context, daemons *admin.Client, store platform.Store) error {
+	return r.c.withDaemons(r.Daemons, func(ctx context.Context, daemons *admin.Client, store objectstore.Store) error {
 		deployment, err := r.deployment(ctx, store)
 		if err != nil {
 			return err
@@ -50,7 +50,7 @@
 }
 
 // deployment describes the targets and shares in force.
-func (r *recordCmd) deployment(ctx context.Context, store platform.Store) (replay.Deployment, error) {
+func (r *recordCmd) deployment(ctx context.Context, store objectstore.Store) (replay.Deployment, error) {
 	deployment, failure := replay.Surroundings(r.Like)
 	if failure != nil {
 		return deployment, failure
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -9,7 +9,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"cicadaslip/internal/admin"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 const columnGap = 2
@@ -42,7 +42,7 @@
 
 // Execute implements flags.Commander.
 func (s *statusCmd) Execute([]string) error {
-	return s.c.withDaemons(s.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
+	return s.c.withDaemons(s.Daemons, func(ctx context.Context, daemons *admin.Client, _ objectstore.Store) error {
 		answers := daemons.Status(ctx)
 		result := statusResult{silent: silent{admin.NoAnswer(answers)}}
 		for _, answer := range answers {
@@ -91,7 +91,7 @@
 
 // Execute implements flags.Commander.
 func (t *targetsCmd) Execute([]string) error {
-	return t.c.withDaemons(t.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
+	return t.c.withDaemons(t.Daemons, func(ctx context.Context, daemons *admin.Client, _ objectstore.Store) error {
 		answers := daemons.Targets(ctx)
 		result := targetsResult{silent: silent{admin.NoAnswer(answers)}}
 		for _, answer := range answers {
@@ -134,7 +134,7 @@
 // Execute implements flags.Commander.
 func (a *adaptersCmd) Execute([]string) error {
 	filter := admin.AdapterFilter{Organisation: a.Organisation, Adapter: a.Adapter, Target: a.Target}
-	return a.c.withDaemons(a.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
+	return a.c.withDaemons(a.Daemons, func(ctx context.Context, daemons *admin.Client, _ objectstore.Store) error {
 		answers := daemons.Adapters(ctx, filter)
 		result := adaptersResult{silent: silent{admin.NoAnswer(answers)}}
 		for _, answer := range answers {
@@ -169,7 +169,7 @@
 	if len(d.VM) == 0 {
 		return &flags.Error{Type: flags.ErrRequired, Message: "drain needs at least one --vm"}
 	}
-	return d.c.withDaemons(d.Daemons, func(ctx context.Context, daemons *admin.Client, _ platform.Store) error {
+	return d.c.withDaemons(d.Daemons, func(ctx context.Context, daemons *admin.Client, _ objectstore.Store) error {
 		return silent{admin.NoAnswer(daemons.Drain(ctx))}.incomplete()
 	})
 }
--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // writeRoot makes the conditional write that accepts the configuration and
@@ -23,7 +23,7 @@
 				break
 			}
 		}
-		var object platform.Object
+		var object objectstore.Object
 		object, err = p.replace(ctx, old, data)
 		switch {
 		case err == nil:
@@ -43,7 +43,7 @@
 	return 0, err
 }
 
-func (p Publisher) replace(ctx context.Context, old *storedRoot, data []byte) (platform.Object, error) {
+func (p Publisher) replace(ctx context.Context, old *storedRoot, data []byte) (objectstore.Object, error) {
 	if old == nil {
 		return p.Store.Create(ctx, RootKey, data)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,8 +12,8 @@
 
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
 var ctx = context.Background()
@@ -194,7 +194,7 @@
 // interfering runs a function once before an update of the root, and one
 // before a delete.
 type interfering struct {
-	platform.Store
+	objectstore.Store
 	before       func()
 	beforeDelete func()
 }
@@ -207,7 +207,7 @@
 	return s.Store.Delete(ctx, key, version)
 }
 
-func (s *interfering) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s *interfering) Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
 	if before := s.before; before != nil && key == config.RootKey {
 		s.before = nil
 		before()
@@ -220,7 +220,7 @@
 func TestPruningKeepsPartsInUse(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := memstore.New()
-	publish := func(through platform.Store, n int, base uint64) error {
+	publish := func(through objectstore.Store, n int, base uint64) error {
 		_, err := config.Publish(ctx, through, document(n), base)
 		return err
 	}
--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -13,11 +13,11 @@
 
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
-func publisher(store platform.Store) config.Publisher {
+func publisher(store objectstore.Store) config.Publisher {
 	return config.Publisher{Store: store, Pause: func(context.Context, int) error { return nil }}
 }
 
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -8,7 +8,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // Peers gives configurations of other nodes. Both methods may be called by
@@ -23,7 +23,7 @@
 
 // Options of a Follower.
 type Options struct {
-	Store platform.Store
+	Store objectstore.Store
 	Peers Peers // nil: the store is the only source
 	// OnApply is called with each configuration that comes into force, in
 	// order of versions. It must not call the follower's reading methods.
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -19,8 +19,8 @@
 	"cicadaslip/internal/config"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform/httpstore"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/httpstore"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/standin/platform"
 )
 
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // loadAttempts is how often Load begins anew when parts of the root that it
@@ -20,8 +20,8 @@
 
 // Load reads the accepted configuration at a revision of at least minRevision.
 // Errors: errs.NotFound when there is none, errs.InvalidConfig, and those of
-// platform.Store.
-func Load(ctx context.Context, store platform.Store, minRevision int64) (*Snapshot, error) {
+// objectstore.Store.
+func Load(ctx context.Context, store objectstore.Store, minRevision int64) (*Snapshot, error) {
 	var err error
 	for range loadAttempts {
 		var snapshot *Snapshot
@@ -33,7 +33,7 @@
 	return nil, err
 }
 
-func loadOnce(ctx context.Context, store platform.Store, minRevision int64) (*Snapshot, error) {
+func loadOnce(ctx context.Context, store objectstore.Store, minRevision int64) (*Snapshot, error) {
 	stored, _, err := readRoot(ctx, store, minRevision)
 	if err != nil {
 		return nil, err
@@ -44,7 +44,7 @@
 	return stored.load(ctx, store)
 }
 
-func (s *storedRoot) load(ctx context.Context, store platform.Store) (*Snapshot, error) {
+func (s *storedRoot) load(ctx context.Context, store objectstore.Store) (*Snapshot, error) {
 	d, err := s.document(func(digest string) ([]byte, error) {
 		return fetchPart(ctx, store, digest, s.object.Revision)
 	}, nil)
@@ -56,7 +56,7 @@
 
 // fetchPart reads one part and checks its content. A root's parts exist at the
 // revision of the root, so that a stale replica cannot report one as missing.
-func fetchPart(ctx context.Context, store platform.Store, digest string, minRevision int64) ([]byte, error) {
+func fetchPart(ctx context.Context, store objectstore.Store, digest string, minRevision int64) ([]byte, error) {
 	object, err := store.Get(ctx, partPrefix+digest, minRevision)
 	if err != nil {
 		return nil, err
--- a/internal/config/prune.go
+++ b/internal/config/prune.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // maxPruned bounds the parts deleted with one publication, so that its number
@@ -18,11 +18,11 @@
 // top of the new root first raises its object's version, so that the delete,
 // which demands the version read here, fails; one that builds on an older root
 // is refused.
-func (p Publisher) expire(ctx context.Context, old *storedRoot, r *root) []platform.Object {
+func (p Publisher) expire(ctx context.Context, old *storedRoot, r *root) []objectstore.Object {
 	if old == nil {
 		return nil
 	}
-	var expired []platform.Object
+	var expired []objectstore.Object
 	var kept []retiredPart
 	for _, part := range r.Retired {
 		if len(expired) == maxPruned || part.Version+keepRetired > r.Version {
@@ -44,7 +44,7 @@
 // prune deletes objects. A delete whose response is lost may take effect much
 // later, so the object's version is raised, which makes it void. An object that
 // stays because of a fault is unused and harmless.
-func (p Publisher) prune(ctx context.Context, expired []platform.Object) {
+func (p Publisher) prune(ctx context.Context, expired []objectstore.Object) {
 	for _, object := range expired {
 		if err := p.Store.Delete(ctx, object.Key, object.Version); errs.Is(err, errs.StoreAmbiguous) {
 			_, _ = p.Store.Update(ctx, object.Key, object.Value, object.Version)
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 const (
@@ -33,14 +33,14 @@
 // all faults, errs.Conflict with the differences between the newer accepted
 // document and this one in Details when another operator was first,
 // errs.StoreStale when the read root is older than baseVersion, and those of
-// platform.Store.
-func Publish(ctx context.Context, store platform.Store, document *Document, baseVersion uint64) (Result, error) {
+// objectstore.Store.
+func Publish(ctx context.Context, store objectstore.Store, document *Document, baseVersion uint64) (Result, error) {
 	return Publisher{Store: store, Pause: pause}.Publish(ctx, document, baseVersion)
 }
 
 // Publisher publishes documents.
 type Publisher struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Pause waits before a repeat (from 1) and returns an error when ctx ended.
 	Pause func(ctx context.Context, repeat int) error
 }
--- a/internal/config/root.go
+++ b/internal/config/root.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // Keys in the store.
@@ -53,7 +53,7 @@
 type storedRoot struct {
 	root
 	data     []byte
-	object   platform.Object
+	object   objectstore.Object
 	revision int64 // of the store when it was read
 }
 
@@ -77,7 +77,7 @@
 
 // readRoot reads the root through a list, whose answer carries the store's
 // revision even when there is no root; the result is then nil.
-func readRoot(ctx context.Context, store platform.Store, minRevision int64) (*storedRoot, int64, error) {
+func readRoot(ctx context.Context, store objectstore.Store, minRevision int64) (*storedRoot, int64, error) {
 	page, err := store.List(ctx, RootKey, "", 1, minRevision)
 	if err != nil {
 		return nil, 0, err
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "the root cannot be encoded")
 	}
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > objectstore.MaxValueBytes {
 		return nil, errs.New(errs.TooLarge, "the root is over the store's limit")
 	}
 	return data, nil
--- a/internal/config/run.go
+++ b/internal/config/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 const (
@@ -116,11 +116,11 @@
 }
 
 // watchOnce makes one watch call, which ends early when the follower is woken.
-func (f *Follower) watchOnce(ctx context.Context, since int64) (platform.Changes, error) {
+func (f *Follower) watchOnce(ctx context.Context, since int64) (objectstore.Changes, error) {
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	type answer struct {
-		changes platform.Changes
+		changes objectstore.Changes
 		err     error
 	}
 	answers := make(chan answer, 1)
@@ -135,7 +135,7 @@
 		}
 		return a.changes, a.err
 	case <-f.woken:
-		return platform.Changes{Revision: since}, nil
+		return objectstore.Changes{Revision: since}, nil
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,11 +18,11 @@
 	"cicadaslip/internal/journal"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpstore"
 	"cicadaslip/internal/owner"
 	"cicadaslip/internal/peer"
 	"cicadaslip/internal/permit"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpstore"
 	"cicadaslip/internal/settings"
 	"cicadaslip/internal/target"
 	"cicadaslip/internal/timeline"
@@ -36,8 +36,8 @@
 	cancel   context.CancelFunc
 	start    time.Time
 
-	store    platform.Store
-	lister   platform.Lister
+	store    objectstore.Store
+	lister   objectstore.Lister
 	clock    *timeline.Clock
 	events   *timeline.Ring
 	arrivals *arrivals.Log
--- a/internal/daemon/meteredstore.go
+++ b/internal/daemon/meteredstore.go
@@ -6,12 +6,12 @@
 
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
-// meteredStore counts the calls to the object API. It implements platform.Store.
+// meteredStore counts the calls to the object API. It implements objectstore.Store.
 type meteredStore struct {
-	store   platform.Store
+	store   objectstore.Store
 	metrics *metrics.Registry
 }
 
@@ -23,53 +23,53 @@
 	return result, m.CountError(metrics.StoreCallsByOutcome, err)
 }
 
-// Get implements platform.Store.
-func (s meteredStore) Get(ctx context.Context, key string, minRevision int64) (platform.Object, error) {
-	return metered(s.metrics, func() (platform.Object, error) { return s.store.Get(ctx, key, minRevision) })
+// Get implements objectstore.Store.
+func (s meteredStore) Get(ctx context.Context, key string, minRevision int64) (objectstore.Object, error) {
+	return metered(s.metrics, func() (objectstore.Object, error) { return s.store.Get(ctx, key, minRevision) })
 }
 
-// Create implements platform.Store.
-func (s meteredStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
-	return metered(s.metrics, func() (platform.Object, error) { return s.store.Create(ctx, key, value) })
+// Create implements objectstore.Store.
+func (s meteredStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
+	return metered(s.metrics, func() (objectstore.Object, error) { return s.store.Create(ctx, key, value) })
 }
 
-// Update implements platform.Store.
-func (s meteredStore) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
-	return metered(s.metrics, func() (platform.Object, error) { return s.store.Update(ctx, key, value, version) })
+// Update implements objectstore.Store.
+func (s meteredStore) Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
+	return metered(s.metrics, func() (objectstore.Object, error) { return s.store.Update(ctx, key, value, version) })
 }
 
-// Put implements platform.Store.
-func (s meteredStore) Put(ctx context.Context, key string, value []byte) (platform.Object, error) {
-	return metered(s.metrics, func() (platform.Object, error) { return s.store.Put(ctx, key, value) })
+// Put implements objectstore.Store.
+func (s meteredStore) Put(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
+	return metered(s.metrics, func() (objectstore.Object, error) { return s.store.Put(ctx, key, value) })
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s meteredStore) Delete(ctx context.Context, key string, version int64) error {
 	_, err := metered(s.metrics, func() (struct{}, error) { return struct{}{}, s.store.Delete(ctx, key, version) })
 	return err
 }
 
-// List implements platform.Store.
-func (s meteredStore) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (platform.Page, error) {
-	return metered(s.metrics, func() (platform.Page, error) {
+// List implements objectstore.Store.
+func (s meteredStore) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (objectstore.Page, error) {
+	return metered(s.metrics, func() (objectstore.Page, error) {
 		return s.store.List(ctx, prefix, after, limit, minRevision)
 	})
 }
 
-// Watch implements platform.Store. Its latency is not entered, because it waits
+// Watch implements objectstore.Store. Its latency is not entered, because it waits
 // for a change.
-func (s meteredStore) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (platform.Changes, error) {
+func (s meteredStore) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (objectstore.Changes, error) {
 	changes, err := s.store.Watch(ctx, prefix, since, wait)
 	return changes, s.metrics.CountError(metrics.StoreCallsByOutcome, err)
 }
 
 // meteredLister counts the reads of the platform's list among the store's calls.
 type meteredLister struct {
-	lister  platform.Lister
+	lister  objectstore.Lister
 	metrics *metrics.Registry
 }
 
-// List implements platform.Lister.
+// List implements objectstore.Lister.
 func (l meteredLister) List(ctx context.Context) (model.Listing, error) {
 	return metered(l.metrics, func() (model.Listing, error) { return l.lister.List(ctx) })
 }
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -9,8 +9,8 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/group"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/owner"
-	"cicadaslip/internal/platform"
 )
 
 const (
@@ -64,7 +64,7 @@
 
 // raiseIncarnation keeps the incarnation above the registered one when the
 // VM's clock went back.
-func (d *Daemon) raiseIncarnation(former platform.Object) {
+func (d *Daemon) raiseIncarnation(former objectstore.Object) {
 	var vm model.VM
 	if json.Unmarshal(former.Value, &vm) == nil && vm.Incarnation >= d.self.Incarnation {
 		d.self.Incarnation = vm.Incarnation + 1
@@ -79,7 +79,7 @@
 	if err != nil {
 		return 0, errs.Wrap(err, errs.Internal, "encode registration")
 	}
-	var object platform.Object
+	var object objectstore.Object
 	if version == 0 {
 		object, err = d.store.Create(ctx, key, value)
 	} else {
@@ -91,7 +91,7 @@
 // readEpochs raises the oldest accepted epoch of each group to what the store
 // holds at a revision after the registration.
 func (d *Daemon) readEpochs(ctx context.Context) error {
-	objects, _, err := platform.ListAll(ctx, d.store, group.KeyPrefix, d.revision)
+	objects, _, err := objectstore.ListAll(ctx, d.store, group.KeyPrefix, d.revision)
 	if err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 // readRegistrations reads all registrations. The store counts one call per
 // page; registrations change with the replacement of VMs only.
 func (d *Daemon) readRegistrations(ctx context.Context, minRevision int64) (int64, error) {
-	objects, revision, err := platform.ListAll(ctx, d.store, owner.VMKeyPrefix, minRevision)
+	objects, revision, err := objectstore.ListAll(ctx, d.store, owner.VMKeyPrefix, minRevision)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/group/record.go
+++ b/internal/group/record.go
@@ -8,7 +8,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // KeyPrefix is the store prefix of the groups' records.
@@ -46,7 +46,7 @@
 // Handle is the record of a group that this VM owns. It is not safe for
 // concurrent use.
 type Handle struct {
-	store    platform.Store
+	store    objectstore.Store
 	record   Record
 	version  int64
 	revision int64
@@ -54,7 +54,7 @@
 
 // TakeOver makes self the owner at the next epoch. It returns the handle and
 // the record as it was before the takeover.
-func TakeOver(ctx context.Context, store platform.Store, name string, self model.Holder) (*Handle, Record, error) {
+func TakeOver(ctx context.Context, store objectstore.Store, name string, self model.Holder) (*Handle, Record, error) {
 	former, version, err := read(ctx, store, name)
 	if err != nil {
 		return nil, Record{}, err
@@ -70,7 +70,7 @@
 }
 
 // read returns the current record, or an empty record with version 0.
-func read(ctx context.Context, store platform.Store, name string) (Record, int64, error) {
+func read(ctx context.Context, store objectstore.Store, name string) (Record, int64, error) {
 	object, err := store.Get(ctx, KeyPrefix+name, 0)
 	if errs.Is(err, errs.NotFound) {
 		return Record{Group: name}, 0, nil
@@ -102,7 +102,7 @@
 	return nil
 }
 
-func (h *Handle) accept(record Record, object platform.Object) {
+func (h *Handle) accept(record Record, object objectstore.Object) {
 	h.record = record
 	h.version = object.Version
 	h.revision = object.Revision
@@ -111,10 +111,10 @@
 // write performs one conditional write and resolves lost responses. A write
 // whose result is unknown is repeated with the same condition: if an earlier
 // attempt took effect, the repetition conflicts and the read back shows it.
-func (h *Handle) write(ctx context.Context, next Record) (platform.Object, error) {
+func (h *Handle) write(ctx context.Context, next Record) (objectstore.Object, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
-		return platform.Object{}, errs.Wrap(err, errs.Internal, "encode group record")
+		return objectstore.Object{}, errs.Wrap(err, errs.Internal, "encode group record")
 	}
 	uncertain := false
 	for {
@@ -127,17 +127,17 @@
 		case errs.Is(err, errs.StoreAmbiguous):
 			uncertain = true
 		case errs.Is(err, errs.StoreUnavailable) && !uncertain:
-			return platform.Object{}, err
+			return objectstore.Object{}, err
 		case !errs.Is(err, errs.StoreUnavailable):
-			return platform.Object{}, err
+			return objectstore.Object{}, err
 		}
 		if !pause(ctx) {
-			return platform.Object{}, errs.New(errs.StoreAmbiguous, "group record write not confirmed")
+			return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "group record write not confirmed")
 		}
 	}
 }
 
-func (h *Handle) attempt(ctx context.Context, value []byte) (platform.Object, error) {
+func (h *Handle) attempt(ctx context.Context, value []byte) (objectstore.Object, error) {
 	key := KeyPrefix + h.record.Group
 	if h.version == 0 {
 		return h.store.Create(ctx, key, value)
@@ -147,21 +147,21 @@
 
 // resolve reads the record after a conflict. A stale read is recognised by its
 // version: a conflict proves that the current version is above the expected one.
-func (h *Handle) resolve(ctx context.Context, next Record) (platform.Object, error) {
+func (h *Handle) resolve(ctx context.Context, next Record) (objectstore.Object, error) {
 	for {
 		object, err := h.store.Get(ctx, KeyPrefix+h.record.Group, 0)
 		if err == nil && object.Version > h.version {
 			record, err := DecodeRecord(object.Value)
 			if err != nil {
-				return platform.Object{}, err
+				return objectstore.Object{}, err
 			}
 			if sameWrite(record, next) {
 				return object, nil
 			}
-			return platform.Object{}, errs.New(errs.NotOwner, "group was taken over by "+record.Owner.VM)
+			return objectstore.Object{}, errs.New(errs.NotOwner, "group was taken over by "+record.Owner.VM)
 		}
 		if !pause(ctx) {
-			return platform.Object{}, errs.New(errs.StoreAmbiguous, "group record not read back")
+			return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "group record not read back")
 		}
 	}
 }
--- a/internal/group/record_test.go
+++ b/internal/group/record_test.go
@@ -12,7 +12,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/group"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/journal/client_test.go
+++ b/internal/journal/client_test.go
@@ -15,7 +15,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/frontend"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
 )
@@ -25,23 +25,23 @@
 
 // lockedStore makes the fake store safe for several hosts.
 type lockedStore struct {
-	platform.Store
+	objectstore.Store
 	mu sync.Mutex
 }
 
-func (l *lockedStore) Get(ctx context.Context, key string, low int64) (platform.Object, error) {
+func (l *lockedStore) Get(ctx context.Context, key string, low int64) (objectstore.Object, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Store.Get(ctx, key, low)
 }
 
-func (l *lockedStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (l *lockedStore) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Store.Create(ctx, key, value)
 }
 
-func (l *lockedStore) List(ctx context.Context, prefix, after string, limit int, low int64) (platform.Page, error) {
+func (l *lockedStore) List(ctx context.Context, prefix, after string, limit int, low int64) (objectstore.Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Store.List(ctx, prefix, after, limit, low)
--- a/internal/journal/codec.go
+++ b/internal/journal/codec.go
@@ -7,7 +7,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -68,7 +68,7 @@
 	if e.err != nil {
 		return nil, errs.Wrap(e.err, errs.Internal, "cannot encode "+what)
 	}
-	if e.buffer.Len() > platform.MaxValueBytes {
+	if e.buffer.Len() > objectstore.MaxValueBytes {
 		return nil, errs.New(errs.TooLarge, what+" is larger than an object")
 	}
 	return e.buffer.Bytes(), nil
@@ -132,7 +132,7 @@
 // DecodeBatch reads a batch and checks that it belongs to the shard and the
 // position. Errors: errs.TooLarge, errs.InvalidMessage.
 func DecodeBatch(data []byte, shard int, position uint64) (*Batch, error) {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > objectstore.MaxValueBytes {
 		return nil, errs.New(errs.TooLarge, "journal object is too large")
 	}
 	d := newDecoder(data)
--- a/internal/journal/codec_test.go
+++ b/internal/journal/codec_test.go
@@ -9,7 +9,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -63,10 +63,10 @@
 	}
 	_, err = DecodeBatch(append(bytes.Clone(data), 0), 2, 5)
 	g.Expect(errs.Is(err, errs.InvalidMessage)).To(gomega.BeTrue())
-	_, err = DecodeBatch(make([]byte, platform.MaxValueBytes+1), 2, 5)
+	_, err = DecodeBatch(make([]byte, objectstore.MaxValueBytes+1), 2, 5)
 	g.Expect(errs.Is(err, errs.TooLarge)).To(gomega.BeTrue())
 	big := sampleBatch(1, 1)
-	big.Identity.Writer.VM = strings.Repeat("x", platform.MaxValueBytes)
+	big.Identity.Writer.VM = strings.Repeat("x", objectstore.MaxValueBytes)
 	_, err = EncodeBatch(big)
 	g.Expect(errs.Is(err, errs.TooLarge)).To(gomega.BeTrue())
 }
@@ -89,7 +89,7 @@
 	g.Expect(len(parts)).To(gomega.BeNumerically(">", 1))
 	got := NewIndex()
 	for _, part := range parts {
-		g.Expect(len(part)).To(gomega.BeNumerically("<=", platform.MaxValueBytes))
+		g.Expect(len(part)).To(gomega.BeNumerically("<=", objectstore.MaxValueBytes))
 		g.Expect(DecodeSnapshotPart(got, part, 2, 10)).To(gomega.Succeed())
 	}
 	g.Expect(describeIndex(got)).To(gomega.Equal(describeIndex(x)))
@@ -112,7 +112,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, _ = DecodeFloor(platform.Object{Value: data})
+		_, _ = DecodeFloor(objectstore.Object{Value: data})
 		_ = DecodeSnapshotPart(NewIndex(), data, 2, 1)
 		b, err := DecodeBatch(data, 2, 5)
 		if err != nil {
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // pendingBatch is the one batch in flight.
@@ -165,7 +165,7 @@
 	return object.Revision, nil
 }
 
-func (s *Shard) decode(object platform.Object, position uint64) (*Batch, error) {
+func (s *Shard) decode(object objectstore.Object, position uint64) (*Batch, error) {
 	b, err := DecodeBatch(object.Value, s.number, position)
 	if err != nil {
 		s.deps.Counters.BadObjects.Add(1)
--- a/internal/journal/compaction.go
+++ b/internal/journal/compaction.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // Pace of a compaction.
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	var object platform.Object
+	var object objectstore.Object
 	if c.old.Version == 0 {
 		object, err = s.deps.Store.Create(ctx, floorKey(s.number), data)
 	} else {
--- a/internal/journal/fakestore_test.go
+++ b/internal/journal/fakestore_test.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // entryAt is one state of a key: the object, or its deletion.
 type entryAt struct {
-	object   platform.Object
+	object   objectstore.Object
 	revision int64
 	deleted  bool
 }
@@ -27,34 +27,34 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{history: make(map[string][]entryAt)} }
 
-func (f *fakeStore) at(key string, revision int64) (platform.Object, bool) {
+func (f *fakeStore) at(key string, revision int64) (objectstore.Object, bool) {
 	states := f.history[key]
 	for i := len(states) - 1; i >= 0; i-- {
 		if states[i].revision <= revision {
 			return states[i].object, !states[i].deleted
 		}
 	}
-	return platform.Object{}, false
+	return objectstore.Object{}, false
 }
 
-func (f *fakeStore) write(key string, value []byte, version int64) platform.Object {
+func (f *fakeStore) write(key string, value []byte, version int64) objectstore.Object {
 	f.revision++
-	object := platform.Object{Key: key, Version: version, Revision: f.revision, Value: slices.Clone(value)}
+	object := objectstore.Object{Key: key, Version: version, Revision: f.revision, Value: slices.Clone(value)}
 	f.history[key] = append(f.history[key], entryAt{object: object, revision: f.revision})
 	return object
 }
 
-func (f *fakeStore) create(key string, value []byte) (platform.Object, error) {
+func (f *fakeStore) create(key string, value []byte) (objectstore.Object, error) {
 	if _, found := f.at(key, f.revision); found {
-		return platform.Object{}, errs.New(errs.Conflict, "exists")
+		return objectstore.Object{}, errs.New(errs.Conflict, "exists")
 	}
 	return f.write(key, value, 1), nil
 }
 
-func (f *fakeStore) update(key string, value []byte, version int64) (platform.Object, error) {
+func (f *fakeStore) update(key string, value []byte, version int64) (objectstore.Object, error) {
 	old, found := f.at(key, f.revision)
 	if !found || old.Version != version {
-		return platform.Object{}, errs.New(errs.Conflict, "other version")
+		return objectstore.Object{}, errs.New(errs.Conflict, "other version")
 	}
 	return f.write(key, value, version+1), nil
 }
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func (f *fakeStore) get(key string, revision int64) (platform.Object, error) {
+func (f *fakeStore) get(key string, revision int64) (objectstore.Object, error) {
 	object, found := f.at(key, revision)
 	if !found {
 		return object, errs.New(errs.NotFound, "no such object")
@@ -77,8 +77,8 @@
 	return object, nil
 }
 
-func (f *fakeStore) list(prefix, after string, limit int, revision int64) platform.Page {
-	page := platform.Page{Revision: revision}
+func (f *fakeStore) list(prefix, after string, limit int, revision int64) objectstore.Page {
+	page := objectstore.Page{Revision: revision}
 	var keys []string
 	for key := range f.history {
 		if _, found := f.at(key, revision); found && strings.HasPrefix(key, prefix) && key > after {
@@ -119,25 +119,25 @@
 	faults faults
 }
 
-func (f *faultyStore) write(do func() (platform.Object, error)) (platform.Object, error) {
+func (f *faultyStore) write(do func() (objectstore.Object, error)) (objectstore.Object, error) {
 	f.store.calls++
 	f.store.writes++
 	f.faults.pause()
 	defer f.faults.pause()
 	switch f.faults.writeFault() {
 	case writeUnavailable:
-		return platform.Object{}, errs.New(errs.StoreUnavailable, "store is down")
+		return objectstore.Object{}, errs.New(errs.StoreUnavailable, "store is down")
 	case writeLost:
 	case writeUnanswered:
 		_, _ = do()
 	case writeDelayed:
 		f.faults.delay(func() { _, _ = do() })
 	case writePretended:
-		return platform.Object{Version: 1, Revision: f.store.revision}, nil
+		return objectstore.Object{Version: 1, Revision: f.store.revision}, nil
 	default:
 		return do()
 	}
-	return platform.Object{}, errs.New(errs.StoreAmbiguous, "response lost")
+	return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "response lost")
 }
 
 func (f *faultyStore) read(low int64, do func(revision int64) error) error {
@@ -154,33 +154,33 @@
 	return do(revision)
 }
 
-func (f *faultyStore) Get(_ context.Context, key string, low int64) (object platform.Object, err error) {
+func (f *faultyStore) Get(_ context.Context, key string, low int64) (object objectstore.Object, err error) {
 	err = f.read(low, func(revision int64) (err error) { object, err = f.store.get(key, revision); return err })
 	return object, err
 }
 
-func (f *faultyStore) Create(_ context.Context, key string, value []byte) (platform.Object, error) {
-	return f.write(func() (platform.Object, error) { return f.store.create(key, value) })
+func (f *faultyStore) Create(_ context.Context, key string, value []byte) (objectstore.Object, error) {
+	return f.write(func() (objectstore.Object, error) { return f.store.create(key, value) })
 }
 
-func (f *faultyStore) Update(_ context.Context, key string, value []byte, version int64) (platform.Object, error) {
-	return f.write(func() (platform.Object, error) { return f.store.update(key, value, version) })
+func (f *faultyStore) Update(_ context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
+	return f.write(func() (objectstore.Object, error) { return f.store.update(key, value, version) })
 }
 
-func (f *faultyStore) Put(context.Context, string, []byte) (platform.Object, error) {
-	return platform.Object{}, errs.New(errs.Internal, "not used by the journal")
+func (f *faultyStore) Put(context.Context, string, []byte) (objectstore.Object, error) {
+	return objectstore.Object{}, errs.New(errs.Internal, "not used by the journal")
 }
 
 func (f *faultyStore) Delete(_ context.Context, key string, version int64) error {
-	_, err := f.write(func() (platform.Object, error) { return platform.Object{}, f.store.remove(key, version) })
+	_, err := f.write(func() (objectstore.Object, error) { return objectstore.Object{}, f.store.remove(key, version) })
 	return err
 }
 
-func (f *faultyStore) List(_ context.Context, prefix, after string, limit int, low int64) (page platform.Page, err error) {
+func (f *faultyStore) List(_ context.Context, prefix, after string, limit int, low int64) (page objectstore.Page, err error) {
 	err = f.read(low, func(revision int64) error { page = f.store.list(prefix, after, limit, revision); return nil })
 	return page, err
 }
 
-func (f *faultyStore) Watch(context.Context, string, int64, time.Duration) (platform.Changes, error) {
-	return platform.Changes{}, errs.New(errs.Internal, "not used by the journal")
+func (f *faultyStore) Watch(context.Context, string, int64, time.Duration) (objectstore.Changes, error) {
+	return objectstore.Changes{}, errs.New(errs.Internal, "not used by the journal")
 }
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -10,7 +10,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/timeline"
 )
 
@@ -48,7 +48,7 @@
 // Dependencies of a shard's owner. Liveness and Recorder are called with the
 // shard's lock held: they must not block or call the shard.
 type Dependencies struct {
-	Store    platform.Store
+	Store    objectstore.Store
 	Liveness Liveness
 	Now      func() time.Time
 	Rand     *rand.Rand // used under the shard's lock only
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -41,7 +41,7 @@
 }
 
 // DecodeFloor reads a floor object. Errors: errs.InvalidMessage.
-func DecodeFloor(object platform.Object) (Floor, error) {
+func DecodeFloor(object objectstore.Object) (Floor, error) {
 	d := newDecoder(object.Value)
 	d.arrayOf(4)
 	d.expect(formatVersion, "format")
@@ -114,7 +114,7 @@
 // DecodeSnapshotPart adds the entries of one part to the index and sets its
 // position. Errors: errs.TooLarge, errs.InvalidMessage.
 func DecodeSnapshotPart(x *Index, data []byte, shard int, position uint64) error {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > objectstore.MaxValueBytes {
 		return errs.New(errs.TooLarge, "snapshot part is too large")
 	}
 	d := newDecoder(data)
--- a/internal/journal/takeover.go
+++ b/internal/journal/takeover.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/timeline"
 )
 
@@ -115,7 +115,7 @@
 
 // applyObject adds the next position. A gap shows that positions were deleted
 // while they were read.
-func (s *Shard) applyObject(index *Index, object platform.Object, position uint64) error {
+func (s *Shard) applyObject(index *Index, object objectstore.Object, position uint64) error {
 	if position != index.Position()+1 {
 		return errs.New(errs.StoreStale, "the chain of journal positions has a gap")
 	}
--- a/internal/objectstore/httpstore/client.go
+++ b/internal/objectstore/httpstore/client.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpapi"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpapi"
 )
 
 // Defaults of Options.
@@ -26,7 +26,7 @@
 	maxIdleConnection = 10 * time.Second
 	// maxResponseBytes bounds a page: values of 1 MiB and one more object, in
 	// base64, with keys.
-	maxResponseBytes = 4 * platform.MaxValueBytes
+	maxResponseBytes = 4 * objectstore.MaxValueBytes
 	// readAttempts is the number of connections that one read may use.
 	readAttempts = 2
 )
@@ -39,7 +39,7 @@
 	Connections int           // largest number of connections for calls and again for watches
 }
 
-// Client calls the platform. It implements platform.Store; Lister returns the
+// Client calls the platform. It implements objectstore.Store; Lister returns the
 // port to the list. It is safe for concurrent use.
 type Client struct {
 	options Options
@@ -47,7 +47,7 @@
 	watches *fasthttp.HostClient // apart, so that waiting watches leave connections to calls
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ objectstore.Store = (*Client)(nil)
 
 // New returns a client. It opens no connection yet.
 func New(options Options) *Client {
--- a/internal/objectstore/httpstore/httpstore_test.go
+++ b/internal/objectstore/httpstore/httpstore_test.go
@@ -12,9 +12,9 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	api "cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpstore"
-	"cicadaslip/internal/platform/memstore"
+	api "cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpstore"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/standin/platform"
 )
 
--- a/internal/objectstore/httpstore/store.go
+++ b/internal/objectstore/httpstore/store.go
@@ -10,8 +10,8 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpapi"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpapi"
 )
 
 func escape(key string) string { return url.PathEscape(key) }
@@ -27,30 +27,30 @@
 func decimal(n int64) string { return strconv.FormatInt(n, 10) }
 
 // Get reads one object at a revision of at least minRevision.
-func (c *Client) Get(ctx context.Context, key string, minRevision int64) (platform.Object, error) {
-	var object platform.Object
+func (c *Client) Get(ctx context.Context, key string, minRevision int64) (objectstore.Object, error) {
+	var object objectstore.Object
 	err := c.do(ctx, c.read(objectPath(key), query(httpapi.MinRevision, decimal(minRevision))), &object)
 	return object, err
 }
 
 // Create writes an object that must not exist.
-func (c *Client) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (c *Client) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return c.put(ctx, key, value, query(httpapi.Mode, httpapi.ModeCreate))
 }
 
 // Update replaces an object whose version must be the given one.
-func (c *Client) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (c *Client) Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
 	return c.put(ctx, key, value, query(httpapi.Mode, httpapi.ModeUpdate, httpapi.Version, decimal(version)))
 }
 
 // Put writes an object without a condition.
-func (c *Client) Put(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return c.put(ctx, key, value, query(httpapi.Mode, httpapi.ModePut))
 }
 
-func (c *Client) put(ctx context.Context, key string, value []byte, parameters string) (platform.Object, error) {
-	var object platform.Object
-	if len(value) > platform.MaxValueBytes {
+func (c *Client) put(ctx context.Context, key string, value []byte, parameters string) (objectstore.Object, error) {
+	var object objectstore.Object
+	if len(value) > objectstore.MaxValueBytes {
 		return object, errs.New(errs.TooLarge, "the value is over the store's limit")
 	}
 	// The exchange can outlive the call, so it gets its own copy of the value.
@@ -73,8 +73,8 @@
 }
 
 // List returns up to limit objects with the prefix and keys after "after".
-func (c *Client) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (platform.Page, error) {
-	var page platform.Page
+func (c *Client) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (objectstore.Page, error) {
+	var page objectstore.Page
 	parameters := query(httpapi.Prefix, prefix, httpapi.After, after,
 		httpapi.Limit, decimal(int64(limit)), httpapi.MinRevision, decimal(minRevision))
 	err := c.do(ctx, c.read(httpapi.ObjectsPath, parameters), &page)
@@ -84,8 +84,8 @@
 // Watch waits until an object with the prefix changes after revision since, or
 // until wait has passed. A connection that went silent is noticed after wait
 // and the call timeout.
-func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (platform.Changes, error) {
-	var changes platform.Changes
+func (c *Client) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (objectstore.Changes, error) {
+	var changes objectstore.Changes
 	parameters := query(httpapi.Prefix, prefix, httpapi.Since, decimal(since),
 		httpapi.WaitMillis, decimal(max(wait, 0).Milliseconds()))
 	request := c.read(httpapi.WatchPath, parameters)
@@ -96,7 +96,7 @@
 }
 
 // Lister returns the port to the platform's list.
-func (c *Client) Lister() platform.Lister { return lister{c} }
+func (c *Client) Lister() objectstore.Lister { return lister{c} }
 
 type lister struct{ client *Client }
 
--- a/internal/objectstore/memstore/history.go
+++ b/internal/objectstore/memstore/history.go
@@ -1,6 +1,6 @@
 package memstore
 
-import "cicadaslip/internal/platform"
+import "cicadaslip/internal/objectstore"
 
 // Bounds of the history that serves stale reads and watches.
 const (
@@ -10,8 +10,8 @@
 
 // entry is one applied write with the state before it.
 type entry struct {
-	change  platform.Change
-	before  platform.Object
+	change  objectstore.Change
+	before  objectstore.Object
 	existed bool
 }
 
--- a/internal/objectstore/memstore/lister.go
+++ b/internal/objectstore/memstore/lister.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
-// Lister implements platform.Lister. A listing becomes visible a lag after it
+// Lister implements objectstore.Lister. A listing becomes visible a lag after it
 // was set. Its calls count at the store and fail with it.
 type Lister struct {
 	store *Store
@@ -25,7 +25,7 @@
 	listing model.Listing
 }
 
-var _ platform.Lister = (*Lister)(nil)
+var _ objectstore.Lister = (*Lister)(nil)
 
 // NewLister returns an empty list that belongs to the store.
 func NewLister(store *Store) *Lister { return &Lister{store: store} }
--- a/internal/objectstore/memstore/memstore_test.go
+++ b/internal/objectstore/memstore/memstore_test.go
@@ -11,8 +11,8 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
 var ctx = context.Background()
@@ -207,7 +207,7 @@
 	})
 }
 
-func same(page platform.Page, want map[string]string) bool {
+func same(page objectstore.Page, want map[string]string) bool {
 	for _, object := range page.Objects {
 		if value, ok := want[object.Key]; !ok || value != string(object.Value) {
 			return false
--- a/internal/objectstore/memstore/reads.go
+++ b/internal/objectstore/memstore/reads.go
@@ -7,30 +7,30 @@
 	"time"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // MaxListLimit is the largest number of objects in one page of a list.
 const MaxListLimit = 1000
 
 // Get reads one object at a revision of at least minRevision.
-func (s *Store) Get(ctx context.Context, key string, minRevision int64) (platform.Object, error) {
+func (s *Store) Get(ctx context.Context, key string, minRevision int64) (objectstore.Object, error) {
 	if err := checkKey(ctx, key); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	rule, err := s.beginRead(ctx, OpGet, key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, err := s.replica(rule, minRevision)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	object, exists := s.objectsAt(at, key)[key]
 	if !exists {
-		return platform.Object{}, errs.New(errs.NotFound, "no object "+key)
+		return objectstore.Object{}, errs.New(errs.NotFound, "no object "+key)
 	}
 	return clone(object), nil
 }
@@ -63,12 +63,12 @@
 }
 
 // objectsAt returns the objects with the prefix as they were at a revision.
-func (s *Store) objectsAt(revision int64, prefix string) map[string]platform.Object {
+func (s *Store) objectsAt(revision int64, prefix string) map[string]objectstore.Object {
 	later, _ := s.history.after(revision, s.revision)
 	if len(later) == 0 {
 		return s.objects
 	}
-	state := map[string]platform.Object{}
+	state := map[string]objectstore.Object{}
 	for key, object := range s.objects {
 		if strings.HasPrefix(key, prefix) {
 			state[key] = object
@@ -86,23 +86,23 @@
 }
 
 // List returns up to limit objects (at most MaxListLimit) with the prefix and
-// keys after "after". A page that would exceed platform.MaxValueBytes of values
+// keys after "after". A page that would exceed objectstore.MaxValueBytes of values
 // ends early.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (platform.Page, error) {
+func (s *Store) List(ctx context.Context, prefix, after string, limit int, minRevision int64) (objectstore.Page, error) {
 	rule, err := s.beginRead(ctx, OpList, prefix)
 	if err != nil {
-		return platform.Page{}, err
+		return objectstore.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, err := s.replica(rule, minRevision)
 	if err != nil {
-		return platform.Page{}, err
+		return objectstore.Page{}, err
 	}
 	return page(s.objectsAt(at, prefix), prefix, after, limit, at), nil
 }
 
-func page(objects map[string]platform.Object, prefix, after string, limit int, revision int64) platform.Page {
+func page(objects map[string]objectstore.Object, prefix, after string, limit int, revision int64) objectstore.Page {
 	var keys []string
 	for key := range objects {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -113,11 +113,11 @@
 	if limit <= 0 || limit > MaxListLimit {
 		limit = MaxListLimit
 	}
-	result := platform.Page{Revision: revision}
+	result := objectstore.Page{Revision: revision}
 	size := 0
 	for i, key := range keys {
 		size += len(objects[key].Value)
-		if i == limit || i > 0 && size > platform.MaxValueBytes {
+		if i == limit || i > 0 && size > objectstore.MaxValueBytes {
 			result.More = true
 			break
 		}
@@ -129,9 +129,9 @@
 // Watch waits for changes after revision since. When those changes are no
 // longer in the history it returns errs.StoreStale; the caller then lists and
 // watches from the list's revision.
-func (s *Store) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (platform.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, since int64, wait time.Duration) (objectstore.Changes, error) {
 	if _, err := s.beginRead(ctx, OpWatch, prefix); err != nil {
-		return platform.Changes{}, err
+		return objectstore.Changes{}, err
 	}
 	timeout, stop := s.clock.After(max(wait, 0))
 	defer stop()
@@ -147,7 +147,7 @@
 		case <-timeout:
 			return changes, nil
 		case <-ctx.Done():
-			return platform.Changes{}, errs.Wrap(ctx.Err(), errs.StoreUnavailable, "the watch was given up")
+			return objectstore.Changes{}, errs.Wrap(ctx.Err(), errs.StoreUnavailable, "the watch was given up")
 		}
 	}
 }
@@ -160,17 +160,17 @@
 
 // look returns the changes after a revision and a channel that is closed when
 // there may be more.
-func (s *Store) look(prefix string, since int64) (platform.Changes, <-chan struct{}, error) {
+func (s *Store) look(prefix string, since int64) (objectstore.Changes, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outage {
-		return platform.Changes{}, nil, errs.New(errs.StoreUnavailable, "the store is down")
+		return objectstore.Changes{}, nil, errs.New(errs.StoreUnavailable, "the store is down")
 	}
 	entries, complete := s.history.after(since, s.revision)
 	if !complete {
-		return platform.Changes{}, nil, errs.New(errs.StoreStale, "the watch starts before the kept history")
+		return objectstore.Changes{}, nil, errs.New(errs.StoreStale, "the watch starts before the kept history")
 	}
-	result := platform.Changes{Revision: max(since, s.revision)}
+	result := objectstore.Changes{Revision: max(since, s.revision)}
 	for _, e := range entries {
 		if strings.HasPrefix(e.change.Object.Key, prefix) {
 			change := e.change
--- a/internal/objectstore/memstore/store.go
+++ b/internal/objectstore/memstore/store.go
@@ -5,13 +5,13 @@
 	"sync"
 
 	"cicadaslip/internal/errs"
-	"cicadaslip/internal/platform"
+	"cicadaslip/internal/objectstore"
 )
 
 // MaxKeyBytes is the length of the longest key.
 const MaxKeyBytes = 512
 
-// Store implements platform.Store in memory. It is safe for concurrent use; a
+// Store implements objectstore.Store in memory. It is safe for concurrent use; a
 // single goroutine can use it as long as it starts no watch with a wait and no
 // slow call.
 type Store struct {
@@ -19,7 +19,7 @@
 
 	mu       sync.Mutex
 	revision int64
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	history  history
 	changed  chan struct{} // closed and replaced when a waiting watch must look again
 	outage   bool
@@ -29,14 +29,14 @@
 	rates    limits
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // New returns an empty store on the system's clock.
 func New() *Store { return NewWithClock(systemClock{}) }
 
 // NewWithClock returns an empty store on the given clock.
 func NewWithClock(clock Clock) *Store {
-	return &Store{clock: clock, objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Store{clock: clock, objects: map[string]objectstore.Object{}, changed: make(chan struct{})}
 }
 
 // mutation is one write.
@@ -48,18 +48,18 @@
 }
 
 // Create writes an object that must not exist.
-func (s *Store) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (s *Store) Create(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return s.write(ctx, mutation{op: OpCreate, key: key, value: value})
 }
 
 // Update replaces an object whose version must be the given one. A missing
 // object is errs.NotFound.
-func (s *Store) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s *Store) Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
 	return s.write(ctx, mutation{op: OpUpdate, key: key, value: value, version: version})
 }
 
 // Put writes an object without a condition.
-func (s *Store) Put(ctx context.Context, key string, value []byte) (platform.Object, error) {
+func (s *Store) Put(ctx context.Context, key string, value []byte) (objectstore.Object, error) {
 	return s.write(ctx, mutation{op: OpPut, key: key, value: value})
 }
 
@@ -70,13 +70,13 @@
 	return err
 }
 
-func (s *Store) write(ctx context.Context, m mutation) (platform.Object, error) {
+func (s *Store) write(ctx context.Context, m mutation) (objectstore.Object, error) {
 	if err := check(ctx, m); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	rule, err := s.begin(m.op, m.key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	m.value = append([]byte(nil), m.value...)
 	inTime := s.pause(ctx, rule.Delay)
@@ -86,12 +86,12 @@
 	switch {
 	case !inTime || rule.Fault == DelayWrite:
 		s.delayed = append(s.delayed, delayedWrite{m, rule.AfterCalls})
-		return platform.Object{}, ambiguous
+		return objectstore.Object{}, ambiguous
 	case rule.Fault == LoseRequest:
-		return platform.Object{}, ambiguous
+		return objectstore.Object{}, ambiguous
 	case rule.Fault == LoseResponse:
 		_, _ = s.apply(m)
-		return platform.Object{}, ambiguous
+		return objectstore.Object{}, ambiguous
 	}
 	return s.apply(m)
 }
@@ -100,7 +100,7 @@
 	if err := checkKey(ctx, m.key); err != nil {
 		return err
 	}
-	if len(m.value) > platform.MaxValueBytes {
+	if len(m.value) > objectstore.MaxValueBytes {
 		return errs.New(errs.TooLarge, "the value is over the store's limit")
 	}
 	return nil
@@ -117,24 +117,24 @@
 }
 
 // apply checks the condition of a write and makes it take effect.
-func (s *Store) apply(m mutation) (platform.Object, error) {
+func (s *Store) apply(m mutation) (objectstore.Object, error) {
 	old, exists := s.objects[m.key]
 	if err := condition(m, old, exists); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.revision++
-	object := platform.Object{Key: m.key, Version: old.Version + 1, Revision: s.revision, Value: m.value}
+	object := objectstore.Object{Key: m.key, Version: old.Version + 1, Revision: s.revision, Value: m.value}
 	if m.op == OpDelete {
 		delete(s.objects, m.key)
 	} else {
 		s.objects[m.key] = object
 	}
-	s.history.add(entry{change: platform.Change{Object: object, Deleted: m.op == OpDelete}, before: old, existed: exists})
+	s.history.add(entry{change: objectstore.Change{Object: object, Deleted: m.op == OpDelete}, before: old, existed: exists})
 	s.wake()
 	return clone(object), nil
 }
 
-func condition(m mutation, old platform.Object, exists bool) error {
+func condition(m mutation, old objectstore.Object, exists bool) error {
 	conditional := m.op == OpUpdate || m.op == OpDelete
 	switch {
 	case m.op == OpCreate && exists:
@@ -153,7 +153,7 @@
 	s.changed = make(chan struct{})
 }
 
-func clone(object platform.Object) platform.Object {
+func clone(object objectstore.Object) objectstore.Object {
 	object.Value = append([]byte(nil), object.Value...)
 	return object
 }
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -13,9 +13,9 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/group"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/owner"
 	"cicadaslip/internal/permit"
-	"cicadaslip/internal/platform/memstore"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
 )
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -10,8 +10,8 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/group"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/permit"
-	"cicadaslip/internal/platform"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
 )
@@ -19,7 +19,7 @@
 // Manager takes target groups over and answers for those that this VM owns.
 type Manager struct {
 	self     model.Holder
-	store    platform.Store
+	store    objectstore.Store
 	holdings *permit.Holdings
 	ports    Ports
 	newCore  func(group string) core.Decider
@@ -36,7 +36,7 @@
 }
 
 // NewManager returns a manager that owns nothing yet.
-func NewManager(self model.Holder, store platform.Store, holdings *permit.Holdings, ports Ports, newCore func(group string) core.Decider) *Manager {
+func NewManager(self model.Holder, store objectstore.Store, holdings *permit.Holdings, ports Ports, newCore func(group string) core.Decider) *Manager {
 	return &Manager{
 		self: self, store: store, holdings: holdings, ports: ports, newCore: newCore, start: time.Now(),
 		owned: map[string]*runtime{}, ending: map[*runtime]string{}, taking: map[string]bool{}, groups: map[string]group.Group{}, losses: map[string]loss{},
@@ -47,8 +47,8 @@
 const VMKeyPrefix = "vms/"
 
 // Registered reads all VM registrations at a revision of at least minRevision.
-func Registered(ctx context.Context, store platform.Store, minRevision int64) ([]model.VM, error) {
-	objects, _, err := platform.ListAll(ctx, store, VMKeyPrefix, minRevision)
+func Registered(ctx context.Context, store objectstore.Store, minRevision int64) ([]model.VM, error) {
+	objects, _, err := objectstore.ListAll(ctx, store, VMKeyPrefix, minRevision)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -9,7 +9,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/rpcapi"
 )
 
--- a/internal/processtest/config_test.go
+++ b/internal/processtest/config_test.go
@@ -11,7 +11,7 @@
 
 	"cicadaslip/internal/admin"
 	"cicadaslip/internal/config"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/testcluster"
 )
 
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -9,7 +9,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
-	"cicadaslip/internal/platform/memstore"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
 // maxLag bounds the lag of the list.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -11,9 +11,9 @@
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
-	api "cicadaslip/internal/platform"
-	"cicadaslip/internal/platform/httpapi"
-	"cicadaslip/internal/platform/memstore"
+	api "cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/httpapi"
+	"cicadaslip/internal/objectstore/memstore"
 )
 
 const (
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -13,8 +13,8 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/objectstore/httpstore"
 	"cicadaslip/internal/owner"
-	"cicadaslip/internal/platform/httpstore"
 )
 
 // DataCentre is one data centre with its VMs and targets.
