--- a/cmd/cicadaslipd/main.go
+++ b/cmd/cicadaslipd/main.go
@@ -18,7 +18,9 @@
 )
 
 type options struct {
-	Settings string `long:"settings" short:"s" required:"true" description:"YAML file with the settings"`
+	Settings string `long:"settings" short:"s" description:"YAML file with the settings"`
+	Edge     bool   `long:"edge" description:"serve as entry VM of the users' platform, which names the settings file itself"`
+	LogLevel string `long:"log-level" default:"info" description:"least level of log lines with --edge"`
 }
 
 const (
@@ -34,6 +36,17 @@
 		}
 		os.Exit(exitUsage)
 	}
+	if o.Edge {
+		if err := runEdge(o); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailure)
+		}
+		return
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "one of --settings and --edge is required")
+		os.Exit(exitUsage)
+	}
 	s, err := settings.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/frontend/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,4 +1,7 @@
-package frontend
+// Package callerconn holds the connections of callers: it bounds their number and
+// the time of each write, and tells when a caller has left while its request is
+// being served.
+package callerconn
 
 import (
 	"io"
@@ -6,8 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"cicadaslip/internal/errs"
 )
 
 // sendBufferBytes bounds what the kernel keeps for a caller that does not read.
@@ -20,17 +21,22 @@
 	lingerBytes = 4 << 20
 )
 
-// listener bounds the number of connections and the time of each write.
-type listener struct {
+// Listener bounds the number of connections and the time of each write.
+type Listener struct {
 	net.Listener
-	open  atomic.Int64
-	limit int64
-	stall time.Duration
+	// Limit is the largest number of open connections.
+	Limit int64
+	// Stall is the time after which a write without progress fails.
+	Stall time.Duration
+	// Refusal is the whole response to a connection beyond the limit.
+	Refusal []byte
+
+	open atomic.Int64
 }
 
 // Accept returns the next connection within the limit. One beyond it gets a
 // typed error and is closed.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
@@ -39,37 +45,36 @@
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(sendBufferBytes)
 		}
-		if l.open.Add(1) <= l.limit {
-			return &callerConn{Conn: c, from: l}, nil
+		if l.open.Add(1) <= l.Limit {
+			return &Conn{Conn: c, from: l}, nil
 		}
 		l.open.Add(-1)
-		refuseConn(c, l.stall)
+		l.refuse(c)
 	}
 }
 
-func refuseConn(c net.Conn, stall time.Duration) {
-	status, _, body := renderError(errs.NotRun(errs.Overloaded, "too many connections").WithRetry(time.Second))
-	_ = c.SetWriteDeadline(time.Now().Add(stall))
-	_, _ = c.Write(plainResponse(status, body))
+func (l *Listener) refuse(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(l.Stall))
+	_, _ = c.Write(l.Refusal)
 	_ = c.Close()
 }
 
-// callerConn is a caller's connection. A write without progress fails after a
+// Conn is a caller's connection. A write without progress fails after a
 // time, so that a caller that does not read holds nothing for long.
-type callerConn struct {
+type Conn struct {
 	net.Conn
-	from   *listener
+	from   *Listener
 	closed atomic.Bool
 }
 
 // Write writes within the stall limit.
-func (c *callerConn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(c.from.stall))
+func (c *Conn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(c.from.Stall))
 	return c.Conn.Write(p)
 }
 
 // Close ends the connection. Its place is freed when it is closed completely.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	if !c.closed.Swap(true) {
 		go c.linger()
 	}
@@ -79,7 +84,7 @@
 // linger closes the sending side and drops what still arrives for a short
 // time. Closing with unread input would reset the connection, and a caller that
 // sent too much would lose the error response.
-func (c *callerConn) linger() {
+func (c *Conn) linger() {
 	defer c.from.open.Add(-1)
 	defer c.Conn.Close()
 	tcp, ok := c.Conn.(*net.TCPConn)
@@ -90,9 +95,9 @@
 	_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
 }
 
-// gone reports whether the caller has closed its side. It peeks at the socket,
+// Gone reports whether the caller has closed its side. It peeks at the socket,
 // because the HTTP server does not read while a request is in progress.
-func (c *callerConn) gone() bool {
+func (c *Conn) Gone() bool {
 	if c.closed.Load() {
 		return true
 	}
--- /dev/null
+++ b/internal/edge/daemon.go
@@ -0,0 +1,261 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/gateway"
+	"cicadaslip/internal/groupclient"
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/peer"
+	"cicadaslip/internal/placer"
+	"cicadaslip/internal/timeline"
+	"cicadaslip/internal/upstream"
+)
+
+const (
+	// memoryPart is the part of the VM's memory from which the collector works
+	// harder.
+	memoryPart = 0.5
+	// heapGrowth lets the heap grow to this percentage above what is in use.
+	heapGrowth = 75
+	// Times of the connections between VMs.
+	peerDial  = 400 * time.Millisecond
+	peerProbe = 500 * time.Millisecond
+	// settlePoll is the time between looks at targets that are kept after an
+	// outage of the store.
+	settlePoll = 250 * time.Millisecond
+)
+
+// Ports are the connections to the platform.
+type Ports struct {
+	Store   objectstore.Store
+	Orders  groupserver.Orders
+	Dialect gateway.Dialect
+	Kinds   Kinds
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Daemon is the process of one entry VM.
+type Daemon struct {
+	settings *Settings
+	log      zerolog.Logger
+	start    time.Time
+	kinds    Kinds
+	store    objectstore.Store
+
+	health     storeHealth
+	deployment *deployment
+	versions   *versionTable
+	groups     *groupserver.Manager
+	placement  *groupclient.Client
+	gateway    *gateway.Server
+	peers      *peer.Client
+	server     *peer.Server
+	ready      *fasthttp.Server
+	draining   atomic.Bool
+	ending     atomic.Bool
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+// New returns a daemon. Run starts it.
+func New(s *Settings, ports Ports, log zerolog.Logger) (*Daemon, error) {
+	debug.SetGCPercent(heapGrowth)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	}
+	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable()}
+	d.health.changed = d.storeChanged
+	incarnation := uint64(time.Now().UnixNano())
+	clock := timeline.NewClock(time.Now)
+	d.peers = peer.NewClient(nil, clock, peer.ClientSettings{
+		DialTimeout: peerDial, ProbeTimeout: peerProbe, BusyProbe: peerProbe, IdleProbe: 2 * time.Second,
+	})
+	server, err := peer.Listen(s.PeerAddress, nil, clock)
+	if err != nil {
+		return nil, err
+	}
+	d.server = server
+	d.groups = groupserver.New(groupserver.Options{
+		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre, Regions: s.Regions,
+		Store: ports.Store, Orders: ports.Orders, Observer: groupObserver{d},
+		StoreFine: d.health.fine, StoreBlind: d.health.blind,
+	})
+	d.placement = groupclient.New(groupclient.Options{
+		VM: s.VM, DataCentre: s.DataCentre, Regions: s.Regions, Groups: d.groups, Peers: d.peers,
+		Observer: ownerObserver{d}, Target: d.target,
+	})
+	d.deployment = newDeployment(s, d.start, d.placement.VMs)
+	d.gateway = gateway.New(gateway.Options{
+		Fleet: d.deployment, Placement: d.placement, Dialect: ports.Dialect,
+		Upstream: &upstream.Client{Dial: ports.Dial}, Observer: requestObserver{d}, Log: log,
+	})
+	return d, d.server.Register(grouprpc.Service, &groupService{d})
+}
+
+// Run serves until stop is closed, and then drains. An error says that the
+// daemon could not start.
+func (d *Daemon) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	defer d.close()
+	callers, err := net.Listen("tcp", d.settings.CallerAddress)
+	if err != nil {
+		return errs.Wrap(err, errs.InvalidSettings, "listen for callers")
+	}
+	readiness, err := net.Listen("tcp", d.settings.ReadyAddress)
+	if err != nil {
+		return errs.Wrap(err, errs.InvalidSettings, "listen for the readiness check")
+	}
+	d.server.Serve()
+	d.serveReady(readiness)
+	d.startWatches(ctx)
+	d.goRun(func() { d.groups.Run(ctx) })
+	d.goRun(func() { d.placement.Run(ctx) })
+	d.goRun(func() { d.settle(ctx) })
+	served := make(chan error, 1)
+	go func() { served <- d.gateway.Serve(callers) }()
+	d.log.Info().Str(fieldEvent, "started").Str(fieldAddress, d.settings.CallerAddress).
+		Str(fieldDataCentre, d.settings.DataCentre).Send()
+	select {
+	case err := <-served:
+		return err
+	case <-stop:
+	}
+	d.drain()
+	return nil
+}
+
+func (d *Daemon) goRun(f func()) {
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		f()
+	}()
+}
+
+func (d *Daemon) close() {
+	d.cancel()
+	d.server.Close()
+	d.peers.Close()
+}
+
+// fleetChanged hands the targets and services to the groups.
+func (d *Daemon) fleetChanged() {
+	services, targets := d.deployment.services()
+	d.groups.SetFleet(services, targets)
+	for a, version := range d.versions.all() {
+		d.groups.SetVersion(a, version)
+	}
+}
+
+// settle drops targets that are still missing some time after an outage.
+func (d *Daemon) settle(ctx context.Context) {
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		settling := false
+		d.deployment.mu.Lock()
+		settling = d.deployment.registry.Settling()
+		d.deployment.mu.Unlock()
+		if settling {
+			d.deployment.change(func(*fleetRegistry, time.Time) {})
+			d.fleetChanged()
+		}
+	}
+}
+
+// isReady reports whether callers should be sent to this VM.
+func (d *Daemon) isReady() bool {
+	if d.draining.Load() || d.deployment.Routes() == nil {
+		return false
+	}
+	d.deployment.mu.Lock()
+	defer d.deployment.mu.Unlock()
+	return d.deployment.listed
+}
+
+func (d *Daemon) serveReady(l net.Listener) {
+	d.ready = &fasthttp.Server{
+		NoDefaultServerHeader: true, NoDefaultDate: true, ReadTimeout: readyTimeout, IdleTimeout: readyIdle,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch {
+			case string(ctx.Path()) != d.settings.ReadyPath:
+				ctx.SetStatusCode(fasthttp.StatusNotFound)
+			case d.isReady():
+				ctx.SetStatusCode(fasthttp.StatusOK)
+			default:
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+	go func() { _ = d.ready.Serve(l) }() // ends with the process
+}
+
+const (
+	readyTimeout = 3 * time.Second
+	readyIdle    = 30 * time.Second
+)
+
+// versionTable keeps the announced versions for groups that appear later.
+type versionTable struct {
+	mu   sync.Mutex
+	rows map[placer.Adapter]int64
+}
+
+func newVersionTable() *versionTable { return &versionTable{rows: map[placer.Adapter]int64{}} }
+
+func (t *versionTable) set(a placer.Adapter, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[a] = max(t.rows[a], version)
+}
+
+func (t *versionTable) all() map[placer.Adapter]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make(map[placer.Adapter]int64, len(t.rows))
+	for a, v := range t.rows {
+		all[a] = v
+	}
+	return all
+}
+
+// groupService serves other VMs.
+type groupService struct{ d *Daemon }
+
+// Acquire implements grouprpc.AcquireMethod.
+func (s *groupService) Acquire(request grouprpc.AcquireRequest, reply *grouprpc.AcquireReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Request.Deadline+time.Second)
+	defer cancel()
+	*reply = s.d.groups.Acquire(ctx, request)
+	return nil
+}
+
+// Events implements grouprpc.EventsMethod.
+func (s *groupService) Events(request grouprpc.EventsRequest, reply *grouprpc.EventsReply) error {
+	*reply = s.d.groups.Events(request)
+	return nil
+}
+
+// Sync implements grouprpc.SyncMethod.
+func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) error {
+	*reply = s.d.groups.Sync(request)
+	return nil
+}
--- /dev/null
+++ b/internal/edge/watch.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/kindwatch"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/placer"
+)
+
+const (
+	// watchWait is the longest wait of one watch call. Probes of the connection
+	// show earlier that it is dead.
+	watchWait = 10 * time.Second
+	// Pauses after news, so that many changes cost few calls.
+	configPause  = 200 * time.Millisecond
+	targetPause  = 900 * time.Millisecond
+	versionPause = 300 * time.Millisecond
+	groupPause   = 20 * time.Millisecond
+	// blindAfter is the time without success after which this VM says that it
+	// cannot reach the store.
+	blindAfter = 700 * time.Millisecond
+)
+
+// Kinds names the objects that others write, and decodes them.
+type Kinds struct {
+	Config   string // kind of the configuration
+	Main     string // key of the configuration
+	Targets  string
+	Versions string
+
+	DecodeConfig  func(value []byte) (*fleet.Config, error)
+	DecodeTarget  func(id string, value []byte) (fleet.Target, error)
+	DecodeVersion func(value []byte) (placer.Adapter, int64, error)
+}
+
+// storeHealth keeps when calls to the store failed.
+type storeHealth struct {
+	mu      sync.Mutex
+	failing bool
+	since   time.Time
+	changed func(fine bool, err error)
+}
+
+func (h *storeHealth) note(err error) {
+	fine := err == nil || errs.Is(err, errs.HistoryGone) || errs.Is(err, errs.Conflict) || errs.Is(err, errs.NotFound)
+	h.mu.Lock()
+	changed := h.failing == fine
+	if changed {
+		h.failing, h.since = !fine, time.Now()
+	}
+	h.mu.Unlock()
+	if changed {
+		h.changed(fine, err)
+	}
+}
+
+func (h *storeHealth) fine() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.failing
+}
+
+func (h *storeHealth) blind() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failing && time.Since(h.since) > blindAfter
+}
+
+// startWatches follows the store's kinds until ctx ends.
+func (d *Daemon) startWatches(ctx context.Context) {
+	follow := func(kind string, pause time.Duration, handler kindwatch.Handler) {
+		f := &kindwatch.Follower{Store: d.store, Kind: kind, Handler: handler, Wait: watchWait, Pause: pause}
+		d.goRun(func() { f.Run(ctx) })
+	}
+	follow(d.kinds.Config, configPause, &configHandler{d})
+	follow(d.kinds.Targets, targetPause, &targetHandler{d: d})
+	follow(d.kinds.Versions, versionPause, &versionHandler{d})
+	follow(groupserver.Kind, groupPause, &groupHandler{d})
+}
+
+type configHandler struct{ d *Daemon }
+
+// Replace implements kindwatch.Handler.
+func (h *configHandler) Replace(objects []objectstore.Object) {
+	for _, o := range objects {
+		h.enter(o)
+	}
+}
+
+// Change implements kindwatch.Handler.
+func (h *configHandler) Change(changes []objectstore.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.enter(c.Object)
+		}
+	}
+}
+
+func (h *configHandler) enter(o objectstore.Object) {
+	if o.Key != h.d.kinds.Main {
+		return
+	}
+	h.d.applyConfig(o.Value, "store")
+}
+
+// Reached implements kindwatch.Handler.
+func (h *configHandler) Reached(err error) { h.d.health.note(err) }
+
+// applyConfig puts a configuration into force.
+func (d *Daemon) applyConfig(value []byte, source string) {
+	c, err := d.kinds.DecodeConfig(value)
+	if err != nil {
+		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
+		return
+	}
+	if !d.deployment.setConfig(c) {
+		return
+	}
+	d.log.Info().Str(fieldEvent, "config_in_force").Uint64(fieldConfig, c.Version).Str(fieldSource, source).
+		Int(fieldCount, len(c.Routes)).Send()
+	d.fleetChanged()
+}
+
+type targetHandler struct {
+	d       *Daemon
+	failing bool
+}
+
+// Replace implements kindwatch.Handler.
+func (h *targetHandler) Replace(objects []objectstore.Object) {
+	var targets []fleet.Target
+	for _, o := range objects {
+		if t, ok := h.decode(o); ok {
+			targets = append(targets, t)
+		}
+	}
+	h.d.deployment.change(func(r *fleet.Registry, now time.Time) {
+		r.SetOutage(now, false)
+		r.Replace(now, targets)
+		h.d.deployment.listed = true
+	})
+	h.d.fleetChanged()
+}
+
+// Change implements kindwatch.Handler.
+func (h *targetHandler) Change(changes []objectstore.Change) {
+	h.d.deployment.change(func(r *fleet.Registry, now time.Time) {
+		for _, c := range changes {
+			id := nameOf(c.Object.Key)
+			if c.Deleted {
+				r.Remove(now, id)
+				continue
+			}
+			if t, ok := h.decode(c.Object); ok {
+				r.Put(t)
+			}
+		}
+	})
+	h.d.fleetChanged()
+}
+
+func (h *targetHandler) decode(o objectstore.Object) (fleet.Target, bool) {
+	t, err := h.d.kinds.DecodeTarget(nameOf(o.Key), o.Value)
+	if err != nil {
+		h.d.log.Warn().Err(err).Str(fieldEvent, "target_ignored").Str(fieldTarget, nameOf(o.Key)).Send()
+		return t, false
+	}
+	return t, true
+}
+
+// Reached implements kindwatch.Handler.
+func (h *targetHandler) Reached(err error) {
+	h.d.health.note(err)
+	failing := err != nil && !errs.Is(err, errs.HistoryGone)
+	if failing != h.failing {
+		h.failing = failing
+		h.d.deployment.change(func(r *fleet.Registry, now time.Time) { r.SetOutage(now, failing) })
+	}
+}
+
+func nameOf(key string) string {
+	_, name, _ := strings.Cut(key, "/")
+	return name
+}
+
+type versionHandler struct{ d *Daemon }
+
+// Replace implements kindwatch.Handler.
+func (h *versionHandler) Replace(objects []objectstore.Object) {
+	for _, o := range objects {
+		h.enter(o)
+	}
+}
+
+// Change implements kindwatch.Handler.
+func (h *versionHandler) Change(changes []objectstore.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.enter(c.Object)
+		}
+	}
+}
+
+func (h *versionHandler) enter(o objectstore.Object) {
+	a, version, err := h.d.kinds.DecodeVersion(o.Value)
+	if err != nil {
+		h.d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
+		return
+	}
+	h.d.log.Info().Str(fieldEvent, "adapter_version").Str(fieldAdapter, a.Name).Int64(fieldVersion, version).Send()
+	h.d.versions.set(a, version)
+	h.d.groups.SetVersion(a, version)
+}
+
+// Reached implements kindwatch.Handler.
+func (h *versionHandler) Reached(err error) { h.d.health.note(err) }
+
+type groupHandler struct{ d *Daemon }
+
+// Replace implements kindwatch.Handler.
+func (h *groupHandler) Replace(objects []objectstore.Object) { h.d.groups.Replace(objects) }
+
+// Change implements kindwatch.Handler.
+func (h *groupHandler) Change(changes []objectstore.Change) { h.d.groups.Change(changes) }
+
+// Reached implements kindwatch.Handler.
+func (h *groupHandler) Reached(err error) { h.d.health.note(err) }
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -39,6 +39,7 @@
 	StoreUnavailable    Code = "store_unavailable"
 	StoreAmbiguous      Code = "store_ambiguous"
 	StoreStale          Code = "store_stale"
+	HistoryGone         Code = "history_gone"
 	Conflict            Code = "conflict"
 	InProgress          Code = "in_progress"
 	KeyReused           Code = "key_reused"
@@ -160,6 +161,7 @@
 	StoreUnavailable:    http.StatusServiceUnavailable,
 	StoreAmbiguous:      http.StatusServiceUnavailable,
 	StoreStale:          http.StatusServiceUnavailable,
+	HistoryGone:         http.StatusServiceUnavailable,
 	PeerUnavailable:     http.StatusServiceUnavailable,
 	Conflict:            http.StatusConflict,
 	InProgress:          http.StatusConflict,
--- a/internal/frontend/completion.go
+++ b/internal/frontend/completion.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/target"
 	"cicadaslip/internal/timeline"
@@ -72,7 +73,7 @@
 func (s *Server) whole(ctx *fasthttp.RequestCtx, j *inference) *errs.Error {
 	work, cancel := context.WithDeadline(s.stop, j.deadline)
 	defer cancel()
-	go s.watchCaller(work, ctx.Conn(), cancel)
+	go callerconn.Watch(work, ctx.Conn(), s.limits.GoneCheckPeriod, cancel)
 	var text strings.Builder
 	var last target.Chunk
 	j.emit = func(c target.Chunk) error {
@@ -100,7 +101,7 @@
 	pipe := newPipe(s.limits.CallerBuffer, &s.retained)
 	j.emit = pipe.push
 	conn := ctx.Conn()
-	go s.watchCaller(work, conn, cancel)
+	go callerconn.Watch(work, conn, s.limits.GoneCheckPeriod, cancel)
 	s.spawn(func() {
 		defer cancel()
 		defer s.recovered(pipe.finish)
--- a/internal/frontend/once.go
+++ b/internal/frontend/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/rpcapi"
@@ -32,7 +33,7 @@
 func (s *Server) callOnce(ctx *fasthttp.RequestCtx, c *serviceCall) *errs.Error {
 	wait, cancel := context.WithDeadline(s.stop, c.deadline)
 	defer cancel()
-	go s.watchCaller(wait, ctx.Conn(), cancel)
+	go callerconn.Watch(wait, ctx.Conn(), s.limits.GoneCheckPeriod, cancel)
 	done := make(chan onceResult, 2) // an answer, and the error of a panic after it
 	s.spawn(func() {
 		defer c.release()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
@@ -79,7 +80,10 @@
 
 // Serve serves callers on a listener until Drain or Close.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(&listener{Listener: l, limit: int64(s.limits.MaxConnections), stall: s.limits.WriteStall})
+	status, _, body := renderError(errs.NotRun(errs.Overloaded, "too many connections").WithRetry(time.Second))
+	err := s.http.Serve(&callerconn.Listener{
+		Listener: l, Limit: int64(s.limits.MaxConnections), Stall: s.limits.WriteStall, Refusal: plainResponse(status, body),
+	})
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "caller listener failed")
 	}
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
@@ -59,7 +60,7 @@
 	defer c.release()
 	work, cancel := context.WithDeadline(s.stop, c.deadline)
 	defer cancel()
-	go s.watchCaller(work, ctx.Conn(), cancel)
+	go callerconn.Watch(work, ctx.Conn(), s.limits.GoneCheckPeriod, cancel)
 	s.retries.earn()
 	for {
 		answer, failure := s.callAttempt(work, c)
--- /dev/null
+++ b/internal/gateway/trace.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"time"
+
+	"cicadaslip/internal/errs"
+)
+
+// Steps of a request.
+const (
+	stepPlaced  = "placed"
+	stepSent    = "sent"
+	stepFailed  = "attempt_failed"
+	stepResumed = "resumed"
+)
+
+// Step is one decision about a request.
+type Step struct {
+	At       time.Duration // since the arrival
+	Name     string
+	Target   string
+	Detail   string
+	Owner    string
+	Estimate time.Duration
+	Version  int64
+}
+
+// Trace is what happened to a request.
+type Trace struct {
+	id      string
+	began   time.Time
+	Steps   []Step
+	Status  int
+	Target  string
+	Failure *errs.Error
+}
+
+func (t *Trace) begin(at time.Time) { t.began = at }
+
+func (t *Trace) step(name, target, detail string) {
+	t.Steps = append(t.Steps, Step{At: time.Since(t.began), Name: name, Target: target, Detail: detail})
+}
+
+func (t *Trace) placed(l Lease) {
+	t.Steps = append(t.Steps, Step{
+		At: time.Since(t.began), Name: stepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
+	})
+}
+
+func (t *Trace) failed(e *errs.Error) {
+	t.Failure = e
+	t.Status = statusOf(e)
+}
+
+func (t *Trace) answered(status int, target string) {
+	t.Status, t.Target = status, target
+}
+
+// Summary is the end of a request.
+type Summary struct {
+	ID       string
+	Route    string
+	Service  string
+	Config   uint64
+	Adapter  string
+	Arrived  time.Time
+	Took     time.Duration
+	Left     bool // the caller has gone
+	TimeLeft time.Duration
+	Trace    *Trace
+}
+
+func (c *call) summary() Summary {
+	s := Summary{
+		ID: c.meta.ID, Service: c.service, Config: c.version, Adapter: c.meta.Adapter.Name, Arrived: c.arrived,
+		Took: time.Since(c.arrived), Left: c.left.Load(), Trace: &c.trace,
+	}
+	if c.route != nil {
+		s.Route, s.TimeLeft = c.route.Name, c.timeLeft()
+	}
+	return s
+}
+
+// Observer is told of the requests. Its methods must not block.
+type Observer interface {
+	// Finished tells of the end of a request.
+	Finished(Summary)
+	// Malformed tells of input that is no request.
+	Malformed(status int, err error)
+}
+
+type discard struct{}
+
+func (discard) Finished(Summary)     {}
+func (discard) Malformed(int, error) {}
--- /dev/null
+++ b/internal/groupclient/client.go
@@ -0,0 +1,470 @@
+package groupclient
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/gateway"
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/placer"
+)
+
+const (
+	// homeSync and farSync are the times between questions to the owner of this
+	// data centre's group and to the others.
+	homeSync = 250 * time.Millisecond
+	farSync  = time.Second
+	// homeAnswer and farAnswer bound the answer to a question that does not wait.
+	homeAnswer = 250 * time.Millisecond
+	farAnswer  = 400 * time.Millisecond
+	// suspectWait is the time after which a waiting request makes this VM ask
+	// whether the owner is still there.
+	suspectWait = 150 * time.Millisecond
+	// digestAge is the age up to which a group's load is believed.
+	digestAge = 2500 * time.Millisecond
+	// farPenalty is the backlog by which a group of another region must be
+	// better to be preferred: requests to it cross slow and billed links.
+	farPenalty = 500 * time.Millisecond
+	// viewAge is the age up to which resident adapters are believed.
+	viewAge = 20 * time.Second
+	// ownerlessRetry is the advice to callers while a group has no owner.
+	ownerlessRetry = 700 * time.Millisecond
+	// eventDelay collects events, so that one call tells several.
+	eventDelay = 8 * time.Millisecond
+	// maxEvents bounds the events that wait for one owner.
+	maxEvents = 4096
+	// beat is the time between looks at what is due.
+	beat = 50 * time.Millisecond
+)
+
+// Caller calls peers. *peer.Client implements it.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Observer is told of changes of what this VM believes. Its methods must not block.
+type Observer interface {
+	OwnerSilent(group, owner string, epoch int64, silence time.Duration)
+	OwnerHeard(group, owner string, epoch int64)
+}
+
+// Options of a Client.
+type Options struct {
+	VM         string
+	DataCentre string
+	Regions    map[string]string
+	Groups     *groupserver.Manager
+	Peers      Caller
+	Observer   Observer
+	// Target returns a target that requests may be sent to.
+	Target func(id string) (fleet.Target, bool)
+}
+
+// Client implements gateway.Placement. It is safe for concurrent use.
+type Client struct {
+	opt   Options
+	start time.Time
+
+	mu     sync.Mutex
+	groups map[string]*ownerState
+	own    map[string]int // requests sent by this VM's own choice, by target
+	events map[string][]grouprpc.Event
+	flush  map[string]bool
+	vms    int
+}
+
+var _ gateway.Placement = (*Client)(nil)
+
+// New returns a client.
+func New(opt Options) *Client {
+	return &Client{
+		opt: opt, start: time.Now(), groups: map[string]*ownerState{}, own: map[string]int{},
+		events: map[string][]grouprpc.Event{}, flush: map[string]bool{}, vms: 1,
+	}
+}
+
+func (c *Client) now() time.Duration { return time.Since(c.start) }
+
+// VMs estimates the number of VMs in the deployment.
+func (c *Client) VMs() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms
+}
+
+// Run asks the owners for news until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	for {
+		c.refresh()
+		for _, o := range c.due() {
+			go c.sync(ctx, o)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh takes over who owns the groups.
+func (c *Client) refresh() {
+	status := c.opt.Groups.Status()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range status {
+		o := c.groups[s.Name]
+		if o == nil {
+			o = &ownerState{name: s.Name, resident: map[placer.Adapter][]placer.Resident{}}
+			o.reset()
+			c.groups[s.Name] = o
+		}
+		o.dataCentre, o.distance = s.DataCentre, c.distance(s.DataCentre)
+		owner, address := s.Record.Owner, s.Record.Address
+		if !s.Exists {
+			owner, address = "", ""
+		}
+		if o.epoch != s.Record.Epoch || o.owner != owner {
+			o.reset()
+			o.epoch, o.owner, o.address = s.Record.Epoch, owner, address
+		}
+		o.own = s.Own
+	}
+}
+
+func (c *Client) distance(dataCentre string) int {
+	switch {
+	case dataCentre == c.opt.DataCentre:
+		return 0
+	case c.opt.Regions[dataCentre] == c.opt.Regions[c.opt.DataCentre]:
+		return 1
+	}
+	return 2
+}
+
+// due returns the groups whose owners are to be asked now.
+func (c *Client) due() []*ownerState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var due []*ownerState
+	for _, o := range c.groups {
+		period := farSync
+		if o.distance == 0 {
+			period = homeSync
+		}
+		if o.silent {
+			period = homeSync
+		}
+		if o.owner == "" || o.own || o.asking || now-o.askedAt < period {
+			continue
+		}
+		o.asking, o.askedAt = true, now
+		due = append(due, o)
+	}
+	return due
+}
+
+// sync asks an owner for news.
+func (c *Client) sync(ctx context.Context, o *ownerState) {
+	c.mu.Lock()
+	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Home: o.distance == 0, Since: o.version}
+	address, epoch, limit := o.address, o.epoch, farAnswer
+	if o.distance == 0 {
+		limit = homeAnswer
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var reply grouprpc.SyncReply
+	err := c.opt.Peers.Call(ctx, address, grouprpc.SyncMethod, request, &reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o.asking = false
+	if o.epoch != epoch {
+		return
+	}
+	if err != nil {
+		c.missed(o)
+		return
+	}
+	if reply.NotOwner || reply.Epoch != epoch {
+		return
+	}
+	c.heardOf(o)
+	now := c.now()
+	o.digest = digest{at: now, waiting: reply.Waiting, backlog: reply.Backlog, open: reply.Open, vms: reply.VMs}
+	if request.Home {
+		o.fold(reply)
+	}
+	c.countVMs(now)
+	c.opt.Groups.Contact(o.name, epoch, reply.Blind)
+}
+
+// missed enters a call without an answer. The waits at a silent owner end, so
+// that their requests go elsewhere. The caller holds the lock.
+func (c *Client) missed(o *ownerState) {
+	if o.silent {
+		return
+	}
+	o.silent = true
+	c.opt.Observer.OwnerSilent(o.name, o.owner, o.epoch, c.now()-o.heardAt)
+	o.end()
+}
+
+func (c *Client) heardOf(o *ownerState) {
+	o.heardAt = c.now()
+	if o.silent {
+		heard := o.version
+		o.reset()
+		o.version = heard
+		c.opt.Observer.OwnerHeard(o.name, o.owner, o.epoch)
+	}
+	o.heard = true
+}
+
+// countVMs adds up the VMs that the owners hear. Owners of several services hear
+// the same VMs, so the largest sum over one data centre's groups would do; each
+// VM calls all owners, so the largest count is that of the deployment.
+func (c *Client) countVMs(now time.Duration) {
+	most := 1
+	for _, o := range c.groups {
+		if now-o.digest.at < digestAge {
+			most = max(most, o.digest.vms)
+		}
+	}
+	c.vms = most
+}
+
+// option is a group that may serve a request.
+type option struct {
+	state   *ownerState
+	cost    time.Duration
+	address string
+	epoch   int64
+	own     bool
+	wait    <-chan struct{}
+	limit   time.Duration
+}
+
+// options returns the groups of a service whose owners answer, the best first.
+func (c *Client) options(service string) []option {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var all []option
+	for _, o := range c.groups {
+		if groupserver.GroupName(service, o.dataCentre) != o.name || o.owner == "" || o.silent && !o.own {
+			continue
+		}
+		cost := time.Duration(o.distance) * farPenalty / 2
+		if now-o.digest.at < digestAge && !o.own {
+			cost += o.digest.backlog
+			if o.digest.open == 0 {
+				cost += farPenalty
+			}
+		}
+		all = append(all, option{state: o, cost: cost, address: o.address, epoch: o.epoch, own: o.own, wait: o.wait})
+	}
+	slices.SortFunc(all, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.state.name, b.state.name))
+	})
+	return all
+}
+
+// Acquire implements gateway.Placement.
+func (c *Client) Acquire(ctx context.Context, service string, request placer.Request) (gateway.Lease, *errs.Error) {
+	request.Holder = c.opt.VM
+	began := time.Now()
+	var last *errs.Error
+	for i, o := range c.options(service) {
+		r := request
+		r.Objective -= time.Since(began)
+		r.Deadline -= time.Since(began)
+		reply := c.ask(ctx, o, r)
+		if reply.Err == nil {
+			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.state.owner, Region: o.state.name}, nil
+		}
+		if last == nil || last.Retry == 0 || reply.Err.Retry > 0 && reply.Err.Retry < last.Retry {
+			last = reply.Err
+		}
+		if ctx.Err() != nil || reply.Err.Code == errs.DeadlineUnreachable {
+			return gateway.Lease{}, reply.Err
+		}
+		if i == 0 && unreachable(reply.Err) {
+			if lease, found := c.choose(service, request); found {
+				return lease, nil
+			}
+		}
+	}
+	if lease, found := c.choose(service, request); found {
+		return lease, nil
+	}
+	if last == nil || unreachable(last) {
+		last = errs.NotRun(errs.NotOwner, "no owner of the service's targets can be reached").WithRetry(ownerlessRetry)
+	}
+	return gateway.Lease{}, last
+}
+
+func unreachable(e *errs.Error) bool {
+	return e.Code == errs.NotOwner || e.Code == errs.PeerUnavailable || e.Code == errs.Timeout || e.Code == errs.Draining
+}
+
+// ask waits in the queue of an owner. The wait ends when the owner falls silent.
+func (c *Client) ask(ctx context.Context, o option, request placer.Request) grouprpc.AcquireReply {
+	args := grouprpc.AcquireRequest{Group: o.state.name, Epoch: o.epoch, Request: request}
+	if o.own {
+		return c.opt.Groups.Acquire(ctx, args)
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(request.Deadline, time.Millisecond))
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go c.guard(o, stop, cancel)
+	var reply grouprpc.AcquireReply
+	if err := c.opt.Peers.Call(ctx, o.address, grouprpc.AcquireMethod, args, &reply); err != nil {
+		c.tell(o.state.name, grouprpc.Event{ID: request.ID, Kind: grouprpc.EventCancelled})
+		failure := errs.As(err)
+		return grouprpc.AcquireReply{Err: errs.NotRun(failure.Code, "the owner of the target group did not answer")}
+	}
+	return reply
+}
+
+// guard ends a wait when its owner falls silent, and asks the owner whether it is
+// there when the wait becomes long.
+func (c *Client) guard(o option, stop <-chan struct{}, cancel context.CancelFunc) {
+	timer := time.NewTimer(suspectWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-o.wait:
+			cancel()
+			return
+		case <-timer.C:
+			c.hurry(o.state)
+			timer.Reset(suspectWait)
+		}
+	}
+}
+
+// hurry makes the next question to an owner due now.
+func (c *Client) hurry(o *ownerState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.now()-o.heardAt >= suspectWait {
+		o.askedAt = 0
+	}
+}
+
+// choose picks a target by this VM's own view, while no owner can be asked.
+func (c *Client) choose(service string, request placer.Request) (gateway.Lease, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best placer.Resident
+	var bestTarget fleet.Target
+	found := false
+	for _, o := range c.groups {
+		if groupserver.GroupName(service, o.dataCentre) != o.name {
+			continue
+		}
+		for _, r := range c.residents(o, request.Adapter) {
+			t, usable := c.opt.Target(r.Target)
+			if !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= t.Slots/2 {
+				continue
+			}
+			if !found || c.own[r.Target] < c.own[best.Target] {
+				best, bestTarget, found = r, t, true
+			}
+		}
+	}
+	if !found {
+		return gateway.Lease{}, false
+	}
+	c.own[best.Target]++
+	grant := placer.Grant{Request: request.ID, Target: best.Target, Address: bestTarget.Address, Version: best.Version, Priority: request.Priority}
+	return gateway.Lease{Grant: grant, Estimate: request.Objective / 2}, true
+}
+
+// residents returns where an adapter is resident by the view of a group.
+func (c *Client) residents(o *ownerState, a placer.Adapter) []placer.Resident {
+	if c.now()-o.heardAt > viewAge || !o.heard && o.resident == nil {
+		return nil
+	}
+	return o.resident[a]
+}
+
+// Started implements gateway.Placement.
+func (c *Client) Started(lease gateway.Lease) {
+	if lease.Owner != "" {
+		c.tell(lease.Region, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted})
+	}
+}
+
+// Release implements gateway.Placement.
+func (c *Client) Release(lease gateway.Lease, outcome placer.Outcome) {
+	if lease.Owner != "" {
+		c.tell(lease.Region, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventReleased, Outcome: outcome})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.own[lease.Grant.Target]--; c.own[lease.Grant.Target] <= 0 {
+		delete(c.own, lease.Grant.Target)
+	}
+}
+
+// tell queues an event for the owner of a group.
+func (c *Client) tell(group string, e grouprpc.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.groups[group]
+	if o == nil {
+		return
+	}
+	if o.own {
+		go c.opt.Groups.Events(grouprpc.EventsRequest{Group: group, VM: c.opt.VM, Events: []grouprpc.Event{e}})
+		return
+	}
+	if len(c.events[group]) < maxEvents {
+		c.events[group] = append(c.events[group], e)
+	}
+	if !c.flush[group] {
+		c.flush[group] = true
+		time.AfterFunc(eventDelay, func() { c.send(group) })
+	}
+}
+
+// send tells the queued events to a group's owner. Events that do not arrive are
+// lost; the owner ends the runs of a lost release by their deadlines.
+func (c *Client) send(group string) {
+	c.mu.Lock()
+	o := c.groups[group]
+	events, address, own := c.events[group], o.address, o.own
+	delete(c.events, group)
+	c.flush[group] = false
+	c.mu.Unlock()
+	request := grouprpc.EventsRequest{Group: group, VM: c.opt.VM, Events: events}
+	if own {
+		c.opt.Groups.Events(request)
+		return
+	}
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), farAnswer)
+	defer cancel()
+	var reply grouprpc.EventsReply
+	if err := c.opt.Peers.Call(ctx, address, grouprpc.EventsMethod, request, &reply); err != nil {
+		c.hurry(o)
+	}
+}
--- /dev/null
+++ b/internal/grouprpc/grouprpc.go
@@ -0,0 +1,86 @@
+// Package grouprpc holds the messages between the front ends and the owners of
+// target groups. They travel over net/rpc.
+package grouprpc
+
+import (
+	"time"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/placer"
+)
+
+// Service is the name of the net/rpc service.
+const Service = "Groups"
+
+// Methods.
+const (
+	AcquireMethod = Service + ".Acquire"
+	EventsMethod  = Service + ".Events"
+	SyncMethod    = Service + ".Sync"
+)
+
+// AcquireRequest asks for a target.
+type AcquireRequest struct {
+	Group   string
+	Epoch   int64 // newest that the caller knows
+	Request placer.Request
+}
+
+// AcquireReply is a target or a refusal.
+type AcquireReply struct {
+	Grant    placer.Grant
+	Estimate time.Duration
+	Err      *errs.Error
+}
+
+// EventKind is what happened to a request.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	EventStarted EventKind = iota
+	EventReleased
+	EventCancelled // it was still queued
+)
+
+// Event is something that happened to a request.
+type Event struct {
+	ID      string
+	Kind    EventKind
+	Outcome placer.Outcome
+}
+
+// EventsRequest tells what happened to requests of one VM.
+type EventsRequest struct {
+	Group  string
+	VM     string
+	Events []Event
+}
+
+// EventsReply says whether the VM that was told owns the group.
+type EventsReply struct{ NotOwner bool }
+
+// SyncRequest asks for news of a group.
+type SyncRequest struct {
+	Group  string
+	Epoch  int64 // newest that the caller knows
+	VM     string
+	Home   bool   // the caller wants the resident adapters
+	Since  uint64 // version of the caller's view
+	Config uint64 // version of the caller's configuration
+}
+
+// SyncReply is the news.
+type SyncReply struct {
+	NotOwner bool
+	Epoch    int64
+	Blind    bool // the owner cannot reach the store
+	VMs      int  // that called lately
+	Version  uint64
+	Full     bool // Resident replaces the caller's view
+	Resident []placer.Resident
+	Gone     []placer.Resident
+	Waiting  int
+	Backlog  time.Duration
+	Open     int
+}
--- /dev/null
+++ b/internal/groupserver/manager.go
@@ -0,0 +1,334 @@
+package groupserver
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/placer"
+	"cicadaslip/internal/tenure"
+)
+
+// Kind is the kind of the groups' objects in the store.
+const Kind = "groups"
+
+// Orders reaches the model engines.
+type Orders interface {
+	Order(ctx context.Context, o placer.Order, holder string, token int64) placer.Result
+	Report(ctx context.Context, target, address string) (*placer.Report, error)
+}
+
+// Observer is told of changes of what this VM believes and does. Its methods
+// must not block.
+type Observer interface {
+	GroupChanged(group string, record tenure.Record, action tenure.Action, err error)
+	Ordered(group string, epoch int64, order placer.Order, result placer.Result, took time.Duration)
+	Reported(group, target string, err error)
+	Granted(group string, epoch int64, command placer.GrantRequest)
+	Refused(group string, epoch int64, command placer.RefuseRequest)
+}
+
+// Options of a Manager.
+type Options struct {
+	VM          string
+	Incarnation uint64
+	Address     string // for peers
+	DataCentre  string
+	Regions     map[string]string // of data centres
+	Store       objectstore.Store
+	Orders      Orders
+	Observer    Observer
+	// StoreFine reports whether this VM reaches the store.
+	StoreFine func() bool
+	// StoreBlind reports whether it has failed to for a while.
+	StoreBlind func() bool
+}
+
+// Manager owns groups. It is safe for concurrent use.
+type Manager struct {
+	opt   Options
+	start time.Time
+
+	mu       sync.Mutex
+	groups   map[string]*group
+	draining bool
+
+	listed   atomic.Bool // the objects of the groups were read
+	verified atomic.Bool // no pause of the process since the last check
+	lastBeat time.Time
+}
+
+// New returns a manager that owns nothing.
+func New(opt Options) *Manager {
+	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, lastBeat: time.Now()}
+	m.verified.Store(true)
+	return m
+}
+
+func (m *Manager) now() time.Duration { return time.Since(m.start) }
+
+// GroupName names the group of a service's targets in a data centre.
+func GroupName(service, dataCentre string) string { return service + "." + dataCentre }
+
+// member is a group as the configuration and the registry show it.
+type member struct {
+	service    string
+	dataCentre string
+	targets    []fleet.Target
+}
+
+// SetFleet tells the targets and the services in force.
+func (m *Manager) SetFleet(services map[string]fleet.Service, targets []fleet.Target) {
+	members := map[string]*member{}
+	for _, t := range targets {
+		service, found := services[t.Service]
+		if !found || service.Engine == nil {
+			continue
+		}
+		name := GroupName(t.Service, t.DataCentre)
+		if members[name] == nil {
+			members[name] = &member{service: t.Service, dataCentre: t.DataCentre}
+		}
+		members[name].targets = append(members[name].targets, t)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	perService := map[string]int{}
+	for _, mb := range members {
+		perService[mb.service]++
+	}
+	for name, mb := range members {
+		g := m.group(name, mb.dataCentre)
+		g.setFleet(engineParams(services[mb.service].Engine, perService[mb.service]), mb.targets)
+	}
+	for name, g := range m.groups {
+		if members[name] == nil {
+			g.setFleet(g.parameters(), nil)
+		}
+	}
+}
+
+// transitLimit is the number of adapters on their way from the weights store, for
+// each target of a service, up to which they come at full speed.
+const transitPerTarget = 8.0 / 9
+
+func engineParams(e *fleet.Engine, groups int) placer.Params {
+	p := placer.Params{Engine: placer.Engine{
+		CacheTokens: e.CacheTokens, EventTokens: e.EventTokens, AdapterSlots: e.AdapterSlots, WeightsMB: e.WeightsMB,
+		LoadsPerSecond: e.LoadsPerSecond / float64(max(1, groups)),
+	}}
+	for _, model := range e.Models {
+		p.Engine.Models = append(p.Engine.Models, placer.Model{
+			Name: model.Name, WeightsMB: model.WeightsMB, AdapterMB: model.AdapterMB, LoadTime: model.LoadTime,
+		})
+	}
+	return p
+}
+
+// group returns the row of a group. The caller holds the lock.
+func (m *Manager) group(name, dataCentre string) *group {
+	g := m.groups[name]
+	if g == nil {
+		g = newGroup(m, name, dataCentre)
+		m.groups[name] = g
+	}
+	return g
+}
+
+func (m *Manager) distance(dataCentre string) int {
+	switch {
+	case dataCentre == m.opt.DataCentre:
+		return 0
+	case m.opt.Regions[dataCentre] == m.opt.Regions[m.opt.DataCentre]:
+		return 1
+	}
+	return 2
+}
+
+func (m *Manager) jitter(group string) float64 {
+	return float64(xxhash.Sum64String(group+"\x00"+m.opt.VM)%1000) / 1000
+}
+
+func (m *Manager) find(name string) *group {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.groups[name]
+}
+
+func (m *Manager) all() []*group {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]*group, 0, len(m.groups))
+	for _, g := range m.groups {
+		all = append(all, g)
+	}
+	return all
+}
+
+// SetVersion tells an announced version of an adapter.
+func (m *Manager) SetVersion(a placer.Adapter, version int64) {
+	for _, g := range m.all() {
+		g.setVersion(a, version)
+	}
+}
+
+// Replace implements kindwatch.Handler for the groups' objects.
+func (m *Manager) Replace(objects []objectstore.Object) {
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[groupOf(o.Key)] = true
+		m.enter(o)
+	}
+	for _, g := range m.all() {
+		if !listed[g.name] {
+			g.absent()
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, g := range m.groups {
+		g.listed.Store(true)
+	}
+	m.listed.Store(true)
+}
+
+// Change implements kindwatch.Handler.
+func (m *Manager) Change(changes []objectstore.Change) {
+	for _, c := range changes {
+		if c.Deleted {
+			if g := m.find(groupOf(c.Object.Key)); g != nil {
+				g.absent()
+			}
+			continue
+		}
+		m.enter(c.Object)
+	}
+}
+
+func groupOf(key string) string { return key[len(Kind)+1:] }
+
+func (m *Manager) enter(o objectstore.Object) {
+	var r tenure.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		m.opt.Observer.GroupChanged(groupOf(o.Key), r, tenure.Nothing, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
+		return
+	}
+	m.mu.Lock()
+	g := m.groups[groupOf(o.Key)]
+	if g == nil {
+		g = newGroup(m, groupOf(o.Key), "")
+		m.groups[g.name] = g
+	}
+	m.mu.Unlock()
+	g.setRecord(r, o.Version)
+}
+
+const (
+	// beat is the time between looks at the groups.
+	beat = 50 * time.Millisecond
+	// pauseLimit is the time between two beats from which the process counts as
+	// paused, so that it may have lost its groups unnoticed.
+	pauseLimit = 700 * time.Millisecond
+)
+
+// Run carries out what the groups' tenures ask for until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		m.notePause()
+		for _, g := range m.all() {
+			g.step(ctx)
+		}
+	}
+}
+
+// notePause finds pauses of the process. The steady clock may stand still
+// meanwhile, the time of day does not, but may jump.
+func (m *Manager) notePause() {
+	now := time.Now()
+	steady, day := now.Sub(m.lastBeat), now.Round(0).Sub(m.lastBeat.Round(0))
+	m.lastBeat = now
+	if steady < pauseLimit && day < pauseLimit {
+		return
+	}
+	if m.verified.Swap(false) {
+		go m.verify()
+	}
+}
+
+// verify reads the objects of the owned groups and lets orders go on.
+func (m *Manager) verify() {
+	defer m.verified.Store(true)
+	for _, g := range m.all() {
+		if g.owned() {
+			g.refresh()
+		}
+	}
+}
+
+// Drain gives all groups up.
+func (m *Manager) Drain() {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	for _, g := range m.all() {
+		if g.owned() {
+			g.act(context.Background(), tenure.Release)
+		}
+	}
+}
+
+func (m *Manager) isDraining() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.draining
+}
+
+// Owned returns the names of the groups that this VM owns.
+func (m *Manager) Owned() []string {
+	var names []string
+	for _, g := range m.all() {
+		if g.owned() {
+			names = append(names, g.name)
+		}
+	}
+	return names
+}
+
+// Status is what is known of a group.
+type Status struct {
+	Name       string
+	DataCentre string
+	Record     tenure.Record
+	Exists     bool
+	Own        bool
+}
+
+// Status returns what is known of all groups of a service.
+func (m *Manager) Status() []Status {
+	var all []Status
+	for _, g := range m.all() {
+		all = append(all, g.status())
+	}
+	return all
+}
+
+// Contact tells that a group's owner has answered.
+func (m *Manager) Contact(name string, epoch int64, blind bool) {
+	if g := m.find(name); g != nil {
+		g.contact(epoch, blind)
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"reflect"
 	"sync"
 	"time"
@@ -55,7 +57,20 @@
 	closed      bool
 }
 
-// NewClient returns a client. Close it after use.
+// dial opens a connection, which is authenticated if there are credentials.
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if c.credentials == nil {
+		return (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext(ctx, "tcp", addr)
+	}
+	dialer := tls.Dialer{Config: c.credentials.config()}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+// keepAlive shows a partition on a connection without TLS within three seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// NewClient returns a client. Close it after use. Without credentials it speaks
+// plain TCP, for networks that only the system's own processes reach.
 func NewClient(credentials *Credentials, clock Clock, settings ClientSettings) *Client {
 	return &Client{
 		credentials: credentials, clock: clock, settings: settings.withDefaults(),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -139,7 +139,12 @@
 
 // Close closes the socket without the TLS closing alert, which would wait for a
 // peer that does not read.
-func (c clientCodec) Close() error { return c.conn.(*tls.Conn).NetConn().Close() }
+func (c clientCodec) Close() error {
+	if secured, ok := c.conn.(*tls.Conn); ok {
+		return secured.NetConn().Close()
+	}
+	return c.conn.Close()
+}
 
 // serverCodec implements rpc.ServerCodec. It refuses calls beyond the bound of
 // concurrent calls, and closes a connection on which nothing arrives.
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net/rpc"
 	"strings"
@@ -75,8 +74,7 @@
 func (c *connection) dial() *errs.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.client.settings.DialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: c.client.credentials.config()}
-	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	conn, err := c.client.dial(ctx, c.addr)
 	if errs.Is(err, errs.Unauthenticated) {
 		return errs.Wrap(err, errs.Unauthenticated, "connect to the peer at "+c.addr).WithRan(errs.RanNo)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -52,16 +52,19 @@
 }
 
 // Listen starts a server on an "ip:port" address. Port 0 lets the kernel choose.
-// Calls that arrive before Serve wait.
+// Calls that arrive before Serve wait. Without credentials it speaks plain TCP.
 func Listen(addr string, credentials *Credentials, clock Clock) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.InvalidSettings, "listen for peers on "+addr)
 	}
 	s := &Server{
-		rpc: rpc.NewServer(), clock: clock, tls: credentials.config(), listener: listener,
+		rpc: rpc.NewServer(), clock: clock, listener: listener,
 		handshakes: make(chan struct{}, MaxHandshakes), open: map[net.Conn]struct{}{},
 	}
+	if credentials != nil {
+		s.tls = credentials.config()
+	}
 	if err := s.rpc.RegisterName(probeService, &prober{}); err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "register the probe")
 	}
@@ -157,10 +160,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer s.untrack(conn)
-	secured := tls.Server(conn, s.tls)
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	err := secured.HandshakeContext(ctx)
-	cancel()
+	secured, err := s.secure(conn)
 	<-s.handshakes
 	if err != nil {
 		s.stats.identity.Add(1)
@@ -173,3 +173,14 @@
 	}
 	s.rpc.ServeCodec(&serverCodec{stream: newStream(secured, s.clock)})
 }
+
+// secure authenticates the other end of a connection, if there are credentials.
+func (s *Server) secure(conn net.Conn) (net.Conn, error) {
+	if s.tls == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, s.tls)
+	return secured, secured.HandshakeContext(ctx)
+}
--- /dev/null
+++ b/internal/placer/loads.go
@@ -0,0 +1,237 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+// site is a place for a load.
+type site struct {
+	target *targetRow
+	victim *heldRow // makes room, nil if a slot is free
+	cold   bool
+	first  time.Duration // until the first event of the request
+}
+
+// startLoad loads the adapter of a request where its first event can be expected
+// earliest. With a limit it does so only if that is within the limit.
+func (c *Core) startLoad(r *requestRow, limit time.Duration) bool {
+	a := r.Request.Adapter
+	if a.Name == "" || c.now < r.adapter.retryAt || c.draining {
+		return false
+	}
+	var best site
+	for _, avoided := range []bool{false, true} {
+		for _, t := range c.targets {
+			if (c.now < t.avoidTo) == avoided && !slices.Contains(r.Exclude, t.info.ID) {
+				c.considerSite(r, t, &best)
+			}
+		}
+		if best.target != nil {
+			break
+		}
+	}
+	if best.target == nil || limit > 0 && best.first > limit {
+		return false
+	}
+	c.load(best, a, r.adapter.wanted)
+	return true
+}
+
+func (c *Core) considerSite(r *requestRow, t *targetRow, best *site) {
+	a := r.Request.Adapter
+	if !t.open() || !t.known || t.wantReport || !t.holdsModel(a.Model) || t.held[a] != nil {
+		return
+	}
+	cold := !t.recent.has(a)
+	taken, coming := t.slots()
+	if coming >= maxComing || cold && c.coldComing() >= max(1, c.params.Transit) {
+		return
+	}
+	option := site{target: t, cold: cold, first: c.model.load(cold) + c.backlog(t) + c.cost(t, &r.Request) + c.eventTime(t)}
+	if taken >= c.slotLimit() {
+		if option.victim = c.victim(t, a); option.victim == nil {
+			return
+		}
+		option.first += time.Duration(c.adapter(option.victim.adapter).demandAt(c.now) * float64(victimCost))
+	}
+	if best.target == nil || option.first < best.first {
+		*best = option
+	}
+}
+
+// victimCost is the delay, for each recent request for the victim, that a load
+// elsewhere may take longer.
+const victimCost = 20 * time.Millisecond
+
+// coldComing counts the adapters that are on their way from the weights store.
+func (c *Core) coldComing() int {
+	count := 0
+	for _, t := range c.targets {
+		for a, row := range t.held {
+			if a.Name != "" && row.state == heldLoading && row.cold {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// victim returns the idle adapter of a target that is needed least, or nil.
+func (c *Core) victim(t *targetRow, for_ Adapter) *heldRow {
+	var worst *heldRow
+	least := 0.0
+	for a, row := range t.held {
+		if a.Name == "" || a == for_ || row.state != heldReady || row.runs > 0 || row.doubt {
+			continue
+		}
+		adapter := c.adapter(a)
+		if adapter.waiting > 0 && len(adapter.held) == 1 {
+			continue
+		}
+		demand := adapter.demandAt(c.now) / float64(len(adapter.held))
+		if row.stale > 0 {
+			demand = 0
+		}
+		if worst == nil || demand < least || demand == least && row.usedAt < worst.usedAt ||
+			demand == least && row.usedAt == worst.usedAt && a.Name < worst.adapter.Name {
+			worst, least = row, demand
+		}
+	}
+	return worst
+}
+
+// load plans the orders of a load.
+func (c *Core) load(s site, a Adapter, version int64) {
+	t := s.target
+	if s.victim != nil {
+		c.unload(s.victim)
+	}
+	row := c.addHeld(t, a, heldLoading, version)
+	row.cold = s.cold
+	t.plan = append(t.plan, plannedOrder{operation: Load, row: row, after: s.victim})
+}
+
+func (c *Core) unload(row *heldRow) {
+	row.state, row.since, row.started, row.polls = heldUnloading, c.now, false, 0
+	row.target.plan = append(row.target.plan, plannedOrder{operation: Unload, row: row})
+}
+
+// reload replaces an adapter by its newest version in place.
+func (c *Core) reload(row *heldRow, version int64) {
+	row.state, row.since, row.started, row.polls, row.cold = heldLoading, c.now, false, 0, true
+	row.version, row.stale = version, 0
+	row.target.prefixes.drop(row.adapter)
+	row.target.plan = append(row.target.plan, plannedOrder{operation: Load, row: row})
+}
+
+// runVersions brings newer versions into place: where the older one is idle at
+// once, else on another target while the older one serves.
+func (c *Core) runVersions() {
+	if !c.anyStale {
+		return
+	}
+	c.anyStale = false
+	for _, t := range c.targets {
+		if !t.known || !t.open() {
+			continue
+		}
+		for _, row := range sortedHeld(t) {
+			if row.stale == 0 || row.adapter.Name == "" {
+				continue
+			}
+			c.anyStale = true
+			if row.state != heldReady || row.doubt || t.wantReport {
+				continue
+			}
+			adapter := c.adapter(row.adapter)
+			switch {
+			case row.runs == 0 && adapter.demandAt(c.now) > idleDemand:
+				c.reload(row, adapter.wanted)
+			case row.runs == 0:
+				c.unload(row)
+			case !c.newerComing(adapter):
+				c.startLoad(&requestRow{Request: Request{Adapter: row.adapter}, adapter: adapter}, 0)
+			}
+		}
+	}
+}
+
+// idleDemand is the decayed number of requests below which an old version is
+// dropped instead of replaced.
+const idleDemand = 0.3
+
+func (c *Core) newerComing(a *adapterRow) bool {
+	return slices.ContainsFunc(a.held, func(row *heldRow) bool { return row.stale == 0 && !row.doubt && row.target.open() })
+}
+
+func sortedHeld(t *targetRow) []*heldRow {
+	rows := make([]*heldRow, 0, len(t.held))
+	for _, row := range t.held {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b *heldRow) int {
+		if a.adapter.Model != b.adapter.Model {
+			if a.adapter.Model < b.adapter.Model {
+				return -1
+			}
+			return 1
+		}
+		if a.adapter.Name < b.adapter.Name {
+			return -1
+		}
+		return 1
+	})
+	return rows
+}
+
+// runModels loads a base model on each target that has none.
+func (c *Core) runModels() {
+	if rate := c.params.Engine.LoadsPerSecond; rate > 0 {
+		c.modelLoads = min(1, c.modelLoads+rate*(c.now-c.modelsAt).Seconds())
+	}
+	c.modelsAt = c.now
+	for _, t := range c.targets {
+		if !t.open() || !t.known || t.wantReport || t.sent != nil || c.now < t.quietTo || c.now < t.avoidTo || hasModel(t) {
+			continue
+		}
+		if model := c.neededModel(); model != "" && c.modelLoads >= 1 {
+			c.modelLoads--
+			row := c.addHeld(t, Adapter{Model: model}, heldLoading, 0)
+			row.cold = true
+			t.plan = append(t.plan, plannedOrder{operation: Load, row: row})
+		}
+	}
+}
+
+func hasModel(t *targetRow) bool {
+	for a := range t.held {
+		if a.Name == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// neededModel returns the model with the most waiting requests for each target
+// that holds it.
+func (c *Core) neededModel() string {
+	best, most := "", -1.0
+	for _, m := range c.params.Engine.Models {
+		holders, waiting := 0, 0
+		for _, t := range c.targets {
+			if t.held[Adapter{Model: m.Name}] != nil {
+				holders++
+			}
+		}
+		for _, r := range c.waiting {
+			if r.Request.Adapter.Model == m.Name {
+				waiting++
+			}
+		}
+		if need := float64(1+waiting) / float64(1+holders); need > most {
+			best, most = m.Name, need
+		}
+	}
+	return best
+}
