placer: Weigh running streams, told slowness and a spare slot

Change: one group for all targets of a service, late requests start no loads that come later still, long prompts avoid targets with running streams and short ones those that read all the time, the slowness that answers tell is used, one slot is kept free.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -88,12 +88,12 @@
 	}
 	d.server = server
 	d.groups = groupserver.New(groupserver.Options{
-		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, DataCentre: s.DataCentre, Regions: s.Regions,
+		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Regions: s.Regions,
 		Store: ports.Store, Orders: ports.Orders, Observer: groupObserver{d},
 		StoreFine: d.health.fine, StoreBlind: d.health.blind,
 	})
 	d.placement = groupclient.New(groupclient.Options{
-		VM: s.VM, DataCentre: s.DataCentre, Regions: s.Regions, Groups: d.groups, Peers: d.peers,
+		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
 		Observer: ownerObserver{d}, Target: d.target,
 	})
 	d.deployment = newDeployment(s, d.start, d.placement.VMs)
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -39,6 +39,8 @@
 	fieldAddress    = "address"
 	fieldDataCentre = "data_centre"
 	fieldSilence    = "silence_ms"
+	fieldFirst      = "first_ms"
+	fieldGap        = "gap_ms"
 	fieldGone       = "caller_left"
 )
 
@@ -111,6 +113,7 @@
 	}
 	line.Str(fieldEvent, "finished").Str(fieldRequest, s.ID).Str(fieldRoute, s.Route).Str(fieldAdapter, s.Adapter).
 		Uint64(fieldConfig, s.Config).Int(fieldStatus, s.Trace.Status).Str(fieldTarget, s.Trace.Target).
+		Dur(fieldFirst, s.Trace.First).Dur(fieldGap, s.Trace.Gap).Int(fieldCount, s.Trace.Events).
 		Bool(fieldGone, s.Left).Dur(fieldTook, s.Took).Dur(fieldLeft, s.TimeLeft)
 	if s.Trace.Failure != nil {
 		line.Str(fieldReason, s.Trace.Failure.Error())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,9 @@
 	answerMargin = 30 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is passed on as a whole.
 	maxAnswerBytes = 8 << 20
+	// drainRetry is the advice to a caller that meets a VM that shuts down. Others
+	// serve it at once.
+	drainRetry = 10 * time.Millisecond
 	// maxRefusals bounds the targets that may refuse one request as not run.
 	maxRefusals = 4
 )
@@ -68,6 +71,10 @@
 		c.fail(failure)
 		return
 	}
+	if c.route.Kind == fleet.Streaming && s.closing() {
+		c.fail(errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetry))
+		return
+	}
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), c.end)
 	c.caller, _ = ctx.Conn().(*callerconn.Conn)
 	s.enter(c)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -60,15 +60,16 @@
 	Grant    placer.Grant
 	Estimate time.Duration // until the first event
 	Owner    string        // VM that granted it, empty if this VM chose by its own view
-	Region   string
+	Group    string
 }
 
 // Placement gives targets to requests for model engines.
 type Placement interface {
 	// Acquire waits for a target. The error is about a request that did not run.
 	Acquire(ctx context.Context, service string, request placer.Request) (Lease, *errs.Error)
-	// Started tells that the first event arrived.
-	Started(lease Lease)
+	// Started tells that the first event arrived, and the slowness that the target
+	// told, 0 if none.
+	Started(lease Lease, slowness float64)
 	// Release ends the use of a target.
 	Release(lease Lease, outcome placer.Outcome)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,6 +51,7 @@
 	opt      Options
 	http     *fasthttp.Server
 	draining atomic.Bool
+	drainAt  atomic.Int64 // Unix nanoseconds from which no streams are begun
 	inFlight atomic.Int64
 	number   atomic.Uint64 // of questions for a target
 
@@ -106,8 +107,18 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Drain makes each answer the last one of its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes each answer the last one of its connection. Streams that would
+// begin after a time are refused, because they could be cut by the end of the
+// process.
+func (s *Server) Drain(streams time.Duration) {
+	s.drainAt.Store(time.Now().Add(streams).UnixNano())
+	s.draining.Store(true)
+}
+
+// closing reports whether no more streams are begun.
+func (s *Server) closing() bool {
+	return s.draining.Load() && time.Now().UnixNano() > s.drainAt.Load()
+}
 
 // Shutdown waits until no request is in flight or ctx ends, and closes the
 // listener and the idle connections.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/balance"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/eventstream"
 	"cicadaslip/internal/placer"
@@ -32,7 +33,8 @@
 	lease    Lease
 	exchange *upstream.Exchange
 	events   *eventstream.Reader
-	held     bool   // the lease has not been released
+	held     bool // the lease has not been released
+	load     *balance.Load
 	body     []byte // of an answer that is no stream
 }
 
@@ -52,7 +54,9 @@
 		return
 	}
 	body := &streamBody{call: c, feed: f, last: c.meta.ResumeAfter}
-	body.take(first)
+	if len(first.Bytes) > 0 {
+		body.take(first)
+	}
 	c.http.SetBodyStream(body, -1)
 }
 
@@ -127,7 +131,7 @@
 		output = c.meta.OutputTokens / outputGuess
 	}
 	return placer.Request{
-		ID: c.meta.ID + "/" + strconv.FormatUint(c.s.number.Add(1), 36), Adapter: c.meta.Adapter, PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.OutputTokens)),
+		ID: c.meta.ID + "/" + strconv.FormatUint(c.s.number.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.OutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: c.route.TargetLatency - time.Since(c.arrived),
 		Deadline: c.timeLeft(), Exclude: c.exclude,
 	}
@@ -154,7 +158,7 @@
 		exchange.Close()
 		return nil, failure
 	}
-	f := &feed{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), held: true}
+	f := &feed{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: answer.Load, held: true}
 	if exchange.Status == fasthttp.StatusOK {
 		return f, nil
 	}
@@ -250,7 +254,11 @@
 		f.exchange.Close()
 		return event, c.lost(f.lease, streamFailure(err))
 	}
-	c.s.opt.Placement.Started(f.lease)
+	slowness := 0.0
+	if f.load != nil {
+		slowness = f.load.Slowness
+	}
+	c.s.opt.Placement.Started(f.lease, slowness)
 	return event, nil
 }
 
@@ -267,7 +275,6 @@
 	feed    *feed
 	pending []byte
 	last    int64 // event passed on
-	count   int
 	ended   error
 	closed  bool
 }
@@ -278,7 +285,7 @@
 	if e.ID > 0 {
 		b.last = e.ID
 	}
-	b.count++
+	b.call.trace.event(time.Now())
 }
 
 // Read implements io.Reader. A failure cuts the connection, so that the stream
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -33,6 +33,21 @@
 	Status  int
 	Target  string
 	Failure *errs.Error
+	First   time.Duration // until the first event, 0 if there was none
+	Gap     time.Duration // longest pause between events
+	Events  int
+	last    time.Time
+}
+
+// event enters an event of a stream.
+func (t *Trace) event(now time.Time) {
+	if t.Events == 0 {
+		t.First = now.Sub(t.began)
+	} else {
+		t.Gap = max(t.Gap, now.Sub(t.last))
+	}
+	t.Events++
+	t.last = now
 }
 
 func (t *Trace) begin(at time.Time) { t.began = at }
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -1,7 +1,6 @@
 package groupclient
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -16,21 +15,18 @@
 )
 
 const (
-	// homeSync and farSync are the times between questions to the owner of this
-	// data centre's group and to the others.
-	homeSync = 250 * time.Millisecond
-	farSync  = time.Second
-	// homeAnswer and farAnswer bound the answer to a question that does not wait.
-	homeAnswer = 250 * time.Millisecond
-	farAnswer  = 400 * time.Millisecond
+	// syncPeriod is the time between questions to an owner.
+	syncPeriod = 200 * time.Millisecond
+	// answerLimit bounds the answer to a question that does not wait.
+	answerLimit = 300 * time.Millisecond
 	// suspectWait is the time after which a waiting request makes this VM ask
 	// whether the owner is still there.
 	suspectWait = 150 * time.Millisecond
-	// digestAge is the age up to which a group's load is believed.
+	// digestAge is the age up to which what an owner tells is believed.
 	digestAge = 2500 * time.Millisecond
-	// farPenalty is the backlog by which a group of another region must be
-	// better to be preferred: requests to it cross slow and billed links.
-	farPenalty = 500 * time.Millisecond
+	// ownerWait is the longest wait for a group's next owner.
+	ownerWait = 2500 * time.Millisecond
+	ownerPoll = 25 * time.Millisecond
 	// viewAge is the age up to which resident adapters are believed.
 	viewAge = 20 * time.Second
 	// ownerlessRetry is the advice to callers while a group has no owner.
@@ -58,7 +54,6 @@
 type Options struct {
 	VM         string
 	DataCentre string
-	Regions    map[string]string
 	Groups     *groupserver.Manager
 	Peers      Caller
 	Observer   Observer
@@ -127,7 +122,6 @@
 			o.reset()
 			c.groups[s.Name] = o
 		}
-		o.dataCentre, o.distance = s.DataCentre, c.distance(s.DataCentre)
 		owner, address := s.Record.Owner, s.Record.Address
 		if !s.Exists {
 			owner, address = "", ""
@@ -140,16 +134,6 @@
 	}
 }
 
-func (c *Client) distance(dataCentre string) int {
-	switch {
-	case dataCentre == c.opt.DataCentre:
-		return 0
-	case c.opt.Regions[dataCentre] == c.opt.Regions[c.opt.DataCentre]:
-		return 1
-	}
-	return 2
-}
-
 // due returns the groups whose owners are to be asked now.
 func (c *Client) due() []*ownerState {
 	c.mu.Lock()
@@ -157,14 +141,7 @@
 	now := c.now()
 	var due []*ownerState
 	for _, o := range c.groups {
-		period := farSync
-		if o.distance == 0 {
-			period = homeSync
-		}
-		if o.silent {
-			period = homeSync
-		}
-		if o.owner == "" || o.own || o.asking || now-o.askedAt < period {
+		if o.owner == "" || o.own || o.asking || now-o.askedAt < syncPeriod {
 			continue
 		}
 		o.asking, o.askedAt = true, now
@@ -176,13 +153,10 @@
 // sync asks an owner for news.
 func (c *Client) sync(ctx context.Context, o *ownerState) {
 	c.mu.Lock()
-	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Home: o.distance == 0, Since: o.version}
-	address, epoch, limit := o.address, o.epoch, farAnswer
-	if o.distance == 0 {
-		limit = homeAnswer
-	}
+	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Since: o.version}
+	address, epoch := o.address, o.epoch
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	var reply grouprpc.SyncReply
 	err := c.opt.Peers.Call(ctx, address, grouprpc.SyncMethod, request, &reply)
@@ -201,10 +175,8 @@
 	}
 	c.heardOf(o)
 	now := c.now()
-	o.digest = digest{at: now, waiting: reply.Waiting, backlog: reply.Backlog, open: reply.Open, vms: reply.VMs}
-	if request.Home {
-		o.fold(reply)
-	}
+	o.digest = digest{at: now, vms: reply.VMs}
+	o.fold(reply)
 	c.countVMs(now)
 	c.opt.Groups.Contact(o.name, epoch, reply.Blind)
 }
@@ -244,74 +216,64 @@
 	c.vms = most
 }
 
-// option is a group that may serve a request.
+// option is the owner of a group that may serve a request.
 type option struct {
 	state   *ownerState
-	cost    time.Duration
+	name    string
+	owner   string
 	address string
 	epoch   int64
 	own     bool
 	wait    <-chan struct{}
-	limit   time.Duration
 }
 
-// options returns the groups of a service whose owners answer, the best first.
-func (c *Client) options(service string) []option {
+// option returns the owner of a service's group, if it answers.
+func (c *Client) option(service string) (option, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
-	var all []option
-	for _, o := range c.groups {
-		if groupserver.GroupName(service, o.dataCentre) != o.name || o.owner == "" || o.silent && !o.own {
-			continue
-		}
-		cost := time.Duration(o.distance) * farPenalty / 2
-		if now-o.digest.at < digestAge && !o.own {
-			cost += o.digest.backlog
-			if o.digest.open == 0 {
-				cost += farPenalty
-			}
-		}
-		all = append(all, option{state: o, cost: cost, address: o.address, epoch: o.epoch, own: o.own, wait: o.wait})
+	o := c.groups[groupserver.GroupName(service)]
+	if o == nil || o.owner == "" || o.silent && !o.own {
+		return option{}, false
 	}
-	slices.SortFunc(all, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.state.name, b.state.name))
-	})
-	return all
+	return option{state: o, name: o.name, owner: o.owner, address: o.address, epoch: o.epoch, own: o.own, wait: o.wait}, true
 }
 
-// Acquire implements gateway.Placement.
+// Acquire implements gateway.Placement. While the group has no owner that
+// answers, a target is chosen by this VM's own view; a request that needs a load
+// waits for the next owner.
 func (c *Client) Acquire(ctx context.Context, service string, request placer.Request) (gateway.Lease, *errs.Error) {
-	request.Holder = c.opt.VM
+	request.Holder, request.DataCentre = c.opt.VM, c.opt.DataCentre
 	began := time.Now()
-	var last *errs.Error
-	for i, o := range c.options(service) {
-		r := request
-		r.Objective -= time.Since(began)
-		r.Deadline -= time.Since(began)
-		reply := c.ask(ctx, o, r)
-		if reply.Err == nil {
-			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.state.owner, Region: o.state.name}, nil
-		}
-		if last == nil || last.Retry == 0 || reply.Err.Retry > 0 && reply.Err.Retry < last.Retry {
-			last = reply.Err
+	for {
+		if o, found := c.option(service); found {
+			r := request
+			r.Objective -= time.Since(began)
+			r.Deadline -= time.Since(began)
+			reply := c.ask(ctx, o, r)
+			if reply.Err == nil {
+				return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name}, nil
+			}
+			if !unreachable(reply.Err) {
+				return gateway.Lease{}, reply.Err
+			}
 		}
-		if ctx.Err() != nil || reply.Err.Code == errs.DeadlineUnreachable {
-			return gateway.Lease{}, reply.Err
+		if lease, found := c.choose(service, request); found {
+			return lease, nil
 		}
-		if i == 0 && unreachable(reply.Err) {
-			if lease, found := c.choose(service, request); found {
-				return lease, nil
-			}
+		if time.Since(began) > ownerWait || ctx.Err() != nil {
+			return gateway.Lease{}, errs.NotRun(errs.NotOwner, "no owner of the service's targets answers").WithRetry(ownerlessRetry)
 		}
+		sleep(ctx, ownerPoll)
 	}
-	if lease, found := c.choose(service, request); found {
-		return lease, nil
-	}
-	if last == nil || unreachable(last) {
-		last = errs.NotRun(errs.NotOwner, "no owner of the service's targets can be reached").WithRetry(ownerlessRetry)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	return gateway.Lease{}, last
 }
 
 func unreachable(e *errs.Error) bool {
@@ -320,7 +282,7 @@
 
 // ask waits in the queue of an owner. The wait ends when the owner falls silent.
 func (c *Client) ask(ctx context.Context, o option, request placer.Request) grouprpc.AcquireReply {
-	args := grouprpc.AcquireRequest{Group: o.state.name, Epoch: o.epoch, Request: request}
+	args := grouprpc.AcquireRequest{Group: o.name, Epoch: o.epoch, Request: request}
 	if o.own {
 		return c.opt.Groups.Acquire(ctx, args)
 	}
@@ -331,7 +293,7 @@
 	go c.guard(o, stop, cancel)
 	var reply grouprpc.AcquireReply
 	if err := c.opt.Peers.Call(ctx, o.address, grouprpc.AcquireMethod, args, &reply); err != nil {
-		c.tell(o.state.name, grouprpc.Event{ID: request.ID, Kind: grouprpc.EventCancelled})
+		c.tell(o.name, grouprpc.Event{ID: request.ID, Kind: grouprpc.EventCancelled})
 		failure := errs.As(err)
 		return grouprpc.AcquireReply{Err: errs.NotRun(failure.Code, "the owner of the target group did not answer")}
 	}
@@ -373,18 +335,17 @@
 	var best placer.Resident
 	var bestTarget fleet.Target
 	found := false
-	for _, o := range c.groups {
-		if groupserver.GroupName(service, o.dataCentre) != o.name {
+	o := c.groups[groupserver.GroupName(service)]
+	if o == nil {
+		return gateway.Lease{}, false
+	}
+	for _, r := range c.residents(o, request.Adapter) {
+		t, usable := c.opt.Target(r.Target)
+		if !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= t.Slots/2 {
 			continue
 		}
-		for _, r := range c.residents(o, request.Adapter) {
-			t, usable := c.opt.Target(r.Target)
-			if !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= t.Slots/2 {
-				continue
-			}
-			if !found || c.own[r.Target] < c.own[best.Target] {
-				best, bestTarget, found = r, t, true
-			}
+		if !found || c.own[r.Target] < c.own[best.Target] {
+			best, bestTarget, found = r, t, true
 		}
 	}
 	if !found {
@@ -404,16 +365,16 @@
 }
 
 // Started implements gateway.Placement.
-func (c *Client) Started(lease gateway.Lease) {
+func (c *Client) Started(lease gateway.Lease, slowness float64) {
 	if lease.Owner != "" {
-		c.tell(lease.Region, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted})
+		c.tell(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: slowness})
 	}
 }
 
 // Release implements gateway.Placement.
 func (c *Client) Release(lease gateway.Lease, outcome placer.Outcome) {
 	if lease.Owner != "" {
-		c.tell(lease.Region, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventReleased, Outcome: outcome})
+		c.tell(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventReleased, Outcome: outcome})
 		return
 	}
 	c.mu.Lock()
@@ -461,7 +422,7 @@
 	if address == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), farAnswer)
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
 	defer cancel()
 	var reply grouprpc.EventsReply
 	if err := c.opt.Peers.Call(ctx, address, grouprpc.EventsMethod, request, &reply); err != nil {
--- a/internal/groupclient/view.go
+++ b/internal/groupclient/view.go
@@ -9,13 +9,11 @@
 
 // ownerState is what this VM knows of a group and its owner.
 type ownerState struct {
-	name       string
-	dataCentre string
-	distance   int
-	owner      string // VM, empty if there is none
-	address    string
-	epoch      int64
-	own        bool // this VM owns it
+	name    string
+	owner   string // VM, empty if there is none
+	address string
+	epoch   int64
+	own     bool // this VM owns it
 
 	heardAt  time.Duration // last answer
 	heard    bool          // in this epoch
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -45,9 +45,10 @@
 
 // Event is something that happened to a request.
 type Event struct {
-	ID      string
-	Kind    EventKind
-	Outcome placer.Outcome
+	ID       string
+	Kind     EventKind
+	Outcome  placer.Outcome
+	Slowness float64 // of the target, 1 is usual, 0 if it did not tell
 }
 
 // EventsRequest tells what happened to requests of one VM.
@@ -62,12 +63,10 @@
 
 // SyncRequest asks for news of a group.
 type SyncRequest struct {
-	Group  string
-	Epoch  int64 // newest that the caller knows
-	VM     string
-	Home   bool   // the caller wants the resident adapters
-	Since  uint64 // version of the caller's view
-	Config uint64 // version of the caller's configuration
+	Group string
+	Epoch int64 // newest that the caller knows
+	VM    string
+	Since uint64 // version of the caller's view
 }
 
 // SyncReply is the news.
@@ -80,7 +79,4 @@
 	Full     bool // Resident replaces the caller's view
 	Resident []placer.Resident
 	Gone     []placer.Resident
-	Waiting  int
-	Backlog  time.Duration
-	Open     int
 }
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -16,11 +16,10 @@
 
 // group is one target group as this VM sees it, with a core while it owns it.
 type group struct {
-	m          *Manager
-	name       string
-	dataCentre string
-	listed     atomic.Bool
-	acting     atomic.Bool
+	m      *Manager
+	name   string
+	listed atomic.Bool
+	acting atomic.Bool
 
 	mu       sync.Mutex
 	tenure   *tenure.Machine
@@ -40,9 +39,9 @@
 	ordering sync.WaitGroup
 }
 
-func newGroup(m *Manager, name, dataCentre string) *group {
+func newGroup(m *Manager, name string) *group {
 	g := &group{
-		m: m, name: name, dataCentre: dataCentre, versions: map[placer.Adapter]int64{},
+		m: m, name: name, versions: map[placer.Adapter]int64{},
 		waiters: map[string]chan grouprpc.AcquireReply{}, callers: map[string]time.Duration{}, retired: map[string]time.Duration{},
 	}
 	g.tenure = tenure.New(g.self())
@@ -55,17 +54,13 @@
 
 func (g *group) self() tenure.Self {
 	return tenure.Self{
-		VM: g.m.opt.VM, Incarnation: g.m.opt.Incarnation, Distance: g.m.distance(g.dataCentre), Jitter: g.m.jitter(g.name),
+		VM: g.m.opt.VM, Incarnation: g.m.opt.Incarnation, Jitter: g.m.jitter(g.name),
 	}
 }
 
 func (g *group) setFleet(params placer.Params, targets []fleet.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.dataCentre == "" && len(targets) > 0 {
-		g.dataCentre = targets[0].DataCentre
-		g.tenure.SetSelf(g.self())
-	}
 	params.Transit = max(1, int(transitPerTarget*float64(len(targets))+0.5))
 	g.params, g.targets = params, targets
 	if g.core != nil {
@@ -101,7 +96,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	record, exists := g.tenure.Record()
-	return Status{Name: g.name, DataCentre: g.dataCentre, Record: record, Exists: exists, Own: g.core != nil && !g.halted}
+	return Status{Name: g.name, Record: record, Exists: exists, Own: g.core != nil && !g.halted}
 }
 
 func (g *group) absent() {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -39,8 +39,7 @@
 type Options struct {
 	VM          string
 	Incarnation uint64
-	Address     string // for peers
-	DataCentre  string
+	Address     string            // for peers
 	Regions     map[string]string // of data centres
 	Store       objectstore.Store
 	Orders      Orders
@@ -74,39 +73,21 @@
 
 func (m *Manager) now() time.Duration { return time.Since(m.start) }
 
-// GroupName names the group of a service's targets in a data centre.
-func GroupName(service, dataCentre string) string { return service + "." + dataCentre }
-
-// member is a group as the configuration and the registry show it.
-type member struct {
-	service    string
-	dataCentre string
-	targets    []fleet.Target
-}
+// GroupName names the group of a service's targets.
+func GroupName(service string) string { return service }
 
 // SetFleet tells the targets and the services in force.
 func (m *Manager) SetFleet(services map[string]fleet.Service, targets []fleet.Target) {
-	members := map[string]*member{}
+	members := map[string][]fleet.Target{}
 	for _, t := range targets {
-		service, found := services[t.Service]
-		if !found || service.Engine == nil {
-			continue
-		}
-		name := GroupName(t.Service, t.DataCentre)
-		if members[name] == nil {
-			members[name] = &member{service: t.Service, dataCentre: t.DataCentre}
+		if service, found := services[t.Service]; found && service.Engine != nil {
+			members[t.Service] = append(members[t.Service], t)
 		}
-		members[name].targets = append(members[name].targets, t)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	perService := map[string]int{}
-	for _, mb := range members {
-		perService[mb.service]++
-	}
-	for name, mb := range members {
-		g := m.group(name, mb.dataCentre)
-		g.setFleet(engineParams(services[mb.service].Engine, perService[mb.service]), mb.targets)
+	for service, members := range members {
+		m.group(GroupName(service)).setFleet(m.engineParams(services[service].Engine), members)
 	}
 	for name, g := range m.groups {
 		if members[name] == nil {
@@ -115,14 +96,14 @@
 	}
 }
 
-// transitLimit is the number of adapters on their way from the weights store, for
+// transitPerTarget is the number of adapters on their way from the weights store, for
 // each target of a service, up to which they come at full speed.
 const transitPerTarget = 8.0 / 9
 
-func engineParams(e *fleet.Engine, groups int) placer.Params {
-	p := placer.Params{Engine: placer.Engine{
+func (m *Manager) engineParams(e *fleet.Engine) placer.Params {
+	p := placer.Params{Regions: m.opt.Regions, Engine: placer.Engine{
 		CacheTokens: e.CacheTokens, EventTokens: e.EventTokens, AdapterSlots: e.AdapterSlots, WeightsMB: e.WeightsMB,
-		LoadsPerSecond: e.LoadsPerSecond / float64(max(1, groups)),
+		LoadsPerSecond: e.LoadsPerSecond,
 	}}
 	for _, model := range e.Models {
 		p.Engine.Models = append(p.Engine.Models, placer.Model{
@@ -133,25 +114,15 @@
 }
 
 // group returns the row of a group. The caller holds the lock.
-func (m *Manager) group(name, dataCentre string) *group {
+func (m *Manager) group(name string) *group {
 	g := m.groups[name]
 	if g == nil {
-		g = newGroup(m, name, dataCentre)
+		g = newGroup(m, name)
 		m.groups[name] = g
 	}
 	return g
 }
 
-func (m *Manager) distance(dataCentre string) int {
-	switch {
-	case dataCentre == m.opt.DataCentre:
-		return 0
-	case m.opt.Regions[dataCentre] == m.opt.Regions[m.opt.DataCentre]:
-		return 1
-	}
-	return 2
-}
-
 func (m *Manager) jitter(group string) float64 {
 	return float64(xxhash.Sum64String(group+"\x00"+m.opt.VM)%1000) / 1000
 }
@@ -223,7 +194,7 @@
 	m.mu.Lock()
 	g := m.groups[groupOf(o.Key)]
 	if g == nil {
-		g = newGroup(m, groupOf(o.Key), "")
+		g = newGroup(m, groupOf(o.Key))
 		m.groups[g.name] = g
 	}
 	m.mu.Unlock()
@@ -310,11 +281,10 @@
 
 // Status is what is known of a group.
 type Status struct {
-	Name       string
-	DataCentre string
-	Record     tenure.Record
-	Exists     bool
-	Own        bool
+	Name   string
+	Record tenure.Record
+	Exists bool
+	Own    bool
 }
 
 // Status returns what is known of all groups of a service.
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -98,7 +98,7 @@
 	now := g.m.now()
 	switch e.Kind {
 	case grouprpc.EventStarted:
-		g.core.Started(now, e.ID)
+		g.core.Started(now, e.ID, e.Slowness)
 	case grouprpc.EventReleased:
 		g.core.Release(now, e.ID, e.Outcome)
 	case grouprpc.EventCancelled:
@@ -132,15 +132,11 @@
 	}
 	g.heard(request.VM)
 	now := g.m.now()
-	v := g.core.View(now)
 	reply := grouprpc.SyncReply{
 		Epoch: g.epoch, Blind: m.opt.StoreBlind(), VMs: g.vms(now),
-		Waiting: v.Waiting, Backlog: v.Backlog, Open: v.Open,
-	}
-	if request.Home {
-		g.view.update(v.Resident)
-		g.view.since(request.Since, &reply)
 	}
+	g.view.update(g.core.Resident(now))
+	g.view.since(request.Since, &reply)
 	return reply
 }
 
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -104,7 +104,8 @@
 	t.held, t.runs = map[Adapter]*heldRow{}, map[string]*runRow{}
 	t.sequence, t.known, t.plan, t.sent = 0, false, nil, nil
 	t.wantReport, t.asked, t.reportFrom, t.quietTo = true, false, c.now, 0
-	t.tokens, t.busyUntil, t.excess, t.failures, t.avoidTo = 0, 0, 0, 0, 0
+	t.tokens, t.busyUntil, t.noise, t.busy, t.failures, t.avoidTo = 0, 0, 0, 0, 0, 0
+	t.usual = 1
 	t.recent, t.prefixes = &recentAdapters{}, newPrefixCache(c.params.Engine.CacheTokens)
 }
 
@@ -252,6 +253,7 @@
 	c.runVersions()
 	c.runModels()
 	c.runDispatch()
+	c.runSpares()
 	c.runRefusals()
 	c.runOrders()
 	out := c.out
@@ -279,14 +281,6 @@
 	return next
 }
 
-// View summarises the group for other VMs.
-type View struct {
-	Waiting  int
-	Backlog  time.Duration // least backlog of an open target
-	Open     int           // targets that take new work
-	Resident []Resident
-}
-
 // Resident is one adapter on one target that requests may be sent to.
 type Resident struct {
 	Adapter Adapter
@@ -294,24 +288,20 @@
 	Version int64
 }
 
-// View returns what other VMs need to know to route without the owner.
-func (c *Core) View(now Time) View {
+// Resident returns the adapters that requests may be sent to, so that other VMs
+// can route without the owner.
+func (c *Core) Resident(now Time) []Resident {
 	c.at(now)
-	v := View{Waiting: len(c.waiting)}
+	var all []Resident
 	for _, t := range c.targets {
 		if !t.open() || !t.known {
 			continue
 		}
-		backlog := max(0, t.busyUntil-c.now)
-		if v.Open == 0 || backlog < v.Backlog {
-			v.Backlog = backlog
-		}
-		v.Open++
 		for a, row := range t.held {
-			if a.Name != "" && c.usable(row) {
-				v.Resident = append(v.Resident, Resident{Adapter: a, Target: t.info.ID, Version: row.version})
+			if c.usable(row) {
+				all = append(all, Resident{Adapter: a, Target: t.info.ID, Version: row.version})
 			}
 		}
 	}
-	return v
+	return all
 }
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -30,8 +30,12 @@
 	target  *targetRow
 	backlog time.Duration
 	first   time.Duration
+	price   time.Duration // what the links to the target cost besides
 }
 
+// before reports whether a choice is the better one.
+func (a choice) before(b choice) bool { return a.first+a.price < b.first+b.price }
+
 // hasRoom reports whether a target can take one more request.
 func (c *Core) hasRoom(t *targetRow, r *requestRow) bool {
 	if len(t.runs) == 0 {
@@ -45,7 +49,27 @@
 
 func (c *Core) estimate(t *targetRow, r *requestRow) choice {
 	backlog := c.backlog(t)
-	return choice{target: t, backlog: backlog, first: backlog + c.cost(t, &r.Request) + c.eventTime(t)}
+	trip, price := c.distance(t, &r.Request)
+	price += c.disturbance(t, &r.Request)
+	return choice{target: t, backlog: backlog, first: backlog + c.cost(t, &r.Request) + c.eventTime(t) + trip, price: price}
+}
+
+// disturbance is what a request and the streams of a target cost each other: a
+// target reads prompts between the tokens of its streams.
+func (c *Core) disturbance(t *targetRow, r *Request) time.Duration {
+	if r.PromptTokens < longPrompt {
+		return time.Duration(min(1, t.reading(c.now)) * float64(readingCost))
+	}
+	return min(streamsCost, time.Duration(len(t.runs))*streamCost)
+}
+
+// distance returns the time that the links between a request's VM and a target
+// take, and what they cost.
+func (c *Core) distance(t *targetRow, r *Request) (trip, price time.Duration) {
+	if r.DataCentre == "" || c.params.Regions[r.DataCentre] == c.params.Regions[t.info.DataCentre] {
+		return 0, 0
+	}
+	return regionTrip, regionByteCost * time.Duration(r.Bytes)
 }
 
 // bestReady returns the target with the earliest first event among those that
@@ -67,7 +91,7 @@
 		if c.now < t.avoidTo {
 			into = &avoided
 		}
-		if into.row == nil || option.first < into.first {
+		if into.row == nil || option.before(*into) {
 			*into = option
 		}
 	}
@@ -100,7 +124,7 @@
 }
 
 func (c *Core) dispatch(r *requestRow) {
-	best, full := c.bestReady(r)
+	best, _ := c.bestReady(r)
 	left := r.onTimeTo - c.now
 	if best.row != nil && best.first <= left {
 		if best.backlog >= replicaBacklog {
@@ -109,19 +133,14 @@
 		c.grant(r, best)
 		return
 	}
-	if c.loading(r.adapter) {
-		if best.row != nil && left < 0 && best.backlog <= lateBacklog {
-			c.grant(r, best)
-		}
+	if pending, found := c.pending(r); found && (best.row == nil || pending < best.first) {
 		return
 	}
 	if best.row == nil {
-		if !full || r.Request.Adapter.Name != "" {
-			c.startLoad(r, 0)
-		}
+		c.startLoad(r, 0)
 		return
 	}
-	if c.startLoad(r, best.first-replicaGain) {
+	if left > 0 && c.startLoad(r, left) {
 		return
 	}
 	if best.backlog <= lateBacklog {
@@ -129,10 +148,30 @@
 	}
 }
 
+// pending returns the expected time until the first event at the target where the
+// request's adapter is ready next.
+func (c *Core) pending(r *requestRow) (first time.Duration, found bool) {
+	for _, row := range r.adapter.held {
+		if row.state != heldLoading || row.doubt || !row.target.open() || c.now-row.since > loadLimit ||
+			slices.Contains(r.Exclude, row.target.info.ID) {
+			continue
+		}
+		since := row.since
+		if row.started {
+			since = row.accepted
+		}
+		expected := max(0, since+c.model.load(row.cold)-c.now) + c.estimate(row.target, r).first
+		if !found || expected < first {
+			first, found = expected, true
+		}
+	}
+	return first, found
+}
+
 // considerReplica loads an adapter on a further target while the one that holds
 // it has much to do and another has little.
 func (c *Core) considerReplica(r *requestRow, best choice) {
-	if r.Request.Adapter.Name != "" && !c.loading(r.adapter) && len(r.adapter.held) < len(c.targets) {
+	if r.Request.Adapter.Name != "" && !c.loading(r.adapter) && r.adapter.demandAt(c.now) >= replicaDemand*float64(len(r.adapter.held)) {
 		c.startLoad(r, best.backlog/2)
 	}
 }
@@ -158,6 +197,7 @@
 	t.runs[r.ID], c.runs[r.ID] = run, run
 	t.tokens += r.PromptTokens + r.OutputTokens
 	t.busyUntil = max(t.busyUntil, c.now) + run.cost
+	t.addReading(c.now, run.cost)
 	t.prefixes.read(r.Request.Adapter, r.Parts)
 	c.emit(GrantRequest{
 		Grant: Grant{
--- a/internal/placer/estimate.go
+++ b/internal/placer/estimate.go
@@ -60,7 +60,7 @@
 		return
 	}
 	ratio := min(slowestSpeed, max(1/slowestSpeed, took.Seconds()/expected.Seconds()))
-	t.setSpeed(c.now, t.speed(c.now)*(1+speedWeight*(ratio-1)))
+	t.usual = max(fastestSpeed, min(slowestSpeed, t.usual*(1+usualWeight*(ratio-1))))
 	if run.alone && run.uncached > minObservedTokens {
 		net := (took - c.eventTime(t)).Seconds()
 		if net > 0 {
@@ -73,18 +73,33 @@
 // minObservedTokens is the least prompt from which the reading rate is learned.
 const minObservedTokens = 1500
 
-// speedHalfLife is the time in which a target's observed slowness counts half.
-// Other work on a target's machine comes and goes within a second.
-const speedHalfLife = 2 * time.Second
+const (
+	// noiseHalfLife is the time in which a slowness that a target has told counts
+	// half. Other work on a target's machine comes and goes within a second.
+	noiseHalfLife = 350 * time.Millisecond
+	// busyHalfLife is the same for the time that a target spends on prompts.
+	busyHalfLife = 1500 * time.Millisecond
+	// fastestSpeed bounds the speed that early observations can show.
+	fastestSpeed = 0.7
+)
 
-// speed is the factor by which a target takes longer than usual.
+// speed is the factor by which a target takes longer than the others.
 func (t *targetRow) speed(now Time) float64 {
-	return 1 + t.excess*math.Exp2(-float64(now-t.excessAt)/float64(speedHalfLife))
+	return t.usual * (1 + t.noise*math.Exp2(-float64(now-t.noiseAt)/float64(noiseHalfLife)))
+}
+
+// setNoise enters the slowness that a target has told, 1 if it is as usual.
+func (t *targetRow) setNoise(now Time, slowness float64) {
+	t.noise, t.noiseAt = max(0, min(slowestSpeed, slowness)-1), now
 }
 
-func (t *targetRow) setSpeed(now Time, speed float64) {
-	t.excess, t.excessAt = max(fastestSpeed, min(slowestSpeed, speed))-1, now
+// reading returns the recent part of the time that a target spent on prompts.
+func (t *targetRow) reading(now Time) float64 {
+	return t.busy * math.Exp2(-float64(now-t.busyAt)/float64(busyHalfLife))
 }
 
-// fastestSpeed bounds the speed that one early observation can show.
-const fastestSpeed = 0.6
+// addReading enters that a target will spend time on a prompt.
+func (t *targetRow) addReading(now Time, cost time.Duration) {
+	t.busy = t.reading(now) + cost.Seconds()/busyHalfLife.Seconds()*math.Ln2
+	t.busyAt = now
+}
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -11,6 +11,7 @@
 	victim *heldRow // makes room, nil if a slot is free
 	cold   bool
 	first  time.Duration // until the first event of the request
+	price  time.Duration // what the load and the links cost besides
 }
 
 // startLoad loads the adapter of a request where its first event can be expected
@@ -48,14 +49,18 @@
 	if coming >= maxComing || cold && c.coldComing() >= max(1, c.params.Transit) {
 		return
 	}
-	option := site{target: t, cold: cold, first: c.model.load(cold) + c.backlog(t) + c.cost(t, &r.Request) + c.eventTime(t)}
+	there := c.estimate(t, r)
+	option := site{target: t, cold: cold, first: c.model.load(cold) + there.first, price: there.price}
+	if cold {
+		option.price += coldCost
+	}
 	if taken >= c.slotLimit() {
 		if option.victim = c.victim(t, a); option.victim == nil {
 			return
 		}
-		option.first += time.Duration(c.adapter(option.victim.adapter).demandAt(c.now) * float64(victimCost))
+		option.price += time.Duration(c.adapter(option.victim.adapter).demandAt(c.now) * float64(victimCost))
 	}
-	if best.target == nil || option.first < best.first {
+	if best.target == nil || option.first+option.price < best.first+best.price {
 		*best = option
 	}
 }
@@ -185,6 +190,35 @@
 	return rows
 }
 
+// runSpares keeps one slot of each target free, so that a load need not wait for
+// an adapter to be dropped.
+func (c *Core) runSpares() {
+	for _, t := range c.targets {
+		if !t.open() || !t.known || t.wantReport {
+			continue
+		}
+		if taken, _ := t.slots(); taken < c.slotLimit() || dropping(t) {
+			continue
+		}
+		if row := c.victim(t, Adapter{}); row != nil && c.now-row.usedAt > spareAge {
+			c.unload(row)
+		}
+	}
+}
+
+// spareAge is the time without use after which an adapter is dropped to keep a
+// slot free.
+const spareAge = 300 * time.Millisecond
+
+func dropping(t *targetRow) bool {
+	for _, row := range t.held {
+		if row.state == heldUnloading {
+			return true
+		}
+	}
+	return false
+}
+
 // runModels loads a base model on each target that has none.
 func (c *Core) runModels() {
 	if rate := c.params.Engine.LoadsPerSecond; rate > 0 {
--- a/internal/placer/params.go
+++ b/internal/placer/params.go
@@ -5,6 +5,8 @@
 // Params are the settings of a core. Zero fields take the defaults.
 type Params struct {
 	Engine Engine
+	// Regions are those of the data centres.
+	Regions map[string]string
 	// Transit is the number of adapters that may be on their way from the
 	// weights store to the group's targets at the same time.
 	Transit int
@@ -46,9 +48,8 @@
 const (
 	// observedWeight is the weight of a new observation in a moving average.
 	observedWeight = 0.15
-	// speedWeight is the same for the speed of one target, which changes within
-	// a second.
-	speedWeight = 0.35
+	// usualWeight is the same for the speed of one target.
+	usualWeight = 0.05
 	// slowestSpeed bounds the slowness that one late observation can show.
 	slowestSpeed = 6.0
 
@@ -56,13 +57,31 @@
 	// are late already. More would delay those that are not.
 	lateBacklog = 120 * time.Millisecond
 	// onTimeMargin is kept between the expected first event and the objective.
-	onTimeMargin = 100 * time.Millisecond
+	onTimeMargin = 20 * time.Millisecond
 	// replicaBacklog is the backlog from which an adapter is also loaded
 	// elsewhere.
 	replicaBacklog = 350 * time.Millisecond
-	// replicaGain is the least gain that justifies a load for a request that
-	// could be granted at once.
-	replicaGain = 150 * time.Millisecond
+	// replicaDemand is the recent requests for an adapter, for each target that
+	// holds it, that justify another.
+	replicaDemand = 4
+	// coldCost is the delay of a first event that is accepted to spare a load from
+	// the weights store, which is billed.
+	coldCost = 350 * time.Millisecond
+	// regionTrip is the time of a request to another region and back, with that
+	// of its connection.
+	regionTrip = 50 * time.Millisecond
+	// regionByteCost is the same as coldCost for one byte between regions.
+	regionByteCost = 3 * time.Microsecond
+
+	// streamCost is the same for each running stream of a target that is to read
+	// a long prompt, up to streamsCost: its streams pause meanwhile.
+	streamCost  = 20 * time.Millisecond
+	streamsCost = 250 * time.Millisecond
+	// readingCost is the same for a short prompt on a target that reads all the
+	// time.
+	readingCost = 400 * time.Millisecond
+	// longPrompt is the prompt, in tokens, that holds streams up noticeably.
+	longPrompt = 1500
 
 	// memoryPart is the part of the engine's memory that granted requests fill.
 	memoryPart = 0.85
--- a/internal/placer/runs.go
+++ b/internal/placer/runs.go
@@ -2,14 +2,18 @@
 
 import "time"
 
-// Started enters the first event of a granted request.
-func (c *Core) Started(now Time, id string) {
+// Started enters the first event of a granted request, and the slowness that its
+// target told, 0 if none.
+func (c *Core) Started(now Time, id string, slowness float64) {
 	c.at(now)
 	run := c.runs[id]
 	if run == nil || run.started {
 		return
 	}
 	c.observeFirst(run.target, run, c.now-run.granted)
+	if slowness > 0 {
+		run.target.setNoise(c.now, slowness)
+	}
 	run.started = true
 	run.target.failures = 0
 	c.recount(run.target)
--- a/internal/placer/tables.go
+++ b/internal/placer/tables.go
@@ -47,10 +47,13 @@
 	reportFrom Time // reports asked for earlier are too old
 
 	runs      map[string]*runRow
-	tokens    int  // of the runs, in the engine's memory
-	busyUntil Time // expected end of reading all granted prompts
-	excess    float64
-	excessAt  Time
+	tokens    int     // of the runs, in the engine's memory
+	busyUntil Time    // expected end of reading all granted prompts
+	usual     float64 // time of its work against that of the others
+	noise     float64 // slowness that it told, above 1
+	noiseAt   Time
+	busy      float64 // recent part of the time spent on prompts
+	busyAt    Time
 	failures  int // in a row
 	avoidTo   Time
 
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -25,6 +25,8 @@
 type Request struct {
 	ID           string
 	Holder       string // VM whose front end asks
+	DataCentre   string // of the holder
+	Bytes        int    // of the request, which cross a link to the target
 	Adapter      Adapter
 	PromptTokens int
 	OutputTokens int // expected
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -57,8 +57,6 @@
 	// isolatedAfter is the time without any other VM after which an owner that
 	// has heard some gives the group up.
 	isolatedAfter = 2 * time.Second
-	// farStep delays VMs of other data centres and, twice, of other regions.
-	farStep = 600 * time.Millisecond
 	// spread is the greatest part of each VM's own in a delay, so that few race.
 	spread = 250 * time.Millisecond
 	// lostPause is the time before a VM takes a group again that it lost. It is
@@ -73,7 +71,6 @@
 type Self struct {
 	VM          string
 	Incarnation uint64
-	Distance    int     // 0 in the group's data centre, 1 in its region, 2 elsewhere
 	Jitter      float64 // 0 to 1, this VM's own for this group
 }
 
@@ -100,9 +97,6 @@
 // New returns a machine that knows nothing yet.
 func New(self Self) *Machine { return &Machine{self: self} }
 
-// SetSelf replaces what is known of this VM as a candidate.
-func (m *Machine) SetSelf(self Self) { m.self = self }
-
 // Record returns the last record that was seen.
 func (m *Machine) Record() (Record, bool) { return m.record, m.exists }
 
@@ -206,7 +200,7 @@
 }
 
 func (m *Machine) delay() time.Duration {
-	return time.Duration(m.self.Distance)*farStep + time.Duration(m.self.Jitter*float64(spread))
+	return time.Duration(m.self.Jitter * float64(spread))
 }
 
 // Apply returns the record that an action writes.
