--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -16,9 +16,9 @@
 	"cicadaslip/internal/groupclient"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/kindwatch"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/peer"
-	"cicadaslip/internal/placer"
 	"cicadaslip/internal/timeline"
 	"cicadaslip/internal/upstream"
 )
@@ -55,6 +55,7 @@
 	store    objectstore.Store
 
 	health     storeHealth
+	followers  map[string]*kindwatch.Follower // by kind
 	deployment *deployment
 	versions   *versionTable
 	groups     *groupserver.Manager
@@ -75,7 +76,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	}
-	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable()}
+	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable(), followers: map[string]*kindwatch.Follower{}}
 	d.health.changed = d.storeChanged
 	incarnation := uint64(time.Now().UnixNano())
 	clock := timeline.NewClock(time.Now)
@@ -90,13 +91,13 @@
 	d.groups = groupserver.New(groupserver.Options{
 		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Regions: s.Regions,
 		Store: ports.Store, Orders: ports.Orders, Observer: groupObserver{d},
-		StoreFine: d.health.fine, StoreBlind: d.health.blind,
+		Announce: d.announce, StoreFine: d.health.fine, StoreBlind: d.health.blind,
 	})
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
-		Observer: ownerObserver{d}, Target: d.target,
+		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Version: d.versions.required,
 	})
-	d.deployment = newDeployment(s, d.start, d.placement.VMs)
+	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions)
 	d.gateway = gateway.New(gateway.Options{
 		Fleet: d.deployment, Placement: d.placement, Dialect: ports.Dialect,
 		Upstream: &upstream.Client{Dial: ports.Dial}, Observer: requestObserver{d}, Log: log,
@@ -145,6 +146,17 @@
 	}()
 }
 
+// announce tells a VM a group's record. One that cannot be reached learns it from
+// the store.
+func (d *Daemon) announce(address string, request grouprpc.AnnounceRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerDial)
+	defer cancel()
+	var reply grouprpc.AnnounceReply
+	if err := d.peers.Call(ctx, address, grouprpc.AnnounceMethod, request, &reply); err != nil {
+		d.log.Info().Str(fieldEvent, "announce_failed").Str(fieldGroup, request.Group).Str(fieldAddress, address).Err(err).Send()
+	}
+}
+
 func (d *Daemon) close() {
 	d.cancel()
 	d.server.Close()
@@ -213,30 +225,6 @@
 	readyIdle    = 30 * time.Second
 )
 
-// versionTable keeps the announced versions for groups that appear later.
-type versionTable struct {
-	mu   sync.Mutex
-	rows map[placer.Adapter]int64
-}
-
-func newVersionTable() *versionTable { return &versionTable{rows: map[placer.Adapter]int64{}} }
-
-func (t *versionTable) set(a placer.Adapter, version int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.rows[a] = max(t.rows[a], version)
-}
-
-func (t *versionTable) all() map[placer.Adapter]int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := make(map[placer.Adapter]int64, len(t.rows))
-	for a, v := range t.rows {
-		all[a] = v
-	}
-	return all
-}
-
 // groupService serves other VMs.
 type groupService struct{ d *Daemon }
 
@@ -256,6 +244,14 @@
 
 // Sync implements grouprpc.SyncMethod.
 func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) error {
+	s.d.othersSaw(request.Seen)
 	*reply = s.d.groups.Sync(request)
+	reply.Seen = s.d.seen()
+	return nil
+}
+
+// Announce implements grouprpc.AnnounceMethod.
+func (s *groupService) Announce(request grouprpc.AnnounceRequest, _ *grouprpc.AnnounceReply) error {
+	s.d.groups.Learn(request.Group, request.Record, request.Version)
 	return nil
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -52,6 +52,7 @@
 		return
 	}
 	d.log.Warn().Str(fieldEvent, "store_lost").Err(err).Send()
+	d.storeTrouble()
 }
 
 type groupObserver struct{ d *Daemon }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -7,6 +7,7 @@
 
 	"cicadaslip/internal/balance"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/placer"
 	"cicadaslip/internal/retrybudget"
 )
 
@@ -16,6 +17,7 @@
 	settings *Settings
 	start    time.Time
 	vms      func() int
+	versions *versionTable
 
 	routes atomic.Pointer[fleet.RouteTable]
 
@@ -27,9 +29,9 @@
 	budgets   map[string]*retrybudget.Budget // by service
 }
 
-func newDeployment(s *Settings, start time.Time, vms func() int) *deployment {
+func newDeployment(s *Settings, start time.Time, vms func() int, versions *versionTable) *deployment {
 	return &deployment{
-		settings: s, start: start, vms: vms, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
+		settings: s, start: start, vms: vms, versions: versions, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
 	}
 }
@@ -115,6 +117,9 @@
 	return !found || !t.Leaving
 }
 
+// RequiredVersion implements gateway.Fleet.
+func (d *deployment) RequiredVersion(a placer.Adapter) int64 { return d.versions.required(a) }
+
 // Pick implements gateway.Fleet.
 func (d *deployment) Pick(service string, exclude []string) (fleet.Target, bool) {
 	d.mu.Lock()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -77,14 +77,45 @@
 func (d *Daemon) startWatches(ctx context.Context) {
 	follow := func(kind string, pause time.Duration, handler kindwatch.Handler) {
 		f := &kindwatch.Follower{Store: d.store, Kind: kind, Handler: handler, Wait: watchWait, Pause: pause}
-		d.goRun(func() { f.Run(ctx) })
+		d.followers[kind] = f
 	}
+	defer func() {
+		for _, f := range d.followers {
+			d.goRun(func() { f.Run(ctx) })
+		}
+	}()
 	follow(d.kinds.Config, configPause, &configHandler{d})
 	follow(d.kinds.Targets, targetPause, &targetHandler{d: d})
 	follow(d.kinds.Versions, versionPause, &versionHandler{d})
 	follow(groupserver.Kind, groupPause, &groupHandler{d})
 }
 
+// seen returns the newest revision of each kind that this VM has seen.
+func (d *Daemon) seen() map[string]int64 {
+	seen := make(map[string]int64, len(d.followers))
+	for kind, f := range d.followers {
+		seen[kind] = f.Newest()
+	}
+	return seen
+}
+
+// othersSaw enters what another VM has seen.
+func (d *Daemon) othersSaw(seen map[string]int64) {
+	for kind, revision := range seen {
+		if f := d.followers[kind]; f != nil {
+			f.Behind(revision)
+		}
+	}
+}
+
+// storeTrouble makes all watches be repeated, because a connection that went
+// silent seldom is the only one.
+func (d *Daemon) storeTrouble() {
+	for _, f := range d.followers {
+		f.Retry()
+	}
+}
+
 type configHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -80,6 +80,9 @@
 	Routes() *fleet.RouteTable
 	// Usable reports whether requests may be sent to a target now.
 	Usable(target string) bool
+	// RequiredVersion returns the oldest version of an adapter that may be used, 0
+	// if any.
+	RequiredVersion(a placer.Adapter) int64
 	// Pick opens a request to a target of a plain service.
 	Pick(service string, exclude []string) (fleet.Target, bool)
 	// Expected returns the usual time of an answer of a plain target.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -120,13 +120,13 @@
 	return s.draining.Load() && time.Now().UnixNano() > s.drainAt.Load()
 }
 
-// Shutdown waits until no request is in flight or ctx ends, and closes the
-// listener and the idle connections.
+// Shutdown closes the listener and the idle connections, and waits until no
+// request is in flight or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
+	go func() { _ = s.http.ShutdownWithContext(ctx) }() // what is open at the end is cut with the process
 	for s.inFlight.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
-	_ = s.http.ShutdownWithContext(ctx) // what is open at the end is cut with the process
 }
 
 // malformed answers input that is no request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -140,7 +140,10 @@
 // dialFeed sends the request to the target of a lease.
 func (c *call) dialFeed(lease Lease, after int64) (*feed, *errs.Error) {
 	g := lease.Grant
-	attempt := Attempt{Target: g.Target, Engine: c.engine, Priority: g.Priority, Version: g.Version}
+	attempt := Attempt{Target: g.Target, Engine: c.engine, Priority: g.Priority}
+	if c.meta.Adapter.Name != "" {
+		attempt.Version = max(g.Version, c.s.opt.Fleet.RequiredVersion(c.meta.Adapter))
+	}
 	if after > c.meta.ResumeAfter {
 		attempt.ResumeAfter = after
 	}
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -59,6 +59,11 @@
 	Observer   Observer
 	// Target returns a target that requests may be sent to.
 	Target func(id string) (fleet.Target, bool)
+	// Version returns the oldest version of an adapter that may be used.
+	Version func(a placer.Adapter) int64
+	// Seen and OthersSaw exchange the newest revisions of the store's objects.
+	Seen      func() map[string]int64
+	OthersSaw func(seen map[string]int64)
 }
 
 // Client implements gateway.Placement. It is safe for concurrent use.
@@ -153,13 +158,19 @@
 // sync asks an owner for news.
 func (c *Client) sync(ctx context.Context, o *ownerState) {
 	c.mu.Lock()
-	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Since: o.version}
+	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Since: o.version, Seen: c.opt.Seen()}
 	address, epoch := o.address, o.epoch
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	var reply grouprpc.SyncReply
 	err := c.opt.Peers.Call(ctx, address, grouprpc.SyncMethod, request, &reply)
+	if err == nil {
+		c.opt.OthersSaw(reply.Seen)
+		if reply.NotOwner {
+			c.opt.Groups.Learn(request.Group, reply.Record, reply.At)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.asking = false
@@ -339,7 +350,11 @@
 	if o == nil {
 		return gateway.Lease{}, false
 	}
+	required := c.opt.Version(request.Adapter)
 	for _, r := range c.residents(o, request.Adapter) {
+		if r.Version < required {
+			continue
+		}
 		t, usable := c.opt.Target(r.Target)
 		if !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= t.Slots/2 {
 			continue
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -7,6 +7,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/placer"
+	"cicadaslip/internal/tenure"
 )
 
 // Service is the name of the net/rpc service.
@@ -17,6 +18,8 @@
 	AcquireMethod = Service + ".Acquire"
 	EventsMethod  = Service + ".Events"
 	SyncMethod    = Service + ".Sync"
+	// AnnounceMethod tells a former owner who has taken its group over.
+	AnnounceMethod = Service + ".Announce"
 )
 
 // AcquireRequest asks for a target.
@@ -66,12 +69,16 @@
 	Group string
 	Epoch int64 // newest that the caller knows
 	VM    string
-	Since uint64 // version of the caller's view
+	Since uint64           // version of the caller's view
+	Seen  map[string]int64 // newest revisions of objects that the caller has seen, by kind
 }
 
 // SyncReply is the news.
 type SyncReply struct {
 	NotOwner bool
+	Record   tenure.Record // that the VM knows, if it is not the owner
+	At       int64         // version of Record's object
+	Seen     map[string]int64
 	Epoch    int64
 	Blind    bool // the owner cannot reach the store
 	VMs      int  // that called lately
@@ -80,3 +87,13 @@
 	Resident []placer.Resident
 	Gone     []placer.Resident
 }
+
+// AnnounceRequest is the record of a group.
+type AnnounceRequest struct {
+	Group   string
+	Record  tenure.Record
+	Version int64 // of the object
+}
+
+// AnnounceReply is empty.
+type AnnounceReply struct{}
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -30,6 +30,7 @@
 
 	core     *placer.Core // nil while another VM owns the group
 	epoch    int64
+	fenced   bool // a target has seen a newer owner
 	halted   bool // no orders: the group was given up and waits for its next owner
 	waiters  map[string]chan grouprpc.AcquireReply
 	timer    *time.Timer
@@ -140,7 +141,7 @@
 func (g *group) begin(record tenure.Record) {
 	params := g.params
 	params.Fresh = record.Epoch == 1
-	g.core, g.epoch, g.halted = placer.New(params), record.Epoch, false
+	g.core, g.epoch, g.halted, g.fenced = placer.New(params), record.Epoch, false, false
 	now := g.m.now()
 	for a, version := range g.versions {
 		g.core.SetVersion(now, a, version)
@@ -195,6 +196,7 @@
 // object has not changed.
 func (g *group) act(ctx context.Context, action tenure.Action) {
 	g.mu.Lock()
+	former, _ := g.tenure.Record()
 	record := g.tenure.Apply(action, g.m.opt.Address)
 	version := g.version
 	_, exists := g.tenure.Record()
@@ -218,11 +220,14 @@
 		err, version = failure, object.Version
 	}
 	g.m.opt.Observer.GroupChanged(g.name, record, action, err)
-	if err == nil {
-		g.setRecord(record, version)
+	if err != nil {
+		g.refresh()
 		return
 	}
-	g.refresh()
+	g.setRecord(record, version)
+	if action == tenure.TakeOver && former.Address != "" && former.Address != g.m.opt.Address {
+		g.m.opt.Announce(former.Address, grouprpc.AnnounceRequest{Group: g.name, Record: record, Version: version})
+	}
 }
 
 // refresh reads the object, after a write whose result is not known.
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -11,6 +11,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/tenure"
@@ -44,6 +45,8 @@
 	Store       objectstore.Store
 	Orders      Orders
 	Observer    Observer
+	// Announce tells a VM a group's record, if it can be reached.
+	Announce func(address string, request grouprpc.AnnounceRequest)
 	// StoreFine reports whether this VM reaches the store.
 	StoreFine func() bool
 	// StoreBlind reports whether it has failed to for a while.
@@ -183,6 +186,13 @@
 	}
 }
 
+// Learn enters a group's record that another VM has told.
+func (m *Manager) Learn(group string, r tenure.Record, version int64) {
+	if g := m.find(group); g != nil && r.Epoch > 0 {
+		g.setRecord(r, version)
+	}
+}
+
 func groupOf(key string) string { return key[len(Kind)+1:] }
 
 func (m *Manager) enter(o objectstore.Object) {
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -46,7 +46,7 @@
 func (g *group) queue(request grouprpc.AcquireRequest, reply chan grouprpc.AcquireReply) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.core == nil || request.Epoch > g.epoch {
+	if g.core == nil || g.fenced || request.Epoch > g.epoch {
 		return false
 	}
 	id := request.Request.ID
@@ -127,8 +127,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.core == nil || request.Epoch > g.epoch {
-		return grouprpc.SyncReply{NotOwner: true}
+	if g.core == nil || g.halted || request.Epoch > g.epoch {
+		record, _ := g.tenure.Record()
+		return grouprpc.SyncReply{NotOwner: true, Record: record, At: g.version}
 	}
 	g.heard(request.VM)
 	now := g.m.now()
@@ -183,7 +184,7 @@
 	case placer.AskReport:
 		go g.ask(g.core, c)
 	case placer.LoseOwnership:
-		g.halted = true
+		g.halted, g.fenced = true, true
 		go g.refresh()
 	}
 }
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"cicadaslip/internal/errs"
@@ -21,6 +22,10 @@
 	// quickFailure is the time under which a watch that ends without news counts
 	// as cut, so that it is not repeated at once.
 	quickFailure = 50 * time.Millisecond
+	// doubtTime is the time after which news that others have seen should be here.
+	doubtTime = 500 * time.Millisecond
+	// cautiousWait is the wait of the first watch after a failure.
+	cautiousWait = 300 * time.Millisecond
 )
 
 // Handler takes what was read. Its methods are called from one goroutine.
@@ -43,6 +48,52 @@
 	// Pause is the time after news before the next watch, so that many changes
 	// cost few calls.
 	Pause time.Duration
+
+	mu       sync.Mutex
+	newest   int64 // revision of the newest object seen
+	reached  int64 // the store was read up to this revision
+	cancel   context.CancelFunc
+	doubted  bool // others have seen more
+	since    time.Time
+	cautious bool // the last call failed
+}
+
+// Newest returns the revision of the newest object seen.
+func (f *Follower) Newest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+// Behind tells that another process has seen an object of a revision. If the
+// follower does not see it soon, its watch has gone silent and is repeated.
+func (f *Follower) Behind(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case revision <= f.reached:
+		f.doubted = false
+	case !f.doubted:
+		f.doubted, f.since = true, time.Now()
+	case time.Since(f.since) > f.Pause+doubtTime:
+		f.doubted = false
+		f.interrupt()
+	}
+}
+
+// Retry gives up the present watch, after another call showed that the store or
+// the connections to it are in trouble.
+func (f *Follower) Retry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cautious = true
+	f.interrupt()
+}
+
+func (f *Follower) interrupt() {
+	if f.cancel != nil {
+		f.cancel()
+	}
 }
 
 // Run follows the kind until ctx ends.
@@ -52,11 +103,19 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		var err error
+		call, cancel := context.WithCancel(ctx)
+		f.begin(cancel)
 		if !listed {
-			revision, err = f.list(ctx)
+			revision, err = f.list(call)
 			listed = err == nil
 		} else {
-			revision, err = f.watch(ctx, revision)
+			revision, err = f.watch(call, revision)
+		}
+		interrupted := call.Err() != nil
+		cancel()
+		f.end(revision, err)
+		if interrupted {
+			continue
 		}
 		f.Handler.Reached(err)
 		switch {
@@ -92,18 +151,58 @@
 		}
 		after = page.Objects[len(page.Objects)-1].Key
 	}
+	f.see(all)
 	f.Handler.Replace(all)
 	return revision, nil
 }
 
+func (f *Follower) see(objects []objectstore.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range objects {
+		f.newest = max(f.newest, o.Revision)
+	}
+}
+
+func (f *Follower) begin(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+}
+
+func (f *Follower) end(revision int64, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = nil
+	f.reached = max(f.reached, revision)
+	f.cautious = err != nil && !errs.Is(err, errs.HistoryGone)
+}
+
+// wait is the time of the next watch. After a failure it is short, so that a store
+// that is silent again is noticed.
+func (f *Follower) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cautious {
+		return min(f.Wait, cautiousWait)
+	}
+	return f.Wait
+}
+
 func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
 	began := time.Now()
-	changes, err := f.Store.Watch(ctx, f.Kind+"/", revision, f.Wait)
+	changes, err := f.Store.Watch(ctx, f.Kind+"/", revision, f.wait())
 	if err != nil {
 		return revision, err
 	}
 	if len(changes.Changes) > 0 {
+		for _, c := range changes.Changes {
+			f.see([]objectstore.Object{c.Object})
+		}
 		f.Handler.Change(changes.Changes)
+		f.mu.Lock()
+		f.reached = max(f.reached, changes.Revision)
+		f.mu.Unlock()
 		sleep(ctx, f.Pause)
 	} else if time.Since(began) < quickFailure {
 		sleep(ctx, firstRetry)
