placer: Repeat orders without an answer at once

The queue was looked at for every event, 21 s of processor time. Ruled out: the weights store (341 adapters brought, far below its rate). Change: an order without an answer is repeated at once with the same precondition, says nothing of the target's other work, and after three in a row the adapter is loaded elsewhere too; a crowded queue is looked at every 8 ms.

--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -27,6 +27,7 @@
 	Leaving    bool
 	Remaining  time.Duration // until it is gone, zero if not announced
 	Models     []HeldModel
+	OnDisk     []string // base models that it can load from its own disk
 }
 
 // Holds returns the base model if the target's description lists it.
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -29,6 +29,10 @@
 	modelLoads float64 // base models that may be loaded from the weights store now
 	modelsAt   Time
 	draining   bool
+	pass       uint64 // over the queue
+	passAt     Time
+	arrived    bool // a request since the last pass
+	cold       int  // adapters on their way from the weights store
 	anyStale   bool // a held adapter is in an older version
 	expiredAt  Time // of the last look for runs that expired
 }
@@ -214,6 +218,7 @@
 	r.adapter.waiting++
 	c.requests[request.ID] = r
 	c.waiting = append(c.waiting, r)
+	c.arrived = true
 }
 
 // leastService is the time that a request takes at least once it is granted.
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -101,13 +101,28 @@
 	return best, full
 }
 
+// While more than crowd requests wait, the whole queue is looked at only once in
+// crowdPause, and each new request once when it arrives.
+const (
+	crowd      = 12
+	crowdPause = 8 * time.Millisecond
+)
+
 // runDispatch grants queued requests: first those that can be answered within
 // their objective, in order of priority and arrival, then late ones in what
 // capacity is left.
 func (c *Core) runDispatch() {
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == 0 || len(c.waiting) > crowd && c.now < c.passAt+crowdPause && !c.arrived {
+		return
+	}
+	c.pass++
+	c.cold = c.coldComing()
+	if len(c.waiting) > crowd && c.now < c.passAt+crowdPause {
+		c.arrived = false
+		c.dispatch(c.waiting[len(c.waiting)-1])
 		return
 	}
+	c.passAt, c.arrived = c.now, false
 	queue := slices.Clone(c.waiting)
 	slices.SortStableFunc(queue, func(a, b *requestRow) int {
 		if la, lb := a.onTimeTo < c.now, b.onTimeTo < c.now; la != lb {
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -41,23 +41,19 @@
 
 func (c *Core) considerSite(r *requestRow, t *targetRow, best *site) {
 	a := r.Request.Adapter
-	if !t.open() || !t.known || t.wantReport || !t.holdsModel(a.Model) || t.held[a] != nil {
+	if !c.hasSite(t) || !t.holdsModel(a.Model) || t.held[a] != nil {
 		return
 	}
 	cold := !t.recent.has(a)
-	taken, coming := t.slots()
-	if coming >= maxComing || cold && c.coldComing() >= max(1, c.params.Transit) {
+	if cold && c.cold >= max(1, c.params.Transit) {
 		return
 	}
 	there := c.estimate(t, r)
-	option := site{target: t, cold: cold, first: c.model.load(cold) + there.first, price: there.price}
+	option := site{target: t, victim: t.roomVictim, cold: cold, first: c.model.load(cold) + there.first, price: there.price}
 	if cold {
 		option.price += coldCost
 	}
-	if taken >= c.slotLimit() {
-		if option.victim = c.victim(t, a); option.victim == nil {
-			return
-		}
+	if option.victim != nil {
 		option.price += time.Duration(c.adapter(option.victim.adapter).demandAt(c.now) * float64(victimCost))
 	}
 	if best.target == nil || option.first+option.price < best.first+best.price {
@@ -65,6 +61,29 @@
 	}
 }
 
+// hasSite reports whether a target has room for one more adapter. It is computed
+// once in a pass over the queue.
+func (c *Core) hasSite(t *targetRow) bool {
+	if t.pass == c.pass {
+		return t.room
+	}
+	t.pass, t.room, t.roomVictim = c.pass, false, nil
+	if !t.open() || !t.known || t.wantReport {
+		return false
+	}
+	taken, coming := t.slots()
+	if coming >= maxComing {
+		return false
+	}
+	if taken >= c.slotLimit() {
+		if t.roomVictim = c.victim(t); t.roomVictim == nil {
+			return false
+		}
+	}
+	t.room = true
+	return true
+}
+
 // victimCost is the delay, for each recent request for the victim, that a load
 // elsewhere may take longer.
 const victimCost = 20 * time.Millisecond
@@ -83,11 +102,11 @@
 }
 
 // victim returns the idle adapter of a target that is needed least, or nil.
-func (c *Core) victim(t *targetRow, for_ Adapter) *heldRow {
+func (c *Core) victim(t *targetRow) *heldRow {
 	var worst *heldRow
 	least := 0.0
 	for a, row := range t.held {
-		if a.Name == "" || a == for_ || row.state != heldReady || row.runs > 0 || row.doubt {
+		if a.Name == "" || row.state != heldReady || row.runs > 0 || row.doubt {
 			continue
 		}
 		adapter := c.adapter(a)
@@ -114,6 +133,10 @@
 	}
 	row := c.addHeld(t, a, heldLoading, version)
 	row.cold = s.cold
+	if s.cold {
+		c.cold++
+	}
+	t.pass = 0
 	t.plan = append(t.plan, plannedOrder{operation: Load, row: row, after: s.victim})
 }
 
@@ -200,7 +223,7 @@
 		if taken, _ := t.slots(); taken < c.slotLimit() || dropping(t) {
 			continue
 		}
-		if row := c.victim(t, Adapter{}); row != nil && c.now-row.usedAt > spareAge {
+		if row := c.victim(t); row != nil && c.now-row.usedAt > spareAge {
 			c.unload(row)
 		}
 	}
@@ -229,13 +252,42 @@
 		if !t.open() || !t.known || t.wantReport || t.sent != nil || c.now < t.quietTo || c.now < t.avoidTo || hasModel(t) {
 			continue
 		}
-		if model := c.neededModel(); model != "" && c.modelLoads >= 1 {
+		model := c.neededModel()
+		if model == "" {
+			continue
+		}
+		fromStore := !slices.Contains(t.info.OnDisk, model)
+		if fromStore && (c.modelLoads < 1 || !c.worthALoad(model)) {
+			continue
+		}
+		if fromStore {
 			c.modelLoads--
-			row := c.addHeld(t, Adapter{Model: model}, heldLoading, 0)
-			row.cold = true
-			t.plan = append(t.plan, plannedOrder{operation: Load, row: row})
+		}
+		row := c.addHeld(t, Adapter{Model: model}, heldLoading, 0)
+		row.cold = true
+		t.plan = append(t.plan, plannedOrder{operation: Load, row: row})
+	}
+}
+
+// busyShare is the part of their time that the targets with a model spend on
+// prompts from which a further target is worth a load from the weights store,
+// which is billed like many requests.
+const busyShare = 0.4
+
+// worthALoad reports whether a model is brought from the weights store for one
+// more target.
+func (c *Core) worthALoad(model string) bool {
+	holders, busy := 0, 0.0
+	for _, t := range c.targets {
+		if row := t.held[Adapter{Model: model}]; row != nil && t.open() {
+			holders++
+			busy += min(1, t.reading(c.now))
+			if row.state == heldLoading {
+				busy -= busyShare // its share of the work comes on top
+			}
 		}
 	}
+	return holders == 0 || busy/float64(holders) > busyShare
 }
 
 func hasModel(t *targetRow) bool {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -92,14 +92,26 @@
 		c.adapter(row.adapter).retryAt = c.now + orderPause
 		row.doubt = true
 		c.resync(t)
-	default:
+	case NotSent:
 		t.plan = slices.Insert(t.plan, 0, p)
-		row.doubt = true
 		c.trouble(t)
 		t.quietTo = c.now + orderRetry*time.Duration(min(8, t.failures))
+	default:
+		// An order without an answer says nothing of the target's other work. It is
+		// repeated at once: the precondition lets only one of them be carried out.
+		t.plan = slices.Insert(t.plan, 0, p)
+		t.unanswered++
+		row.doubt = t.unanswered >= doubtfulOrders
+	}
+	if result != Unanswered {
+		t.unanswered = 0
 	}
 }
 
+// doubtfulOrders is the number of orders in a row without an answer from which the
+// adapter is also loaded elsewhere.
+const doubtfulOrders = 3
+
 // accepted enters that a target carries an order out.
 func (c *Core) accepted(t *targetRow, p plannedOrder) {
 	row := p.row
--- a/internal/placer/tables.go
+++ b/internal/placer/tables.go
@@ -41,6 +41,11 @@
 	sentPlan plannedOrder
 	quietTo  Time // no orders before
 
+	unanswered int      // orders in a row
+	pass       uint64   // in which room was computed
+	room       bool     // for one more adapter
+	roomVictim *heldRow // that makes it, nil if a slot is free
+
 	wantReport bool
 	askedAt    Time
 	asked      bool
