--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,87 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/balance"
+	"cicadaslip/internal/fleet"
+)
+
+var regions = map[string]string{"riga-a": "riga", "liepaja-a": "kurzeme"}
+
+func targets() []fleet.Target {
+	return []fleet.Target{
+		{ID: "near", DataCentre: "riga-a", Slots: 6},
+		{ID: "far", DataCentre: "liepaja-a", Slots: 6},
+	}
+}
+
+func newBalancer() *balance.Balancer {
+	b := balance.New("riga-a", regions)
+	b.SetTargets(targets())
+	return b
+}
+
+// Guards against requests that cross regions while a target nearby is free, and
+// against a target nearby that is crowded while another is free.
+func TestNearTargetsAreUsedUntilTheyAreCrowded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBalancer()
+	picked := map[string]int{}
+	for range 14 {
+		target, found := b.Pick(0, nil)
+		g.Expect(found).To(gomega.BeTrue())
+		picked[target.ID]++
+	}
+	g.Expect(picked["near"]).To(gomega.BeNumerically(">=", 6))
+	g.Expect(picked["far"]).To(gomega.BeNumerically(">", 0))
+}
+
+// Guards against further requests to a target that fails, against one that is
+// never tried again, and against none being left.
+func TestAFailingTargetIsAvoidedForAWhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBalancer()
+	now := time.Second
+	fail := func() {
+		b.Pick(now, []string{"far"})
+		b.Close(now, "near", balance.Failed, time.Millisecond)
+	}
+	fail()
+	target, _ := b.Pick(now, nil)
+	g.Expect(target.ID).To(gomega.Equal("far"))
+	b.Close(now, "far", balance.Answered, 70*time.Millisecond)
+	target, found := b.Pick(now, []string{"far"})
+	g.Expect(found).To(gomega.BeTrue(), "it is used if no other is left")
+	g.Expect(target.ID).To(gomega.Equal("near"))
+	b.Close(now, "near", balance.Cancelled, 0)
+	now += 300 * time.Millisecond
+	target, _ = b.Pick(now, nil)
+	g.Expect(target.ID).To(gomega.Equal("near"))
+}
+
+// Guards against new requests to a leaving target.
+func TestLeavingTargetsAreNotPicked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBalancer()
+	leaving := targets()
+	leaving[0].Leaving, leaving[1].Leaving = true, true
+	b.SetTargets(leaving)
+	_, found := b.Pick(0, nil)
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+// Guards against work for a target whose machine is busy with other work.
+func TestASlowTargetIsAvoidedWhileItSaysSo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBalancer()
+	b.Report(0, "near", balance.Load{Running: 6, Slots: 6, Slowness: 4})
+	target, _ := b.Pick(0, nil)
+	g.Expect(target.ID).To(gomega.Equal("far"))
+	b.Close(0, "far", balance.Cancelled, 0)
+	target, _ = b.Pick(time.Second, nil)
+	g.Expect(target.ID).To(gomega.Equal("near"))
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,98 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/fleet"
+)
+
+func target(id string, born, sequence int64, leaving bool) fleet.Target {
+	return fleet.Target{ID: id, Service: "s", Born: born, Sequence: sequence, Leaving: leaving}
+}
+
+func ids(targets []fleet.Target) []string {
+	var all []string
+	for _, t := range targets {
+		all = append(all, t.ID)
+	}
+	return all
+}
+
+// Guards against an old description that arrives late and makes a leaving target
+// look ready again.
+func TestALeavingTargetStaysLeaving(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := fleet.NewRegistry()
+	now := time.Unix(100, 0)
+	r.Put(target("a", 1, 5, true))
+	g.Expect(r.Put(target("a", 1, 4, false))).To(gomega.BeFalse())
+	r.Put(target("a", 1, 6, false))
+	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeTrue())
+	r.Put(target("a", 2, 1, false)) // started again under the same name
+	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeFalse())
+	g.Expect(r.Put(target("a", 1, 9, true))).To(gomega.BeFalse())
+}
+
+// Guards against an outage of the store that empties the table of targets, and
+// against targets that died meanwhile and are kept for ever.
+func TestTargetsThatLapsedInAnOutageAreKeptForItsGrace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := fleet.NewRegistry()
+	now := time.Unix(100, 0)
+	r.Replace(now, []fleet.Target{target("a", 1, 1, false), target("b", 1, 1, false), target("c", 1, 1, true)})
+	r.SetOutage(now, true)
+	now = now.Add(10 * time.Second)
+	r.SetOutage(now, false)
+	r.Replace(now, nil)
+	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a", "b"}), "the leaving target is gone at once")
+	r.Put(target("a", 1, 2, false))
+	now = now.Add(3 * time.Second)
+	g.Expect(r.Settling()).To(gomega.BeTrue())
+	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a"}))
+	g.Expect(r.Settling()).To(gomega.BeFalse())
+}
+
+// Guards against a removal in calm times that is taken for an outage.
+func TestARemovedTargetIsGoneAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := fleet.NewRegistry()
+	now := time.Unix(100, 0)
+	r.Replace(now, []fleet.Target{target("a", 1, 1, false)})
+	r.Remove(now, "a")
+	g.Expect(r.Targets(now)).To(gomega.BeEmpty())
+}
+
+// Guards against a request that takes the route of a shorter prefix, or of a path
+// that only begins alike.
+func TestTheLongestPrefixWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := fleet.NewRouteTable(&fleet.Config{Routes: []fleet.Route{
+		{Name: "short", Host: "Shop.example", PathPrefix: "/a/"},
+		{Name: "long", Host: "shop.example", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "other.example", PathPrefix: "/"},
+	}})
+	for _, c := range []struct{ host, path, route string }{
+		{"shop.example", "/a/x", "short"},
+		{"SHOP.example:80", "/a/b/x", "long"},
+		{"other.example", "/anything", "other"},
+	} {
+		g.Expect(table.Match(c.host, c.path).Name).To(gomega.Equal(c.route))
+	}
+	g.Expect(table.Match("shop.example", "/ab")).To(gomega.BeNil())
+	g.Expect(table.Match("none.example", "/a/x")).To(gomega.BeNil())
+}
+
+// Guards against a split that ignores the weights.
+func TestBackendsAreChosenByWeight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	route := fleet.Route{Backends: []fleet.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for range 5000 {
+		counts[route.Choose()]++
+	}
+	g.Expect(counts["b"]).To(gomega.BeNumerically("~", 500, 150))
+	g.Expect((&fleet.Route{}).Choose()).To(gomega.BeEmpty())
+}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -110,6 +110,7 @@
 	t.wantReport, t.asked, t.reportFrom, t.quietTo = true, false, c.now, 0
 	t.tokens, t.busyUntil, t.noise, t.busy, t.failures, t.avoidTo = 0, 0, 0, 0, 0, 0
 	t.usual = 1
+	t.reserved, t.lost = append(t.reserved, t.lost...), nil
 	t.recent, t.prefixes = &recentAdapters{}, newPrefixCache(c.params.Engine.CacheTokens)
 }
 
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -187,7 +187,7 @@
 // it has much to do and another has little.
 func (c *Core) considerReplica(r *requestRow, best choice) {
 	if r.Request.Adapter.Name != "" && !c.loading(r.adapter) && r.adapter.demandAt(c.now) >= replicaDemand*float64(len(r.adapter.held)) {
-		c.startLoad(r, best.backlog/2)
+		c.startLoad(r, best.first*4/5)
 	}
 }
 
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -75,7 +75,7 @@
 	if coming >= maxComing {
 		return false
 	}
-	if taken >= c.slotLimit() {
+	if taken >= c.slotLimit(t) {
 		if t.roomVictim = c.victim(t); t.roomVictim == nil {
 			return false
 		}
@@ -220,7 +220,7 @@
 		if !t.open() || !t.known || t.wantReport {
 			continue
 		}
-		if taken, _ := t.slots(); taken < c.slotLimit() || dropping(t) {
+		if taken, _ := t.slots(); taken < c.slotLimit(t) || dropping(t) {
 			continue
 		}
 		if row := c.victim(t); row != nil && c.now-row.usedAt > spareAge {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -45,19 +45,25 @@
 		return true
 	}
 	taken, _ := t.slots()
-	return taken <= c.slotLimit()
+	return taken <= c.slotLimit(t)
 }
 
+// lateOrder is the time after which an order without an answer is not carried out
+// any more.
+const lateOrder = 15 * time.Second
+
 // slotLimit is the number of adapters that a target has room for, by its slots
-// and by the memory that the largest model leaves.
-func (c *Core) slotLimit() int {
+// and by the memory that the largest model leaves. After a restart, which clears
+// the count of orders, an earlier order may match it again.
+func (c *Core) slotLimit(t *targetRow) int {
 	limit := c.params.Engine.AdapterSlots
 	for _, m := range c.params.Engine.Models {
 		if m.AdapterMB > 0 && c.params.Engine.WeightsMB > m.WeightsMB {
 			limit = min(limit, int((c.params.Engine.WeightsMB-m.WeightsMB)/m.AdapterMB))
 		}
 	}
-	return limit
+	t.reserved = slices.DeleteFunc(t.reserved, func(at Time) bool { return c.now-at > lateOrder })
+	return max(1, limit-len(t.reserved))
 }
 
 // Ordered enters the answer to an order.
@@ -102,6 +108,9 @@
 		t.plan = slices.Insert(t.plan, 0, p)
 		t.unanswered++
 		row.doubt = t.unanswered >= doubtfulOrders
+		if p.operation == Load && !row.started {
+			t.lost = append(t.lost, c.now)
+		}
 	}
 	if result != Unanswered {
 		t.unanswered = 0
@@ -272,7 +281,7 @@
 // it is given up; its requests ask for another.
 func (c *Core) replan(t *targetRow, row *heldRow) {
 	if row.adapter.Name != "" && !row.started {
-		if taken, _ := t.slots(); taken > c.slotLimit() {
+		if taken, _ := t.slots(); taken > c.slotLimit(t) {
 			c.forget(row)
 			return
 		}
--- a/internal/placer/tables.go
+++ b/internal/placer/tables.go
@@ -42,6 +42,8 @@
 	quietTo  Time // no orders before
 
 	unanswered int      // orders in a row
+	lost       []Time   // loads without an answer, which may still reach a later start
+	reserved   []Time   // the same of former starts: each may take a slot unseen
 	pass       uint64   // in which room was computed
 	room       bool     // for one more adapter
 	roomVictim *heldRow // that makes it, nil if a slot is free
