groupserver: Divide the targets of large services into groups

Cause: one owner placed 440 requests a second on 140 targets from a VM with a fifth of a core; calls to it timed out and VMs chose by their own view (busiest/mean 13). Ruled out: memory (44 MB), the targets (2320 refusals at a few, 14 idle). Change: beyond 32 targets a service has groups of about 18, agreed on once in the store; each adapter has a group of its own by rendezvous hashing, and another is asked when that one has 600 ms more to do.

--- a/internal/edgetest/trouble_test.go
+++ b/internal/edgetest/trouble_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/groupserver"
 	"cicadaslip/internal/standin/engine"
 	"cicadaslip/internal/standin/metastore"
 )
@@ -112,7 +113,7 @@
 func (c *cluster) owner() *vm {
 	for i, v := range c.vms {
 		for _, name := range v.daemon.Owned() {
-			if name == llm {
+			if name == groupserver.GroupName(llm, 0) {
 				c.t.Logf("vm%d owns the group", i)
 				return v
 			}
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -1,6 +1,7 @@
 package groupclient
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -29,6 +30,12 @@
 	ownerPoll = 25 * time.Millisecond
 	// viewAge is the age up to which resident adapters are believed.
 	viewAge = 20 * time.Second
+	// ownPerTarget bounds the requests that this VM sends to one target by its own
+	// choice, because the other VMs do the same.
+	ownPerTarget = 4
+	// otherGroup is the backlog by which another group must be better to be asked
+	// before the adapter's own one: the adapter would be loaded there.
+	otherGroup = 600 * time.Millisecond
 	// ownerlessRetry is the advice to callers while a group has no owner.
 	ownerlessRetry = 700 * time.Millisecond
 	// eventDelay collects events, so that one call tells several.
@@ -146,7 +153,7 @@
 	now := c.now()
 	var due []*ownerState
 	for _, o := range c.groups {
-		if o.owner == "" || o.own || o.asking || now-o.askedAt < syncPeriod {
+		if o.owner == "" || o.own || o.asking || now-o.askedAt < c.period() {
 			continue
 		}
 		o.asking, o.askedAt = true, now
@@ -155,6 +162,12 @@
 	return due
 }
 
+// period is the time between questions to one owner. With many groups each is
+// asked less often, so that the questions of all VMs grow slower than the groups.
+func (c *Client) period() time.Duration {
+	return syncPeriod * time.Duration(max(1, (len(c.groups)+1)/2))
+}
+
 // sync asks an owner for news.
 func (c *Client) sync(ctx context.Context, o *ownerState) {
 	c.mu.Lock()
@@ -186,7 +199,7 @@
 	}
 	c.heardOf(o)
 	now := c.now()
-	o.digest = digest{at: now, vms: reply.VMs}
+	o.digest = digest{at: now, vms: reply.VMs, backlog: reply.Backlog}
 	o.fold(reply)
 	c.countVMs(now)
 	c.opt.Groups.Contact(o.name, epoch, reply.Blind)
@@ -236,17 +249,32 @@
 	epoch   int64
 	own     bool
 	wait    <-chan struct{}
+	cost    time.Duration
 }
 
-// option returns the owner of a service's group, if it answers.
-func (c *Client) option(service string) (option, bool) {
+// options returns the owners that answer, in the order in which they are asked: by
+// the rank of their groups for the adapter, unless a group has much more to do
+// than a later one.
+func (c *Client) options(names []string) []option {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := c.groups[groupserver.GroupName(service)]
-	if o == nil || o.owner == "" || o.silent && !o.own {
-		return option{}, false
+	now := c.now()
+	var all []option
+	for rank, name := range names {
+		o := c.groups[name]
+		if o == nil || o.owner == "" || o.silent && !o.own {
+			continue
+		}
+		cost := time.Duration(min(rank, 2)) * otherGroup
+		if now-o.digest.at < digestAge {
+			cost += o.digest.backlog
+		}
+		all = append(all, option{
+			state: o, name: o.name, owner: o.owner, address: o.address, epoch: o.epoch, own: o.own, wait: o.wait, cost: cost,
+		})
 	}
-	return option{state: o, name: o.name, owner: o.owner, address: o.address, epoch: o.epoch, own: o.own, wait: o.wait}, true
+	slices.SortStableFunc(all, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	return all
 }
 
 // Acquire implements gateway.Placement. While the group has no owner that
@@ -256,19 +284,15 @@
 	request.Holder, request.DataCentre = c.opt.VM, c.opt.DataCentre
 	began := time.Now()
 	for {
-		if o, found := c.option(service); found {
-			r := request
-			r.Objective -= time.Since(began)
-			r.Deadline -= time.Since(began)
-			reply := c.ask(ctx, o, r)
-			if reply.Err == nil {
-				return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name}, nil
-			}
-			if !unreachable(reply.Err) {
-				return gateway.Lease{}, reply.Err
-			}
+		names := c.opt.Groups.Ranked(service, request.Adapter.Model+"/"+request.Adapter.Name)
+		lease, failure := c.askAll(ctx, c.options(names), request, began)
+		if failure == nil {
+			return lease, nil
+		}
+		if !unreachable(failure) {
+			return gateway.Lease{}, failure
 		}
-		if lease, found := c.choose(service, request); found {
+		if lease, found := c.choose(names, request); found {
 			return lease, nil
 		}
 		if time.Since(began) > ownerWait || ctx.Err() != nil {
@@ -278,6 +302,38 @@
 	}
 }
 
+// maxOwners is the number of owners that are asked for one request.
+const maxOwners = 2
+
+// askAll asks the owners in turn until one grants a target. An owner that cannot
+// be reached is left out; two refusals for overload are final.
+func (c *Client) askAll(ctx context.Context, options []option, request placer.Request, began time.Time) (gateway.Lease, *errs.Error) {
+	failure := errs.NotRun(errs.NotOwner, "no group has an owner")
+	refused := 0
+	for _, o := range options {
+		r := request
+		r.Objective -= time.Since(began)
+		r.Deadline -= time.Since(began)
+		reply := c.ask(ctx, o, r)
+		if reply.Err == nil {
+			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name}, nil
+		}
+		if unreachable(reply.Err) && refused > 0 {
+			continue
+		}
+		failure = reply.Err
+		if ctx.Err() != nil || reply.Err.Code == errs.DeadlineUnreachable {
+			return gateway.Lease{}, failure
+		}
+		if !unreachable(reply.Err) {
+			if refused++; refused >= maxOwners {
+				break
+			}
+		}
+	}
+	return gateway.Lease{}, failure
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -340,27 +396,26 @@
 }
 
 // choose picks a target by this VM's own view, while no owner can be asked.
-func (c *Client) choose(service string, request placer.Request) (gateway.Lease, bool) {
+func (c *Client) choose(names []string, request placer.Request) (gateway.Lease, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best placer.Resident
 	var bestTarget fleet.Target
 	found := false
-	o := c.groups[groupserver.GroupName(service)]
-	if o == nil {
-		return gateway.Lease{}, false
-	}
 	required := c.opt.Version(request.Adapter)
-	for _, r := range c.residents(o, request.Adapter) {
-		if r.Version < required {
-			continue
-		}
-		t, usable := c.opt.Target(r.Target)
-		if !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= t.Slots/2 {
+	for _, name := range names {
+		o := c.groups[name]
+		if o == nil {
 			continue
 		}
-		if !found || c.own[r.Target] < c.own[best.Target] {
-			best, bestTarget, found = r, t, true
+		for _, r := range c.residents(o, request.Adapter) {
+			t, usable := c.opt.Target(r.Target)
+			if r.Version < required || !usable || slices.Contains(request.Exclude, r.Target) || c.own[r.Target] >= ownPerTarget {
+				continue
+			}
+			if !found || c.own[r.Target] < c.own[best.Target] {
+				best, bestTarget, found = r, t, true
+			}
 		}
 	}
 	if !found {
--- a/internal/groupclient/view.go
+++ b/internal/groupclient/view.go
@@ -29,9 +29,7 @@
 
 type digest struct {
 	at      time.Duration
-	waiting int
 	backlog time.Duration
-	open    int
 	vms     int
 }
 
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -80,8 +80,9 @@
 	At       int64         // version of Record's object
 	Seen     map[string]int64
 	Epoch    int64
-	Blind    bool // the owner cannot reach the store
-	VMs      int  // that called lately
+	Blind    bool          // the owner cannot reach the store
+	VMs      int           // that called lately
+	Backlog  time.Duration // until a new request is read, over the group's targets
 	Version  uint64
 	Full     bool // Resident replaces the caller's view
 	Resident []placer.Resident
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -62,7 +62,6 @@
 func (g *group) setFleet(params placer.Params, targets []fleet.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	params.Transit = max(1, int(transitPerTarget*float64(len(targets))+0.5))
 	g.params, g.targets = params, targets
 	if g.core != nil {
 		g.core.SetParams(params)
--- /dev/null
+++ b/internal/groupserver/layout.go
@@ -0,0 +1,111 @@
+package groupserver
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/tenure"
+)
+
+// A service's targets are divided into a fixed number of groups, so that no owner
+// has more requests than a small VM can place. The number is agreed once, in an
+// object beside those of the groups: a target must never belong to two groups.
+const (
+	// layoutPrefix begins the names of the objects with the numbers.
+	layoutPrefix = "layout."
+	// singleGroup is the number of targets up to which they form one group, which
+	// sees all of them and so keeps the fewest copies of adapters.
+	singleGroup = 32
+	// groupTargets is the usual size of a group beyond.
+	groupTargets = 18
+)
+
+type layout struct {
+	Shards int `json:"shards"`
+}
+
+// GroupName names a group of a service's targets.
+func GroupName(service string, shard int) string { return service + "." + strconv.Itoa(shard) }
+
+func shardOf(target string, shards int) int {
+	return int(xxhash.Sum64String(target) % uint64(shards))
+}
+
+// shardsFor returns the number of groups for a number of targets.
+func shardsFor(targets int) int {
+	if targets <= singleGroup {
+		return 1
+	}
+	return (targets + groupTargets - 1) / groupTargets
+}
+
+// Ranked returns the groups of a service for an adapter, its own one first. Each
+// adapter has one group that it is usually held by, so that few copies are needed.
+func (m *Manager) Ranked(service, adapter string) []string {
+	m.mu.Lock()
+	shards := m.layouts[service]
+	m.mu.Unlock()
+	names := make([]string, shards)
+	weights := make(map[string]uint64, shards)
+	for i := range names {
+		names[i] = GroupName(service, i)
+		weights[names[i]] = xxhash.Sum64String(names[i] + "\x00" + adapter)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	return names
+}
+
+// wantLayout writes the number of groups of a service, if nobody has. The caller
+// holds the lock.
+func (m *Manager) wantLayout(service string, targets int) {
+	if !m.listed.Load() || m.asked[service] || targets == 0 {
+		return
+	}
+	m.asked[service] = true
+	go m.writeLayout(service, targets)
+}
+
+func (m *Manager) writeLayout(service string, targets int) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	key := Kind + "/" + layoutPrefix + service
+	value, err := json.Marshal(layout{Shards: shardsFor(targets)})
+	if err == nil {
+		_, err = m.opt.Store.Create(ctx, key, value)
+	}
+	if err != nil {
+		object, failure := m.opt.Store.Get(ctx, key, 0)
+		value, err = object.Value, failure
+	}
+	if err != nil {
+		m.opt.Observer.GroupChanged(layoutPrefix+service, tenure.Record{}, tenure.Nothing, err)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.asked[service] = false // tried again with the next change
+		return
+	}
+	m.enterLayout(service, value)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.divide()
+}
+
+func (m *Manager) enterLayout(service string, value []byte) {
+	var l layout
+	if err := json.Unmarshal(value, &l); err != nil || l.Shards < 1 {
+		err = errs.New(errs.InvalidMessage, "the layout of service "+service+" is not valid")
+		m.opt.Observer.GroupChanged(layoutPrefix+service, tenure.Record{}, tenure.Nothing, err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.layouts[service] == 0 {
+		m.layouts[service] = l.Shards
+	}
+}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,10 @@
 	start time.Time
 
 	mu       sync.Mutex
+	services map[string]fleet.Service
+	targets  map[string][]fleet.Target // by service
+	layouts  map[string]int            // shards by service
+	asked    map[string]bool           // a layout is being written
 	groups   map[string]*group
 	draining bool
 
@@ -69,28 +74,44 @@
 
 // New returns a manager that owns nothing.
 func New(opt Options) *Manager {
-	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, lastBeat: time.Now()}
+	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, layouts: map[string]int{}, asked: map[string]bool{}, lastBeat: time.Now()}
 	m.verified.Store(true)
 	return m
 }
 
 func (m *Manager) now() time.Duration { return time.Since(m.start) }
 
-// GroupName names the group of a service's targets.
-func GroupName(service string) string { return service }
-
 // SetFleet tells the targets and the services in force.
 func (m *Manager) SetFleet(services map[string]fleet.Service, targets []fleet.Target) {
-	members := map[string][]fleet.Target{}
+	byService := map[string][]fleet.Target{}
 	for _, t := range targets {
 		if service, found := services[t.Service]; found && service.Engine != nil {
-			members[t.Service] = append(members[t.Service], t)
+			byService[t.Service] = append(byService[t.Service], t)
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for service, members := range members {
-		m.group(GroupName(service)).setFleet(m.engineParams(services[service].Engine), members)
+	m.services, m.targets = services, byService
+	m.divide()
+}
+
+// divide gives the groups their targets. The caller holds the lock.
+func (m *Manager) divide() {
+	members := map[string][]fleet.Target{}
+	for service, targets := range m.targets {
+		shards, known := m.layouts[service]
+		if !known {
+			m.wantLayout(service, len(targets))
+			continue
+		}
+		for _, t := range targets {
+			name := GroupName(service, shardOf(t.ID, shards))
+			members[name] = append(members[name], t)
+		}
+		for shard := range shards {
+			name := GroupName(service, shard)
+			m.group(name).setFleet(m.engineParams(m.services[service].Engine, len(targets), shards), members[name])
+		}
 	}
 	for name, g := range m.groups {
 		if members[name] == nil {
@@ -99,14 +120,18 @@
 	}
 }
 
-// transitPerTarget is the number of adapters on their way from the weights store, for
-// each target of a service, up to which they come at full speed.
-const transitPerTarget = 8.0 / 9
+// Adapters on their way from the weights store up to which they come at full
+// speed, over all targets of a service.
+const (
+	leastTransit     = 8
+	transitPerTarget = 0.45
+)
 
-func (m *Manager) engineParams(e *fleet.Engine) placer.Params {
-	p := placer.Params{Regions: m.opt.Regions, Engine: placer.Engine{
+func (m *Manager) engineParams(e *fleet.Engine, targets, shards int) placer.Params {
+	transit := max(leastTransit, transitPerTarget*float64(targets)) / float64(shards)
+	p := placer.Params{Regions: m.opt.Regions, Transit: int(transit + 0.5), Engine: placer.Engine{
 		CacheTokens: e.CacheTokens, EventTokens: e.EventTokens, AdapterSlots: e.AdapterSlots, WeightsMB: e.WeightsMB,
-		LoadsPerSecond: e.LoadsPerSecond,
+		LoadsPerSecond: e.LoadsPerSecond / float64(shards),
 	}}
 	for _, model := range e.Models {
 		p.Engine.Models = append(p.Engine.Models, placer.Model{
@@ -160,6 +185,11 @@
 		listed[groupOf(o.Key)] = true
 		m.enter(o)
 	}
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.divide()
+	}()
 	for _, g := range m.all() {
 		if !listed[g.name] {
 			g.absent()
@@ -184,6 +214,9 @@
 		}
 		m.enter(c.Object)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.divide()
 }
 
 // Learn enters a group's record that another VM has told.
@@ -196,6 +229,10 @@
 func groupOf(key string) string { return key[len(Kind)+1:] }
 
 func (m *Manager) enter(o objectstore.Object) {
+	if service, found := strings.CutPrefix(groupOf(o.Key), layoutPrefix); found {
+		m.enterLayout(service, o.Value)
+		return
+	}
 	var r tenure.Record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		m.opt.Observer.GroupChanged(groupOf(o.Key), r, tenure.Nothing, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -134,7 +134,7 @@
 	g.heard(request.VM)
 	now := g.m.now()
 	reply := grouprpc.SyncReply{
-		Epoch: g.epoch, Blind: m.opt.StoreBlind(), VMs: g.vms(now),
+		Epoch: g.epoch, Blind: m.opt.StoreBlind(), VMs: g.vms(now), Backlog: g.core.Backlog(now),
 	}
 	g.view.update(g.core.Resident(now))
 	g.view.since(request.Since, &reply)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -287,6 +287,23 @@
 	return next
 }
 
+// Backlog returns the mean time until a target reads a new prompt, with what
+// waits.
+func (c *Core) Backlog(now Time) time.Duration {
+	c.at(now)
+	open, total := 0, time.Duration(0)
+	for _, t := range c.targets {
+		if t.open() {
+			open++
+			total += c.backlog(t)
+		}
+	}
+	for _, r := range c.waiting {
+		total += c.model.reading(r.PromptTokens)
+	}
+	return total / time.Duration(max(1, open))
+}
+
 // Resident is one adapter on one target that requests may be sent to.
 type Resident struct {
 	Adapter Adapter
