--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -55,6 +55,8 @@
 	store    objectstore.Store
 
 	health     storeHealth
+	feed       *feed
+	relay      relay
 	followers  map[string]*kindwatch.Follower // by kind
 	deployment *deployment
 	versions   *versionTable
@@ -81,6 +83,7 @@
 	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable(), followers: map[string]*kindwatch.Follower{}}
 	d.health.changed = d.storeChanged
 	incarnation := uint64(time.Now().UnixNano())
+	d.feed = newFeed(incarnation)
 	clock := timeline.NewClock(time.Now)
 	d.peers = peer.NewClient(nil, clock, peer.ClientSettings{
 		DialTimeout: peerDial, ProbeTimeout: peerProbe, BusyProbe: peerProbe, IdleProbe: 2 * time.Second,
@@ -95,7 +98,7 @@
 	})
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
-		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Version: d.versions.required,
+		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Follows: d.relay.follows, Feed: d.relay.followed, News: d.applyNews, Version: d.versions.required,
 	})
 	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions)
 	d.gateway = gateway.New(gateway.Options{
@@ -183,6 +186,7 @@
 // fleetChanged hands the targets and services to the groups.
 func (d *Daemon) fleetChanged() {
 	services, targets := d.deployment.services()
+	d.feed.setTargets(targets)
 	d.groups.SetFleet(services, targets)
 	for a, version := range d.versions.all() {
 		d.groups.SetVersion(a, version)
@@ -264,6 +268,10 @@
 	s.d.othersSaw(request.Seen)
 	*reply = s.d.groups.Sync(request)
 	reply.Seen = s.d.seen()
+	if request.Feed != nil && !reply.NotOwner {
+		reply.News = s.d.news(*request.Feed)
+		reply.News.Deputy = s.d.groups.Deputy(request.Group, request.VM)
+	}
 	return nil
 }
 
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -24,13 +24,15 @@
 
 func newVersionTable() *versionTable { return &versionTable{rows: map[placer.Adapter]announced{}} }
 
-// set enters an announcement.
-func (t *versionTable) set(a placer.Adapter, version int64) {
+// set enters an announcement. It reports whether it is news.
+func (t *versionTable) set(a placer.Adapter, version int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version > t.rows[a].version {
-		t.rows[a] = announced{version: version, at: time.Now()}
+	if version <= t.rows[a].version {
+		return false
 	}
+	t.rows[a] = announced{version: version, at: time.Now()}
+	return true
 }
 
 // required returns the oldest version that may be used, 0 if any.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -77,6 +77,9 @@
 func (d *Daemon) startWatches(ctx context.Context) {
 	follow := func(kind string, pause time.Duration, handler kindwatch.Handler) {
 		f := &kindwatch.Follower{Store: d.store, Kind: kind, Handler: handler, Wait: watchWait, Pause: pause}
+		if kind != groupserver.Kind {
+			f.Active = d.followsStore
+		}
 		d.followers[kind] = f
 	}
 	defer func() {
@@ -101,6 +104,9 @@
 
 // othersSaw enters what another VM has seen.
 func (d *Daemon) othersSaw(seen map[string]int64) {
+	if !d.followsStore() {
+		return
+	}
 	for kind, revision := range seen {
 		if f := d.followers[kind]; f != nil {
 			f.Behind(revision)
@@ -154,6 +160,7 @@
 	if !d.deployment.setConfig(c) {
 		return
 	}
+	d.feed.setConfig(value)
 	d.log.Info().Str(fieldEvent, "config_in_force").Uint64(fieldConfig, c.Version).Str(fieldSource, source).
 		Int(fieldCount, len(c.Routes)).Send()
 	d.fleetChanged()
@@ -245,9 +252,17 @@
 		h.d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
 		return
 	}
-	h.d.log.Info().Str(fieldEvent, "adapter_version").Str(fieldAdapter, a.Name).Int64(fieldVersion, version).Send()
-	h.d.versions.set(a, version)
-	h.d.groups.SetVersion(a, version)
+	h.d.setVersion(a, version)
+}
+
+// setVersion enters an announced version of an adapter.
+func (d *Daemon) setVersion(a placer.Adapter, version int64) {
+	if !d.versions.set(a, version) {
+		return
+	}
+	d.log.Info().Str(fieldEvent, "adapter_version").Str(fieldAdapter, a.Name).Int64(fieldVersion, version).Send()
+	d.feed.setVersion(a, version)
+	d.groups.SetVersion(a, version)
 }
 
 // Reached implements kindwatch.Handler.
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -71,6 +71,11 @@
 	// Seen and OthersSaw exchange the newest revisions of the store's objects.
 	Seen      func() map[string]int64
 	OthersSaw func(seen map[string]int64)
+	// Follows reports whether an owner's feed is followed, Feed returns the place in
+	// it, and News enters what the owner has told.
+	Follows func(owner string) bool
+	Feed    func(owner string) (grouprpc.FeedRequest, bool)
+	News    func(*grouprpc.News)
 }
 
 // Client implements gateway.Placement. It is safe for concurrent use.
@@ -153,7 +158,7 @@
 	now := c.now()
 	var due []*ownerState
 	for _, o := range c.groups {
-		if o.owner == "" || o.own || o.asking || now-o.askedAt < c.period() {
+		if o.owner == "" || o.own || o.asking || now-o.askedAt < c.period(o) {
 			continue
 		}
 		o.asking, o.askedAt = true, now
@@ -164,7 +169,11 @@
 
 // period is the time between questions to one owner. With many groups each is
 // asked less often, so that the questions of all VMs grow slower than the groups.
-func (c *Client) period() time.Duration {
+// The one that tells the changes of the deployment is asked often in any case.
+func (c *Client) period(o *ownerState) time.Duration {
+	if c.opt.Follows(o.owner) {
+		return min(2, time.Duration(len(c.groups))) * syncPeriod
+	}
 	return syncPeriod * time.Duration(max(1, (len(c.groups)+1)/2))
 }
 
@@ -172,8 +181,11 @@
 func (c *Client) sync(ctx context.Context, o *ownerState) {
 	c.mu.Lock()
 	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Since: o.version, Seen: c.opt.Seen()}
-	address, epoch := o.address, o.epoch
+	address, epoch, owner := o.address, o.epoch, o.owner
 	c.mu.Unlock()
+	if feed, followed := c.opt.Feed(owner); followed {
+		request.Feed = &feed
+	}
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	var reply grouprpc.SyncReply
@@ -182,6 +194,8 @@
 		c.opt.OthersSaw(reply.Seen)
 		if reply.NotOwner {
 			c.opt.Groups.Learn(request.Group, reply.Record, reply.At)
+		} else {
+			c.opt.News(&reply.News)
 		}
 	}
 	c.mu.Lock()
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/tenure"
 )
@@ -66,6 +67,7 @@
 
 // SyncRequest asks for news of a group.
 type SyncRequest struct {
+	Feed  *FeedRequest // nil if the caller follows another VM
 	Group string
 	Epoch int64 // newest that the caller knows
 	VM    string
@@ -75,6 +77,7 @@
 
 // SyncReply is the news.
 type SyncReply struct {
+	News     News
 	NotOwner bool
 	Record   tenure.Record // that the VM knows, if it is not the owner
 	At       int64         // version of Record's object
@@ -98,3 +101,28 @@
 
 // AnnounceReply is empty.
 type AnnounceReply struct{}
+
+// FeedRequest asks for what has changed in the deployment.
+type FeedRequest struct {
+	Source  uint64 // incarnation of the VM that was followed, 0 if none
+	Counter uint64 // of its last news
+}
+
+// News is what a VM knows of the deployment and the caller does not.
+type News struct {
+	Source   uint64 // incarnation of the VM, 0 if it was not asked
+	Counter  uint64
+	Full     bool // replaces what the caller knows
+	Blind    bool // the VM cannot reach the store
+	Deputy   bool // the caller follows the store besides the owner
+	Config   []byte
+	Targets  []fleet.Target
+	Gone     []string
+	Versions []AdapterVersion
+}
+
+// AdapterVersion is an announced version of an adapter.
+type AdapterVersion struct {
+	Adapter placer.Adapter
+	Version int64
+}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -326,6 +326,16 @@
 	return names
 }
 
+// OwnsAny reports whether this VM owns a group.
+func (m *Manager) OwnsAny() bool { return len(m.Owned()) > 0 }
+
+// Deputy reports whether a caller is the one that follows the store besides the
+// group's owner: the first of the VMs that called lately.
+func (m *Manager) Deputy(group, vm string) bool {
+	g := m.find(group)
+	return g != nil && g.deputy(vm)
+}
+
 // Status is what is known of a group.
 type Status struct {
 	Name   string
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -154,6 +154,18 @@
 	return count
 }
 
+func (g *group) deputy(vm string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.m.now()
+	for other, at := range g.callers {
+		if other < vm && now-at <= callerMemory {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *group) timed() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -24,6 +24,8 @@
 	quickFailure = 50 * time.Millisecond
 	// doubtTime is the time after which news that others have seen should be here.
 	doubtTime = 500 * time.Millisecond
+	// idlePoll is the time between looks whether the kind is to be followed.
+	idlePoll = 100 * time.Millisecond
 	// cautiousWait is the wait of the first watch after a failure.
 	cautiousWait = 300 * time.Millisecond
 )
@@ -48,6 +50,9 @@
 	// Pause is the time after news before the next watch, so that many changes
 	// cost few calls.
 	Pause time.Duration
+	// Active reports whether the kind is followed now; nil if always. The list is
+	// read once in any case.
+	Active func() bool
 
 	mu       sync.Mutex
 	newest   int64 // revision of the newest object seen
@@ -102,6 +107,10 @@
 	listed := false
 	retry := firstRetry
 	for ctx.Err() == nil {
+		if listed && f.Active != nil && !f.Active() {
+			sleep(ctx, idlePoll)
+			continue
+		}
 		var err error
 		call, cancel := context.WithCancel(ctx)
 		f.begin(cancel)
