edge: Deputies tell the owner what they read; versions of the configuration are compared

Ruled out: probes of the connection, which a silent store answers. Change: two deputies follow the store and tell the owner; a VM whose configuration is older than another's for 500 ms follows the store; watches wait 4 s.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -98,7 +98,8 @@
 	})
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
-		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Follows: d.relay.follows, Feed: d.relay.followed, News: d.applyNews, Version: d.versions.required,
+		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Follows: d.relay.follows, Feed: d.relay.followed, News: d.applyNews, Push: d.push, Config: d.configVersion, NoteConfig: d.noteConfig,
+		Version: d.versions.required,
 	})
 	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions)
 	d.gateway = gateway.New(gateway.Options{
@@ -156,6 +157,9 @@
 	return nil
 }
 
+// noteConfig enters the version that is in force at another VM.
+func (d *Daemon) noteConfig(version uint64) { d.relay.noteConfig(d.configVersion(), version) }
+
 func (d *Daemon) goRun(f func()) {
 	d.background.Add(1)
 	go func() {
@@ -266,8 +270,12 @@
 // Sync implements grouprpc.SyncMethod.
 func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) error {
 	s.d.othersSaw(request.Seen)
+	s.d.noteConfig(request.Config)
+	if request.Push != nil {
+		s.d.enterNews(request.Push, false)
+	}
 	*reply = s.d.groups.Sync(request)
-	reply.Seen = s.d.seen()
+	reply.Seen, reply.Config = s.d.seen(), s.d.configVersion()
 	if request.Feed != nil && !reply.NotOwner {
 		reply.News = s.d.news(*request.Feed)
 		reply.News.Deputy = s.d.groups.Deputy(request.Group, request.VM)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -12,6 +12,9 @@
 	// feedAge is the time without news from another VM after which this one follows
 	// the store itself.
 	feedAge = 1200 * time.Millisecond
+	// behindLimit is the time for which another VM may have a newer configuration
+	// before this one follows the store itself.
+	behindLimit = 500 * time.Millisecond
 )
 
 // relay follows the feed of an owner. Owners and their deputies follow the store,
@@ -23,6 +26,8 @@
 	from    string // owner that is followed
 	heardAt time.Time
 	deputy  bool
+	pushed  map[string]uint64 // place in this VM's own feed that an owner was told
+	behind  time.Time         // since when another VM has a newer configuration
 }
 
 // followed returns the owner whose feed is asked for, and the place in it. A new one
@@ -58,9 +63,55 @@
 	return time.Since(r.heardAt) < feedAge && !r.deputy
 }
 
+// isDeputy reports whether this VM follows the store besides the owner.
+func (r *relay) isDeputy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.deputy
+}
+
+// noteConfig compares the configuration in force with that of another VM. If that
+// is newer for a while, the feed is not to be trusted.
+func (r *relay) noteConfig(own, other uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case other <= own:
+		r.behind = time.Time{}
+	case r.behind.IsZero():
+		r.behind = time.Now()
+	case time.Since(r.behind) > behindLimit:
+		r.heardAt = time.Time{}
+	}
+}
+
 // followsStore reports whether this VM follows the store itself.
 func (d *Daemon) followsStore() bool { return d.groups.OwnsAny() || !d.relay.fresh() }
 
+// push returns what a deputy tells an owner, so that the owner stays up to date when
+// only it does not reach the store.
+func (d *Daemon) push(owner string) *grouprpc.News {
+	if !d.relay.isDeputy() || d.health.blind() {
+		return nil
+	}
+	d.relay.mu.Lock()
+	defer d.relay.mu.Unlock()
+	if d.relay.pushed == nil {
+		d.relay.pushed = map[string]uint64{}
+	}
+	n := d.feed.since(d.feed.source, d.relay.pushed[owner])
+	d.relay.pushed[owner] = n.Counter
+	return &n
+}
+
+// configVersion returns the version of the configuration in force.
+func (d *Daemon) configVersion() uint64 {
+	if routes := d.deployment.Routes(); routes != nil {
+		return routes.Config.Version
+	}
+	return 0
+}
+
 // applyNews enters what an owner has told. An owner that cannot reach the store is
 // not followed.
 func (d *Daemon) applyNews(n *grouprpc.News) {
@@ -68,12 +119,18 @@
 		return
 	}
 	d.relay.heard(n)
+	d.enterNews(n, n.Full)
+}
+
+// enterNews enters what another VM knows; if it is all, in place of what this one
+// knows.
+func (d *Daemon) enterNews(n *grouprpc.News, all bool) {
 	if len(n.Config) > 0 {
 		d.applyConfig(n.Config, "relay")
 	}
-	if n.Full || len(n.Targets)+len(n.Gone) > 0 {
+	if all || len(n.Targets)+len(n.Gone) > 0 {
 		d.deployment.change(func(r *fleet.Registry, now time.Time) {
-			if n.Full {
+			if all {
 				r.Replace(now, n.Targets)
 				d.deployment.listed = true
 				return
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -16,8 +16,10 @@
 
 const (
 	// watchWait is the longest wait of one watch call. Probes of the connection
-	// show earlier that it is dead.
-	watchWait = 10 * time.Second
+	// show earlier that it is dead, but not that the store is silent.
+	watchWait = 4 * time.Second
+	// groupWait is the same for the groups, whose changes VMs also tell each other.
+	groupWait = 10 * time.Second
 	// Pauses after news, so that many changes cost few calls.
 	configPause  = 200 * time.Millisecond
 	targetPause  = 900 * time.Millisecond
@@ -77,7 +79,9 @@
 func (d *Daemon) startWatches(ctx context.Context) {
 	follow := func(kind string, pause time.Duration, handler kindwatch.Handler) {
 		f := &kindwatch.Follower{Store: d.store, Kind: kind, Handler: handler, Wait: watchWait, Pause: pause}
-		if kind != groupserver.Kind {
+		if kind == groupserver.Kind {
+			f.Wait = groupWait
+		} else {
 			f.Active = d.followsStore
 		}
 		d.followers[kind] = f
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,8 +19,9 @@
 	// of a stream that may be sent to another target.
 	firstEventFactor = 2.5
 	firstEventSpare  = 400 * time.Millisecond
-	// gapLimit is the pause after which such a stream goes on elsewhere.
-	gapLimit = 1200 * time.Millisecond
+	// gapLimit is the pause after which such a stream goes on elsewhere. Targets
+	// that read long prompts pause for more than a second.
+	gapLimit = 2500 * time.Millisecond
 	// outputGuess is the expected part of the largest answer without a hint.
 	outputGuess = 4
 	// absentWait is the pause before the owner is asked again after a target
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -76,6 +76,11 @@
 	Follows func(owner string) bool
 	Feed    func(owner string) (grouprpc.FeedRequest, bool)
 	News    func(*grouprpc.News)
+	// Push returns what this VM tells an owner, Config the version in force here, and
+	// NoteConfig enters that of another VM.
+	Push       func(owner string) *grouprpc.News
+	Config     func() uint64
+	NoteConfig func(version uint64)
 }
 
 // Client implements gateway.Placement. It is safe for concurrent use.
@@ -186,6 +191,7 @@
 	if feed, followed := c.opt.Feed(owner); followed {
 		request.Feed = &feed
 	}
+	request.Push, request.Config = c.opt.Push(owner), c.opt.Config()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	var reply grouprpc.SyncReply
@@ -196,6 +202,7 @@
 			c.opt.Groups.Learn(request.Group, reply.Record, reply.At)
 		} else {
 			c.opt.News(&reply.News)
+			c.opt.NoteConfig(reply.Config)
 		}
 	}
 	c.mu.Lock()
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -67,17 +67,20 @@
 
 // SyncRequest asks for news of a group.
 type SyncRequest struct {
-	Feed  *FeedRequest // nil if the caller follows another VM
-	Group string
-	Epoch int64 // newest that the caller knows
-	VM    string
-	Since uint64           // version of the caller's view
-	Seen  map[string]int64 // newest revisions of objects that the caller has seen, by kind
+	Feed   *FeedRequest // nil if the caller follows another VM
+	Push   *News        // of a deputy
+	Config uint64       // version in force at the caller
+	Group  string
+	Epoch  int64 // newest that the caller knows
+	VM     string
+	Since  uint64           // version of the caller's view
+	Seen   map[string]int64 // newest revisions of objects that the caller has seen, by kind
 }
 
 // SyncReply is the news.
 type SyncReply struct {
 	News     News
+	Config   uint64 // version in force at the owner
 	NotOwner bool
 	Record   tenure.Record // that the VM knows, if it is not the owner
 	At       int64         // version of Record's object
--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -61,14 +62,35 @@
 	return names
 }
 
-// wantLayout writes the number of groups of a service, if nobody has. The caller
-// holds the lock.
+// settleTime is the time for which the number of targets must not have grown
+// before it decides the number of groups. Targets enter one after another when a
+// deployment starts.
+const settleTime = 1500 * time.Millisecond
+
+// wantLayout decides on the number of groups of a service, if nobody has, once its
+// targets are complete. The caller holds the lock.
 func (m *Manager) wantLayout(service string, targets int) {
 	if !m.listed.Load() || m.asked[service] || targets == 0 {
 		return
 	}
 	m.asked[service] = true
-	go m.writeLayout(service, targets)
+	time.AfterFunc(settleTime, func() { m.settled(service, targets) })
+}
+
+// settled writes the number of groups unless more targets have come meanwhile.
+func (m *Manager) settled(service string, targets int) {
+	m.mu.Lock()
+	m.asked[service] = false
+	now := len(m.targets[service])
+	if now > targets {
+		m.wantLayout(service, now)
+	}
+	grown, known := now > targets, m.layouts[service] > 0
+	m.asked[service] = true
+	m.mu.Unlock()
+	if !grown && !known {
+		m.writeLayout(service, now)
+	}
 }
 
 func (m *Manager) writeLayout(service string, targets int) {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -329,7 +329,7 @@
 // OwnsAny reports whether this VM owns a group.
 func (m *Manager) OwnsAny() bool { return len(m.Owned()) > 0 }
 
-// Deputy reports whether a caller is the one that follows the store besides the
+// Deputy reports whether a caller is one of those that follow the store besides the
 // group's owner: the first of the VMs that called lately.
 func (m *Manager) Deputy(group, vm string) bool {
 	g := m.find(group)
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -158,14 +158,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.m.now()
+	before := 0
 	for other, at := range g.callers {
 		if other < vm && now-at <= callerMemory {
-			return false
+			before++
 		}
 	}
-	return true
+	return before < deputies
 }
 
+// deputies is the number of VMs that follow the store besides an owner. The store
+// may turn some VMs away and serve others.
+const deputies = 2
+
 func (g *group) timed() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
