tenure: Doubt an owner only after calls without an answer

Cause: with eight groups an owner is asked every 800 ms; VMs took that for silence and challenged, and each challenge woke 83 watches (26,831 store calls).

--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -19,7 +19,7 @@
 	// syncPeriod is the time between questions to an owner.
 	syncPeriod = 200 * time.Millisecond
 	// answerLimit bounds the answer to a question that does not wait.
-	answerLimit = 300 * time.Millisecond
+	answerLimit = 400 * time.Millisecond
 	// suspectWait is the time after which a waiting request makes this VM ask
 	// whether the owner is still there.
 	suspectWait = 150 * time.Millisecond
@@ -176,6 +176,9 @@
 // asked less often, so that the questions of all VMs grow slower than the groups.
 // The one that tells the changes of the deployment is asked often in any case.
 func (c *Client) period(o *ownerState) time.Duration {
+	if o.silent {
+		return syncPeriod
+	}
 	if c.opt.Follows(o.owner) {
 		return min(2, time.Duration(len(c.groups))) * syncPeriod
 	}
@@ -213,6 +216,7 @@
 	}
 	if err != nil {
 		c.missed(o)
+		c.opt.Groups.Missed(o.name, epoch)
 		return
 	}
 	if reply.NotOwner || reply.Epoch != epoch {
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -169,6 +169,14 @@
 	}
 }
 
+func (g *group) missed(epoch int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if record, _ := g.tenure.Record(); record.Epoch == epoch {
+		g.tenure.Missed(g.m.now())
+	}
+}
+
 // step carries out what the tenure asks for.
 func (g *group) step(ctx context.Context) {
 	g.mu.Lock()
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -124,7 +124,7 @@
 // speed, over all targets of a service.
 const (
 	leastTransit     = 8
-	transitPerTarget = 0.45
+	transitPerTarget = 0.9
 )
 
 func (m *Manager) engineParams(e *fleet.Engine, targets, shards int) placer.Params {
@@ -366,3 +366,10 @@
 		g.kill()
 	}
 }
+
+// Missed tells that a group's owner did not answer.
+func (m *Manager) Missed(name string, epoch int64) {
+	if g := m.find(name); g != nil {
+		g.missed(epoch)
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -45,9 +45,9 @@
 )
 
 const (
-	// suspectAfter is the silence of an owner after which it is challenged. Owners
-	// are called several times a second.
-	suspectAfter = 600 * time.Millisecond
+	// suspectAfter is the time for which calls to an owner get no answer after which
+	// it is challenged. A silent owner is called several times a second.
+	suspectAfter = 400 * time.Millisecond
 	// answerWait is the time that an owner has to answer a challenge: a change
 	// reaches it and a write returns within a few milliseconds, more while the
 	// store is slow.
@@ -82,7 +82,8 @@
 	exists bool
 
 	changedAt    Time // of owner or epoch
-	contactAt    Time
+	missing      bool // calls to the owner get no answer
+	missingSince Time
 	challengedAt Time // when the open challenge was seen
 	trustedAt    Time // when an answer was seen
 	trusted      bool
@@ -123,7 +124,7 @@
 	changed := !m.exists || r.Epoch != old.Epoch || r.Released != old.Released
 	m.known, m.exists, m.record = true, true, r
 	if changed {
-		m.changedAt, m.contactAt, m.blind, m.trusted, m.heard = now, now, false, false, false
+		m.changedAt, m.missing, m.blind, m.trusted, m.heard = now, false, false, false, false
 	}
 	if r.Challenged > r.Answered && (changed || r.Challenged > old.Challenged) {
 		m.challengedAt = now
@@ -139,13 +140,20 @@
 // Contact tells that the owner has answered a call, and whether it cannot reach
 // the store.
 func (m *Machine) Contact(now Time, blind bool) {
-	m.contactAt = now
+	m.missing = false
 	if blind && !m.blind {
 		m.blindSince = now
 	}
 	m.blind = blind
 }
 
+// Missed tells that a call to the owner got no answer.
+func (m *Machine) Missed(now Time) {
+	if !m.missing {
+		m.missing, m.missingSince = true, now
+	}
+}
+
 // Heard tells the owner that another VM has called.
 func (m *Machine) Heard(now Time) { m.heard, m.heardAt = true, now }
 
@@ -172,11 +180,11 @@
 	case m.trusted && now-m.trustedAt < trustTime:
 		return Nothing
 	case m.record.Challenged > m.record.Answered:
-		if now-m.contactAt <= suspectAfter {
-			return Nothing // heard again since
+		if !m.missing {
+			return Nothing // this VM hears it
 		}
 		return m.takeAfter(now, m.challengedAt, answerWait)
-	case now-m.contactAt > suspectAfter+m.delay()/2:
+	case m.missing && now-m.missingSince > suspectAfter+m.delay()/2:
 		return Challenge
 	}
 	return Nothing
