--- a/cmd/cicadaslipd/edge.go
+++ b/cmd/cicadaslipd/edge.go
@@ -10,6 +10,7 @@
 
 	"cicadaslip/internal/edge"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/logsink"
 	"cicadaslip/internal/placer"
 	"cicadaslip/platform"
 )
@@ -29,7 +30,10 @@
 		return err
 	}
 	zerolog.DurationFieldInteger = true
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("vm", s.VM).Logger()
+	sink := logsink.New(os.Stdout, logsink.Settings{Lines: o.LogLines, Bytes: o.LogBytes})
+	defer sink.Close()
+	s.MetricsPort, s.LogDropped = o.MetricsPort, sink.Dropped
+	log := zerolog.New(sink).Level(level).With().Timestamp().Str("vm", s.VM).Logger()
 	d, err := edge.New(s, edge.Ports{
 		Store: platform.NewStore(s.StoreAddress), Orders: platform.NewTargets(), Dialect: platform.Dialect{},
 		Kinds: platformKinds(), Dial: platform.Dialer(targetDial).DialContext,
--- a/cmd/cicadaslipd/main.go
+++ b/cmd/cicadaslipd/main.go
@@ -21,6 +21,10 @@
 	Settings string `long:"settings" short:"s" description:"YAML file with the settings"`
 	Edge     bool   `long:"edge" description:"serve as entry VM of the users' platform, which names the settings file itself"`
 	LogLevel string `long:"log-level" default:"info" description:"least level of log lines with --edge"`
+	LogLines int    `long:"log-lines" default:"2000" description:"most log lines in a second with --edge; more are dropped and counted"`
+	LogBytes int    `long:"log-bytes" default:"524288" description:"most bytes of log lines in a second with --edge"`
+
+	MetricsPort int `long:"metrics-port" description:"port of the metrics with --edge, path /metrics; 0: none are served"`
 }
 
 const (
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,7 +50,7 @@
 func Commands() []Registration {
 	return []Registration{
 		applyCommand, diffCommand, getCommand, checkCommand,
-		statusCommand, targetsCommand, adaptersCommand, drainCommand, timelineCommand, usageCommand, recordCommand, replayCommand,
+		statusCommand, targetsCommand, adaptersCommand, drainCommand, timelineCommand, usageCommand, recordCommand, replayCommand, explainCommand,
 	}
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
 	"cicadaslip/internal/kindwatch"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/peer"
 	"cicadaslip/internal/timeline"
@@ -54,8 +56,14 @@
 	kinds    Kinds
 	store    objectstore.Store
 
-	health     storeHealth
-	feed       *feed
+	health   storeHealth
+	metrics  *metrics.Registry
+	upstream *upstream.Client
+	feed     *feed
+
+	requestLines sampler
+	grantLines   sampler
+
 	relay      relay
 	followers  map[string]*kindwatch.Follower // by kind
 	deployment *deployment
@@ -80,11 +88,12 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	}
-	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable(), followers: map[string]*kindwatch.Follower{}}
+	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable(), metrics: metrics.With(metrics.EdgeDefinitions), followers: map[string]*kindwatch.Follower{}}
 	d.health.changed = d.storeChanged
 	incarnation := uint64(time.Now().UnixNano())
 	d.feed = newFeed(incarnation)
 	clock := timeline.NewClock(time.Now)
+	d.log = log.Hook(stampHook{clock})
 	d.peers = peer.NewClient(nil, clock, peer.ClientSettings{
 		DialTimeout: peerDial, ProbeTimeout: peerProbe, BusyProbe: peerProbe, IdleProbe: 2 * time.Second,
 	})
@@ -101,10 +110,11 @@
 		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Follows: d.relay.follows, Feed: d.relay.followed, News: d.applyNews, Push: d.push, Config: d.configVersion, NoteConfig: d.noteConfig,
 		Version: d.versions.required,
 	})
+	d.upstream = &upstream.Client{Dial: ports.Dial}
 	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions)
 	d.gateway = gateway.New(gateway.Options{
 		Fleet: d.deployment, Placement: d.placement, Dialect: ports.Dialect,
-		Upstream: &upstream.Client{Dial: ports.Dial}, Observer: requestObserver{d}, Log: log,
+		Upstream: d.upstream, Observer: requestObserver{d},
 	})
 	return d, d.server.Register(grouprpc.Service, &groupService{d})
 }
@@ -140,6 +150,9 @@
 	defer d.close()
 	d.server.Serve()
 	d.serveReady(d.readiness)
+	if err := d.serveMetrics(ctx); err != nil {
+		return err
+	}
 	d.startWatches(ctx)
 	d.goRun(func() { d.groups.Run(ctx) })
 	d.goRun(func() { d.placement.Run(ctx) })
@@ -303,3 +316,13 @@
 
 // Owned returns the names of the target groups that this VM owns.
 func (d *Daemon) Owned() []string { return d.groups.Owned() }
+
+// stampHook gives each line a stamp that orders the lines of all VMs by cause: calls
+// between VMs carry stamps.
+type stampHook struct{ clock *timeline.Clock }
+
+// Run implements zerolog.Hook.
+func (h stampHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	stamp := h.clock.Now()
+	e.Str(fieldStamp, strconv.FormatInt(stamp.Wall, 10)+"."+strconv.FormatUint(uint64(stamp.Counter), 10))
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -88,10 +88,10 @@
 // followsStore reports whether this VM follows the store itself.
 func (d *Daemon) followsStore() bool { return d.groups.OwnsAny() || !d.relay.fresh() }
 
-// push returns what a deputy tells an owner, so that the owner stays up to date when
-// only it does not reach the store.
+// push returns what a deputy or another owner tells an owner, so that the owner stays
+// up to date when only it does not reach the store.
 func (d *Daemon) push(owner string) *grouprpc.News {
-	if !d.relay.isDeputy() || d.health.blind() {
+	if !d.relay.isDeputy() && !d.groups.OwnsAny() || d.health.blind() {
 		return nil
 	}
 	d.relay.mu.Lock()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -28,6 +28,7 @@
 	TargetDrain   time.Duration // in which new work on a leaving target must end
 	Lease         time.Duration // in which two owners of a group must not take turns
 	Budget        retrybudget.Settings
+	LogDropped    func() int64 // lines of the log dropped so far, nil if not counted
 }
 
 // Validate checks the settings and names every fault.
@@ -48,6 +49,9 @@
 			faults = append(faults, "the "+name+" is no ip:port")
 		}
 	}
+	if s.TargetDrain <= 2*relayTime {
+		faults = append(faults, "the time for leaving targets is missing or too short")
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, "the time for a shutdown is missing")
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -22,9 +22,11 @@
 	groupWait = 10 * time.Second
 	// Pauses after news, so that many changes cost few calls.
 	configPause  = 200 * time.Millisecond
-	targetPause  = 900 * time.Millisecond
 	versionPause = 300 * time.Millisecond
-	groupPause   = 20 * time.Millisecond
+	groupPause   = 200 * time.Millisecond
+	// relayTime is the part of the time for leaving targets that is left for telling
+	// the other VMs.
+	relayTime = 300 * time.Millisecond
 	// blindAfter is the time without success after which this VM says that it
 	// cannot reach the store.
 	blindAfter = 700 * time.Millisecond
@@ -92,7 +94,7 @@
 		}
 	}()
 	follow(d.kinds.Config, configPause, &configHandler{d})
-	follow(d.kinds.Targets, targetPause, &targetHandler{d: d})
+	follow(d.kinds.Targets, d.settings.TargetDrain/2-relayTime, &targetHandler{d: d})
 	follow(d.kinds.Versions, versionPause, &versionHandler{d})
 	follow(groupserver.Kind, groupPause, &groupHandler{d})
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -50,7 +50,7 @@
 		c.exclude = append(c.exclude, target.ID)
 		running++
 		go func() { replies <- c.attemptPlain(target) }()
-		c.trace.step(stepSent, target.ID, "")
+		c.trace.step(StepSent, target.ID, "")
 		return nil
 	}
 	if failure := start(); failure != nil {
@@ -73,7 +73,7 @@
 				c.deliver(r)
 				return
 			}
-			c.trace.step(stepFailed, r.target.ID, describe(r))
+			c.trace.step(StepFailed, r.target.ID, describe(r))
 			if better(r, last) {
 				last = r
 			}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/callerconn"
@@ -43,7 +42,6 @@
 	Dialect   Dialect
 	Upstream  *upstream.Client
 	Observer  Observer
-	Log       zerolog.Logger
 }
 
 // Server serves callers. It is safe for concurrent use.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -213,7 +213,7 @@
 		c.ran++
 	}
 	c.s.opt.Placement.Release(lease, outcome)
-	c.trace.step(stepFailed, lease.Grant.Target, string(failure.Code))
+	c.trace.step(StepFailed, lease.Grant.Target, string(failure.Code))
 	return failure.WithDetails(lease.Grant.Target)
 }
 
@@ -231,7 +231,7 @@
 			c.exclude = append(c.exclude, lease.Grant.Target)
 		}
 		c.s.opt.Placement.Release(lease, outcome)
-		c.trace.step(stepFailed, lease.Grant.Target, "refused as not run")
+		c.trace.step(StepFailed, lease.Grant.Target, "refused as not run")
 		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetry).WithDetails(lease.Grant.Target)
 	case e.Status >= serverError && c.mayMove():
 		return c.lost(lease, errs.New(errs.TargetRefused, "the target failed").WithRan(errs.RanYes))
@@ -359,7 +359,7 @@
 	}
 	b.feed = f
 	b.take(event)
-	c.trace.step(stepResumed, f.lease.Grant.Target, "")
+	c.trace.step(StepResumed, f.lease.Grant.Target, "")
 }
 
 // Close implements io.Closer. It is called when the stream has ended or the
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -4,14 +4,15 @@
 	"time"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 )
 
 // Steps of a request.
 const (
-	stepPlaced  = "placed"
-	stepSent    = "sent"
-	stepFailed  = "attempt_failed"
-	stepResumed = "resumed"
+	StepPlaced  = "placed"
+	StepSent    = "sent"
+	StepFailed  = "attempt_failed"
+	StepResumed = "resumed"
 )
 
 // Step is one decision about a request.
@@ -58,7 +59,7 @@
 
 func (t *Trace) placed(l Lease) {
 	t.Steps = append(t.Steps, Step{
-		At: time.Since(t.began), Name: stepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
+		At: time.Since(t.began), Name: StepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
 	})
 }
 
@@ -78,20 +79,38 @@
 	Service  string
 	Config   uint64
 	Adapter  string
+	Kind     fleet.Kind
 	Arrived  time.Time
 	Took     time.Duration
 	Left     bool // the caller has gone
 	TimeLeft time.Duration
 	Trace    *Trace
+
+	objective time.Duration // until the first event
+	gapTarget time.Duration // between events
+}
+
+// LateFirst reports whether the first event of a stream was late.
+func (s *Summary) LateFirst() bool {
+	return s.Trace.Events > 0 && s.objective > 0 && s.Trace.First > s.objective
 }
 
+// LateGap reports whether a pause in a stream was too long.
+func (s *Summary) LateGap() bool { return s.gapTarget > 0 && s.Trace.Gap > s.gapTarget }
+
+// Late reports whether a stream was late.
+func (s *Summary) Late() bool { return s.LateFirst() || s.LateGap() }
+
 func (c *call) summary() Summary {
 	s := Summary{
 		ID: c.meta.ID, Service: c.service, Config: c.version, Adapter: c.meta.Adapter.Name, Arrived: c.arrived,
 		Took: time.Since(c.arrived), Left: c.left.Load(), Trace: &c.trace,
 	}
 	if c.route != nil {
-		s.Route, s.TimeLeft = c.route.Name, c.timeLeft()
+		s.Route, s.TimeLeft, s.Kind = c.route.Name, c.timeLeft(), c.route.Kind
+		if c.route.Kind == fleet.Streaming {
+			s.objective, s.gapTarget = c.route.TargetLatency, c.route.GapTarget
+		}
 	}
 	return s
 }
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -373,3 +373,10 @@
 		g.missed(epoch)
 	}
 }
+
+// count returns the number of groups.
+func (m *Manager) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.groups)
+}
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -155,6 +155,9 @@
 }
 
 func (g *group) deputy(vm string) bool {
+	if g.m.count() >= manyGroups {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.m.now()
@@ -167,9 +170,14 @@
 	return before < deputies
 }
 
-// deputies is the number of VMs that follow the store besides an owner. The store
-// may turn some VMs away and serve others.
-const deputies = 2
+const (
+	// deputies is the number of VMs that follow the store besides an owner. The
+	// store may turn some VMs away and serve others.
+	deputies = 2
+	// manyGroups is the number of groups from which their owners tell each other
+	// what they read, so that no deputies are needed.
+	manyGroups = 3
+)
 
 func (g *group) timed() {
 	g.mu.Lock()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -25,7 +25,7 @@
 			rows = append(rows, line)
 		}
 	}
-	for _, d := range Definitions {
+	for _, d := range append(append([]Definition{}, Definitions...), EdgeDefinitions...) {
 		want = append(want, fmt.Sprintf("| `%s` | %s | %s | %s |", d.Name, d.Kind, d.Unit, d.Help))
 	}
 	g.Expect(rows).To(gomega.Equal(want))
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -25,9 +25,12 @@
 }
 
 // New returns a registry with all metrics at zero.
-func New() *Registry {
+func New() *Registry { return With(Definitions) }
+
+// With returns a registry of some metrics at zero.
+func With(definitions []Definition) *Registry {
 	r := &Registry{numbers: map[Name]*expvar.Int{}, maps: map[Name]*labelled{}, latencies: map[Name]*histogram{}}
-	for _, d := range Definitions {
+	for _, d := range definitions {
 		r.all.Set(string(d.Name), r.create(d))
 	}
 	return r
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -145,7 +145,9 @@
 		if best.backlog >= replicaBacklog {
 			c.considerReplica(r, best)
 		}
-		c.grant(r, best)
+		if !c.sparesStreams(r, best, left) {
+			c.grant(r, best)
+		}
 		return
 	}
 	if pending, found := c.pending(r); found && (best.row == nil || pending < best.first) {
@@ -163,6 +165,25 @@
 	}
 }
 
+// sparesStreams reports whether a long prompt waits until its target has read those
+// before it, while it can still be in time. A target reads prompts between the
+// tokens of its streams, so that prompts in direct succession hold the streams up
+// for as long as all of them take.
+func (c *Core) sparesStreams(r *requestRow, best choice, left time.Duration) bool {
+	if best.backlog == 0 || r.PromptTokens < longPrompt || best.first+spareMargin > left {
+		return false
+	}
+	for _, run := range best.target.runs {
+		if run.started {
+			return true
+		}
+	}
+	return false
+}
+
+// spareMargin is the time that must be left for a long prompt to wait.
+const spareMargin = 250 * time.Millisecond
+
 // pending returns the expected time until the first event at the target where the
 // request's adapter is ready next.
 func (c *Core) pending(r *requestRow) (first time.Duration, found bool) {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -29,7 +29,7 @@
 		t.sentPlan = p
 		t.sent = &Order{
 			Target: t.info.ID, Address: t.info.Address, Operation: p.operation, Adapter: p.row.adapter,
-			Precondition: t.sequence, number: c.orders,
+			Precondition: t.sequence, Poll: p.row.started, number: c.orders,
 		}
 		if p.operation == Load && p.row.adapter.Name != "" {
 			t.sent.Version = p.row.version
--- a/internal/placer/params.go
+++ b/internal/placer/params.go
@@ -75,11 +75,11 @@
 
 	// streamCost is the same for each running stream of a target that is to read
 	// a long prompt, up to streamsCost: its streams pause meanwhile.
-	streamCost  = 20 * time.Millisecond
-	streamsCost = 250 * time.Millisecond
+	streamCost  = 40 * time.Millisecond
+	streamsCost = 500 * time.Millisecond
 	// readingCost is the same for a short prompt on a target that reads all the
 	// time.
-	readingCost = 400 * time.Millisecond
+	readingCost = 800 * time.Millisecond
 	// longPrompt is the prompt, in tokens, that holds streams up noticeably.
 	longPrompt = 1500
 
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -63,6 +63,7 @@
 	Adapter      Adapter
 	Version      int64 // 0: the newest
 	Precondition int64 // orders accepted by the target so far
+	Poll         bool  // asks whether an accepted load has ended
 	number       uint64
 }
 
