--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -65,7 +65,7 @@
 // settleTime is the time for which the number of targets must not have grown
 // before it decides the number of groups. Targets enter one after another when a
 // deployment starts.
-const settleTime = 1500 * time.Millisecond
+const settleTime = 3500 * time.Millisecond
 
 // wantLayout decides on the number of groups of a service, if nobody has, once its
 // targets are complete. The caller holds the lock.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -51,14 +51,14 @@
 	// answerWait is the time that an owner has to answer a challenge: a change
 	// reaches it and a write returns within a few milliseconds, more while the
 	// store is slow.
-	answerWait = 700 * time.Millisecond
+	answerWait = 500 * time.Millisecond
 	// trustTime is the time for which an answer is believed.
 	trustTime = 2500 * time.Millisecond
 	// isolatedAfter is the time without any other VM after which an owner that
 	// has heard some gives the group up.
 	isolatedAfter = 2 * time.Second
 	// spread is the greatest part of each VM's own in a delay, so that few race.
-	spread = 250 * time.Millisecond
+	spread = 700 * time.Millisecond
 	// lostPause is the time before a VM takes a group again that it lost. It is
 	// longer than a lease.
 	lostPause = 3500 * time.Millisecond
