placer: A new owner keeps what runs

Ruled out: refusals by targets, lost orders (none), the takeover's own time (1.6 s). Change: VMs tell a new owner what they run; it drops nothing for 700 ms.

--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -90,7 +90,8 @@
 
 	mu     sync.Mutex
 	groups map[string]*ownerState
-	own    map[string]int // requests sent by this VM's own choice, by target
+	held   map[string]map[string]*grouprpc.Held // granted by owners, by group and request
+	own    map[string]int                       // requests sent by this VM's own choice, by target
 	events map[string][]grouprpc.Event
 	flush  map[string]bool
 	vms    int
@@ -101,7 +102,7 @@
 // New returns a client.
 func New(opt Options) *Client {
 	return &Client{
-		opt: opt, start: time.Now(), groups: map[string]*ownerState{}, own: map[string]int{},
+		opt: opt, start: time.Now(), groups: map[string]*ownerState{}, held: map[string]map[string]*grouprpc.Held{}, own: map[string]int{},
 		events: map[string][]grouprpc.Event{}, flush: map[string]bool{}, vms: 1,
 	}
 }
@@ -189,6 +190,11 @@
 func (c *Client) sync(ctx context.Context, o *ownerState) {
 	c.mu.Lock()
 	request := grouprpc.SyncRequest{Group: o.name, Epoch: o.epoch, VM: c.opt.VM, Since: o.version, Seen: c.opt.Seen()}
+	if !o.heard {
+		for _, h := range c.held[o.name] {
+			request.Held = append(request.Held, *h)
+		}
+	}
 	address, epoch, owner := o.address, o.epoch, o.owner
 	c.mu.Unlock()
 	if feed, followed := c.opt.Feed(owner); followed {
@@ -341,6 +347,7 @@
 		r.Deadline -= time.Since(began)
 		reply := c.ask(ctx, o, r)
 		if reply.Err == nil {
+			c.hold(o.name, r, reply.Grant)
 			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name}, nil
 		}
 		if unreachable(reply.Err) && refused > 0 {
@@ -368,6 +375,17 @@
 	}
 }
 
+// hold remembers what runs under an owner's grant, for the next owner.
+func (c *Client) hold(group string, request placer.Request, grant placer.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held[group] == nil {
+		c.held[group] = map[string]*grouprpc.Held{}
+	}
+	request.Parts, request.Exclude = nil, nil
+	c.held[group][request.ID] = &grouprpc.Held{Request: request, Target: grant.Target}
+}
+
 func unreachable(e *errs.Error) bool {
 	return e.Code == errs.NotOwner || e.Code == errs.PeerUnavailable || e.Code == errs.Timeout || e.Code == errs.Draining
 }
@@ -461,14 +479,23 @@
 
 // Started implements gateway.Placement.
 func (c *Client) Started(lease gateway.Lease, slowness float64) {
-	if lease.Owner != "" {
-		c.tell(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: slowness})
+	if lease.Owner == "" {
+		return
 	}
+	c.mu.Lock()
+	if h := c.held[lease.Group][lease.Grant.Request]; h != nil {
+		h.Started = true
+	}
+	c.mu.Unlock()
+	c.tell(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: slowness})
 }
 
 // Release implements gateway.Placement.
 func (c *Client) Release(lease gateway.Lease, outcome placer.Outcome) {
 	if lease.Owner != "" {
+		c.mu.Lock()
+		delete(c.held[lease.Group], lease.Grant.Request)
+		c.mu.Unlock()
 		c.tell(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventReleased, Outcome: outcome})
 		return
 	}
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -68,6 +68,7 @@
 // SyncRequest asks for news of a group.
 type SyncRequest struct {
 	Feed   *FeedRequest // nil if the caller follows another VM
+	Held   []Held       // at the first call to an owner: what runs for the caller
 	Push   *News        // of a deputy
 	Config uint64       // version in force at the caller
 	Group  string
@@ -129,3 +130,10 @@
 	Adapter placer.Adapter
 	Version int64
 }
+
+// Held is a request that a VM runs on a target under an earlier owner's grant.
+type Held struct {
+	Request placer.Request
+	Target  string
+	Started bool // its first event has arrived
+}
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -145,6 +145,7 @@
 	for a, version := range g.versions {
 		g.core.SetVersion(now, a, version)
 	}
+	g.core.TakenOver(now)
 	g.core.SetTargets(now, g.targets)
 	g.view = newView()
 	g.timer = time.AfterFunc(0, g.timed)
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -133,6 +133,9 @@
 	}
 	g.heard(request.VM)
 	now := g.m.now()
+	for _, h := range request.Held {
+		g.core.Adopt(now, h.Request, h.Target, h.Started)
+	}
 	reply := grouprpc.SyncReply{
 		Epoch: g.epoch, Blind: m.opt.StoreBlind(), VMs: g.vms(now), Backlog: g.core.Backlog(now),
 	}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -29,6 +29,7 @@
 	modelLoads float64 // base models that may be loaded from the weights store now
 	modelsAt   Time
 	draining   bool
+	adoptTo    Time   // nothing is dropped before
 	pass       uint64 // over the queue
 	passAt     Time
 	arrived    bool // a request since the last pass
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -225,10 +225,9 @@
 	c.dequeue(r)
 	kept := t.prefixes.kept(r.Request.Adapter, r.Parts)
 	run := &runRow{
-		request: r, target: t, held: row, granted: c.now, expected: best.first, cost: c.cost(t, &r.Request),
+		request: r, target: t, granted: c.now, expected: best.first, cost: c.cost(t, &r.Request),
 		uncached: max(0, r.PromptTokens-kept), alone: best.backlog == 0,
 	}
-	row.runs++
 	row.usedAt = c.now
 	t.runs[r.ID], c.runs[r.ID] = run, run
 	t.tokens += r.PromptTokens + r.OutputTokens
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -103,10 +103,13 @@
 
 // victim returns the idle adapter of a target that is needed least, or nil.
 func (c *Core) victim(t *targetRow) *heldRow {
+	if c.now < c.adoptTo {
+		return nil
+	}
 	var worst *heldRow
 	least := 0.0
 	for a, row := range t.held {
-		if a.Name == "" || row.state != heldReady || row.runs > 0 || row.doubt {
+		if a.Name == "" || row.state != heldReady || row.doubt || t.inUse(a) {
 			continue
 		}
 		adapter := c.adapter(a)
@@ -169,14 +172,14 @@
 				continue
 			}
 			c.anyStale = true
-			if row.state != heldReady || row.doubt || t.wantReport {
+			if row.state != heldReady || row.doubt || t.wantReport || c.now < c.adoptTo {
 				continue
 			}
 			adapter := c.adapter(row.adapter)
 			switch {
-			case row.runs == 0 && adapter.demandAt(c.now) > idleDemand:
+			case !t.inUse(row.adapter) && adapter.demandAt(c.now) > idleDemand:
 				c.reload(row, adapter.wanted)
-			case row.runs == 0:
+			case !t.inUse(row.adapter):
 				c.unload(row)
 			case !c.newerComing(adapter):
 				c.startLoad(&requestRow{Request: Request{Adapter: row.adapter}, adapter: adapter}, 0)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -277,3 +277,31 @@
 		g.Expect(w.refused[id].Err.Code).To(gomega.Equal(errs.Draining))
 	}
 }
+
+// Pattern: a takeover while requests run. Guards against an adapter that is dropped
+// under requests that an earlier owner has granted.
+func TestANewOwnerKeepsWhatRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(1, 1, placer.Params{})
+	w.rest = 20 * time.Second
+	for i := range slots {
+		w.request(adapter(i), nil)
+	}
+	w.run(time.Second)
+	g.Expect(w.granted).To(gomega.HaveLen(slots))
+	w.core = placer.New(placer.Params{Transit: 8, Engine: placer.Engine{AdapterSlots: slots, Models: []placer.Model{{Name: modelName}}}})
+	w.core.TakenOver(w.now)
+	w.tell()
+	w.request(adapter(9), nil)
+	w.run(300 * time.Millisecond)
+	for i := range slots {
+		w.core.Adopt(w.now, placer.Request{ID: fmt.Sprintf("r%d", i+1), Adapter: adapter(i), Deadline: 20 * time.Second}, "t0", true)
+	}
+	w.run(2 * time.Second)
+	for i := range slots {
+		g.Expect(w.engines["t0"].held).To(gomega.HaveKey(adapter(i)))
+	}
+	w.core.Release(w.now, "r1", placer.Done)
+	w.run(2 * time.Second)
+	g.Expect(w.engines["t0"].held).To(gomega.HaveKey(adapter(9)))
+}
--- a/internal/placer/runs.go
+++ b/internal/placer/runs.go
@@ -47,7 +47,9 @@
 	case Full:
 		t.avoidTo = max(t.avoidTo, c.now+fullPause)
 	case Absent:
-		run.held.doubt = true
+		if row := t.held[run.request.Request.Adapter]; row != nil {
+			row.doubt = true
+		}
 		c.resync(t)
 	case Cancelled:
 	}
@@ -64,7 +66,6 @@
 		return
 	}
 	delete(t.runs, id)
-	run.held.runs--
 	t.tokens -= run.request.PromptTokens + run.request.OutputTokens
 	if !run.started {
 		t.busyUntil = max(c.now, t.busyUntil-run.cost)
@@ -83,3 +84,42 @@
 		}
 	}
 }
+
+// adoptTime is the time after a takeover in which the VMs tell what they run. Until
+// then any adapter may be in use.
+const adoptTime = 700 * time.Millisecond
+
+// TakenOver starts the core as the next owner of its group.
+func (c *Core) TakenOver(now Time) {
+	c.at(now)
+	if !c.params.Fresh {
+		c.adoptTo = c.now + adoptTime
+	}
+}
+
+// Adopt enters a request that runs on a target under an earlier owner's grant.
+func (c *Core) Adopt(now Time, request Request, target string, started bool) {
+	c.at(now)
+	t := c.index[target]
+	if t == nil || c.runs[request.ID] != nil || c.requests[request.ID] != nil {
+		return
+	}
+	r := &requestRow{Request: request, queuedAt: c.now, deadline: c.now + request.Deadline, adapter: c.adapter(request.Adapter)}
+	run := &runRow{request: r, target: t, granted: c.now, started: started}
+	if !started {
+		run.cost = c.cost(t, &request)
+		t.busyUntil = max(t.busyUntil, c.now) + run.cost
+	}
+	t.runs[request.ID], c.runs[request.ID] = run, run
+	t.tokens += request.PromptTokens + request.OutputTokens
+}
+
+// inUse reports whether a request runs on an adapter of a target.
+func (t *targetRow) inUse(a Adapter) bool {
+	for _, run := range t.runs {
+		if run.request.Request.Adapter == a {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placer/tables.go
+++ b/internal/placer/tables.go
@@ -18,7 +18,6 @@
 	target   *targetRow
 	state    heldState
 	version  int64 // 0 if unknown
-	runs     int
 	usedAt   Time
 	since    Time // of the state
 	accepted Time // when the load was accepted
@@ -125,7 +124,6 @@
 type runRow struct {
 	request  *requestRow
 	target   *targetRow
-	held     *heldRow
 	granted  Time
 	expected Time // duration until the first event
 	cost     Time // reading the prompt
