--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -111,7 +111,7 @@
 		Version: d.versions.required,
 	})
 	d.upstream = &upstream.Client{Dial: ports.Dial}
-	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions)
+	d.deployment = newDeployment(s, d.start, d.placement.VMs, d.versions, d.metrics)
 	d.gateway = gateway.New(gateway.Options{
 		Fleet: d.deployment, Placement: d.placement, Dialect: ports.Dialect,
 		Upstream: d.upstream, Observer: requestObserver{d},
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -244,6 +244,10 @@
 	d.metrics.Set(metrics.EdgeConfigVersion, int64(d.configVersion()))
 	d.metrics.Set(metrics.EdgeVMs, int64(d.placement.VMs()))
 	d.metrics.Set(metrics.EdgeConnections, d.upstream.Opened())
+	waiting, age := d.groups.Queue()
+	d.metrics.Set(metrics.EdgeQueue, int64(waiting))
+	d.metrics.Set(metrics.EdgeQueueAge, age.Milliseconds())
+	d.metrics.Set(metrics.EdgeViewAge, d.relay.age())
 	if d.settings.LogDropped != nil {
 		d.metrics.Set(metrics.EdgeLogDropped, d.settings.LogDropped())
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -63,6 +63,16 @@
 	return time.Since(r.heardAt) < feedAge && !r.deputy
 }
 
+// age returns the milliseconds since the last news, -1 if there were none.
+func (r *relay) age() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heardAt.IsZero() {
+		return -1
+	}
+	return time.Since(r.heardAt).Milliseconds()
+}
+
 // isDeputy reports whether this VM follows the store besides the owner.
 func (r *relay) isDeputy() bool {
 	r.mu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -7,6 +7,7 @@
 
 	"cicadaslip/internal/balance"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/retrybudget"
 )
@@ -18,6 +19,7 @@
 	start    time.Time
 	vms      func() int
 	versions *versionTable
+	metrics  *metrics.Registry
 
 	routes atomic.Pointer[fleet.RouteTable]
 
@@ -29,9 +31,9 @@
 	budgets   map[string]*retrybudget.Budget // by service
 }
 
-func newDeployment(s *Settings, start time.Time, vms func() int, versions *versionTable) *deployment {
+func newDeployment(s *Settings, start time.Time, vms func() int, versions *versionTable, m *metrics.Registry) *deployment {
 	return &deployment{
-		settings: s, start: start, vms: vms, versions: versions, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
+		settings: s, start: start, vms: vms, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
 	}
 }
@@ -172,5 +174,11 @@
 	defer d.mu.Unlock()
 	b := d.budget(service)
 	b.SetVMs(vms)
-	return b.Take(d.now())
+	allowed := b.Take(d.now())
+	if allowed {
+		d.metrics.Count(metrics.EdgeRepeats, "allowed")
+	} else {
+		d.metrics.Count(metrics.EdgeRepeats, "denied")
+	}
+	return allowed
 }
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -10,6 +10,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/groupserver"
 	"cicadaslip/internal/kindwatch"
+	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 )
@@ -128,6 +129,12 @@
 	}
 }
 
+// reached enters the result of a call to the store.
+func (d *Daemon) reached(kind string, err error) {
+	d.metrics.Count(metrics.EdgeStoreCalls, kind+" "+metrics.Label(err))
+	d.health.note(err)
+}
+
 type configHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
@@ -154,7 +161,7 @@
 }
 
 // Reached implements kindwatch.Handler.
-func (h *configHandler) Reached(err error) { h.d.health.note(err) }
+func (h *configHandler) Reached(err error) { h.d.reached(h.d.kinds.Config, err) }
 
 // applyConfig puts a configuration into force.
 func (d *Daemon) applyConfig(value []byte, source string) {
@@ -221,7 +228,7 @@
 
 // Reached implements kindwatch.Handler.
 func (h *targetHandler) Reached(err error) {
-	h.d.health.note(err)
+	h.d.reached(h.d.kinds.Targets, err)
 	failing := err != nil && !errs.Is(err, errs.HistoryGone)
 	if failing != h.failing {
 		h.failing = failing
@@ -272,7 +279,7 @@
 }
 
 // Reached implements kindwatch.Handler.
-func (h *versionHandler) Reached(err error) { h.d.health.note(err) }
+func (h *versionHandler) Reached(err error) { h.d.reached(h.d.kinds.Versions, err) }
 
 type groupHandler struct{ d *Daemon }
 
@@ -283,4 +290,4 @@
 func (h *groupHandler) Change(changes []objectstore.Change) { h.d.groups.Change(changes) }
 
 // Reached implements kindwatch.Handler.
-func (h *groupHandler) Reached(err error) { h.d.health.note(err) }
+func (h *groupHandler) Reached(err error) { h.d.reached(groupserver.Kind, err) }
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -258,3 +258,12 @@
 		g.end()
 	}
 }
+
+func (g *group) queued() (int, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.core == nil {
+		return 0, 0
+	}
+	return g.core.Queued(g.m.now())
+}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -380,3 +380,13 @@
 	defer m.mu.Unlock()
 	return len(m.groups)
 }
+
+// Queue returns the requests that wait in the owned groups, and the age of the
+// oldest.
+func (m *Manager) Queue() (waiting int, oldest time.Duration) {
+	for _, g := range m.all() {
+		n, age := g.queued()
+		waiting, oldest = waiting+n, max(oldest, age)
+	}
+	return waiting, oldest
+}
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -23,6 +23,11 @@
 	EdgeStoreState    Name = "edge_store_lost"
 	EdgeOwnersSilent  Name = "edge_owners_silent"
 	EdgeConfigVersion Name = "edge_config_version"
+	EdgeStoreCalls    Name = "edge_store_calls"
+	EdgeRepeats       Name = "edge_repeats"
+	EdgeQueue         Name = "edge_queue"
+	EdgeQueueAge      Name = "edge_queue_age"
+	EdgeViewAge       Name = "edge_view_age"
 	EdgeVMs           Name = "edge_vms"
 	EdgeLogDropped    Name = "edge_log_lines_dropped"
 )
@@ -50,6 +55,11 @@
 	{EdgeStoreState, Counter, "times", "the store could not be reached any more"},
 	{EdgeOwnersSilent, Counter, "times", "an owner did not answer any more"},
 	{EdgeConfigVersion, Gauge, "version", "configuration in force"},
+	{EdgeStoreCalls, ByLabel, "calls", "lists and watches of the store, by kind and error code"},
+	{EdgeRepeats, ByLabel, "requests", "questions to the budget of repeats, allowed or denied"},
+	{EdgeQueue, Gauge, "requests", "waiting for a target, as owner"},
+	{EdgeQueueAge, Gauge, "milliseconds", "of the oldest request that waits, as owner"},
+	{EdgeViewAge, Gauge, "milliseconds", "since the last news of the deployment from another VM, -1 if none is followed"},
 	{EdgeVMs, Gauge, "VMs", "that the owners of groups hear"},
 	{EdgeLogDropped, Gauge, "lines", "of the log dropped since the start"},
 }
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -288,6 +288,15 @@
 	return next
 }
 
+// Queued returns the number of waiting requests and the age of the oldest.
+func (c *Core) Queued(now Time) (waiting int, oldest time.Duration) {
+	c.at(now)
+	for _, r := range c.waiting {
+		oldest = max(oldest, c.now-r.queuedAt)
+	}
+	return len(c.waiting), oldest
+}
+
 // Backlog returns the mean time until a target reads a new prompt, with what
 // waits.
 func (c *Core) Backlog(now Time) time.Duration {
