--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -77,7 +77,7 @@
 	server     *peer.Server
 	ready      *fasthttp.Server
 	draining   atomic.Bool
-	ending     atomic.Bool
+	settled    atomic.Bool // the groups had owners once
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
@@ -103,7 +103,7 @@
 	d.groups = groupserver.New(groupserver.Options{
 		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Regions: s.Regions,
 		Store: ports.Store, Orders: ports.Orders, Observer: groupObserver{d},
-		Announce: d.announce, StoreFine: d.health.fine, StoreBlind: d.health.blind,
+		Announce: d.announce, Settle: s.Settle, StoreFine: d.health.fine, StoreBlind: d.health.blind,
 	})
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
@@ -237,10 +237,18 @@
 		return false
 	}
 	d.deployment.mu.Lock()
-	defer d.deployment.mu.Unlock()
-	return d.deployment.listed
+	listed := d.deployment.listed
+	d.deployment.mu.Unlock()
+	if listed && !d.settled.Load() {
+		// Plain services can be served without owners.
+		d.settled.Store(d.groups.Settled() || time.Since(d.start) > settleLimit)
+	}
+	return listed && d.settled.Load()
 }
 
+// settleLimit is the time after which a VM is ready though groups have no owner.
+const settleLimit = 6 * time.Second
+
 func (d *Daemon) serveReady(l net.Listener) {
 	d.ready = &fasthttp.Server{
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReadTimeout: readyTimeout, IdleTimeout: readyIdle,
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -25,7 +25,7 @@
 	metricsPath = "/metrics"
 	// successLines is the number of requests that succeeded, in a second, whose lines
 	// are written. Those of failed and late requests are always.
-	successLines = 3
+	successLines = 1
 	// longWait is the wait for a target from which the owner's decision is written.
 	longWait = 300 * time.Millisecond
 	// clientError is the first status of failures.
@@ -72,13 +72,14 @@
 		Bool("released", r.Released).Str(fieldAction, string(action)).Err(err).Send()
 }
 
-// Ordered implements groupserver.Observer. Questions whether a load has ended are
-// written at debug level only.
+// Ordered implements groupserver.Observer. Questions whether a load has ended, and
+// adapters dropped as expected, are written at debug level only.
 func (o groupObserver) Ordered(group string, epoch int64, order placer.Order, result placer.Result, took time.Duration) {
 	o.d.metrics.Count(metrics.EdgeOrders, string(order.Operation)+" "+string(result))
 	o.d.metrics.Observe(metrics.EdgeOrderTime, took)
 	line := o.d.log.Info()
-	if order.Poll && (result == placer.Accepted || result == placer.Holds) {
+	expected := result == placer.Accepted || result == placer.Holds
+	if expected && (order.Poll || order.Operation == placer.Unload) {
 		line = o.d.log.Debug()
 	}
 	line.Str(fieldEvent, "order").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldTarget, order.Target).
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -12,6 +12,8 @@
 	// feedAge is the time without news from another VM after which this one follows
 	// the store itself.
 	feedAge = 1200 * time.Millisecond
+	// feedPause is the time between questions to owners that are not followed yet.
+	feedPause = 300 * time.Millisecond
 	// behindLimit is the time for which another VM may have a newer configuration
 	// before this one follows the store itself.
 	behindLimit = 500 * time.Millisecond
@@ -25,23 +27,36 @@
 	counter uint64
 	from    string // owner that is followed
 	heardAt time.Time
+	askedAt time.Time
 	deputy  bool
 	pushed  map[string]uint64 // place in this VM's own feed that an owner was told
 	behind  time.Time         // since when another VM has a newer configuration
 }
 
-// followed returns the owner whose feed is asked for, and the place in it. A new one
-// is chosen when the present one is silent.
+// followed returns the place in an owner's feed if that owner is to be asked. A new
+// one is chosen when the present one is silent or blind, one at a time, because its
+// first answer is long.
 func (r *relay) followed(owner string) (grouprpc.FeedRequest, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.from != owner && time.Since(r.heardAt) < feedAge {
-		return grouprpc.FeedRequest{}, false
+	if r.from != owner {
+		if time.Since(r.heardAt) < feedAge || time.Since(r.askedAt) < feedPause {
+			return grouprpc.FeedRequest{}, false
+		}
+		r.from = owner
 	}
-	r.from = owner
+	r.askedAt = time.Now()
 	return grouprpc.FeedRequest{Source: r.source, Counter: r.counter}, true
 }
 
+// blind enters that the owner that was asked cannot reach the store. The next one is
+// asked at once.
+func (r *relay) blind() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from, r.askedAt = "", time.Time{}
+}
+
 // follows reports whether an owner's feed is followed.
 func (r *relay) follows(owner string) bool {
 	r.mu.Lock()
@@ -125,7 +140,11 @@
 // applyNews enters what an owner has told. An owner that cannot reach the store is
 // not followed.
 func (d *Daemon) applyNews(n *grouprpc.News) {
-	if n.Source == 0 || n.Blind {
+	if n.Source == 0 {
+		return
+	}
+	if n.Blind {
+		d.relay.blind()
 		return
 	}
 	d.relay.heard(n)
@@ -161,7 +180,8 @@
 
 // news answers a VM that follows this one.
 func (d *Daemon) news(r grouprpc.FeedRequest) grouprpc.News {
-	n := d.feed.since(r.Source, r.Counter)
-	n.Blind = d.health.blind()
-	return n
+	if d.health.blind() {
+		return grouprpc.News{Source: d.feed.source, Blind: true}
+	}
+	return d.feed.since(r.Source, r.Counter)
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -28,7 +28,8 @@
 	TargetDrain   time.Duration // in which new work on a leaving target must end
 	Lease         time.Duration // in which two owners of a group must not take turns
 	Budget        retrybudget.Settings
-	LogDropped    func() int64 // lines of the log dropped so far, nil if not counted
+	Settle        time.Duration // without new targets before the number of groups is decided, 0: the default
+	LogDropped    func() int64  // lines of the log dropped so far, nil if not counted
 }
 
 // Validate checks the settings and names every fault.
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -133,7 +133,7 @@
 	s := &edge.Settings{
 		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Region: regions[dataCentres[i%3]], Regions: regions,
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, PeerAddress: "127.0.0.1:0",
-		StoreAddress: c.store.Address(), Grace: 8 * time.Second, TargetDrain: 2500 * time.Millisecond, Lease: 3 * time.Second,
+		StoreAddress: c.store.Address(), Grace: 8 * time.Second, TargetDrain: 2500 * time.Millisecond, Lease: 3 * time.Second, Settle: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 	}
 	c.g.Expect(s.Validate()).To(gomega.Succeed())
--- a/internal/edgetest/explain_test.go
+++ b/internal/edgetest/explain_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/onsi/gomega"
 
@@ -77,12 +76,9 @@
 
 	c.store.SetFault(metastore.Refuse)
 	v := c.vm(7)
-	var early answer
-	c.g.Eventually(func() int {
-		early = c.ask(v, request{method: http.MethodGet, path: lookup + "x"})
-		return early.status
-	}).WithTimeout(limit).Should(gomega.Equal(http.StatusServiceUnavailable))
-	time.Sleep(50 * time.Millisecond)
+	c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.ContainSubstring("store_lost"))
+	early := c.ask(v, request{method: http.MethodGet, path: lookup + "x"})
+	c.g.Expect(early.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	c.g.Expect(c.story(early.id)).To(gomega.And(
 		gomega.ContainSubstring("no configuration is known yet"), gomega.ContainSubstring("store_lost")))
 }
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -267,3 +267,10 @@
 	}
 	return g.core.Queued(g.m.now())
 }
+
+func (g *group) hasOwner() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	record, exists := g.tenure.Record()
+	return exists && !record.Released
+}
--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -62,10 +62,10 @@
 	return names
 }
 
-// settleTime is the time for which the number of targets must not have grown
+// DefaultSettle is the time for which the number of targets must not have grown
 // before it decides the number of groups. Targets enter one after another when a
 // deployment starts.
-const settleTime = 3500 * time.Millisecond
+const DefaultSettle = 3500 * time.Millisecond
 
 // wantLayout decides on the number of groups of a service, if nobody has, once its
 // targets are complete. The caller holds the lock.
@@ -74,7 +74,7 @@
 		return
 	}
 	m.asked[service] = true
-	time.AfterFunc(settleTime, func() { m.settled(service, targets) })
+	time.AfterFunc(m.opt.Settle, func() { m.settled(service, targets) })
 }
 
 // settled writes the number of groups unless more targets have come meanwhile.
@@ -131,3 +131,25 @@
 		m.layouts[service] = l.Shards
 	}
 }
+
+// Settled reports whether all groups of the services that are known have an owner,
+// so that requests for model engines can be placed.
+func (m *Manager) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed.Load() {
+		return false
+	}
+	for service := range m.targets {
+		for shard := range m.layouts[service] {
+			g := m.groups[GroupName(service, shard)]
+			if g == nil || !g.hasOwner() {
+				return false
+			}
+		}
+		if m.layouts[service] == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -48,6 +48,9 @@
 	Observer    Observer
 	// Announce tells a VM a group's record, if it can be reached.
 	Announce func(address string, request grouprpc.AnnounceRequest)
+	// Settle is the time without new targets before the number of groups is decided,
+	// default DefaultSettle.
+	Settle time.Duration
 	// StoreFine reports whether this VM reaches the store.
 	StoreFine func() bool
 	// StoreBlind reports whether it has failed to for a while.
@@ -74,6 +77,9 @@
 
 // New returns a manager that owns nothing.
 func New(opt Options) *Manager {
+	if opt.Settle <= 0 {
+		opt.Settle = DefaultSettle
+	}
 	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, layouts: map[string]int{}, asked: map[string]bool{}, lastBeat: time.Now()}
 	m.verified.Store(true)
 	return m
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -56,17 +57,22 @@
 
 var zones = []string{"riga-a", "liepaja-a", "daugavpils-a"}
 
-func newVM(i int, program, dir, store string) (*vm, error) {
+// Ports of a VM, on an address of loopback of its own, so that restarts find them
+// free.
+const (
+	callerPort = 7001
+	readyPort  = 7002
+	peerPort   = 7003
+)
+
+func newVM(seed uint64, i int, program, dir, store string) (*vm, error) {
 	p, err := newProxy(store)
 	if err != nil {
 		return nil, err
 	}
 	v := &vm{name: fmt.Sprintf("vm%d", i), program: program, dir: dir, store: p}
-	for _, into := range []*string{&v.caller, &v.ready, &v.peer} {
-		if *into, err = freeAddress(); err != nil {
-			return nil, err
-		}
-	}
+	ip := fmt.Sprintf("127.77.%d.%d", 1+seed%250, 1+i)
+	v.caller, v.ready, v.peer = address(ip, callerPort), address(ip, readyPort), address(ip, peerPort)
 	zone := zones[i%len(zones)]
 	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, p.address())
 	return v, os.WriteFile(v.path("toml"), []byte(text), 0o600)
@@ -74,16 +80,7 @@
 
 func (v *vm) path(kind string) string { return filepath.Join(v.dir, v.name+"."+kind) }
 
-// freeAddress returns an address of loopback that was free a moment ago. It must
-// stay the same over restarts, so that the kernel cannot choose it each time.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
+func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 // start starts the process. Its log goes to a file.
 func (v *vm) start() error {
@@ -121,7 +118,7 @@
 	_ = v.cmd.Process.Signal(s) // it may have ended meanwhile
 }
 
-// end signals the process, waits for its end and starts it again.
+// restart signals the process, waits for its end and starts it again.
 func (v *vm) restart(s syscall.Signal) error {
 	v.stop(s)
 	return v.start()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -113,7 +113,7 @@
 		}
 	}
 	for i := range r.options.VMs {
-		v, err := newVM(i, r.options.Program, r.options.Dir, r.store.Address())
+		v, err := newVM(r.options.Seed, i, r.options.Program, r.options.Dir, r.store.Address())
 		if err != nil {
 			return err
 		}
