--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -94,12 +94,17 @@
 			d.goRun(func() { f.Run(ctx) })
 		}
 	}()
-	follow(d.kinds.Config, configPause, &configHandler{d})
+	follow(d.kinds.Config, configPause, d.each(d.kinds.Config, d.enterConfig))
 	follow(d.kinds.Targets, d.settings.TargetDrain/2-relayTime, &targetHandler{d: d})
-	follow(d.kinds.Versions, versionPause, &versionHandler{d})
+	follow(d.kinds.Versions, versionPause, d.each(d.kinds.Versions, d.enterVersion))
 	follow(groupserver.Kind, groupPause, &groupHandler{d})
 }
 
+// each returns a handler of a kind whose objects are entered one by one.
+func (d *Daemon) each(kind string, enter func(objectstore.Object)) kindwatch.Handler {
+	return &eachObject{enter: enter, reached: func(err error) { d.reached(kind, err) }}
+}
+
 // seen returns the newest revision of each kind that this VM has seen.
 func (d *Daemon) seen() map[string]int64 {
 	seen := make(map[string]int64, len(d.followers))
@@ -135,17 +140,22 @@
 	d.health.note(err)
 }
 
-type configHandler struct{ d *Daemon }
+// eachObject hands objects of one kind over one by one. Their removal means nothing.
+// It implements kindwatch.Handler.
+type eachObject struct {
+	enter   func(objectstore.Object)
+	reached func(error)
+}
 
 // Replace implements kindwatch.Handler.
-func (h *configHandler) Replace(objects []objectstore.Object) {
+func (h *eachObject) Replace(objects []objectstore.Object) {
 	for _, o := range objects {
 		h.enter(o)
 	}
 }
 
 // Change implements kindwatch.Handler.
-func (h *configHandler) Change(changes []objectstore.Change) {
+func (h *eachObject) Change(changes []objectstore.Change) {
 	for _, c := range changes {
 		if !c.Deleted {
 			h.enter(c.Object)
@@ -153,16 +163,15 @@
 	}
 }
 
-func (h *configHandler) enter(o objectstore.Object) {
-	if o.Key != h.d.kinds.Main {
-		return
+// Reached implements kindwatch.Handler.
+func (h *eachObject) Reached(err error) { h.reached(err) }
+
+func (d *Daemon) enterConfig(o objectstore.Object) {
+	if o.Key == d.kinds.Main {
+		d.applyConfig(o.Value, "store")
 	}
-	h.d.applyConfig(o.Value, "store")
 }
 
-// Reached implements kindwatch.Handler.
-func (h *configHandler) Reached(err error) { h.d.reached(h.d.kinds.Config, err) }
-
 // applyConfig puts a configuration into force.
 func (d *Daemon) applyConfig(value []byte, source string) {
 	c, err := d.kinds.DecodeConfig(value)
@@ -241,31 +250,13 @@
 	return name
 }
 
-type versionHandler struct{ d *Daemon }
-
-// Replace implements kindwatch.Handler.
-func (h *versionHandler) Replace(objects []objectstore.Object) {
-	for _, o := range objects {
-		h.enter(o)
-	}
-}
-
-// Change implements kindwatch.Handler.
-func (h *versionHandler) Change(changes []objectstore.Change) {
-	for _, c := range changes {
-		if !c.Deleted {
-			h.enter(c.Object)
-		}
-	}
-}
-
-func (h *versionHandler) enter(o objectstore.Object) {
-	a, version, err := h.d.kinds.DecodeVersion(o.Value)
+func (d *Daemon) enterVersion(o objectstore.Object) {
+	a, version, err := d.kinds.DecodeVersion(o.Value)
 	if err != nil {
-		h.d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
+		d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
 		return
 	}
-	h.d.setVersion(a, version)
+	d.setVersion(a, version)
 }
 
 // setVersion enters an announced version of an adapter.
@@ -278,9 +269,6 @@
 	d.groups.SetVersion(a, version)
 }
 
-// Reached implements kindwatch.Handler.
-func (h *versionHandler) Reached(err error) { h.d.reached(h.d.kinds.Versions, err) }
-
 type groupHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -19,6 +19,7 @@
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/retrybudget"
 	"cicadaslip/internal/standin/engine"
+	"cicadaslip/internal/standin/linkproxy"
 	"cicadaslip/internal/standin/metastore"
 	"cicadaslip/platform"
 )
@@ -54,6 +55,7 @@
 
 type vm struct {
 	daemon *edge.Daemon
+	link   *linkproxy.Proxy // to the store
 	stop   chan struct{}
 	done   chan struct{}
 }
@@ -130,10 +132,13 @@
 	for _, d := range dataCentres {
 		regions[d] = "region-" + d
 	}
+	link, err := linkproxy.New(c.store.Address())
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c.t.Cleanup(link.Close)
 	s := &edge.Settings{
 		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Region: regions[dataCentres[i%3]], Regions: regions,
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, PeerAddress: "127.0.0.1:0",
-		StoreAddress: c.store.Address(), Grace: 8 * time.Second, TargetDrain: 2500 * time.Millisecond, Lease: 3 * time.Second, Settle: 200 * time.Millisecond,
+		StoreAddress: link.Address(), Grace: 8 * time.Second, TargetDrain: 2500 * time.Millisecond, Lease: 3 * time.Second, Settle: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 	}
 	c.g.Expect(s.Validate()).To(gomega.Succeed())
@@ -151,7 +156,7 @@
 		},
 	}, log)
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
-	v := &vm{daemon: d, stop: make(chan struct{}), done: make(chan struct{})}
+	v := &vm{daemon: d, link: link, stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(v.done)
 		_ = d.Run(v.stop) // ends with an error when it is killed
--- a/internal/edgetest/trouble_test.go
+++ b/internal/edgetest/trouble_test.go
@@ -1,7 +1,10 @@
 package edgetest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -21,8 +24,6 @@
 	drainBound = 2500 * time.Millisecond
 	// versionBound is the time after which only the announced version begins.
 	versionBound = 5 * time.Second
-	// lease is the time in which two holders must not take turns.
-	lease = 3 * time.Second
 )
 
 func (c *cluster) statuses(path string) []int {
@@ -220,3 +221,56 @@
 		}
 	}
 }
+
+// Guards against VMs that miss a configuration or a leaving target because the VM
+// that they follow has lost the store without noticing.
+func TestAnOwnerWithoutTheStoreHidesNothing(t *testing.T) {
+	c := start(t, 5)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	time.Sleep(1500 * time.Millisecond) // the others follow the owner
+	owner := c.owner()
+	owner.link.Set(true, false, 0)
+	c.configure(route("new", "/new/", "idempotent", app, 2, false, 1000))
+	c.g.Expect(c.apps[0].Leave()).To(gomega.Succeed())
+	changed := time.Now()
+	c.g.Eventually(func() []int { return c.statuses("/new/x") }).WithTimeout(configBound).Should(gomega.HaveEach(http.StatusOK))
+	for time.Since(changed) < drainBound+time.Second {
+		c.statuses("/new/x")
+	}
+	for _, r := range c.apps[0].Runs() {
+		c.g.Expect(r.At.Sub(changed)).To(gomega.BeNumerically("<", drainBound))
+	}
+}
+
+// Guards against a request that a VM takes on a kept connection shortly before its
+// process ends, and cuts.
+func TestKeptConnectionsEndWithAShutdown(t *testing.T) {
+	c := start(t, 2)
+	v := c.vms[0]
+	conn, err := net.Dial("tcp", v.daemon.CallerAddress())
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	ask := func(id string) (int, error) {
+		_, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n", booking, host, id)
+		if err != nil {
+			return 0, err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	status, err := ask("kept-1")
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c.g.Expect(status).To(gomega.Equal(http.StatusOK))
+	close(v.stop)
+	time.Sleep(4500 * time.Millisecond)
+	if status, err = ask("kept-2"); err == nil {
+		c.g.Expect(status).To(gomega.BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	} else {
+		c.g.Expect(c.runs("kept-2")).To(gomega.BeEmpty(), "it was cut after it had been passed on")
+	}
+	c.g.Eventually(v.done).WithTimeout(9 * time.Second).Should(gomega.BeClosed())
+}
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -28,16 +28,15 @@
 	targets  []fleet.Target
 	versions map[placer.Adapter]int64
 
-	core     *placer.Core // nil while another VM owns the group
-	epoch    int64
-	fenced   bool // a target has seen a newer owner
-	halted   bool // no orders: the group was given up and waits for its next owner
-	waiters  map[string]chan grouprpc.AcquireReply
-	timer    *time.Timer
-	view     view
-	callers  map[string]time.Duration // VMs by their last call
-	retired  map[string]time.Duration // cancelled before they were queued
-	ordering sync.WaitGroup
+	core    *placer.Core // nil while another VM owns the group
+	epoch   int64
+	fenced  bool // a target has seen a newer owner
+	halted  bool // no orders: the group was given up and waits for its next owner
+	waiters map[string]chan grouprpc.AcquireReply
+	timer   *time.Timer
+	view    view
+	callers map[string]time.Duration // VMs by their last call
+	retired map[string]time.Duration // cancelled before they were queued
 }
 
 func newGroup(m *Manager, name string) *group {
--- /dev/null
+++ b/internal/groupserver/layout_test.go
@@ -0,0 +1,75 @@
+package groupserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore/memstore"
+	"cicadaslip/internal/placer"
+	"cicadaslip/internal/tenure"
+)
+
+type quietObserver struct{}
+
+func (quietObserver) GroupChanged(string, tenure.Record, tenure.Action, error) {}
+func (quietObserver) Ordered(string, int64, placer.Order, placer.Result, time.Duration) {
+}
+func (quietObserver) Reported(string, string, error)             {}
+func (quietObserver) Granted(string, int64, placer.GrantRequest) {}
+func (quietObserver) Refused(string, int64, placer.RefuseRequest) {
+}
+
+type noOrders struct{}
+
+func (noOrders) Order(context.Context, placer.Order, string, int64) placer.Result {
+	return placer.NotSent
+}
+
+func (noOrders) Report(context.Context, string, string) (*placer.Report, error) {
+	return nil, errs.New(errs.TargetUnavailable, "no targets here")
+}
+
+// Guards against a number of groups that is decided when only the first targets of a
+// deployment are known, and against targets that belong to two groups.
+func TestTheNumberOfGroupsWaitsForTheTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := memstore.New()
+	m := New(Options{
+		VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: store, Orders: noOrders{}, Observer: quietObserver{},
+		Settle: 100 * time.Millisecond, StoreFine: func() bool { return true }, StoreBlind: func() bool { return false },
+		Announce: func(string, grouprpc.AnnounceRequest) {},
+	})
+	m.Replace(nil)
+	services := map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}
+	var targets []fleet.Target
+	for i := range 140 {
+		targets = append(targets, fleet.Target{ID: fmt.Sprintf("t%d", i), Service: "llm", Slots: 8})
+	}
+	m.SetFleet(services, targets[:20])
+	time.Sleep(40 * time.Millisecond)
+	m.SetFleet(services, targets)
+	g.Eventually(func() int { return len(m.Status()) }).WithTimeout(10 * time.Second).Should(gomega.Equal(8))
+	object, err := store.Get(context.Background(), Kind+"/"+layoutPrefix+"llm", 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var l layout
+	g.Expect(json.Unmarshal(object.Value, &l)).To(gomega.Succeed())
+	g.Expect(l.Shards).To(gomega.Equal(8))
+	seen := map[string]string{}
+	for _, group := range m.all() {
+		for _, target := range group.targets {
+			g.Expect(seen).NotTo(gomega.HaveKey(target.ID))
+			seen[target.ID] = group.name
+		}
+	}
+	g.Expect(seen).To(gomega.HaveLen(140))
+	g.Expect(m.Ranked("llm", "base/a1")).To(gomega.HaveLen(8))
+	g.Expect(m.Ranked("llm", "base/a1")).To(gomega.Equal(m.Ranked("llm", "base/a1")))
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,8 +40,8 @@
 func linkFault(name string, silent, oneWay bool, delay time.Duration) fault {
 	return fault{name, func(r *run) func() {
 		p := r.anyVM().store
-		p.set(silent, oneWay, delay)
-		return func() { p.set(false, false, 0) }
+		p.Set(silent, oneWay, delay)
+		return func() { p.Set(false, false, 0) }
 	}}
 }
 
@@ -70,7 +70,7 @@
 	storeFault("store_refuses", metastore.Refuse), storeFault("store_silent", metastore.Silent), storeFault("store_loses", metastore.Lost),
 	{"store_compacts", func(r *run) func() { r.store.Compact(); return nil }},
 	linkFault("link_silent", true, false, 0), linkFault("link_one_way", false, true, 0), linkFault("link_slow", false, false, 150*time.Millisecond),
-	{"link_reset", func(r *run) func() { r.anyVM().store.reset(); return nil }},
+	{"link_reset", func(r *run) func() { r.anyVM().store.Reset(); return nil }},
 	answerFault("reset", engine.Reset), answerFault("cut", engine.Cut), answerFault("mute", engine.Mute), answerFault("failing", engine.Failing),
 	answerFault("full", engine.Full), answerFault("foreign", engine.Foreign), answerFault("garbage", engine.Garbage), answerFault("extra", engine.Extra),
 	{"orders_lost", func(r *run) func() { r.anyEngine().LoseOrders(1 + r.rng.IntN(4)); return nil }},
@@ -156,8 +156,8 @@
 func (r *run) heal() {
 	r.store.SetFault(metastore.None)
 	for _, v := range r.vms {
-		v.store.set(false, false, 0)
-		v.store.reset()
+		v.store.Set(false, false, 0)
+		v.store.Reset()
 		v.signal(syscall.SIGCONT)
 	}
 	for _, t := range r.targets {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cicadaslip/internal/standin/linkproxy"
 )
 
 // vm is one entry VM: its settings stay, its process comes and goes.
@@ -19,7 +21,7 @@
 	caller  string
 	ready   string
 	peer    string
-	store   *proxy
+	store   *linkproxy.Proxy
 	dir     string
 	program string
 
@@ -66,7 +68,7 @@
 )
 
 func newVM(seed uint64, i int, program, dir, store string) (*vm, error) {
-	p, err := newProxy(store)
+	p, err := linkproxy.New(store)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +76,7 @@
 	ip := fmt.Sprintf("127.77.%d.%d", 1+seed%250, 1+i)
 	v.caller, v.ready, v.peer = address(ip, callerPort), address(ip, readyPort), address(ip, peerPort)
 	zone := zones[i%len(zones)]
-	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, p.address())
+	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, p.Address())
 	return v, os.WriteFile(v.path("toml"), []byte(text), 0o600)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -143,7 +143,7 @@
 func (r *run) close() {
 	for _, v := range r.vms {
 		v.stop(killSignal)
-		v.store.close()
+		v.store.Close()
 	}
 	for _, t := range r.targets {
 		t.Crash()
--- a/internal/soak/proxy.go
+++ b/internal/standin/linkproxy/proxy.go
@@ -1,4 +1,6 @@
-package soak
+// Package linkproxy is a TCP proxy on loopback whose connections can be delayed,
+// silenced, cut one way and reset.
+package linkproxy
 
 import (
 	"io"
@@ -7,8 +9,8 @@
 	"time"
 )
 
-// proxy is a TCP proxy to one address whose connections can misbehave.
-type proxy struct {
+// Proxy passes connections to one address. It is safe for concurrent use.
+type Proxy struct {
 	listener net.Listener
 	to       string
 
@@ -19,19 +21,21 @@
 	delay  time.Duration
 }
 
-func newProxy(to string) (*proxy, error) {
+// New returns a proxy to an address.
+func New(to string) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, to: to, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{listener: l, to: to, conns: map[net.Conn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// Address returns the ip:port of the proxy.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		conn, err := p.listener.Accept()
 		if err != nil {
@@ -41,7 +45,7 @@
 	}
 }
 
-func (p *proxy) join(from net.Conn) {
+func (p *Proxy) join(from net.Conn) {
 	to, err := net.Dial("tcp", p.to)
 	if err != nil {
 		_ = from.Close()
@@ -52,7 +56,7 @@
 	p.pass(from, to, true)
 }
 
-func (p *proxy) track(conns ...net.Conn) {
+func (p *Proxy) track(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
@@ -62,7 +66,7 @@
 
 // pass copies bytes until one side ends. What is silenced is dropped for good, as
 // by a box in between that has lost track of the connection.
-func (p *proxy) pass(to io.Writer, from net.Conn, answers bool) {
+func (p *Proxy) pass(to io.Writer, from net.Conn, answers bool) {
 	buffer := make([]byte, 16<<10)
 	lost := false
 	for {
@@ -90,15 +94,16 @@
 	}
 }
 
-// set makes the connections misbehave from now on.
-func (p *proxy) set(silent, oneWay bool, delay time.Duration) {
+// Set makes the connections misbehave from now on: silent drops what is passed in
+// both directions, oneWay the answers.
+func (p *Proxy) Set(silent, oneWay bool, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silent, p.oneWay, p.delay = silent, oneWay, delay
 }
 
-// reset resets all open connections.
-func (p *proxy) reset() {
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
@@ -110,7 +115,8 @@
 	}
 }
 
-func (p *proxy) close() {
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
 	_ = p.listener.Close()
-	p.reset()
+	p.Reset()
 }
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -56,7 +56,6 @@
 	oldest   int64 // history is kept after this revision
 	revision int64
 	fault    Fault
-	faultFor map[string]bool // remote hosts, all if empty
 	calls    map[string]int
 	closed   bool
 	hung     chan struct{} // closed when silent calls may end
