gateway: a continued stream that fails is cut; silence before a head is silence

Change: a failed continuation cuts the stream; the parser's timeout is silence; failures after the request's end are given up; the pause counts from the takeover. Ruled out: stand-in answers (the targets' runs show a 500 with a signature).

--- a/internal/edgetest/serving_test.go
+++ b/internal/edgetest/serving_test.go
@@ -147,6 +147,27 @@
 	c.g.Expect(stream(a.id)).To(gomega.HavePrefix(a.body))
 }
 
+// Guards against a stream that breaks off and looks complete because the target
+// that was to continue it failed.
+func TestAStreamWhoseContinuationFailsDoesNotLookComplete(t *testing.T) {
+	c := start(t, 1)
+	for _, target := range c.engines {
+		target.SetFault(engine.Failing, -1)
+	}
+	c.engines[0].SetFault(engine.Cut, -1)
+	cut := 0
+	for i := range 12 {
+		a := c.ask(c.vms[0], request{path: quote + "x", adapter: fmt.Sprintf("a%d", i)})
+		if a.status != http.StatusOK {
+			continue
+		}
+		cut++
+		c.g.Expect(a.err).To(gomega.HaveOccurred())
+		c.g.Expect(stream(a.id)).To(gomega.HavePrefix(a.body))
+	}
+	c.g.Expect(cut).To(gomega.BeNumerically(">", 0), "no stream broke off")
+}
+
 // Guards against work for callers that have left.
 func TestWorkEndsWhenTheCallerLeaves(t *testing.T) {
 	c := start(t, 1)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -74,6 +74,10 @@
 				return
 			}
 			c.trace.step(StepFailed, r.target.ID, describe(r))
+			if r.failure != nil && c.ctx.Err() != nil {
+				c.giveUp(attempts) // the exchange was ended with the request's time
+				return
+			}
 			if better(r, last) {
 				last = r
 			}
@@ -91,13 +95,18 @@
 				attempts++
 			}
 		case <-c.ctx.Done():
-			c.sent = c.sent || attempts > 0
-			c.fail(c.givenUp())
+			c.giveUp(attempts)
 			return
 		}
 	}
 }
 
+// giveUp answers a request whose time is over or whose caller has left.
+func (c *call) giveUp(attempts int) {
+	c.sent = c.sent || attempts > 0
+	c.fail(c.givenUp())
+}
+
 func (c *call) hedgeAfter() time.Duration {
 	return max(leastHedge, hedgeFactor*c.s.opt.Fleet.Expected(c.service, c.exclude[0]))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -347,6 +347,12 @@
 		c.trace.failed(failed)
 		b.ended = failed
 		return
+	case f.exchange.Status != fasthttp.StatusOK:
+		// The head of the stream is with the caller: a failure can only cut it.
+		b.feed = f
+		b.ended = errs.New(errs.TargetRefused, "the target that was to continue the stream failed").WithRan(errs.RanYes)
+		c.trace.failed(failure)
+		return
 	case len(event.Bytes) == 0:
 		b.feed, b.ended = f, io.EOF
 		b.feed.release(c, placer.Done)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -119,8 +119,8 @@
 	if m.exists && (r.Epoch < m.record.Epoch || r.Epoch == m.record.Epoch && r.Challenged < m.record.Challenged) {
 		return
 	}
-	owned := m.Owns()
 	old := m.record
+	held := m.exists && old.Owner == m.self.VM && old.Incarnation == m.self.Incarnation
 	changed := !m.exists || r.Epoch != old.Epoch || r.Released != old.Released
 	m.known, m.exists, m.record = true, true, r
 	if changed {
@@ -132,8 +132,8 @@
 	if r.Answered > old.Answered && !changed {
 		m.trusted, m.trustedAt = true, now
 	}
-	if owned && !m.Owns() {
-		m.lost, m.lostAt = true, now
+	if held && changed && !m.Owns() {
+		m.lost, m.lostAt = true, now // also when another takes what this VM released
 	}
 }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -184,6 +184,20 @@
 // lease is the time in which two owners must not take turns.
 const lease = 3 * time.Second
 
+// Guards against a VM that counts its pause from the release of the group and so
+// takes it soon after another has.
+func TestAnOwnerThatReleasedWaitsFromTheTakeover(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := tenure.New(tenure.Self{VM: "a", Incarnation: 1})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
+	m.SetRecord(time.Second, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Released: true})
+	taken := 4 * time.Second
+	m.SetRecord(taken, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2})
+	m.SetRecord(taken+100*time.Millisecond, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true})
+	g.Expect(m.Next(taken+lease, true)).To(gomega.Equal(tenure.Nothing))
+	g.Expect(m.Next(taken+2*lease, true)).To(gomega.Equal(tenure.TakeOver))
+}
+
 // Guards against two VMs that take a group from each other by turns, epochs that
 // do not rise, and two VMs that act as owner under one epoch, while VMs freeze and
 // lose their links at random.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -204,8 +203,12 @@
 	<-e.done
 }
 
-// Silence reports whether a failure means that nothing arrived in time.
-func Silence(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+// Silence reports whether a failure means that nothing arrived in time. The parser
+// of heads has an error of its own for that.
+func Silence(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, fasthttp.ErrTimeout)
+}
 
 func classify(err error) *errs.Error {
 	var typed *errs.Error
