--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -16,7 +16,8 @@
 	start    int // incarnation of the VM's process when the request was sent
 	status   int
 	body     string
-	whole    bool // the answer ended as it should
+	named    string // the request that the answer says it belongs to
+	whole    bool   // the answer ended as it should
 	sent     time.Time
 	done     time.Time
 	config   int // of a probe: the version whose route was asked for
@@ -39,6 +40,9 @@
 	if a.status == http.StatusOK && a.whole && a.body != expected(a) {
 		c.fail("%s %s: a success with another body", a.kind, a.id)
 	}
+	if a.status == http.StatusOK && a.named != a.id {
+		c.fail("%s %s: an answer that belongs to %q", a.kind, a.id, a.named)
+	}
 	if a.kind == kindProbe {
 		c.noteProbe(a)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -266,6 +266,7 @@
 		body, failed := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		a.status, a.body, a.whole = resp.StatusCode, string(body), failed == nil
+		a.named = engine.AnswerOf(resp.Header)
 	}
 	a.done = time.Now()
 	return a
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,7 +65,7 @@
 func TestTheCheckerFindsBrokenPromises(t *testing.T) {
 	v := &vm{name: "vm0", starts: 1}
 	whole := func(id, kind string) answer {
-		a := answer{id: id, kind: kind, vm: v, start: 1, status: 200, whole: true}
+		a := answer{id: id, kind: kind, vm: v, start: 1, status: 200, whole: true, named: id}
 		a.body = expected(a)
 		return a
 	}
@@ -77,10 +77,11 @@
 		"refused and ran":      {[]answer{{id: "q1", kind: kindBooking, vm: v, status: 503, whole: true}}, []string{"q1"}},
 		"answered and not ran": {[]answer{whole("q1", kindLookup)}, nil},
 		"not asked for":        {nil, []string{"q9"}},
-		"another body":         {[]answer{{id: "q1", kind: kindQuote, vm: v, status: 200, whole: true, body: "id: 1\n\n"}}, []string{"q1"}},
+		"another request":      {[]answer{{id: "q1", kind: kindBooking, vm: v, status: 200, whole: true, named: "q2", body: whole("q1", kindBooking).body}}, []string{"q1"}},
+		"another body":         {[]answer{{id: "q1", kind: kindQuote, vm: v, status: 200, whole: true, named: "q1", body: "id: 1\n\n"}}, []string{"q1"}},
 		"on three targets":     {[]answer{whole("q1", kindLookup)}, []string{"q1", "q1", "q1"}},
 		"configuration back": {[]answer{
-			{id: "q1", kind: kindProbe, vm: v, start: 1, status: 200, whole: true, config: 3, body: engine.Answer("q1")},
+			{id: "q1", kind: kindProbe, vm: v, start: 1, status: 200, whole: true, named: "q1", config: 3, body: engine.Answer("q1")},
 			{id: "q2", kind: kindProbe, vm: v, start: 1, status: 404, whole: true, config: 2},
 		}, []string{"q1"}},
 	} {
--- a/internal/standin/engine/caller.go
+++ b/internal/standin/engine/caller.go
@@ -27,3 +27,6 @@
 		h.Set("X-Token-Usage", strconv.Itoa(c.Prompt)+","+strconv.Itoa(c.Answer))
 	}
 }
+
+// AnswerOf returns the id of the request that an answer belongs to.
+func AnswerOf(h http.Header) string { return h.Get("X-Request-Id") }
