--- a/internal/daemon/cleanup.go
+++ b/internal/daemon/cleanup.go
@@ -7,6 +7,7 @@
 
 	"cicadaslip/internal/cleanup"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 )
 
 // cleanupDuty is the duty of the VM that deletes objects of gone VMs.
@@ -21,7 +22,7 @@
 		Self: d.holder(), Store: d.store, Liveness: d.members, Retention: d.settings.Cleanup.Retention, Now: time.Now,
 	}
 	interval := d.settings.Cleanup.Interval
-	for sleep(ctx, interval/2+rand.N(interval)) {
+	for pause.For(ctx, interval/2+rand.N(interval)) {
 		if owner, found := d.members.dutyOwner(cleanupDuty, ""); !found || owner.Name != d.self.Name || d.readiness.draining() {
 			continue
 		}
--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -9,6 +9,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/loadcoord"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -176,7 +177,7 @@
 		case l.startLocally(key, request):
 			return ctx.Err() == nil
 		default:
-			sleep(ctx, coordinatorPause)
+			pause.For(ctx, coordinatorPause)
 		}
 	}
 	return false
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cicadaslip/internal/pause"
 )
 
 // handoverLimit is the longest time that a draining VM waits for others to take
@@ -45,7 +47,7 @@
 		d.log.Warn().Err(err).Msg("journal shards were not handed over in time")
 	}
 	for d.broker.Unreturned() > 0 || d.owners.Owned() > 0 && !d.alone() {
-		if !sleep(ctx, dutyInterval) {
+		if !pause.For(ctx, dutyInterval) {
 			d.logRefused()
 			return
 		}
@@ -96,7 +98,7 @@
 func flushUntilEmpty(ctx context.Context, flush func(context.Context) int) int {
 	for {
 		left := flush(ctx)
-		if left == 0 || !sleep(ctx, flushPause) {
+		if left == 0 || !pause.For(ctx, flushPause) {
 			return left
 		}
 	}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -20,7 +21,7 @@
 func (d *Daemon) runDuties(ctx context.Context) {
 	// Heartbeats of the present owners must have had time to arrive.
 	settled := time.Now().Add(d.settings.Membership.SuspectAfter + d.settings.Membership.HeartbeatInterval)
-	for sleep(ctx, dutyInterval) {
+	for pause.For(ctx, dutyInterval) {
 		d.follower.SetWatching(d.members.watchesConfig())
 		if time.Now().Before(settled) || d.readiness.draining() || d.follower.Current() == nil {
 			continue
@@ -51,7 +52,7 @@
 
 // fetchResident fetches the resident sets that have changed.
 func (d *Daemon) fetchResident(ctx context.Context) {
-	for sleep(ctx, residentInterval) {
+	for pause.For(ctx, residentInterval) {
 		for group, owner := range d.table.Outdated() {
 			request := rpcapi.ResidentRequest{Group: group}
 			if owner == d.holder() {
@@ -97,15 +98,3 @@
 	}
 	return nil
 }
-
-// sleep waits and returns false when ctx ended.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -10,6 +10,7 @@
 	"cicadaslip/internal/journal"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -55,7 +56,7 @@
 // run says which of the shards this VM should own.
 func (j *journalDuty) run(ctx context.Context) {
 	settled := time.Now().Add(j.d.settings.Membership.SuspectAfter)
-	for sleep(ctx, dutyInterval) {
+	for pause.For(ctx, dutyInterval) {
 		parts := j.parts.Load()
 		if parts == nil || time.Now().Before(settled) || j.d.readiness.draining() {
 			continue
--- a/internal/daemon/listing.go
+++ b/internal/daemon/listing.go
@@ -5,6 +5,7 @@
 
 	"cicadaslip/internal/group"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/timeline"
 )
 
@@ -19,7 +20,7 @@
 		} else {
 			d.applyListing(listing)
 		}
-		sleep(ctx, d.settings.Platform.ListInterval)
+		pause.For(ctx, d.settings.Platform.ListInterval)
 	}
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -14,6 +14,7 @@
 	"cicadaslip/internal/journal"
 	"cicadaslip/internal/membership"
 	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/pause"
 )
 
 const (
@@ -50,7 +51,7 @@
 		d.log.Info().Str("metrics", d.metricsListener.Addr().String()).Msg("metrics are served")
 		go func() { _ = server.Serve(d.metricsListener) }()
 	}
-	for sleep(ctx, metrics.RotateEvery) {
+	for pause.For(ctx, metrics.RotateEvery) {
 		d.metrics.Rotate()
 		d.recorder.forget(d.settings.Limits.RequestTimeout + arrivalSlack)
 	}
--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/pause"
 )
 
 // readiness decides whether callers may be sent to this VM.
@@ -57,7 +58,7 @@
 			r.current.Store(true)
 			return
 		}
-		sleep(ctx, currentPause)
+		pause.For(ctx, currentPause)
 	}
 }
 
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/owner"
+	"cicadaslip/internal/pause"
 )
 
 const (
@@ -114,13 +115,13 @@
 	for ctx.Err() == nil {
 		next, err := d.readRegistrations(ctx, revision)
 		if err != nil {
-			sleep(ctx, watchRetry/2+rand.N(watchRetry))
+			pause.For(ctx, watchRetry/2+rand.N(watchRetry))
 			continue
 		}
 		revision = next
 		changes, err := d.store.Watch(ctx, owner.VMKeyPrefix, revision, watchWait)
 		if err != nil {
-			sleep(ctx, watchRetry/2+rand.N(watchRetry))
+			pause.For(ctx, watchRetry/2+rand.N(watchRetry))
 			continue
 		}
 		revision = max(revision, changes.Revision)
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -220,12 +220,7 @@
 			return
 		case <-ticker.C:
 		}
-		settling := false
-		d.deployment.mu.Lock()
-		settling = d.deployment.registry.Settling()
-		d.deployment.mu.Unlock()
-		if settling {
-			d.deployment.change(func(*fleetRegistry, time.Time) {})
+		if d.deployment.settle() {
 			d.fleetChanged()
 		}
 	}
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -19,8 +19,6 @@
 	"cicadaslip/internal/tenure"
 )
 
-type fleetRegistry = fleet.Registry
-
 const (
 	metricsPath = "/metrics"
 	// successLines is the number of requests that succeeded, in a second, whose lines
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -12,9 +12,7 @@
 	if d.draining.Load() || d.deployment.Routes() == nil {
 		return false
 	}
-	d.deployment.mu.Lock()
-	listed := d.deployment.listed
-	d.deployment.mu.Unlock()
+	listed := d.deployment.isListed()
 	if listed && !d.settled.Load() {
 		// Plain services can be served without owners.
 		d.settled.Store(d.groups.Settled() || time.Since(d.start) > settleLimit)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -13,14 +13,11 @@
 	VM            string            // name, unique over the deployment
 	IP            string            // address of the VM
 	DataCentre    string            // of this VM
-	Region        string            // of this VM
 	Regions       map[string]string // of the data centres
 	CallerAddress string            // HTTP for callers, ip:port
 	ReadyAddress  string            // HTTP for the readiness check, ip:port
 	ReadyPath     string
-	PeerAddress   string   // net/rpc for other VMs, ip:port
-	Seeds         []string // peer addresses of a few VMs
-	InternalPort  int      // first of the ports between VMs
+	PeerAddress   string // net/rpc for other VMs, ip:port
 	StoreAddress  string
 	MetricsPort   int           // 0: no metrics are served
 	MemoryBytes   int64         // that the process may use
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -64,6 +64,25 @@
 	d.rebuild()
 }
 
+// isListed reports whether the whole list of targets was read once.
+func (d *deployment) isListed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+// settle drops missing targets whose time is over. It reports whether some are
+// still or were until now.
+func (d *deployment) settle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.registry.Settling() {
+		return false
+	}
+	d.rebuild()
+	return true
+}
+
 func (d *deployment) rebuild() {
 	d.targets = map[string]fleet.Target{}
 	byService := map[string][]fleet.Target{}
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -136,7 +136,7 @@
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	c.t.Cleanup(link.Close)
 	s := &edge.Settings{
-		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Region: regions[dataCentres[i%3]], Regions: regions,
+		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Regions: regions,
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, PeerAddress: "127.0.0.1:0",
 		StoreAddress: link.Address(), Grace: 8 * time.Second, TargetDrain: 2500 * time.Millisecond, Lease: 3 * time.Second, Settle: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
--- a/internal/frontend/attempt.go
+++ b/internal/frontend/attempt.go
@@ -8,6 +8,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/target"
 	"cicadaslip/internal/timeline"
 )
@@ -121,7 +122,7 @@
 		}
 		s.log.Warn().Str("request", string(permit.Request)).Str("target", permit.Target.Name).
 			Uint64("epoch", uint64(permit.Epoch)).Err(err).Msg("cancellation is not confirmed")
-		sleep(s.stop, s.jitter.spread(delay))
+		pause.For(s.stop, s.jitter.spread(delay))
 		delay = min(delay*2, s.limits.CancelRetryMax)
 	}
 }
--- a/internal/frontend/once.go
+++ b/internal/frontend/once.go
@@ -9,6 +9,7 @@
 	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
 )
@@ -159,7 +160,7 @@
 			s.notSent(c, id, failure, answer)
 			return
 		}
-		sleep(wait, s.jitter.spread(s.limits.RetryDelay))
+		pause.For(wait, s.jitter.spread(s.limits.RetryDelay))
 		var refused *errs.Error
 		if permit, asked, refused = s.acquireService(wait, c); refused != nil {
 			s.notSent(c, id, refused, answer)
@@ -218,7 +219,7 @@
 			return
 		}
 		s.log.Warn().Err(err).Msg("journal write failed")
-		sleep(s.stop, s.jitter.spread(delay))
+		pause.For(s.stop, s.jitter.spread(delay))
 	}
 }
 
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/target"
 	"cicadaslip/internal/timeline"
@@ -73,7 +74,7 @@
 		if !retry || work.Err() != nil || !s.retries.take() {
 			return failure.WithRan(c.ran)
 		}
-		sleep(work, s.jitter.spread(s.limits.RetryDelay))
+		pause.For(work, s.jitter.spread(s.limits.RetryDelay))
 	}
 }
 
--- a/internal/frontend/watch.go
+++ b/internal/frontend/watch.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -77,13 +76,3 @@
 }
 
 func (w *watch) stop() { close(w.end) }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -118,7 +119,7 @@
 		return errs.NotRun(errs.NotReady, "no configuration is known yet").WithRetry(time.Second)
 	}
 	c.version = routes.Config.Version
-	path, _, _ := cut(c.uri, '?')
+	path, _, _ := strings.Cut(c.uri, "?")
 	if c.route = routes.Match(fields.Get("Host"), path); c.route == nil {
 		return errs.New(errs.NotFound, "no route matches the host and path")
 	}
@@ -140,15 +141,6 @@
 	}
 }
 
-func cut(s string, at byte) (before, after string, found bool) {
-	for i := range len(s) {
-		if s[i] == at {
-			return s[:i], s[i+1:], true
-		}
-	}
-	return s, "", false
-}
-
 // timeLeft is the time until the request is given up.
 func (c *call) timeLeft() time.Duration { return time.Until(c.end) }
 
@@ -191,7 +183,7 @@
 	a.TimeLeft = c.timeLeft()
 	fields := make(httpfields.List, 0, len(c.fields)+6)
 	for _, f := range c.fields {
-		if a.ResumeAfter > 0 && equalFold(f.Name, "Last-Event-Id") {
+		if a.ResumeAfter > 0 && strings.EqualFold(f.Name, "Last-Event-Id") {
 			continue
 		}
 		fields = append(fields, f)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"cicadaslip/internal/balance"
@@ -11,8 +10,6 @@
 	"cicadaslip/internal/upstream"
 )
 
-func equalFold(a, b string) bool { return strings.EqualFold(a, b) }
-
 const (
 	// hedgeFactor is the multiple of the usual time of an answer after which a
 	// second target is asked, if the request may be repeated.
--- a/internal/group/record.go
+++ b/internal/group/record.go
@@ -9,6 +9,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/pause"
 )
 
 // KeyPrefix is the store prefix of the groups' records.
@@ -131,7 +132,7 @@
 		case !errs.Is(err, errs.StoreUnavailable):
 			return objectstore.Object{}, err
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, retryPause) {
 			return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "group record write not confirmed")
 		}
 	}
@@ -160,19 +161,8 @@
 			}
 			return objectstore.Object{}, errs.New(errs.NotOwner, "group was taken over by "+record.Owner.VM)
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, retryPause) {
 			return objectstore.Object{}, errs.New(errs.StoreAmbiguous, "group record not read back")
 		}
 	}
 }
-
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -10,6 +10,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/placer"
 )
 
@@ -71,7 +72,7 @@
 		if time.Since(began) > ownerWait || ctx.Err() != nil {
 			return gateway.Lease{}, errs.NotRun(errs.NotOwner, "no owner of the service's targets answers").WithRetry(ownerlessRetry)
 		}
-		sleep(ctx, ownerPoll)
+		pause.For(ctx, ownerPoll)
 	}
 }
 
@@ -108,15 +109,6 @@
 	return gateway.Lease{}, failure
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func unreachable(e *errs.Error) bool {
 	return e.Code == errs.NotOwner || e.Code == errs.PeerUnavailable || e.Code == errs.Timeout || e.Code == errs.Draining
 }
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -203,10 +203,9 @@
 // object has not changed.
 func (g *group) act(ctx context.Context, action tenure.Action) {
 	g.mu.Lock()
-	former, _ := g.tenure.Record()
+	former, exists := g.tenure.Record()
 	record := g.tenure.Apply(action, g.m.opt.Address)
 	version := g.version
-	_, exists := g.tenure.Record()
 	if action == tenure.Release {
 		g.halted = true
 	}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -245,11 +245,7 @@
 		return
 	}
 	m.mu.Lock()
-	g := m.groups[groupOf(o.Key)]
-	if g == nil {
-		g = newGroup(m, groupOf(o.Key))
-		m.groups[g.name] = g
-	}
+	g := m.group(groupOf(o.Key))
 	m.mu.Unlock()
 	g.setRecord(r, o.Version)
 }
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -8,6 +8,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/rpcapi"
 )
 
@@ -132,14 +133,7 @@
 
 // sleep waits between half of d and d. It reports false when ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, d/2+rand.N(d/2+1))
 }
 
 // once makes one attempt and tells whether it was sent.
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -11,6 +11,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/pause"
 )
 
 const (
@@ -108,7 +109,7 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		if listed && f.Active != nil && !f.Active() {
-			sleep(ctx, idlePoll)
+			pause.For(ctx, idlePoll)
 			continue
 		}
 		var err error
@@ -135,7 +136,7 @@
 			listed = false
 			continue
 		}
-		sleep(ctx, retry/2+rand.N(retry))
+		pause.For(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, longestRetry)
 	}
 }
@@ -212,18 +213,9 @@
 		f.mu.Lock()
 		f.reached = max(f.reached, changes.Revision)
 		f.mu.Unlock()
-		sleep(ctx, f.Pause)
+		pause.For(ctx, f.Pause)
 	} else if time.Since(began) < quickFailure {
-		sleep(ctx, firstRetry)
+		pause.For(ctx, firstRetry)
 	}
 	return changes.Revision, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/policy/routing"
 	"cicadaslip/internal/rpcapi"
 	"cicadaslip/internal/timeline"
@@ -90,7 +91,7 @@
 		if errs.Is(err, errs.AdapterNotResident) {
 			continue // resident elsewhere: rank again at once
 		}
-		if !sleep(ctx, noOwnerPause) {
+		if !pause.For(ctx, noOwnerPause) {
 			break
 		}
 	}
@@ -231,14 +232,3 @@
 	b.returns.add(returned{group: permit.Group, epoch: permit.Epoch, release: &release})
 	b.holdings.Drop(permit.Request)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -202,16 +203,7 @@
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b *heldRow) int {
-		if a.adapter.Model != b.adapter.Model {
-			if a.adapter.Model < b.adapter.Model {
-				return -1
-			}
-			return 1
-		}
-		if a.adapter.Name < b.adapter.Name {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.adapter.Model, b.adapter.Model), cmp.Compare(a.adapter.Name, b.adapter.Name))
 	})
 	return rows
 }
--- a/internal/placer/tables.go
+++ b/internal/placer/tables.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"slices"
+
 	"cicadaslip/internal/fleet"
 )
 
@@ -147,19 +149,9 @@
 }
 
 func (r *recentAdapters) remove(a Adapter) {
-	for i, known := range r.order {
-		if known == a {
-			r.order = append(r.order[:i], r.order[i+1:]...)
-			return
-		}
+	if i := slices.Index(r.order, a); i >= 0 {
+		r.order = slices.Delete(r.order, i, i+1)
 	}
 }
 
-func (r *recentAdapters) has(a Adapter) bool {
-	for _, known := range r.order {
-		if known == a {
-			return true
-		}
-	}
-	return false
-}
+func (r *recentAdapters) has(a Adapter) bool { return slices.Contains(r.order, a) }
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -7,6 +7,7 @@
 	"cicadaslip/internal/core"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/pause"
 )
 
 // Call is one attempt to have an answer generated.
@@ -59,7 +60,7 @@
 	s := &stream{client: c, call: call, sink: sink, began: time.Now()}
 	failure := s.dispatch(ctx)
 	for failure != nil && s.resumable(ctx, failure) {
-		if !pause(ctx, s.grown(c.cfg.ResumeDelay)) {
+		if !pause.For(ctx, s.grown(c.cfg.ResumeDelay)) {
 			break
 		}
 		failure = s.resume(ctx)
@@ -187,14 +188,3 @@
 func (s *stream) grown(d time.Duration) time.Duration {
 	return d << min(s.fruitless, maxDoublings)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
