fleet, edge: Order news of the deployment by the store's revisions

(1) A VM that had lost the store once kept its flag "outage" when it followed an owner again, so it kept every target that others saw go; as the next owner it told the others its whole old table, which replaced their newer one ("target_up" from "relay" for a target that was gone). (2) A deputy counted a push as delivered when it was sent, so what was lost with a call was never told again. On the grown site targets went up and down by turns as VMs followed one owner after the other.

Change: each row of a target carries the revision of the store at which it last changed, removals too; a VM asks for what has changed after the revision that it knows, any owner answers, and older rows and tables are ignored. Counters per feed, the choice of one feed and the places of pushes are gone. A watch goes on from what others have told. Lines target_up, target_leaving, target_gone, target_restarted with their source.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -59,7 +59,7 @@
 	health   storeHealth
 	metrics  *metrics.Registry
 	upstream *upstream.Client
-	feed     *feed
+	config   configPlace
 
 	requestLines sampler
 	grantLines   sampler
@@ -91,7 +91,6 @@
 	d := &Daemon{settings: s, log: log, start: time.Now(), kinds: ports.Kinds, store: ports.Store, versions: newVersionTable(), metrics: metrics.With(metrics.EdgeDefinitions), followers: map[string]*kindwatch.Follower{}}
 	d.health.changed = d.storeChanged
 	incarnation := uint64(time.Now().UnixNano())
-	d.feed = newFeed(incarnation)
 	clock := timeline.NewClock(time.Now)
 	d.log = log.Hook(stampHook{clock})
 	d.peers = peer.NewClient(nil, clock, peer.ClientSettings{
@@ -107,7 +106,8 @@
 	})
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peers,
-		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw, Follows: d.relay.follows, Feed: d.relay.followed, News: d.applyNews, Push: d.push, Config: d.configVersion, NoteConfig: d.noteConfig,
+		Observer: ownerObserver{d}, Target: d.target, Seen: d.seen, OthersSaw: d.othersSaw,
+		Known: d.known, Push: d.push, Told: d.ownerTold, Config: d.configVersion,
 		Version: d.versions.required,
 	})
 	d.upstream = &upstream.Client{Dial: ports.Dial}
@@ -170,9 +170,6 @@
 	return nil
 }
 
-// noteConfig enters the version that is in force at another VM.
-func (d *Daemon) noteConfig(version uint64) { d.relay.noteConfig(d.configVersion(), version) }
-
 func (d *Daemon) goRun(f func()) {
 	d.background.Add(1)
 	go func() {
@@ -200,10 +197,17 @@
 	d.peers.Close()
 }
 
+// Sources of what a VM believes of the deployment, as the log names them.
+const (
+	sourceStore  = "store"
+	sourceRelay  = "relay"
+	sourceLapsed = "lapsed" // the time for which a missing target is kept is over
+)
+
 // fleetChanged hands the targets and services to the groups.
-func (d *Daemon) fleetChanged() {
+func (d *Daemon) fleetChanged(source string) {
+	d.logTargets(source)
 	services, targets := d.deployment.services()
-	d.feed.setTargets(targets)
 	d.groups.SetFleet(services, targets)
 	for a, version := range d.versions.all() {
 		d.groups.SetVersion(a, version)
@@ -221,7 +225,7 @@
 		case <-ticker.C:
 		}
 		if d.deployment.settle() {
-			d.fleetChanged()
+			d.fleetChanged(sourceLapsed)
 		}
 	}
 }
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -35,4 +35,5 @@
 	fieldSilence      = "silence_ms"
 	fieldGone         = "caller_left"
 	fieldStamp        = "stamp"
+	fieldBorn         = "born"
 )
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -4,78 +4,64 @@
 	"sync"
 	"time"
 
-	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
 )
 
 const (
-	// feedAge is the time without news from another VM after which this one follows
-	// the store itself.
-	feedAge = 1200 * time.Millisecond
-	// feedPause is the time between questions to owners that are not followed yet.
-	feedPause = 300 * time.Millisecond
+	// newsAge is the time without news from an owner after which this VM follows the
+	// store itself.
+	newsAge = 1200 * time.Millisecond
 	// behindLimit is the time for which another VM may have a newer configuration
 	// before this one follows the store itself.
 	behindLimit = 500 * time.Millisecond
 )
 
-// relay follows the feed of an owner. Owners and their deputies follow the store,
-// so that the calls to it do not grow with the VMs.
+// relay decides whether this VM relies on what owners of groups tell. Owners and
+// their deputies follow the store, so that the calls to it do not grow with the VMs.
 type relay struct {
 	mu      sync.Mutex
-	source  uint64
-	counter uint64
-	from    string // owner that is followed
 	heardAt time.Time
-	askedAt time.Time
 	deputy  bool
-	pushed  map[string]uint64 // place in this VM's own feed that an owner was told
-	behind  time.Time         // since when another VM has a newer configuration
+	behind  time.Time                  // since when another VM has a newer configuration
+	places  map[string]grouprpc.Places // what owners know
 }
 
-// followed returns the place in an owner's feed if that owner is to be asked. A new
-// one is chosen when the present one is silent or blind, one at a time, because its
-// first answer is long.
-func (r *relay) followed(owner string) (grouprpc.FeedRequest, bool) {
+// heard enters that an owner has told news, and what it knows.
+func (r *relay) heard(owner string, deputy bool, places grouprpc.Places) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.from != owner {
-		if time.Since(r.heardAt) < feedAge || time.Since(r.askedAt) < feedPause {
-			return grouprpc.FeedRequest{}, false
-		}
-		r.from = owner
-	}
-	r.askedAt = time.Now()
-	return grouprpc.FeedRequest{Source: r.source, Counter: r.counter}, true
+	r.heardAt, r.deputy = time.Now(), deputy
+	r.know(owner, places)
 }
 
-// blind enters that the owner that was asked cannot reach the store. The next one is
-// asked at once.
-func (r *relay) blind() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.from, r.askedAt = "", time.Time{}
+// know enters what an owner knows. The caller holds the lock.
+func (r *relay) know(owner string, places grouprpc.Places) {
+	if r.places == nil {
+		r.places = map[string]grouprpc.Places{}
+	}
+	r.places[owner] = places
 }
 
-// follows reports whether an owner's feed is followed.
-func (r *relay) follows(owner string) bool {
+// blind enters what an owner knows that cannot reach the store.
+func (r *relay) blind(owner string, places grouprpc.Places) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.from == owner
+	r.know(owner, places)
 }
 
-// heard enters an answer with news.
-func (r *relay) heard(n *grouprpc.News) {
+// placesOf returns what an owner knows, if it has told.
+func (r *relay) placesOf(owner string) (grouprpc.Places, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.source, r.counter, r.heardAt, r.deputy = n.Source, n.Counter, time.Now(), n.Deputy
+	places, told := r.places[owner]
+	return places, told
 }
 
-// fresh reports whether the feed is followed, so that the store need not be.
+// fresh reports whether owners tell news, so that the store need not be followed.
 func (r *relay) fresh() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.heardAt) < feedAge && !r.deputy
+	return time.Since(r.heardAt) < newsAge && !r.deputy
 }
 
 // age returns the milliseconds since the last news, -1 if there were none.
@@ -96,7 +82,7 @@
 }
 
 // noteConfig compares the configuration in force with that of another VM. If that
-// is newer for a while, the feed is not to be trusted.
+// is newer for a while, the news are not to be relied on.
 func (r *relay) noteConfig(own, other uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -113,20 +99,36 @@
 // followsStore reports whether this VM follows the store itself.
 func (d *Daemon) followsStore() bool { return d.groups.OwnsAny() || !d.relay.fresh() }
 
+// known returns what this VM knows of the deployment.
+func (d *Daemon) known() grouprpc.Places {
+	return grouprpc.Places{
+		Config: d.config.known(), Targets: d.deployment.knownTargets(), Versions: d.versions.known(),
+	}
+}
+
+// newsFor returns what a VM that knows something of the deployment has to be told.
+func (d *Daemon) newsFor(known grouprpc.Places) grouprpc.News {
+	if d.health.blind() {
+		return grouprpc.News{}
+	}
+	return grouprpc.News{
+		Told: true, Config: d.config.since(known.Config), Targets: d.deployment.targetsSince(known.Targets),
+		Versions: d.versions.since(known.Versions),
+	}
+}
+
 // push returns what a deputy or another owner tells an owner, so that the owner stays
 // up to date when only it does not reach the store.
 func (d *Daemon) push(owner string) *grouprpc.News {
-	if !d.relay.isDeputy() && !d.groups.OwnsAny() || d.health.blind() {
+	places, told := d.relay.placesOf(owner)
+	if !told || !d.relay.isDeputy() && !d.groups.OwnsAny() {
 		return nil
 	}
-	d.relay.mu.Lock()
-	defer d.relay.mu.Unlock()
-	if d.relay.pushed == nil {
-		d.relay.pushed = map[string]uint64{}
+	news := d.newsFor(places)
+	if len(news.Config.Value)+len(news.Targets.Rows)+len(news.Versions.Rows) == 0 {
+		return nil
 	}
-	n := d.feed.since(d.feed.source, d.relay.pushed[owner])
-	d.relay.pushed[owner] = n.Counter
-	return &n
+	return &news
 }
 
 // configVersion returns the version of the configuration in force.
@@ -137,51 +139,28 @@
 	return 0
 }
 
-// applyNews enters what an owner has told. An owner that cannot reach the store is
-// not followed.
-func (d *Daemon) applyNews(n *grouprpc.News) {
-	if n.Source == 0 {
-		return
-	}
-	if n.Blind {
-		d.relay.blind()
+// ownerTold enters what an owner has told.
+func (d *Daemon) ownerTold(owner string, reply *grouprpc.SyncReply) {
+	d.relay.noteConfig(d.configVersion(), reply.Config)
+	if !reply.News.Told {
+		d.relay.blind(owner, reply.Known)
 		return
 	}
-	d.relay.heard(n)
-	d.enterNews(n, n.Full)
+	d.relay.heard(owner, reply.News.Deputy, reply.Known)
+	d.enterNews(&reply.News)
 }
 
-// enterNews enters what another VM knows; if it is all, in place of what this one
-// knows.
-func (d *Daemon) enterNews(n *grouprpc.News, all bool) {
-	if len(n.Config) > 0 {
-		d.applyConfig(n.Config, "relay")
+// enterNews enters what another VM knows.
+func (d *Daemon) enterNews(n *grouprpc.News) {
+	if len(n.Config.Value) > 0 {
+		d.applyConfig(n.Config.Value, n.Config.Revision, sourceRelay)
 	}
-	if all || len(n.Targets)+len(n.Gone) > 0 {
-		d.deployment.change(func(r *fleet.Registry, now time.Time) {
-			if all {
-				r.Replace(now, n.Targets)
-				d.deployment.listed = true
-				return
-			}
-			for _, t := range n.Targets {
-				r.Put(t)
-			}
-			for _, id := range n.Gone {
-				r.Remove(now, id)
-			}
-		})
-		d.fleetChanged()
+	d.config.reached(n.Config.Since, n.Config.AsOf)
+	if d.deployment.apply(n.Targets) {
+		d.fleetChanged(sourceRelay)
 	}
-	for _, v := range n.Versions {
-		d.setVersion(v.Adapter, v.Version)
-	}
-}
-
-// news answers a VM that follows this one.
-func (d *Daemon) news(r grouprpc.FeedRequest) grouprpc.News {
-	if d.health.blind() {
-		return grouprpc.News{Source: d.feed.source, Blind: true}
+	for _, v := range n.Versions.Rows {
+		d.setVersion(v)
 	}
-	return d.feed.since(r.Source, r.Counter)
+	d.versions.reached(n.Versions.Since, n.Versions.AsOf)
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -27,14 +27,14 @@
 // Sync implements grouprpc.SyncMethod.
 func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) error {
 	s.d.othersSaw(request.Seen)
-	s.d.noteConfig(request.Config)
+	s.d.relay.noteConfig(s.d.configVersion(), request.Config)
 	if request.Push != nil {
-		s.d.enterNews(request.Push, false)
+		s.d.enterNews(request.Push)
 	}
 	*reply = s.d.groups.Sync(request)
-	reply.Seen, reply.Config = s.d.seen(), s.d.configVersion()
-	if request.Feed != nil && !reply.NotOwner {
-		reply.News = s.d.news(*request.Feed)
+	reply.Seen, reply.Config, reply.Known = s.d.seen(), s.d.configVersion(), s.d.known()
+	if !reply.NotOwner {
+		reply.News = s.d.newsFor(request.Known)
 		reply.News.Deputy = s.d.groups.Deputy(request.Group, request.VM)
 	}
 	return nil
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/placer"
 )
 
@@ -15,26 +16,57 @@
 type versionTable struct {
 	mu   sync.Mutex
 	rows map[placer.Adapter]announced
+	asOf int64 // revision of the store up to which all announcements are known
 }
 
 type announced struct {
-	version int64
-	at      time.Time
+	version  int64
+	revision int64
+	at       time.Time
 }
 
 func newVersionTable() *versionTable { return &versionTable{rows: map[placer.Adapter]announced{}} }
 
 // set enters an announcement. It reports whether it is news.
-func (t *versionTable) set(a placer.Adapter, version int64) bool {
+func (t *versionTable) set(v grouprpc.AdapterVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version <= t.rows[a].version {
+	if v.Version <= t.rows[v.Adapter].version {
 		return false
 	}
-	t.rows[a] = announced{version: version, at: time.Now()}
+	t.rows[v.Adapter] = announced{version: v.Version, revision: v.Revision, at: time.Now()}
 	return true
 }
 
+// reached tells that all announcements between two revisions are entered.
+func (t *versionTable) reached(since, asOf int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if since <= t.asOf {
+		t.asOf = max(t.asOf, asOf)
+	}
+}
+
+// known returns the revision up to which all announcements are known.
+func (t *versionTable) known() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asOf
+}
+
+// since returns what a VM that knows all up to a revision has to be told.
+func (t *versionTable) since(revision int64) grouprpc.VersionNews {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := grouprpc.VersionNews{Since: revision, AsOf: t.asOf}
+	for a, row := range t.rows {
+		if row.revision > revision {
+			news.Rows = append(news.Rows, grouprpc.AdapterVersion{Adapter: a, Version: row.version, Revision: row.revision})
+		}
+	}
+	return news
+}
+
 // required returns the oldest version that may be used, 0 if any.
 func (t *versionTable) required(a placer.Adapter) int64 {
 	t.mu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -25,8 +25,10 @@
 
 	mu        sync.Mutex
 	registry  *fleet.Registry
+	settledAt time.Time // of the last look for missing targets whose time is over
 	listed    bool
 	targets   map[string]fleet.Target
+	changes   []targetChange                 // since they were last taken
 	balancers map[string]*balance.Balancer   // by plain service
 	budgets   map[string]*retrybudget.Budget // by service
 }
@@ -64,6 +66,20 @@
 	d.rebuild()
 }
 
+// apply enters what another VM knows of the targets. It reports whether that may
+// change the table.
+func (d *deployment) apply(c fleet.Changes) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Apply(time.Now(), c)
+	if !c.Full && len(c.Rows) == 0 {
+		return false
+	}
+	d.listed = d.listed || c.Full
+	d.rebuild()
+	return true
+}
+
 // isListed reports whether the whole list of targets was read once.
 func (d *deployment) isListed() bool {
 	d.mu.Lock()
@@ -71,25 +87,50 @@
 	return d.listed
 }
 
-// settle drops missing targets whose time is over. It reports whether some are
-// still or were until now.
+// reachedTargets tells that all changes of targets up to a revision are entered.
+func (d *deployment) reachedTargets(revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Reached(revision)
+}
+
+// knownTargets returns the revision of the store up to which all changes of targets
+// are known.
+func (d *deployment) knownTargets() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.AsOf()
+}
+
+// targetsSince returns what a VM that knows all up to a revision has to be told.
+func (d *deployment) targetsSince(revision int64) fleet.Changes {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Since(time.Now(), revision)
+}
+
+// settle drops missing targets whose time is over. It reports whether there were
+// some at its last call.
 func (d *deployment) settle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.registry.Settling() {
-		return false
+	kept := d.registry.Settling(d.settledAt)
+	d.settledAt = time.Now()
+	if kept {
+		d.rebuild()
 	}
-	d.rebuild()
-	return true
+	return kept
 }
 
 func (d *deployment) rebuild() {
+	before := d.targets
 	d.targets = map[string]fleet.Target{}
 	byService := map[string][]fleet.Target{}
 	for _, t := range d.registry.Targets(time.Now()) {
 		d.targets[t.ID] = t
 		byService[t.Service] = append(byService[t.Service], t)
 	}
+	d.changes = append(d.changes, compareTargets(before, d.targets)...)
 	for service := range byService {
 		d.balancer(service)
 	}
@@ -107,6 +148,15 @@
 	return b
 }
 
+// takeChanges returns the changes of the targets since the last call.
+func (d *deployment) takeChanges() []targetChange {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.changes
+	d.changes = nil
+	return changes
+}
+
 // services returns the services in force and the present targets.
 func (d *deployment) services() (map[string]fleet.Service, []fleet.Target) {
 	d.mu.Lock()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -8,6 +8,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
 	"cicadaslip/internal/kindwatch"
 	"cicadaslip/internal/metrics"
@@ -94,15 +95,18 @@
 			d.goRun(func() { f.Run(ctx) })
 		}
 	}()
-	follow(d.kinds.Config, configPause, d.each(d.kinds.Config, d.enterConfig))
+	follow(d.kinds.Config, configPause, d.each(d.kinds.Config, d.enterConfig, d.config.reached))
 	follow(d.kinds.Targets, d.settings.TargetDrain/2-relayTime, &targetHandler{d: d})
-	follow(d.kinds.Versions, versionPause, d.each(d.kinds.Versions, d.enterVersion))
+	follow(d.kinds.Versions, versionPause, d.each(d.kinds.Versions, d.enterVersion, d.versions.reached))
 	follow(groupserver.Kind, groupPause, &groupHandler{d})
+	d.followers[d.kinds.Config].Known = d.config.known
+	d.followers[d.kinds.Targets].Known = d.deployment.knownTargets
+	d.followers[d.kinds.Versions].Known = d.versions.known
 }
 
 // each returns a handler of a kind whose objects are entered one by one.
-func (d *Daemon) each(kind string, enter func(objectstore.Object)) kindwatch.Handler {
-	return &eachObject{enter: enter, reached: func(err error) { d.reached(kind, err) }}
+func (d *Daemon) each(kind string, enter func(objectstore.Object), known func(since, asOf int64)) kindwatch.Handler {
+	return &eachObject{enter: enter, known: known, reached: func(err error) { d.reached(kind, err) }}
 }
 
 // seen returns the newest revision of each kind that this VM has seen.
@@ -144,23 +148,26 @@
 // It implements kindwatch.Handler.
 type eachObject struct {
 	enter   func(objectstore.Object)
+	known   func(since, asOf int64)
 	reached func(error)
 }
 
 // Replace implements kindwatch.Handler.
-func (h *eachObject) Replace(objects []objectstore.Object) {
+func (h *eachObject) Replace(objects []objectstore.Object, revision int64) {
 	for _, o := range objects {
 		h.enter(o)
 	}
+	h.known(0, revision)
 }
 
 // Change implements kindwatch.Handler.
-func (h *eachObject) Change(changes []objectstore.Change) {
+func (h *eachObject) Change(changes []objectstore.Change, revision int64) {
 	for _, c := range changes {
 		if !c.Deleted {
 			h.enter(c.Object)
 		}
 	}
+	h.known(0, revision)
 }
 
 // Reached implements kindwatch.Handler.
@@ -168,24 +175,24 @@
 
 func (d *Daemon) enterConfig(o objectstore.Object) {
 	if o.Key == d.kinds.Main {
-		d.applyConfig(o.Value, "store")
+		d.applyConfig(o.Value, o.Revision, sourceStore)
 	}
 }
 
 // applyConfig puts a configuration into force.
-func (d *Daemon) applyConfig(value []byte, source string) {
+func (d *Daemon) applyConfig(value []byte, revision int64, source string) {
 	c, err := d.kinds.DecodeConfig(value)
 	if err != nil {
 		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
 		return
 	}
+	d.config.set(value, revision)
 	if !d.deployment.setConfig(c) {
 		return
 	}
-	d.feed.setConfig(value)
 	d.log.Info().Str(fieldEvent, "config_in_force").Uint64(fieldConfig, c.Version).Str(fieldSource, source).
 		Int(fieldCount, len(c.Routes)).Send()
-	d.fleetChanged()
+	d.fleetChanged(source)
 }
 
 type targetHandler struct {
@@ -194,45 +201,48 @@
 }
 
 // Replace implements kindwatch.Handler.
-func (h *targetHandler) Replace(objects []objectstore.Object) {
-	var targets []fleet.Target
+func (h *targetHandler) Replace(objects []objectstore.Object, revision int64) {
+	var targets []fleet.Described
 	for _, o := range objects {
 		if t, ok := h.decode(o); ok {
 			targets = append(targets, t)
 		}
 	}
 	h.d.deployment.change(func(r *fleet.Registry, now time.Time) {
-		r.SetOutage(now, false)
-		r.Replace(now, targets)
+		r.Replace(now, targets, revision)
 		h.d.deployment.listed = true
 	})
-	h.d.fleetChanged()
+	h.d.fleetChanged(sourceStore)
 }
 
 // Change implements kindwatch.Handler.
-func (h *targetHandler) Change(changes []objectstore.Change) {
+func (h *targetHandler) Change(changes []objectstore.Change, revision int64) {
+	if len(changes) == 0 {
+		h.d.deployment.reachedTargets(revision)
+		return
+	}
 	h.d.deployment.change(func(r *fleet.Registry, now time.Time) {
 		for _, c := range changes {
-			id := nameOf(c.Object.Key)
 			if c.Deleted {
-				r.Remove(now, id)
+				r.Remove(now, nameOf(c.Object.Key), revision)
 				continue
 			}
 			if t, ok := h.decode(c.Object); ok {
 				r.Put(t)
 			}
 		}
+		r.Reached(revision)
 	})
-	h.d.fleetChanged()
+	h.d.fleetChanged(sourceStore)
 }
 
-func (h *targetHandler) decode(o objectstore.Object) (fleet.Target, bool) {
+func (h *targetHandler) decode(o objectstore.Object) (fleet.Described, bool) {
 	t, err := h.d.kinds.DecodeTarget(nameOf(o.Key), o.Value)
 	if err != nil {
 		h.d.log.Warn().Err(err).Str(fieldEvent, "target_ignored").Str(fieldTarget, nameOf(o.Key)).Send()
-		return t, false
+		return fleet.Described{}, false
 	}
-	return t, true
+	return fleet.Described{Target: t, Revision: o.Revision}, true
 }
 
 // Reached implements kindwatch.Handler.
@@ -256,26 +266,25 @@
 		d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
 		return
 	}
-	d.setVersion(a, version)
+	d.setVersion(grouprpc.AdapterVersion{Adapter: a, Version: version, Revision: o.Revision})
 }
 
 // setVersion enters an announced version of an adapter.
-func (d *Daemon) setVersion(a placer.Adapter, version int64) {
-	if !d.versions.set(a, version) {
+func (d *Daemon) setVersion(v grouprpc.AdapterVersion) {
+	if !d.versions.set(v) {
 		return
 	}
-	d.log.Info().Str(fieldEvent, "adapter_version").Str(fieldAdapter, a.Name).Int64(fieldVersion, version).Send()
-	d.feed.setVersion(a, version)
-	d.groups.SetVersion(a, version)
+	d.log.Info().Str(fieldEvent, "adapter_version").Str(fieldAdapter, v.Adapter.Name).Int64(fieldVersion, v.Version).Send()
+	d.groups.SetVersion(v.Adapter, v.Version)
 }
 
 type groupHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
-func (h *groupHandler) Replace(objects []objectstore.Object) { h.d.groups.Replace(objects) }
+func (h *groupHandler) Replace(objects []objectstore.Object, _ int64) { h.d.groups.Replace(objects) }
 
 // Change implements kindwatch.Handler.
-func (h *groupHandler) Change(changes []objectstore.Change) { h.d.groups.Change(changes) }
+func (h *groupHandler) Change(changes []objectstore.Change, _ int64) { h.d.groups.Change(changes) }
 
 // Reached implements kindwatch.Handler.
 func (h *groupHandler) Reached(err error) { h.d.reached(groupserver.Kind, err) }
--- a/internal/edgetest/trouble_test.go
+++ b/internal/edgetest/trouble_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -274,3 +275,27 @@
 	}
 	c.g.Eventually(v.done).WithTimeout(9 * time.Second).Should(gomega.BeClosed())
 }
+
+// Guards against a VM that lost the store as an owner, follows another one since, and
+// goes on to use targets that have left meanwhile.
+func TestAFormerOwnerForgetsRemovedTargets(t *testing.T) {
+	c := start(t, 7)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	former := c.owner()
+	former.link.Set(true, false, 0)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.Or(gomega.BeNil(), gomega.BeIdenticalTo(former)))
+	time.Sleep(1500 * time.Millisecond) // the former owner follows the next one
+	former.link.Set(false, false, 0)
+	former.link.Reset()
+	time.Sleep(time.Second)
+	nearest := c.apps[slices.Index(c.vms, former)%len(dataCentres)]
+	c.store.Remove("servers", nearest.Settings.ID) // it goes on serving
+	removed := time.Now()
+	for time.Since(removed) < drainBound+time.Second {
+		c.ask(former, request{path: booking + "x"})
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, r := range nearest.Runs() {
+		c.g.Expect(r.At.Sub(removed)).To(gomega.BeNumerically("<", drainBound))
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,8 +13,12 @@
 	return fleet.Target{ID: id, Service: "s", Born: born, Sequence: sequence, Leaving: leaving}
 }
 
+func described(t fleet.Target, revision int64) fleet.Described {
+	return fleet.Described{Target: t, Revision: revision}
+}
+
 func ids(targets []fleet.Target) []string {
-	var all []string
+	all := []string{}
 	for _, t := range targets {
 		all = append(all, t.ID)
 	}
@@ -27,13 +31,27 @@
 	g := gomega.NewWithT(t)
 	r := fleet.NewRegistry()
 	now := time.Unix(100, 0)
-	r.Put(target("a", 1, 5, true))
-	g.Expect(r.Put(target("a", 1, 4, false))).To(gomega.BeFalse())
-	r.Put(target("a", 1, 6, false))
+	r.Put(described(target("a", 1, 5, true), 1))
+	g.Expect(r.Put(described(target("a", 1, 4, false), 2))).To(gomega.BeFalse())
+	r.Put(described(target("a", 1, 6, false), 3))
 	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeTrue())
-	r.Put(target("a", 2, 1, false)) // started again under the same name
+	r.Put(described(target("a", 2, 1, false), 4)) // started again under the same name
 	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeFalse())
-	g.Expect(r.Put(target("a", 1, 9, true))).To(gomega.BeFalse())
+	g.Expect(r.Put(described(target("a", 1, 9, true), 5))).To(gomega.BeFalse())
+}
+
+// Guards against an old description that is written again after its target was
+// removed.
+func TestARemovedTargetIsNotBroughtBackByAnOldDescription(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := fleet.NewRegistry()
+	now := time.Unix(100, 0)
+	r.Put(described(target("a", 1, 5, false), 1))
+	r.Remove(now, "a", 2)
+	r.Put(described(target("a", 1, 3, false), 3))
+	g.Expect(r.Targets(now)).To(gomega.BeEmpty())
+	r.Put(described(target("a", 1, 6, false), 4))
+	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a"}))
 }
 
 // Guards against an outage of the store that empties the table of targets, and
@@ -42,17 +60,19 @@
 	g := gomega.NewWithT(t)
 	r := fleet.NewRegistry()
 	now := time.Unix(100, 0)
-	r.Replace(now, []fleet.Target{target("a", 1, 1, false), target("b", 1, 1, false), target("c", 1, 1, true)})
+	r.Replace(now, []fleet.Described{
+		described(target("a", 1, 1, false), 1), described(target("b", 1, 1, false), 2), described(target("c", 1, 1, true), 3),
+	}, 3)
 	r.SetOutage(now, true)
 	now = now.Add(10 * time.Second)
 	r.SetOutage(now, false)
-	r.Replace(now, nil)
+	r.Replace(now, nil, 9)
 	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a", "b"}), "the leaving target is gone at once")
-	r.Put(target("a", 1, 2, false))
+	r.Put(described(target("a", 1, 2, false), 10))
+	g.Expect(r.Settling(now)).To(gomega.BeTrue())
 	now = now.Add(3 * time.Second)
-	g.Expect(r.Settling()).To(gomega.BeTrue())
 	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a"}))
-	g.Expect(r.Settling()).To(gomega.BeFalse())
+	g.Expect(r.Settling(now)).To(gomega.BeFalse())
 }
 
 // Guards against a removal in calm times that is taken for an outage.
@@ -60,8 +80,8 @@
 	g := gomega.NewWithT(t)
 	r := fleet.NewRegistry()
 	now := time.Unix(100, 0)
-	r.Replace(now, []fleet.Target{target("a", 1, 1, false)})
-	r.Remove(now, "a")
+	r.Replace(now, []fleet.Described{described(target("a", 1, 1, false), 1)}, 1)
+	r.Remove(now, "a", 2)
 	g.Expect(r.Targets(now)).To(gomega.BeEmpty())
 }
 
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -68,16 +68,13 @@
 	// Seen and OthersSaw exchange the newest revisions of the store's objects.
 	Seen      func() map[string]int64
 	OthersSaw func(seen map[string]int64)
-	// Follows reports whether an owner's feed is followed, Feed returns the place in
-	// it, and News enters what the owner has told.
-	Follows func(owner string) bool
-	Feed    func(owner string) (grouprpc.FeedRequest, bool)
-	News    func(*grouprpc.News)
-	// Push returns what this VM tells an owner, Config the version in force here, and
-	// NoteConfig enters that of another VM.
-	Push       func(owner string) *grouprpc.News
-	Config     func() uint64
-	NoteConfig func(version uint64)
+	// Known returns what this VM knows of the deployment, Push what it tells an owner,
+	// and Told enters what an owner has told.
+	Known func() grouprpc.Places
+	Push  func(owner string) *grouprpc.News
+	Told  func(owner string, reply *grouprpc.SyncReply)
+	// Config returns the version of the configuration in force here.
+	Config func() uint64
 }
 
 // Client implements gateway.Placement. It is safe for concurrent use.
--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -50,14 +50,11 @@
 
 // period is the time between questions to one owner. With many groups each is
 // asked less often, so that the questions of all VMs grow slower than the groups.
-// The one that tells the changes of the deployment is asked often in any case.
+// Any owner tells the changes of the deployment.
 func (c *Client) period(o *ownerState) time.Duration {
 	if o.silent {
 		return syncPeriod
 	}
-	if c.opt.Follows(o.owner) {
-		return min(2, time.Duration(len(c.groups))) * syncPeriod
-	}
 	return syncPeriod * time.Duration(max(1, (len(c.groups)+1)/2))
 }
 
@@ -72,10 +69,7 @@
 	}
 	address, epoch, owner := o.address, o.epoch, o.owner
 	c.mu.Unlock()
-	if feed, followed := c.opt.Feed(owner); followed {
-		request.Feed = &feed
-	}
-	request.Push, request.Config = c.opt.Push(owner), c.opt.Config()
+	request.Known, request.Push, request.Config = c.opt.Known(), c.opt.Push(owner), c.opt.Config()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	var reply grouprpc.SyncReply
@@ -85,8 +79,7 @@
 		if reply.NotOwner {
 			c.opt.Groups.Learn(request.Group, reply.Record, reply.At)
 		} else {
-			c.opt.News(&reply.News)
-			c.opt.NoteConfig(reply.Config)
+			c.opt.Told(owner, &reply)
 		}
 	}
 	c.mu.Lock()
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -65,22 +65,23 @@
 // EventsReply says whether the VM that was told owns the group.
 type EventsReply struct{ NotOwner bool }
 
-// SyncRequest asks for news of a group.
+// SyncRequest asks for news of a group and of the deployment.
 type SyncRequest struct {
-	Feed   *FeedRequest // nil if the caller follows another VM
-	Held   []Held       // at the first call to an owner: what runs for the caller
-	Push   *News        // of a deputy
-	Config uint64       // version in force at the caller
 	Group  string
 	Epoch  int64 // newest that the caller knows
 	VM     string
 	Since  uint64           // version of the caller's view
+	Known  Places           // what the caller knows of the deployment
+	Config uint64           // version in force at the caller
+	Push   *News            // what the caller has read and the owner has not
+	Held   []Held           // at the first call to an owner: what runs for the caller
 	Seen   map[string]int64 // newest revisions of objects that the caller has seen, by kind
 }
 
 // SyncReply is the news.
 type SyncReply struct {
 	News     News
+	Known    Places // what the owner knows of the deployment
 	Config   uint64 // version in force at the owner
 	NotOwner bool
 	Record   tenure.Record // that the VM knows, if it is not the owner
@@ -106,29 +107,43 @@
 // AnnounceReply is empty.
 type AnnounceReply struct{}
 
-// FeedRequest asks for what has changed in the deployment.
-type FeedRequest struct {
-	Source  uint64 // incarnation of the VM that was followed, 0 if none
-	Counter uint64 // of its last news
+// Places are the revisions of the store up to which a VM knows each kind of the
+// deployment's objects, whoever has read them.
+type Places struct {
+	Config   int64
+	Targets  int64
+	Versions int64
 }
 
-// News is what a VM knows of the deployment and the caller does not.
+// News is what a VM knows of the deployment and another one does not.
 type News struct {
-	Source   uint64 // incarnation of the VM, 0 if it was not asked
-	Counter  uint64
-	Full     bool // replaces what the caller knows
-	Blind    bool // the VM cannot reach the store
+	Told     bool // an owner that cannot reach the store tells nothing
 	Deputy   bool // the caller follows the store besides the owner
-	Config   []byte
-	Targets  []fleet.Target
-	Gone     []string
-	Versions []AdapterVersion
+	Config   ConfigNews
+	Targets  fleet.Changes
+	Versions VersionNews
+}
+
+// ConfigNews is the configuration, if it has changed since the receiver's place.
+type ConfigNews struct {
+	Since    int64
+	AsOf     int64
+	Revision int64 // of the object
+	Value    []byte
+}
+
+// VersionNews are the versions of adapters announced after the receiver's place.
+type VersionNews struct {
+	Since int64
+	AsOf  int64
+	Rows  []AdapterVersion
 }
 
 // AdapterVersion is an announced version of an adapter.
 type AdapterVersion struct {
-	Adapter placer.Adapter
-	Version int64
+	Adapter  placer.Adapter
+	Version  int64
+	Revision int64 // of the store, at the announcement
 }
 
 // Held is a request that a VM runs on a target under an earlier owner's grant.
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -33,10 +33,10 @@
 
 // Handler takes what was read. Its methods are called from one goroutine.
 type Handler interface {
-	// Replace enters a whole list.
-	Replace(objects []objectstore.Object)
-	// Change enters changes in order.
-	Change(changes []objectstore.Change)
+	// Replace enters a whole list that was read at a revision.
+	Replace(objects []objectstore.Object, revision int64)
+	// Change enters changes in order, and the revision up to which they are complete.
+	Change(changes []objectstore.Change, revision int64)
 	// Reached tells of the result of a call to the store.
 	Reached(err error)
 }
@@ -54,6 +54,9 @@
 	// Active reports whether the kind is followed now; nil if always. The list is
 	// read once in any case.
 	Active func() bool
+	// Known returns the revision up to which this process knows all from others, so
+	// that the watch goes on from there; nil if it knows nothing from others.
+	Known func() int64
 
 	mu       sync.Mutex
 	newest   int64 // revision of the newest object seen
@@ -112,6 +115,9 @@
 			pause.For(ctx, idlePoll)
 			continue
 		}
+		if known := f.known(); known > revision {
+			revision, listed = known, true
+		}
 		var err error
 		call, cancel := context.WithCancel(ctx)
 		f.begin(cancel)
@@ -141,6 +147,13 @@
 	}
 }
 
+func (f *Follower) known() int64 {
+	if f.Known == nil {
+		return 0
+	}
+	return f.Known()
+}
+
 // list reads all pages. Changes between two pages are seen again by the watch,
 // which starts at the revision of the first.
 func (f *Follower) list(ctx context.Context) (int64, error) {
@@ -162,7 +175,7 @@
 		after = page.Objects[len(page.Objects)-1].Key
 	}
 	f.see(all)
-	f.Handler.Replace(all)
+	f.Handler.Replace(all, revision)
 	return revision, nil
 }
 
@@ -205,11 +218,11 @@
 	if err != nil {
 		return revision, err
 	}
+	for _, c := range changes.Changes {
+		f.see([]objectstore.Object{c.Object})
+	}
+	f.Handler.Change(changes.Changes, changes.Revision)
 	if len(changes.Changes) > 0 {
-		for _, c := range changes.Changes {
-			f.see([]objectstore.Object{c.Object})
-		}
-		f.Handler.Change(changes.Changes)
 		f.mu.Lock()
 		f.reached = max(f.reached, changes.Revision)
 		f.mu.Unlock()
