core: Refuse waiting requests at once when their last open target leaves

The group's targets are checked when a request arrives only, and a group without open targets is no candidate any more, so that the front end's look for a better group did not see it either.

Change: when the targets have changed, requests that no open target can serve are refused as not run with no_target, and their front ends ask another group.

Test: core TestRequestsWithoutAnOpenTargetAreRefusedAtOnce, failed first.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -22,6 +22,10 @@
 			c.refuse(c.requests[id], errs.NotRun(errs.Draining, "the owner of the target group is shutting down"))
 		}
 	}
+	if c.owner && c.targetsChanged {
+		c.targetsChanged = false
+		c.refuseImpossible()
+	}
 	throughput := 0.0
 	if len(c.arrivals) > 0 {
 		throughput = c.throughput()
@@ -38,9 +42,23 @@
 	}
 }
 
+// refuseImpossible refuses the requests that no target can serve any more, so that
+// their front ends ask another group.
+func (c *Core) refuseImpossible() {
+	for _, id := range sortedIDs(c.requests) {
+		if r := c.requests[id]; !c.possible(r) {
+			c.refuse(r, impossible())
+		}
+	}
+}
+
+func impossible() *errs.Error {
+	return errs.NotRun(errs.NoTarget, "no target of the group can serve the request")
+}
+
 func (c *Core) admit(now Time, r *requestRow, throughput float64) {
 	if !c.possible(r) {
-		c.refuse(r, errs.NotRun(errs.NoTarget, "no target of the group can serve the request"))
+		c.refuse(r, impossible())
 		return
 	}
 	org := r.lane.org
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,12 +56,13 @@
 	victims       []placement.Slot
 	scoredAt      Time
 
-	work        [2]float64 // queued work in token equivalents, short and long
-	concurrency int        // of the open runner targets
-	openTargets int        // open runner targets
-	indexes     int        // given to targets so far
-	freeIndexes []int      // of removed targets
-	sharesKnown bool
+	work           [2]float64 // queued work in token equivalents, short and long
+	concurrency    int        // of the open runner targets
+	openTargets    int        // open runner targets
+	targetsChanged bool       // since the waiting requests were compared with the targets
+	indexes        int        // given to targets so far
+	freeIndexes    []int      // of removed targets
+	sharesKnown    bool
 }
 
 var _ Decider = (*Core)(nil)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -126,6 +126,21 @@
 	g.Expect(refused[0].Err.Ran).To(gomega.Equal(errs.RanNo))
 }
 
+// Guards against a request that waits until its deadline for a load on a target that
+// has begun to leave (TestLeavingTargetGetsNoNewWork, riga/maker-3@v1 refused after
+// 30 s, while another group had its adapter).
+func TestRequestsWithoutAnOpenTargetAreRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDriver(runner("t1", 1))
+	d.step(core.TakenOver{Epoch: 1}, core.RequestQueued{Request: request("r1", adapterA)})
+	leaving := runner("t1", 1)
+	leaving.Leaving = true
+	refused := find[core.RefuseRequest](d.step(core.TargetsChanged{Targets: []model.Target{leaving}}))
+	g.Expect(refused).To(gomega.HaveLen(1))
+	g.Expect(refused[0].Err.Code).To(gomega.Equal(errs.NoTarget))
+	g.Expect(refused[0].Err.Ran).To(gomega.Equal(errs.RanNo))
+}
+
 // Guards against loads whose intents cannot be stored, and against resident
 // adapters that are not served during a store outage.
 func TestStoreOutageFreezesPlacementOnly(t *testing.T) {
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -20,6 +20,7 @@
 		c.addFormer(intent)
 	}
 	c.checkBarrier(now)
+	c.targetsChanged = true
 }
 
 // addVM enters a VM that must confirm the epoch. The former owner is among
--- a/internal/core/targets.go
+++ b/internal/core/targets.go
@@ -16,6 +16,7 @@
 		}
 	}
 	c.sumCapacity()
+	c.targetsChanged = true
 }
 
 // sumCapacity keeps the number of requests that the open runners serve.
