tenure: Take the pause after a lost group from the deployment's lease

Cause: Settings.Lease (lease_ms) was read by nothing; the pause was 3.5 s, so that owners took turns within the lease of a deployment with a longer one. Change: lease plus 0.5 s. Test: TestThePauseFollowsTheLease.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	d.groups = groupserver.New(groupserver.Options{
-		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Regions: s.Regions,
+		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Regions: s.Regions,
 		Store: ports.Store, Orders: ports.Orders, Observer: groupObserver{d},
 		Announce: d.announce, Settle: s.Settle, StoreFine: d.health.fine, StoreBlind: d.health.blind,
 	})
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -54,7 +54,7 @@
 
 func (g *group) self() tenure.Self {
 	return tenure.Self{
-		VM: g.m.opt.VM, Incarnation: g.m.opt.Incarnation, Jitter: g.m.jitter(g.name),
+		VM: g.m.opt.VM, Incarnation: g.m.opt.Incarnation, Jitter: g.m.jitter(g.name), Lease: g.m.opt.Lease,
 	}
 }
 
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -42,6 +42,7 @@
 	VM          string
 	Incarnation uint64
 	Address     string            // for peers
+	Lease       time.Duration     // in which two owners must not take turns, 0: the default
 	Regions     map[string]string // of data centres
 	Store       objectstore.Store
 	Orders      Orders
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -59,9 +59,11 @@
 	isolatedAfter = 2 * time.Second
 	// spread is the greatest part of each VM's own in a delay, so that few race.
 	spread = 700 * time.Millisecond
-	// lostPause is the time before a VM takes a group again that it lost. It is
-	// longer than a lease.
-	lostPause = 3500 * time.Millisecond
+	// leaseMargin is added to the lease before a VM takes a group again that it lost:
+	// an order takes some time to arrive.
+	leaseMargin = 500 * time.Millisecond
+	// DefaultLease is used where the deployment names none.
+	DefaultLease = 3 * time.Second
 	// blindWait is the time for which an owner cannot reach the store, while
 	// others can, before it is replaced.
 	blindWait = 300 * time.Millisecond
@@ -72,6 +74,8 @@
 	VM          string
 	Incarnation uint64
 	Jitter      float64 // 0 to 1, this VM's own for this group
+	// Lease is the time in which two owners must not take turns, default DefaultLease.
+	Lease time.Duration
 }
 
 // Machine follows one group. It is not safe for concurrent use.
@@ -96,7 +100,12 @@
 }
 
 // New returns a machine that knows nothing yet.
-func New(self Self) *Machine { return &Machine{self: self} }
+func New(self Self) *Machine {
+	if self.Lease <= 0 {
+		self.Lease = DefaultLease
+	}
+	return &Machine{self: self}
+}
 
 // Record returns the last record that was seen.
 func (m *Machine) Record() (Record, bool) { return m.record, m.exists }
@@ -171,7 +180,7 @@
 		return m.nextAsOwner(now)
 	case m.exists && m.record.Owner == m.self.VM && m.record.Incarnation < m.self.Incarnation:
 		return TakeOver // the owner was this VM's former process
-	case m.lost && now-m.lostAt < lostPause:
+	case m.lost && now-m.lostAt < m.self.Lease+leaseMargin:
 		return Nothing
 	case !m.exists || m.record.Released:
 		return m.takeAfter(now, m.changedAt, 0)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -198,6 +198,18 @@
 	g.Expect(m.Next(taken+2*lease, true)).To(gomega.Equal(tenure.TakeOver))
 }
 
+// Guards against a pause that fits the usual lease only.
+func TestThePauseFollowsTheLease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	long := 3 * lease
+	m := tenure.New(tenure.Self{VM: "a", Incarnation: 1, Lease: long})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
+	m.SetRecord(time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2})
+	m.SetRecord(2*time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true})
+	g.Expect(m.Next(time.Second+long, true)).To(gomega.Equal(tenure.Nothing))
+	g.Expect(m.Next(time.Second+2*long, true)).To(gomega.Equal(tenure.TakeOver))
+}
+
 // Guards against two VMs that take a group from each other by turns, epochs that
 // do not rise, and two VMs that act as owner under one epoch, while VMs freeze and
 // lose their links at random.
