placer: Ask for the end of loads before it is expected

Cause: the wait before the first question whether a load has ended was the learned time of loads, which includes that wait: each load seemed to take a round trip longer than the last one.

Change: the first question comes at 0.85 of the expected time; a load that had ended by then lowers the expectation, others enter the average.

Ruled out: the weights store's limit of adapters in transit (the time grew in seconds with few loads too, and fell to 0.28 s with a new owner).

--- a/internal/placer/estimate.go
+++ b/internal/placer/estimate.go
@@ -27,12 +27,18 @@
 	return seconds(m.promptRate * float64(tokens))
 }
 
-func (m *engineModel) observeLoad(cold bool, took time.Duration) {
+// observeLoad learns from a load that was found to have ended. One that had ended when
+// its target was asked first took less than it seems.
+func (m *engineModel) observeLoad(cold bool, took time.Duration, first bool) {
+	value := &m.warm
 	if cold {
-		average(&m.cold, took.Seconds(), observedWeight)
-	} else {
-		average(&m.warm, took.Seconds(), observedWeight)
+		value = &m.cold
 	}
+	if first {
+		*value = min(*value, firstPollPart*took.Seconds())
+		return
+	}
+	average(value, took.Seconds(), observedWeight)
 }
 
 func (m *engineModel) load(cold bool) time.Duration {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -134,9 +134,14 @@
 	t.plan = append(t.plan, p)
 }
 
-// patientPolls is the number of questions after which a load that was expected to
-// come from the target's memory counts as one from the weights store.
-const patientPolls = 5
+const (
+	// patientPolls is the number of questions after which a load that was expected to
+	// come from the target's memory counts as one from the weights store.
+	patientPolls = 5
+	// firstPollPart is the part of the expected time of a load after which the target
+	// is asked first. It is below one, so that the expectation can fall.
+	firstPollPart = 0.85
+)
 
 func (c *Core) pollAfter(row *heldRow) time.Duration {
 	switch {
@@ -145,7 +150,7 @@
 	case row.state == heldUnloading:
 		return 2 * pollCold
 	case row.polls == 1:
-		return max(pollWarm, c.model.load(row.cold)-pollWarm)
+		return max(pollWarm, time.Duration(firstPollPart*float64(c.model.load(row.cold))))
 	case row.cold:
 		return pollCold
 	case row.polls > patientPolls:
@@ -169,7 +174,7 @@
 		return
 	}
 	if row.started && row.adapter.Name != "" {
-		c.model.observeLoad(row.cold, c.now-row.accepted)
+		c.model.observeLoad(row.cold, c.now-row.accepted, row.polls == 1)
 	}
 	t.recent.remove(row.adapter)
 	c.ready(row)
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-func (e *engine) order(now time.Duration, o placer.Order, newest int64) placer.Result {
+func (e *engine) order(now, load time.Duration, o placer.Order, newest int64) placer.Result {
 	ready, held := e.held[o.Adapter]
 	version := max(o.Version, newest)
 	if o.Operation == placer.Load && held && e.versions[o.Adapter] >= version {
@@ -65,7 +65,7 @@
 		return placer.Holds
 	}
 	e.sequence++
-	e.held[o.Adapter], e.versions[o.Adapter] = now+250*time.Millisecond, version
+	e.held[o.Adapter], e.versions[o.Adapter] = now+load, version
 	e.overfull = e.overfull || len(e.held) > slots
 	return placer.Accepted
 }
@@ -107,6 +107,9 @@
 	rest     time.Duration            // from the first event of a granted request to its end
 	reading  map[string]time.Duration // until which the engines read prompts
 	tokens   map[string]int
+	waited   map[string]time.Duration // until a request was granted
+	load     time.Duration            // of an adapter
+	trip     time.Duration            // of an order to its target, or of the answer
 	trace    bool
 }
 
@@ -121,7 +124,7 @@
 		core: placer.New(params), now: time.Second, engines: map[string]*engine{}, leaving: map[string]bool{},
 		rng: rand.New(rand.NewPCG(seed, seed)), granted: map[string]placer.Grant{}, refused: map[string]placer.RefuseRequest{},
 		running: map[string]placer.Grant{}, newest: map[placer.Adapter]int64{},
-		rest: 100 * time.Millisecond, reading: map[string]time.Duration{}, tokens: map[string]int{},
+		rest: 100 * time.Millisecond, reading: map[string]time.Duration{}, tokens: map[string]int{}, waited: map[string]time.Duration{}, load: loadTime, trip: time.Millisecond,
 	}
 	for i := range engines {
 		id := fmt.Sprintf("t%d", i)
@@ -194,7 +197,7 @@
 func (w *world) grant(c placer.GrantRequest) {
 	id := c.Grant.Request
 	w.once(id)
-	w.granted[id] = c.Grant
+	w.granted[id], w.waited[id] = c.Grant, c.Waited
 	if w.leaving[c.Grant.Target] {
 		w.faults = append(w.faults, id+" was sent to a leaving target")
 	}
@@ -209,6 +212,9 @@
 	w.after(first+w.rest, func() { w.core.Release(w.now, id, placer.Done) })
 }
 
+// loadTime is the usual time in which an engine loads an adapter.
+const loadTime = 250 * time.Millisecond
+
 // promptTime is the time in which an engine reads one token of a prompt.
 const promptTime = 26 * time.Microsecond
 
@@ -224,13 +230,13 @@
 		if w.trace {
 			fmt.Println(w.now, o.Operation, o.Target, o.Adapter.Name, o.Precondition, "at", e.sequence, answer)
 		}
-		result := e.order(w.now, o, w.newest[o.Adapter])
+		result := e.order(w.now, w.load, o, w.newest[o.Adapter])
 		if answer {
-			w.after(2*time.Millisecond, func() { w.core.Ordered(w.now, o, result) })
+			w.after(w.trip, func() { w.core.Ordered(w.now, o, result) })
 		}
 	}
 	if w.rng.Float64() >= w.lose {
-		w.after(time.Millisecond, func() { deliver(true) })
+		w.after(w.trip, func() { deliver(true) })
 		return
 	}
 	if w.rng.IntN(2) == 0 {
