--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -130,7 +130,7 @@
 // Adapters on their way from the weights store up to which they come at full
 // speed, over all targets of a service.
 const (
-	leastTransit     = 8
+	leastTransit     = 12
 	transitPerTarget = 0.9
 )
 
