placer: A delayed poll no longer overfills a target that has restarted

Traced: a poll for the end of a load was delayed for 2.2 s; the target restarted meanwhile, its count of accepted orders reached the poll's precondition again, and the poll loaded the adapter anew. Only loads that had not been accepted counted as possibly late, not their polls. Two more holes of the same kind showed while reading: a load that is in flight when the target restarts was forgotten, and so was all that had been sent to a target that is missing from the list for a while. The old reserve also never went below one slot, however many loads were late.

Change: late loads are kept per target ID and precondition, outlive the target's state, and reserve a slot each only while their precondition lies ahead of the count of accepted orders. A target executes at most one order with each precondition.

Not covered: loads that an earlier owner sent before a takeover, followed by a restart of the target within their delay.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -24,6 +24,7 @@
 	queuedByID  map[string]*queuedRequest
 	queue       []*queuedRequest // in order of arrival
 	runs        map[string]*activeRun
+	lateLoads   map[string]*lateLoads // by target ID
 
 	requestCount      uint64
 	orderCount        uint64
@@ -43,7 +44,7 @@
 func New(params Params) *Core {
 	return &Core{
 		params: params, latencies: newLatencyModel(), targetsByID: map[string]*targetState{}, adapters: map[Adapter]*adapterState{},
-		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, modelLoadCredit: 1,
+		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, lateLoads: map[string]*lateLoads{}, modelLoadCredit: 1,
 	}
 }
 
@@ -74,6 +75,7 @@
 			c.removeTarget(t)
 		}
 	}
+	c.dropLateLoads()
 }
 
 func (c *Core) setTarget(description fleet.Target) {
@@ -99,8 +101,9 @@
 	}
 }
 
-// resetTarget removes all placements and runs of a target and clears its state.
-// Load orders that went unanswered stay accounted for in reservedSlots.
+// resetTarget removes all placements and runs of a target and clears its state after a
+// restart. Loads without an answer stay recorded in lateLoads, including the one that
+// is in flight.
 func (c *Core) resetTarget(t *targetState) {
 	for _, pl := range t.placements {
 		c.removePlacement(pl)
@@ -110,12 +113,16 @@
 			delete(c.runs, id)
 		}
 	}
+	late := c.lateLoadsOf(t.description.ID)
+	if t.inFlight != nil && t.inFlight.Operation == Load {
+		late.addUnanswered(t.inFlight.Precondition, c.now)
+	}
+	late.targetRestarted()
 	t.placements, t.runs = map[Adapter]*placement{}, map[string]*activeRun{}
 	t.acceptedOrders, t.stateKnown, t.plannedOrders, t.inFlight = 0, false, nil, nil
 	t.needsReport, t.reportRequested, t.reportsValidFrom, t.noOrdersUntil = true, false, c.now, 0
 	t.runTokens, t.prefillUntil, t.extraSlowness, t.prefillShare, t.consecutiveFailures, t.avoidUntil = 0, 0, 0, 0, 0, 0
 	t.averageSlowness = 1
-	t.reservedSlots, t.lostLoads = append(t.reservedSlots, t.lostLoads...), nil
 	t.recentlyUnloaded, t.prefixes = &recentAdapters{}, newPrefixCache(c.params.Engine.CacheTokens)
 }
 
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -50,13 +50,9 @@
 	return taken <= c.slotLimit(t)
 }
 
-// maxOrderDelay is the time after which an unanswered order is no longer executed.
-const maxOrderDelay = 15 * time.Second
-
 // slotLimit returns the number of adapters that a target has room for, given its
-// slots and the memory that the largest base model leaves free. Unanswered loads from
-// before a restart of the target reserve a slot each: the restart resets the count of
-// accepted orders, so the precondition of such a load may match again.
+// slots and the memory that the largest base model leaves free. Each load from before a
+// restart of the target that may still be executed after the next order reserves a slot.
 func (c *Core) slotLimit(t *targetState) int {
 	limit := c.params.Engine.AdapterSlots
 	for _, m := range c.params.Engine.Models {
@@ -64,8 +60,7 @@
 			limit = min(limit, int((c.params.Engine.WeightsMB-m.WeightsMB)/m.AdapterMB))
 		}
 	}
-	t.reservedSlots = slices.DeleteFunc(t.reservedSlots, func(lostAt Time) bool { return c.now-lostAt > maxOrderDelay })
-	return max(1, limit-len(t.reservedSlots))
+	return max(0, limit-c.lateLoadsOf(t.description.ID).executableAfterNext(t.acceptedOrders, c.now))
 }
 
 // HandleOrderResult processes the answer to an order.
@@ -110,8 +105,8 @@
 		t.plannedOrders = slices.Insert(t.plannedOrders, 0, plan)
 		t.unansweredOrders++
 		pl.uncertain = t.unansweredOrders >= uncertainAfterOrders
-		if plan.operation == Load && !pl.accepted {
-			t.lostLoads = append(t.lostLoads, c.now)
+		if plan.operation == Load {
+			c.lateLoadsOf(order.Target).addUnanswered(order.Precondition, c.now)
 		}
 	}
 	if result != Unanswered {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -59,6 +59,76 @@
 	})
 }
 
+// restart replaces an engine by an empty one under the same ID.
+func (sim *simulation) restart(id string) {
+	sim.engines[id] = newEngine(id, sim.engines[id].born+1)
+	sim.updateTargets()
+}
+
+// A target restarts while a poll for the end of a load is delayed. The poll then loads
+// the adapter once more, although the load itself had been answered before the restart.
+func TestDelayedPollDoesNotOverfillRestartedTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 1, placer.Params{})
+	delayed := false
+	sim.executesLate, sim.lateBy = func(o placer.Order) bool {
+		first := o.Poll && !delayed
+		delayed = delayed || first
+		return first
+	}, 500*time.Millisecond
+	for i := range adapterSlots {
+		sim.enqueue(adapter(i), nil)
+	}
+	sim.advance(500 * time.Millisecond) // the load has been answered, the delayed poll is still on its way
+	sim.restart("t0")
+	for i := range adapterSlots {
+		sim.enqueue(adapter(10+i), nil)
+	}
+	sim.advance(4 * time.Second)
+	g.Expect(sim.engines["t0"].overcommitted).To(gomega.BeFalse())
+}
+
+// A target restarts while a load is in flight, and executes it when its count of
+// accepted orders has reached the precondition again. The target may be missing from
+// the list meanwhile.
+func TestLoadInFlightDoesNotOverfillRestartedTarget(t *testing.T) {
+	for name, missing := range map[string]bool{"restart": false, "restart while missing from the list": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			sim := newSimulation(1, 1, placer.Params{})
+			for i := range adapterSlots {
+				sim.enqueue(adapter(i), nil)
+			}
+			sim.advance(450 * time.Millisecond)
+			sim.executesLate, sim.lateBy = func(o placer.Order) bool { return o.Operation == placer.Load && !o.Poll }, 300*time.Millisecond
+			abandoned := sim.enqueue(adapter(5), nil)
+			for sim.engines["t0"].acceptedOrders == adapterSlots { // until a slot is free for it
+				sim.advance(2 * time.Millisecond)
+			}
+			sim.advance(10 * time.Millisecond)
+			sim.executesLate = nil
+			if missing {
+				sim.core.SetTargets(sim.now, nil)
+			}
+			sim.core.Cancel(sim.now, abandoned)
+			sim.restart("t0")
+			for i := range adapterSlots {
+				sim.enqueue(adapter(10+i), nil)
+			}
+			for range 100 { // reloads keep the slots full while the count of orders rises
+				sim.advance(10 * time.Millisecond)
+				changed := adapter(10)
+				if _, present := sim.engines["t0"].readyAt[changed]; present && sim.newestVersions[changed] == 0 {
+					sim.newestVersions[changed]++
+					sim.core.SetVersion(sim.now, changed, sim.newestVersions[changed])
+				}
+			}
+			sim.advance(4 * time.Second)
+			g.Expect(sim.engines["t0"].overcommitted).To(gomega.BeFalse())
+		})
+	}
+}
+
 // Many requests for one adapter arrive at once. They must share one load instead of
 // starting one each.
 func TestRequestsForOneAdapterShareALoad(t *testing.T) {
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -111,6 +111,8 @@
 	loadTime       time.Duration            // time to load an adapter
 	oneWayDelay    time.Duration            // network delay of an order or its answer
 	trace          bool
+	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
+	lateBy         time.Duration
 }
 
 func newSimulation(seed uint64, engines int, params placer.Params) *simulation {
@@ -238,6 +240,11 @@
 			sim.schedule(sim.oneWayDelay, func() { sim.core.HandleOrderResult(sim.now, order, result) })
 		}
 	}
+	if sim.executesLate != nil && sim.executesLate(order) {
+		sim.schedule(sim.lateBy, func() { apply(false) })
+		sim.schedule(200*time.Millisecond, func() { sim.core.HandleOrderResult(sim.now, order, placer.Unanswered) })
+		return
+	}
 	if sim.random.Float64() >= sim.lossRate {
 		sim.schedule(sim.oneWayDelay, func() { apply(true) })
 		return
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -43,8 +43,6 @@
 	noOrdersUntil  Time
 
 	unansweredOrders int        // consecutive orders without an answer
-	lostLoads        []Time     // times of unanswered loads, which the target may still receive after a restart
-	reservedSlots    []Time     // lostLoads from before restarts: each may take a slot unnoticed
 	roomPass         uint64     // dispatch pass in which roomFound and roomVictim were computed
 	roomFound        bool       // there is room for one more adapter
 	roomVictim       *placement // placement to unload to make that room, nil if a slot is free
