tenure: Ownership that expires where targets check no fencing tokens

Ruled out: a lease that is renewed by writes (each renewal is an event for every VM that watches), and relying on the owner's agreement alone (a dead owner never agrees).

Change: an owner orders with a permission for 1.5 s from the sending of the read that last confirmed it, less 0.5 s of flight, on a clock that runs during a suspension; an unanswered challenge revokes it; the next owner waits 1.6 s from the challenge or takeover, or until the old one says that it has stopped. While orders are not allowed, requests for resident adapters are served, and those that could not wait for a load are refused at once.

Found by the model on the way: an owner that had stopped its orders for a release whose write never took effect stayed owner without orders for good. A release is now repeated. And an order that was not allowed counted as a failure of its target; now it does not.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -108,6 +108,7 @@
 	d.groups = groupserver.New(groupserver.Options{
 		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Regions: s.Regions,
 		Store: deps.Store, Engines: deps.Orders, Observer: groupObserver{d},
+		TargetsCheckFences: s.TargetsCheckFences, StoreCalled: func(err error) { d.recordStoreCall(groupserver.Kind, err) },
 		Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
 	})
 	d.placement = groupclient.New(groupclient.Options{
@@ -188,13 +189,15 @@
 
 // announce sends a group's record to another VM. A VM that cannot be reached reads the
 // record from the store later.
-func (d *Daemon) announce(address string, request grouprpc.AnnounceRequest) {
+func (d *Daemon) announce(address string, request grouprpc.AnnounceRequest) (grouprpc.AnnounceReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerDialTimeout)
 	defer cancel()
 	var reply grouprpc.AnnounceReply
-	if err := d.peerClient.Call(ctx, address, grouprpc.AnnounceMethod, request, &reply); err != nil {
+	err := d.peerClient.Call(ctx, address, grouprpc.AnnounceMethod, request, &reply)
+	if err != nil {
 		d.log.Info().Str(fieldEvent, "announce_failed").Str(fieldGroup, request.Group).Str(fieldAddress, address).Err(err).Send()
 	}
+	return reply, err
 }
 
 // close cancels the background work and closes the sockets after a drain.
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -42,7 +42,7 @@
 }
 
 // Announce implements grouprpc.AnnounceMethod.
-func (s *groupService) Announce(request grouprpc.AnnounceRequest, _ *grouprpc.AnnounceReply) error {
-	s.d.groups.SetRecord(request.Group, request.Record, request.Version)
+func (s *groupService) Announce(request grouprpc.AnnounceRequest, reply *grouprpc.AnnounceReply) error {
+	*reply = s.d.groups.Announced(request)
 	return nil
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -42,6 +42,9 @@
 	// Lease is the time within which the ownership of a group must not change hands
 	// between two VMs. The default of tenure applies if it is 0.
 	Lease time.Duration
+	// TargetsCheckFences is set if the targets refuse orders whose fencing token is lower
+	// than one that they have seen.
+	TargetsCheckFences bool
 	// Budget limits the retries of requests, per service.
 	Budget retrybudget.Settings
 	// GroupSettleTime is the time without new targets after which the number of groups
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -105,8 +105,11 @@
 	Version int64 // store version of the object that holds Record
 }
 
-// AnnounceReply is empty.
-type AnnounceReply struct{}
+// AnnounceReply tells a new owner whether the receiver sends no orders any more.
+type AnnounceReply struct {
+	Stopped            bool          // the receiver does not own the group and sends no more orders
+	OrdersArriveWithin time.Duration // time by which its last order has arrived at its target
+}
 
 // StoreRevisions holds, for each kind of the deployment's objects, the store revision up
 // to which a VM knows all changes, whether it read them itself or received them from
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadaslip/internal/bootclock"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
@@ -24,6 +25,7 @@
 
 	mu       sync.Mutex
 	tenure   *tenure.StateMachine
+	orders   orderGate
 	version  int64 // store version of the group's object
 	params   placer.Params
 	targets  []fleet.Target
@@ -56,6 +58,7 @@
 func (g *group) candidate() tenure.Candidate {
 	return tenure.Candidate{
 		VM: g.manager.opt.VM, Incarnation: g.manager.opt.Incarnation, Jitter: g.manager.jitter(g.name), Lease: g.manager.opt.Lease,
+		TargetsCheckFences: g.manager.opt.TargetsCheckFences,
 	}
 }
 
@@ -140,6 +143,7 @@
 func (g *group) startCore(record tenure.Record) {
 	params := g.params
 	params.FirstOwner = record.Epoch == 1
+	g.orders.permission = tenure.Permission{}
 	g.core, g.epoch, g.halted, g.fenced = placer.New(params), record.Epoch, false, false
 	now := g.manager.now()
 	for a, version := range g.versions {
@@ -189,7 +193,8 @@
 	now := g.manager.now()
 	action := g.tenure.NextAction(now, g.manager.opt.StoreReachable())
 	g.mu.Unlock()
-	if action == tenure.NoAction || action != tenure.Answer && g.manager.isDraining() || g.actionRunning.Swap(true) {
+	acquires := action == tenure.TakeOver || action == tenure.Challenge
+	if action == tenure.NoAction || acquires && g.manager.isDraining() || g.actionRunning.Swap(true) {
 		return
 	}
 	go func() {
@@ -204,14 +209,15 @@
 // runAction writes the record for an action, provided that the object has not changed
 // in the store.
 func (g *group) runAction(ctx context.Context, action tenure.Action) {
+	if action == tenure.Release {
+		g.halt(ctx)
+	}
 	g.mu.Lock()
 	previous, exists := g.tenure.Record()
 	record := g.tenure.RecordAfter(action, g.manager.opt.Address)
 	version := g.version
-	if action == tenure.Release {
-		g.halted = true
-	}
 	g.mu.Unlock()
+	sentAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	value, err := json.Marshal(record)
@@ -233,8 +239,24 @@
 		return
 	}
 	g.setRecord(record, version)
+	g.confirm(record, sentAt)
 	if action == tenure.TakeOver && previous.Address != "" && previous.Address != g.manager.opt.Address {
-		g.manager.opt.Announce(previous.Address, grouprpc.AnnounceRequest{Group: g.name, Record: record, Version: version})
+		g.announce(previous, record, version)
+	}
+}
+
+// announce informs the previous owner about the takeover. Its reply shortens the time for
+// which this VM sends no orders.
+func (g *group) announce(previous, record tenure.Record, version int64) {
+	reply, err := g.manager.opt.Announce(previous.Address, grouprpc.AnnounceRequest{Group: g.name, Record: record, Version: version})
+	if err != nil || !reply.Stopped {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tenure.PredecessorStopped(g.manager.now(), previous.Epoch, reply.OrdersArriveWithin)
+	if g.core != nil {
+		g.tick()
 	}
 }
 
--- a/internal/groupserver/layout_test.go
+++ b/internal/groupserver/layout_test.go
@@ -45,7 +45,10 @@
 	m := New(Options{
 		VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: store, Engines: noEngines{}, Observer: nopObserver{},
 		SettleDelay: 100 * time.Millisecond, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
-		Announce: func(string, grouprpc.AnnounceRequest) {},
+		Announce: func(string, grouprpc.AnnounceRequest) (grouprpc.AnnounceReply, error) {
+			return grouprpc.AnnounceReply{}, nil
+		},
+		StoreCalled: func(error) {},
 	})
 	m.Replace(nil)
 	services := map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -56,8 +56,13 @@
 	Store       objectstore.Store
 	Engines     EngineClient
 	Observer    Observer
-	// Announce sends a group's record to the VM at an address, if it can be reached.
-	Announce func(address string, request grouprpc.AnnounceRequest)
+	// TargetsCheckFences is set if the targets refuse the orders of replaced owners. Owners
+	// then order without a permission that expires.
+	TargetsCheckFences bool
+	// Announce sends a group's record to the VM at an address.
+	Announce func(address string, request grouprpc.AnnounceRequest) (grouprpc.AnnounceReply, error)
+	// StoreCalled is called with the result of each confirmation of an ownership.
+	StoreCalled func(err error)
 	// SettleDelay is how long no targets must be added before the number of groups is
 	// decided, DefaultSettleDelay if it is not positive.
 	SettleDelay time.Duration
@@ -249,23 +254,35 @@
 	}
 }
 
+// Announced handles the announcement of a takeover by another VM.
+func (m *Manager) Announced(request grouprpc.AnnounceRequest) grouprpc.AnnounceReply {
+	m.SetRecord(request.Group, request.Record, request.Version)
+	g := m.lookup(request.Group)
+	if g == nil {
+		return grouprpc.AnnounceReply{}
+	}
+	return g.stoppedBefore(request.Record.Epoch)
+}
+
 func groupNameOf(key string) string { return key[len(Kind)+1:] }
 
-// setObject sets the record or layout that an object holds.
-func (m *Manager) setObject(o objectstore.Object) {
+// setObject sets the record or layout that an object holds. It returns the record, if
+// the object holds one.
+func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
 	if service, found := strings.CutPrefix(groupNameOf(o.Key), layoutPrefix); found {
 		m.setLayout(service, o.Value)
-		return
+		return tenure.Record{}, false
 	}
 	var r tenure.Record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		m.opt.Observer.GroupChanged(groupNameOf(o.Key), r, tenure.NoAction, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
-		return
+		return tenure.Record{}, false
 	}
 	m.mu.Lock()
 	g := m.group(groupNameOf(o.Key))
 	m.mu.Unlock()
 	g.setRecord(r, o.Version)
+	return r, true
 }
 
 const (
@@ -290,6 +307,7 @@
 		m.detectPause()
 		for _, g := range m.allGroups() {
 			g.startAction(ctx)
+			g.startConfirmation(ctx)
 		}
 	}
 }
--- /dev/null
+++ b/internal/groupserver/ordergate.go
@@ -0,0 +1,166 @@
+package groupserver
+
+import (
+	"context"
+	"time"
+
+	"cicadaslip/internal/bootclock"
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/pause"
+	"cicadaslip/internal/placer"
+	"cicadaslip/internal/tenure"
+)
+
+// orderGate decides whether the owner of a group may send orders, and tracks those that
+// may still reach their targets. Its times are those of bootclock.
+type orderGate struct {
+	permission  tenure.Permission
+	confirmedAt time.Duration // when the last confirmation was requested
+	confirming  bool          // a call for a confirmation is running
+	count       uint64
+	underWay    map[uint64]time.Duration // when each order without an answer was started, by number
+}
+
+// begin records that an order is about to be sent and returns its number.
+func (o *orderGate) begin(now time.Duration) uint64 {
+	if o.underWay == nil {
+		o.underWay = map[uint64]time.Duration{}
+	}
+	o.count++
+	o.underWay[o.count] = now
+	return o.count
+}
+
+func (o *orderGate) answered(number uint64) { delete(o.underWay, number) }
+
+// arriveWithin returns the time by which all orders have reached their targets.
+func (o *orderGate) arriveWithin(now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for number, startedAt := range o.underWay {
+		left := startedAt + tenure.OrderFlight - now
+		if left <= 0 {
+			delete(o.underWay, number)
+		}
+		longest = max(longest, left)
+	}
+	return longest
+}
+
+// blindWait is the shortest time for which an owner that has lost its permission is
+// expected to remain without one.
+const blindWait = 500 * time.Millisecond
+
+// ordersAllowed reports whether an order may be sent now. If not, it returns the expected
+// time until one may. The caller holds the lock.
+func (g *group) ordersAllowed() (allowed bool, expectedWait time.Duration) {
+	if g.halted || g.manager.opt.TargetsCheckFences {
+		return !g.halted, blindWait
+	}
+	if wait := g.tenure.OrdersFrom() - g.manager.now(); wait > 0 {
+		return false, wait
+	}
+	now := bootclock.Now()
+	if !g.orders.permission.AllowsOrder(now) {
+		return false, max(blindWait, g.orders.permission.ExpiredFor(now))
+	}
+	return true, 0
+}
+
+// lostAfter is how long an owner must have been without permission before it reports that
+// it cannot reach the store. It covers one slow answer of the store.
+const lostAfter = 200 * time.Millisecond
+
+// permissionLost reports whether the owner has lost its permission to order. The caller
+// holds the lock.
+func (g *group) permissionLost() bool {
+	return !g.manager.opt.TargetsCheckFences && g.orders.permission.ExpiredFor(bootclock.Now()) > lostAfter
+}
+
+// beginOrder reports whether the core may send an order now, and records it if so.
+func (g *group) beginOrder(core *placer.Core) (number uint64, allowed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if allowed, _ = g.ordersAllowed(); !allowed || g.core != core || g.tenure.Isolated(g.manager.now()) {
+		return 0, false
+	}
+	return g.orders.begin(bootclock.Now()), true
+}
+
+// confirm renews the permission if a record confirms the ownership. sentAt is when the
+// call to the store that returned or wrote the record was sent.
+func (g *group) confirm(r tenure.Record, sentAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.core != nil && g.tenure.Confirms(r, g.epoch) {
+		g.orders.permission.Confirm(sentAt)
+		g.tick()
+	}
+}
+
+// startConfirmation starts to confirm the ownership of the group if that is due.
+func (g *group) startConfirmation(ctx context.Context) {
+	now := bootclock.Now()
+	g.mu.Lock()
+	due := g.core != nil && !g.halted && !g.manager.opt.TargetsCheckFences && !g.orders.confirming &&
+		now-g.orders.confirmedAt >= tenure.ConfirmInterval
+	if due {
+		g.orders.confirming, g.orders.confirmedAt = true, now
+	}
+	g.mu.Unlock()
+	if due {
+		go g.confirmOwnership(ctx)
+	}
+}
+
+// confirmTimeout limits one call for a confirmation. A later answer would hardly leave time
+// to send orders.
+const confirmTimeout = 600 * time.Millisecond
+
+// confirmOwnership reads the group's object from the store.
+func (g *group) confirmOwnership(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sentAt := bootclock.Now()
+	object, err := g.manager.opt.Store.Get(ctx, Kind+"/"+g.name, 0)
+	g.manager.opt.StoreCalled(err)
+	if err == nil {
+		if r, ok := g.manager.setObject(object); ok {
+			g.confirm(r, sentAt)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.orders.confirming = false
+}
+
+// haltPollInterval is the time between two checks whether all orders have arrived.
+const haltPollInterval = 5 * time.Millisecond
+
+// halt stops the orders of the group and waits until those under way have reached their
+// targets, so that the next owner may order at once.
+func (g *group) halt(ctx context.Context) {
+	g.mu.Lock()
+	g.halted = true
+	g.tenure.BeginRelease()
+	g.mu.Unlock()
+	for !g.manager.opt.TargetsCheckFences && g.arriveWithin() > 0 && pause.For(ctx, haltPollInterval) {
+	}
+}
+
+func (g *group) arriveWithin() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.orders.arriveWithin(bootclock.Now())
+}
+
+// stoppedBefore tells the owner of an epoch whether this VM, as an earlier owner, has
+// stopped sending orders.
+func (g *group) stoppedBefore(epoch int64) grouprpc.AnnounceReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	record, exists := g.tenure.Record()
+	return grouprpc.AnnounceReply{
+		Stopped:            exists && record.Epoch >= epoch && (g.core == nil || g.epoch > epoch),
+		OrdersArriveWithin: g.orders.arriveWithin(bootclock.Now()),
+	}
+}
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -140,7 +140,7 @@
 		g.core.AdoptRun(now, h.Request, h.Target, h.Started)
 	}
 	reply := grouprpc.SyncReply{
-		Epoch: g.epoch, Blind: m.opt.StoreLost(), VMs: g.countVMs(now), Backlog: g.core.Backlog(now),
+		Epoch: g.epoch, Blind: m.opt.StoreLost() || g.permissionLost(), VMs: g.countVMs(now), Backlog: g.core.Backlog(now),
 	}
 	g.view.update(g.core.ResidentAdapters(now))
 	g.view.fillReply(request.Since, &reply)
@@ -197,6 +197,8 @@
 // caller holds the lock.
 func (g *group) tick() {
 	now := g.manager.now()
+	allowed, expectedWait := g.ordersAllowed()
+	g.core.SetOrdersAllowed(now, allowed, expectedWait)
 	for _, command := range g.core.Tick(now) {
 		g.execute(command)
 	}
@@ -241,14 +243,18 @@
 	for waited := time.Duration(0); !g.manager.ownershipVerified.Load() && waited < maxVerifyWait; waited += verifyPollInterval {
 		time.Sleep(verifyPollInterval)
 	}
-	result := placer.NotSent
+	result := placer.Withheld
 	began := time.Now()
-	if g.mayOrder(core) {
+	number, allowed := g.beginOrder(core)
+	if allowed {
 		result = g.manager.opt.Engines.Order(context.Background(), order, g.manager.opt.VM, epoch)
 	}
 	g.manager.opt.Observer.Ordered(g.name, epoch, order, result, time.Since(began))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if allowed && result != placer.Unanswered {
+		g.orders.answered(number)
+	}
 	if g.core != core {
 		return
 	}
@@ -256,12 +262,6 @@
 	g.tick()
 }
 
-func (g *group) mayOrder(core *placer.Core) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core == core && !g.halted && !g.tenure.Isolated(g.manager.now())
-}
-
 func (g *group) fetchReport(core *placer.Core, c placer.FetchReport) {
 	askedAt := g.manager.now()
 	report, err := g.manager.opt.Engines.Report(context.Background(), c.Target, c.Address)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -31,6 +31,8 @@
 	modelLoadCredit   float64 // number of base model loads from the weights store that are allowed now
 	modelLoadCreditAt Time    // when modelLoadCredit was updated
 	draining          bool
+	ordersAllowed     bool
+	ordersFrom        Time   // while orders are not allowed: when they are expected to be
 	adoptUntil        Time   // no adapter is unloaded before
 	dispatchPass      uint64 // number of the current pass over the queue
 	lastFullPass      Time   // when the whole queue was last dispatched
@@ -44,7 +46,7 @@
 func New(params Params) *Core {
 	return &Core{
 		params: params, latencies: newLatencyModel(), targetsByID: map[string]*targetState{}, adapters: map[Adapter]*adapterState{},
-		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, lateLoads: map[string]*lateLoads{}, modelLoadCredit: 1,
+		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, lateLoads: map[string]*lateLoads{}, modelLoadCredit: 1, ordersAllowed: true,
 	}
 }
 
@@ -145,6 +147,13 @@
 	c.targets = slices.DeleteFunc(c.targets, func(other *targetState) bool { return other == t })
 }
 
+// SetOrdersAllowed sets whether orders may be sent now, and if not, the expected time
+// until they may.
+func (c *Core) SetOrdersAllowed(now Time, allowed bool, expectedWait time.Duration) {
+	c.advance(now)
+	c.ordersAllowed, c.ordersFrom = allowed, c.now+expectedWait
+}
+
 // Drain refuses all queued and later requests.
 func (c *Core) Drain() { c.draining = true }
 
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -165,6 +165,11 @@
 		return
 	}
 	if best.placement == nil {
+		if c.now < r.latestStart && c.startsTooLate(r) {
+			c.refuse(r, errs.NotRun(errs.NoTarget, "no target has the adapter, and the owner may not order a load in time").
+				WithRetry(retryAfter(c.ordersFrom-c.now)))
+			return
+		}
 		c.startLoad(r, 0)
 		return
 	}
@@ -176,6 +181,12 @@
 	}
 }
 
+// startsTooLate reports whether a load of a request's adapter, ordered as soon as orders
+// are expected to be allowed, would end too late for a useful answer.
+func (c *Core) startsTooLate(r *queuedRequest) bool {
+	return !c.ordersAllowed && c.ordersFrom+c.latencies.loadTime(true) > r.latestStart
+}
+
 // defersLongPrompt reports whether a long prompt stays queued until its target has
 // finished the prefill of earlier prompts. It is deferred only while it can still be
 // on time. A target interleaves prefill with the decoding of its running streams, so
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -13,7 +13,7 @@
 			t.reportRequested, t.reportRequestedAt = true, c.now
 			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address})
 		}
-		if t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.noOrdersUntil {
+		if c.ordersAllowed && t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.noOrdersUntil {
 			c.sendNextOrder(t)
 		}
 	}
@@ -95,6 +95,8 @@
 		c.adapterState(pl.adapter).noLoadUntil = c.now + rejectedOrderPause
 		pl.uncertain = true
 		c.requestFreshReport(t)
+	case Withheld:
+		t.plannedOrders = slices.Insert(t.plannedOrders, 0, plan)
 	case NotSent:
 		t.plannedOrders = slices.Insert(t.plannedOrders, 0, plan)
 		c.recordFailure(t)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -379,3 +379,27 @@
 	sim.advance(2 * time.Second)
 	g.Expect(sim.engines["t0"].readyAt).To(gomega.HaveKey(adapter(9)))
 }
+
+// The owner may not send orders for a while, as after a takeover or without the store.
+// Resident adapters must be served, requests that cannot wait that long must be refused at
+// once, and those that can must be served afterwards.
+func TestRequestsWhileOrdersAreNotAllowed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 1, placer.Params{})
+	sim.enqueue(adapter(1), nil)
+	sim.advance(time.Second)
+	sim.core.SetOrdersAllowed(sim.now, false, 2*time.Second)
+	sent := sim.loadOrders
+	resident := sim.enqueue(adapter(1), nil)
+	patient := sim.enqueue(adapter(2), nil)
+	hasty := sim.enqueue(adapter(3), func(r *placer.Request) { r.Deadline = 1500 * time.Millisecond })
+	g.Expect(sim.granted).To(gomega.HaveKey(resident))
+	g.Expect(sim.refused).To(gomega.HaveKey(hasty))
+	g.Expect(sim.refused[hasty].Err.Ran).To(gomega.Equal(errs.RanNo))
+	g.Expect(sim.refused[hasty].Err.Retry).To(gomega.BeNumerically(">", 0))
+	sim.advance(time.Second)
+	g.Expect(sim.loadOrders).To(gomega.Equal(sent), "no order without permission")
+	sim.core.SetOrdersAllowed(sim.now, true, 0)
+	sim.advance(time.Second)
+	g.Expect(sim.granted).To(gomega.HaveKey(patient))
+}
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -82,6 +82,7 @@
 	Invalid        OrderResult = "invalid"
 	Unanswered     OrderResult = "unanswered" // the order may have been executed, or may still be
 	NotSent        OrderResult = "not_sent"   // no connection to the target
+	Withheld       OrderResult = "withheld"   // the owner had no permission to send it
 )
 
 // Report is the state of a target as the target reports it. It may lag by some
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -87,6 +87,7 @@
 		if t.Overfull() {
 			c.fail("%s was ordered over its places", t.Settings.ID)
 		}
+		c.checkOrders(t)
 		for _, r := range t.Runs() {
 			runs[r.ID] = append(runs[r.ID], r)
 		}
@@ -103,6 +104,22 @@
 	}
 }
 
+// checkOrders checks that no order of an owner arrived after one of a later owner, where
+// the target would have carried it out.
+func (c *checker) checkOrders(t *engine.Target) {
+	if !t.Settings.NoFences {
+		return
+	}
+	orders := t.ReceivedOrders()
+	for i := 1; i < len(orders); i++ {
+		if before, o := orders[i-1], orders[i]; o.Token < before.Token || o.Token == before.Token && o.Holder != before.Holder {
+			c.fail("%s got an order of %s with token %d %v after one of %s with token %d",
+				t.Settings.ID, o.Holder, o.Token, o.At.Sub(before.At), before.Holder, before.Token)
+			return
+		}
+	}
+}
+
 func (c *checker) checkRuns(a answer, runs []engine.Run) {
 	once := a.kind == kindBooking || a.kind == kindNotes
 	if once && len(runs) > 1 {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -54,6 +54,7 @@
 budget_window_s = 10
 retry_budget_extra = 54
 lease_ms = 3000
+fencing_enforced = %t
 [platform]
 address = %q
 `
@@ -68,7 +69,7 @@
 	peerPort   = 7003
 )
 
-func newVM(seed uint64, i int, program, dir, store string) (*vm, error) {
+func newVM(seed uint64, i int, checkFences bool, program, dir, store string) (*vm, error) {
 	p, err := linkproxy.New(store)
 	if err != nil {
 		return nil, err
@@ -77,7 +78,7 @@
 	ip := fmt.Sprintf("127.77.%d.%d", 1+seed%250, 1+i)
 	v.caller, v.ready, v.peer = address(ip, callerPort), address(ip, readyPort), address(ip, peerPort)
 	zone := zones[i%len(zones)]
-	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, p.Address())
+	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, checkFences, p.Address())
 	return v, os.WriteFile(v.path("toml"), []byte(text), 0o600)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -113,7 +113,7 @@
 		}
 	}
 	for i := range r.options.VMs {
-		v, err := newVM(r.options.Seed, i, r.options.Program, r.options.Dir, r.store.Address())
+		v, err := newVM(r.options.Seed, i, r.checkFences(), r.options.Program, r.options.Dir, r.store.Address())
 		if err != nil {
 			return err
 		}
@@ -125,6 +125,9 @@
 	return r.awaitReady()
 }
 
+// checkFences reports whether the engines of this run refuse the orders of replaced owners.
+func (r *run) checkFences() bool { return r.options.Seed%2 == 0 }
+
 func (r *run) awaitReady() error {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
@@ -157,7 +160,7 @@
 	r.started++
 	t, err := engine.Start(engine.Settings{
 		ID: fmt.Sprintf("e%d-%d", i, r.started), Service: "llm", Zone: zones[i%3], Model: model, Slots: 32, Adapters: places,
-		Events: streamEvents, Pause: 10 * time.Millisecond, Load: 50 * time.Millisecond,
+		Events: streamEvents, Pause: 10 * time.Millisecond, Load: 50 * time.Millisecond, NoFences: !r.checkFences(),
 	}, r.store)
 	if err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +45,43 @@
 	}
 }
 
+// orderFrom sends an order to a target as a VM would.
+func orderFrom(g *gomega.WithT, target *engine.Target, holder string, token int) {
+	body := fmt.Sprintf(`{"operation":"load","model":"base","adapter":"a%d","holder":%q,"fencing_token":%d}`, token, holder, token)
+	resp, err := http.Post("http://"+target.Settings.Address+"/cicadaslip/order", "application/json", strings.NewReader(body))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.Body.Close()).To(gomega.Succeed())
+}
+
+// Guards against a checker that does not see the orders of a replaced owner.
+func TestTheCheckerFindsOrdersOfReplacedOwners(t *testing.T) {
+	for name, c := range map[string]struct {
+		tokens  []int
+		broken  bool
+		holders []string
+	}{
+		"in order":          {[]int{1, 1, 2, 2}, false, []string{"a", "a", "b", "b"}},
+		"after a later one": {[]int{1, 2, 1}, true, []string{"a", "b", "a"}},
+		"one token of two":  {[]int{1, 1}, true, []string{"a", "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store, err := metastore.Start("127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(store.Close)
+			target, err := engine.Start(engine.Settings{ID: "e", Service: "llm", Zone: zones[0], Model: model, Adapters: places, NoFences: true}, store)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(target.Crash)
+			for i, token := range c.tokens {
+				orderFrom(g, target, c.holders[i], token)
+			}
+			checker := newChecker()
+			checker.finish([]*engine.Target{target})
+			g.Expect(len(checker.violations) > 0).To(gomega.Equal(c.broken))
+		})
+	}
+}
+
 // ran returns a target that ran some requests.
 func ran(t *testing.T, ids ...string) *engine.Target {
 	g := gomega.NewWithT(t)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,6 +53,7 @@
 	Events   int           // of a stream
 	Pause    time.Duration // between events, and the work of a plain request
 	Load     time.Duration // of an adapter
+	NoFences bool          // orders with an older fencing token are carried out
 	Address  string        // default: a free port of loopback
 }
 
@@ -72,6 +73,7 @@
 	sequence int64
 	fence    int64
 	holders  []string // of accepted orders, in order
+	received []ReceivedOrder
 	beats    int64
 	leaving  bool
 	overfull bool
@@ -79,6 +81,13 @@
 	loseNext int // orders that get no answer
 }
 
+// ReceivedOrder is an order that has arrived, also if it was refused.
+type ReceivedOrder struct {
+	At     time.Time
+	Holder string
+	Token  int64
+}
+
 type held struct {
 	ready   time.Time
 	version int64
@@ -181,6 +190,13 @@
 	return append([]string(nil), t.holders...)
 }
 
+// ReceivedOrders returns all orders that have arrived, in order.
+func (t *Target) ReceivedOrders() []ReceivedOrder {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]ReceivedOrder(nil), t.received...)
+}
+
 // Overfull reports whether the target was ordered over its places.
 func (t *Target) Overfull() bool {
 	t.mu.Lock()
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -237,10 +237,11 @@
 
 // apply carries an order out. The caller holds the lock.
 func (t *Target) apply(o orderBody) int {
-	if o.FencingToken < t.fence {
+	t.received = append(t.received, ReceivedOrder{At: time.Now(), Holder: o.Holder, Token: o.FencingToken})
+	if o.FencingToken < t.fence && !t.Settings.NoFences {
 		return http.StatusPreconditionFailed
 	}
-	t.fence = o.FencingToken
+	t.fence = max(t.fence, o.FencingToken)
 	h := t.held[o.Adapter]
 	version := max(1, o.Version, t.newest[o.Adapter])
 	if o.Operation == "load" && h != nil && h.version >= version {
--- /dev/null
+++ b/internal/tenure/permission_test.go
@@ -0,0 +1,419 @@
+package tenure_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cicadaslip/internal/tenure"
+)
+
+// arrival is an order that has arrived at a target.
+type arrival struct {
+	at    time.Duration
+	vm    string
+	epoch int64
+}
+
+// host is a VM in a race. Work for a paused host waits until it continues.
+type host struct {
+	name        string
+	machine     *tenure.StateMachine
+	permission  tenure.Permission
+	epoch       int64 // epoch for which the permission is kept
+	version     int64 // version of the newest record that it knows
+	pausedUntil time.Duration
+	storeCut    bool
+	peersCut    bool
+	confirmedAt time.Duration // when it last asked for a confirmation
+	acting      bool
+	halted      bool          // sends no orders in this epoch
+	ordersEnd   time.Duration // by when its last order has arrived
+}
+
+// race simulates VMs that own a group in turn, with calls to the store and orders that
+// take time. Everything random comes from draw.
+type race struct {
+	now         time.Duration
+	checkFences bool
+	record      tenure.Record
+	version     int64
+	hosts       []*host
+	pending     []pendingEvent
+	arrivals    []arrival
+	slowStore   time.Duration // longest time of one way of a call to the store
+	draw        func(limit int, label string) int
+	firstOrders map[int64]time.Duration // time of the first order, by epoch
+}
+
+type pendingEvent struct {
+	at     time.Duration
+	host   *host // nil if the event does not run on a host
+	action func()
+}
+
+func newRace(hosts int, checkFences bool, draw func(int, string) int) *race {
+	r := &race{now: time.Second, checkFences: checkFences, draw: draw, slowStore: 10 * time.Millisecond, firstOrders: map[int64]time.Duration{}}
+	for i := range hosts {
+		name := fmt.Sprintf("vm%d", i)
+		r.hosts = append(r.hosts, &host{name: name, machine: tenure.New(tenure.Candidate{
+			VM: name, Incarnation: 1, Jitter: float64(i) / float64(hosts), TargetsCheckFences: checkFences,
+		})})
+	}
+	return r
+}
+
+func (r *race) after(d time.Duration, h *host, action func()) {
+	r.pending = append(r.pending, pendingEvent{r.now + d, h, action})
+}
+
+// storeDelay returns the time of one way of a call to the store.
+func (r *race) storeDelay() time.Duration {
+	return time.Duration(r.draw(int(r.slowStore/time.Millisecond), "store delay")) * time.Millisecond
+}
+
+func (r *race) run(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now += 5 * time.Millisecond
+		r.runPending()
+		if r.now%step == 0 {
+			for _, h := range r.hosts {
+				if r.now >= h.pausedUntil {
+					r.runHost(h)
+				}
+			}
+		}
+	}
+}
+
+func (r *race) runPending() {
+	var due []pendingEvent
+	r.pending = slices.DeleteFunc(r.pending, func(e pendingEvent) bool {
+		ready := e.at <= r.now && (e.host == nil || r.now >= e.host.pausedUntil)
+		if ready {
+			due = append(due, e)
+		}
+		return ready
+	})
+	for _, e := range due {
+		e.action()
+	}
+}
+
+func (r *race) runHost(h *host) {
+	r.watch(h)
+	r.callOwner(h)
+	r.act(h)
+	r.confirm(h)
+	r.order(h)
+}
+
+// watch delivers a changed record to a host.
+func (r *race) watch(h *host) {
+	if h.storeCut || h.version == r.version && r.version > 0 {
+		return
+	}
+	record, version := r.record, r.version
+	r.after(r.storeDelay(), h, func() { h.set(r.now, record, version) })
+}
+
+func (h *host) set(now time.Duration, record tenure.Record, version int64) {
+	if version < h.version {
+		return
+	}
+	h.version = version
+	if version == 0 {
+		h.machine.SetAbsent(now)
+		return
+	}
+	h.machine.SetRecord(now, record)
+	if h.machine.Owns() && h.epoch != record.Epoch {
+		h.epoch, h.permission, h.halted = record.Epoch, tenure.Permission{}, false
+	}
+}
+
+func (r *race) callOwner(h *host) {
+	record, exists := h.machine.Record()
+	if !exists || record.Owner == h.name {
+		return
+	}
+	owner := r.host(record.Owner)
+	if owner.machine.Owns() && r.reach(h, owner) {
+		owner.machine.PeerCalled(r.now)
+		h.machine.OwnerResponded(r.now, owner.storeCut)
+		return
+	}
+	h.machine.OwnerCallFailed(r.now)
+}
+
+func (r *race) reach(a, b *host) bool { return !a.peersCut && !b.peersCut && r.now >= b.pausedUntil }
+
+func (r *race) host(name string) *host {
+	return r.hosts[slices.IndexFunc(r.hosts, func(h *host) bool { return h.name == name })]
+}
+
+// act carries out the action of a host by a conditional write.
+func (r *race) act(h *host) {
+	action := h.machine.NextAction(r.now, !h.storeCut)
+	if action == tenure.NoAction || h.acting {
+		return
+	}
+	if action == tenure.Release {
+		h.halted = true
+		h.machine.BeginRelease()
+		if r.now < h.ordersEnd {
+			return // waits for its orders under way
+		}
+	}
+	h.acting = true
+	previous, _ := h.machine.Record()
+	record, version, sentAt := h.machine.RecordAfter(action, h.name), h.version, r.now
+	r.after(time.Second, h, func() { h.acting = false }) // also if the call gets no answer
+	r.after(r.storeDelay(), nil, func() {
+		if h.storeCut || version != r.version {
+			return
+		}
+		r.record = record
+		r.version++
+		written := r.version
+		if r.draw(10, "answer") == 0 {
+			return // the answer is lost
+		}
+		r.after(r.storeDelay(), h, func() {
+			h.acting = false
+			h.set(r.now, record, written)
+			h.renew(record, sentAt)
+			if action == tenure.TakeOver && previous.Owner != "" && previous.Owner != h.name {
+				r.announce(h, r.host(previous.Owner), previous, record, written)
+			}
+		})
+	})
+}
+
+func (h *host) renew(record tenure.Record, sentAt time.Duration) {
+	if h.machine.Confirms(record, h.epoch) {
+		h.permission.Confirm(sentAt)
+	}
+}
+
+// announce tells the previous owner of a takeover, and the new one that it has stopped.
+func (r *race) announce(h, previousOwner *host, previous, record tenure.Record, version int64) {
+	if !r.reach(h, previousOwner) {
+		return
+	}
+	r.after(time.Duration(r.draw(50, "call"))*time.Millisecond, previousOwner, func() {
+		previousOwner.set(r.now, record, version)
+		within := max(0, previousOwner.ordersEnd-r.now)
+		r.after(time.Duration(r.draw(50, "call"))*time.Millisecond, h, func() {
+			h.machine.PredecessorStopped(r.now, previous.Epoch, within)
+		})
+	})
+}
+
+// confirm asks the store to confirm the ownership.
+func (r *race) confirm(h *host) {
+	if !h.machine.Owns() || r.now-h.confirmedAt < tenure.ConfirmInterval {
+		return
+	}
+	h.confirmedAt = r.now
+	if h.storeCut {
+		return
+	}
+	sentAt := r.now
+	r.after(r.storeDelay(), nil, func() {
+		record, version := r.record, r.version
+		r.after(r.storeDelay(), h, func() {
+			h.set(r.now, record, version)
+			h.renew(record, sentAt)
+		})
+	})
+}
+
+// order sends an order if the host may.
+func (r *race) order(h *host) {
+	if !h.machine.Owns() || h.halted || !r.checkFences && (r.now < h.machine.OrdersFrom() || !h.permission.AllowsOrder(r.now)) {
+		return
+	}
+	record, _ := h.machine.Record()
+	if _, found := r.firstOrders[record.Epoch]; !found {
+		r.firstOrders[record.Epoch] = r.now
+	}
+	flight := time.Duration(r.draw(int(tenure.OrderFlight/time.Millisecond), "flight")) * time.Millisecond
+	h.ordersEnd = max(h.ordersEnd, r.now+tenure.OrderFlight)
+	r.arrivals = append(r.arrivals, arrival{r.now + flight, h.name, record.Epoch})
+}
+
+// violation returns how the orders broke the rules of ownership, empty if they did not.
+func (r *race) violation() string {
+	slices.SortStableFunc(r.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	lastOf := map[string]time.Duration{}
+	for i, a := range r.arrivals {
+		if i > 0 {
+			before := r.arrivals[i-1]
+			if a.epoch < before.epoch {
+				return fmt.Sprintf("%v: an order of %s with epoch %d after one of %s with epoch %d", a.at, a.vm, a.epoch, before.vm, before.epoch)
+			}
+			if last, found := lastOf[a.vm]; found && before.vm != a.vm && a.at-last < lease {
+				return fmt.Sprintf("%v: %s orders again %v after its last order, with orders of %s between", a.at, a.vm, a.at-last, before.vm)
+			}
+		}
+		lastOf[a.vm] = a.at
+	}
+	return ""
+}
+
+// Guards against orders of two owners that overlap at a target that does not check
+// fencing tokens, while VMs pause and lose their links, the store is slow, and its
+// answers are lost.
+func TestOrdersOfTwoOwnersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRace(rapid.IntRange(2, 6).Draw(t, "hosts"), false, func(limit int, label string) int {
+			return rapid.IntRange(0, max(0, limit-1)).Draw(t, label)
+		})
+		r.run(2 * time.Second)
+		for range rapid.IntRange(10, 40).Draw(t, "steps") {
+			h := r.hosts[rapid.IntRange(0, len(r.hosts)-1).Draw(t, "host")]
+			if rapid.Bool().Draw(t, "owner") && r.record.Owner != "" {
+				h = r.host(r.record.Owner)
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				h.pausedUntil = r.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause"))*time.Millisecond
+			case 1:
+				h.storeCut = !h.storeCut
+			case 2:
+				h.peersCut = !h.peersCut
+			case 3:
+				r.slowStore = time.Duration(rapid.SampledFrom([]int{10, 300, 1500}).Draw(t, "slow")) * time.Millisecond
+			case 4:
+				h.storeCut, h.peersCut = true, true
+			default:
+				r.slowStore = 10 * time.Millisecond
+				for _, h := range r.hosts {
+					h.storeCut, h.peersCut = false, false
+				}
+			}
+			r.run(time.Duration(rapid.IntRange(300, 4000).Draw(t, "time")) * time.Millisecond)
+		}
+		if v := r.violation(); v != "" {
+			t.Fatal(v)
+		}
+		r.slowStore = 10 * time.Millisecond
+		for _, h := range r.hosts {
+			h.storeCut, h.peersCut, h.pausedUntil = false, false, 0
+		}
+		before := len(r.arrivals)
+		r.run(8 * time.Second)
+		if len(r.arrivals) == before {
+			t.Fatal("nobody orders although all VMs and the store work")
+		}
+	})
+}
+
+// ownerLoss is a way in which a group loses its owner.
+var ownerLoss = map[string]func(*race, *host){
+	"killed":             func(r *race, h *host) { h.pausedUntil, h.peersCut = time.Hour, true },
+	"paused":             func(r *race, h *host) { h.pausedUntil = r.now + 5*time.Second },
+	"cut from the store": func(_ *race, h *host) { h.storeCut = true },
+	"cut from all":       func(_ *race, h *host) { h.storeCut, h.peersCut = true, true },
+}
+
+// orderGap is the longest time that a group may stay without orders after the loss of its
+// owner: four seconds, because requests for adapters that are not loaded have five.
+const orderGap = 4 * time.Second
+
+// Guards against a group whose next owner waits too long before its first order.
+func TestNextOwnerOrdersSoon(t *testing.T) {
+	for name, lose := range ownerLoss {
+		for _, checkFences := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, fences checked %v", name, checkFences), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				r := newRace(6, checkFences, func(limit int, _ string) int { return limit / 2 })
+				r.run(3 * time.Second)
+				epoch, lostAt := r.record.Epoch, r.now
+				lose(r, r.host(r.record.Owner))
+				r.run(6 * time.Second)
+				first, found := r.firstOrders[epoch+1]
+				g.Expect(found).To(gomega.BeTrue())
+				t.Log("first order of the next owner after", first-lostAt)
+				g.Expect(first - lostAt).To(gomega.BeNumerically("<", orderGap))
+				if !checkFences {
+					g.Expect(r.violation()).To(gomega.BeEmpty())
+				}
+			})
+		}
+	}
+}
+
+// The pattern of the fault that users saw: an owner that loses only the store is replaced
+// while it still reaches its targets. Without a permission that expires, its orders arrive
+// after those of the next owner.
+func TestModelFindsOverlapWithoutPermission(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for checkFences, overlaps := range map[bool]gomega.OmegaMatcher{true: gomega.BeNumerically(">", 0), false: gomega.BeZero()} {
+		found := 0
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			r := newRace(6, checkFences, func(limit int, _ string) int { return random.IntN(max(1, limit)) })
+			r.run(3 * time.Second)
+			r.host(r.record.Owner).storeCut = true
+			r.run(6 * time.Second)
+			g.Expect(r.record.Epoch).To(gomega.BeNumerically(">", 1), "a takeover")
+			if r.violation() != "" {
+				found++
+			}
+		}
+		g.Expect(found).To(overlaps, "orders without a permission: %v", checkFences)
+	}
+}
+
+// Guards against a release that lets the next owner order although the orders of the owner
+// before the last may still arrive.
+func TestUnsettledReleaseDoesNotShortenTheWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := tenure.New(tenure.Candidate{VM: "c", Incarnation: 1})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Settled: true})
+	takenOver := tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2}
+	m.SetRecord(time.Second, takenOver)
+	takenOver.Released = true
+	releasedAt := time.Second + 100*time.Millisecond
+	m.SetRecord(releasedAt, takenOver)
+	g.Expect(m.NextAction(releasedAt+time.Second, true)).To(gomega.Equal(tenure.TakeOver))
+	now := releasedAt + 50*time.Millisecond
+	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"))
+	g.Expect(m.OrdersFrom()).To(gomega.BeNumerically(">", releasedAt+time.Second))
+	m.PredecessorStopped(now, 2, 0)
+	g.Expect(m.OrdersFrom()).To(gomega.BeNumerically(">", releasedAt+time.Second))
+}
+
+// Guards against a group that stays without orders for good: its owner has stopped them
+// for a release that got no answer and never took effect.
+func TestReleaseWithoutAnswerIsRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1, TargetsCheckFences: true})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
+	m.PeerCalled(0)
+	isolated := 3 * time.Second
+	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.Release))
+	m.BeginRelease()
+	m.PeerCalled(isolated)
+	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.Release))
+	m.SetRecord(isolated, m.RecordAfter(tenure.Release, ""))
+	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.NoAction))
+}
+
+// Guards against a pause of the orders in a planned handover.
+func TestPlannedHandoverNeedsNoWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := tenure.New(tenure.Candidate{VM: "b", Incarnation: 1})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Settled: true, Released: true})
+	now := 200 * time.Millisecond
+	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"))
+	g.Expect(m.OrdersFrom()).To(gomega.Equal(now))
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -5,14 +5,21 @@
 // Each group has one object in the platform's store. A VM takes the group over by
 // a conditional write that fails if the object has changed. The write increments
 // the epoch, which is the fencing token of all orders to the group's targets.
-// Owners do not renew a lease. Instead, a VM that gets no response from the owner
-// writes a challenge to the object, and the owner keeps the group by writing an
-// answer there. An owner that is paused, dead or cut off from the store does not
-// answer. An owner that receives no more calls from other VMs releases the group.
+// A VM that gets no response from the owner writes a challenge to the object, and the
+// owner keeps the group by writing an answer there. An owner that is paused, dead or
+// cut off from the store does not answer. An owner that receives no more calls from
+// other VMs releases the group.
+//
+// Targets that check fencing tokens refuse the orders of a replaced owner. For the
+// others, an owner has a Permission that expires unless the store confirms the
+// ownership, and the next owner sends its first order when the permission of its
+// predecessor has expired, or when the predecessor has said that it has stopped.
 //
 // Invariants:
 //   - the epoch of a group increases with each takeover;
 //   - an owner stops acting when it learns of an epoch newer than its own;
+//   - no order of an owner reaches a target after one of a later owner, unless the
+//     targets check fencing tokens;
 //   - a VM that lost a group does not take it over again until all other VMs have
 //     had the chance to do so for longer than a lease.
 package tenure
@@ -31,6 +38,7 @@
 	Released    bool   `json:"released,omitempty"`
 	Challenged  uint64 `json:"challenged,omitempty"` // number of the last challenge
 	Answered    uint64 `json:"answered,omitempty"`   // number of the last challenge that the owner answered
+	Settled     bool   `json:"settled,omitempty"`    // all orders of earlier owners have arrived
 }
 
 // Action is what a VM should do about a group.
@@ -43,6 +51,7 @@
 	Challenge Action = "challenge"
 	Answer    Action = "answer"
 	Release   Action = "release"
+	Settle    Action = "settle"
 )
 
 const (
@@ -80,6 +89,8 @@
 	// Lease is the minimum time before a VM that lost the group may own it again,
 	// DefaultLease if it is not positive.
 	Lease time.Duration
+	// TargetsCheckFences is set if the targets refuse orders of replaced owners.
+	TargetsCheckFences bool
 }
 
 // StateMachine tracks the ownership of one group from the view of one VM. It is not
@@ -102,6 +113,9 @@
 	ownershipLostAt    Time
 	peerSeenAt         Time // as owner: last call from another VM
 	peerSeen           bool // as owner: another VM has called
+	ordersFrom         Time // as owner: when the orders of earlier owners have arrived
+	predecessorSettled bool // as owner: the record that was replaced was settled
+	releasing          bool // as owner: a release was begun and is repeated until the record shows it
 }
 
 // New returns a state machine that has no information about the group yet.
@@ -138,9 +152,14 @@
 	old := m.record
 	wasOwner := m.exists && old.Owner == m.self.VM && old.Incarnation == m.self.Incarnation
 	changed := !m.exists || r.Epoch != old.Epoch || r.Released != old.Released
+	existed := m.exists
 	m.recordRead, m.exists, m.record = true, true, r
+	if changed && m.Owns() {
+		m.ordersFrom, m.predecessorSettled = m.afterPredecessor(now, old, existed), old.Settled
+	}
 	if changed {
 		m.ownershipChangedAt, m.unresponsive, m.storeLost, m.answerSeen, m.peerSeen = now, false, false, false, false
+		m.releasing = false
 	}
 	if r.Challenged > r.Answered && (changed || r.Challenged > old.Challenged) {
 		m.challengeSeenAt = now
@@ -179,6 +198,10 @@
 	return m.Owns() && m.peerSeen && now-m.peerSeenAt > isolatedAfter
 }
 
+// BeginRelease records that this VM, as owner, releases the group and has stopped its
+// orders. A release without an answer may still take effect, so there is no way back.
+func (m *StateMachine) BeginRelease() { m.releasing = m.Owns() }
+
 // NextAction returns the action that is due now. It returns NoAction unless
 // storeReachable says that this VM can reach the store.
 func (m *StateMachine) NextAction(now Time, storeReachable bool) Action {
@@ -210,10 +233,12 @@
 
 func (m *StateMachine) nextAsOwner(now Time) Action {
 	switch {
-	case m.Isolated(now):
+	case m.releasing || m.Isolated(now):
 		return Release
 	case m.record.Challenged > m.record.Answered:
 		return Answer
+	case !m.record.Settled && !m.self.TargetsCheckFences && now >= m.ordersFrom:
+		return Settle
 	}
 	return NoAction
 }
@@ -238,6 +263,7 @@
 		return Record{
 			Owner: m.self.VM, Incarnation: m.self.Incarnation, Address: address, Epoch: r.Epoch + 1,
 			Challenged: r.Challenged, Answered: r.Challenged,
+			Settled: m.self.TargetsCheckFences || !m.exists || r.Settled && (r.Released || r.Owner == m.self.VM),
 		}
 	case Challenge:
 		r.Challenged++
@@ -245,6 +271,8 @@
 		r.Answered = r.Challenged
 	case Release:
 		r.Released = true
+	case Settle:
+		r.Settled = true
 	case NoAction:
 	}
 	return r
