placer: The limit of loads from the weights store follows the load times

Cause: the store delivers a number of adapters at the same time at full speed (8, 24, 32, 64 or 112 on the deployments known), and shares its rate among more. The limit was fixed at 0.9 a target and at least 12. The number stands in no configuration.

Change: the limit grows with loads that were not slowed down while most of it was in use, and is corrected by those that were.

Tests: TestTransitLimitFollowsTheWeightsStore (8, 24, 112 at full speed), TestTransitLimitIgnoresLoadsFromTheTargetsMemory.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -25,6 +25,7 @@
 	queue       []*queuedRequest // in order of arrival
 	runs        map[string]*activeRun
 	lateLoads   map[string]*lateLoads // by target ID
+	transit     transitLimit
 
 	requestCount      uint64
 	orderCount        uint64
@@ -46,7 +47,7 @@
 func New(params Params) *Core {
 	return &Core{
 		params: params, latencies: newLatencyModel(), targetsByID: map[string]*targetState{}, adapters: map[Adapter]*adapterState{},
-		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, lateLoads: map[string]*lateLoads{}, modelLoadCredit: 1, ordersAllowed: true,
+		queuedByID: map[string]*queuedRequest{}, runs: map[string]*activeRun{}, lateLoads: map[string]*lateLoads{}, transit: newTransitLimit(params.MaxColdLoads), modelLoadCredit: 1, ordersAllowed: true,
 	}
 }
 
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -49,7 +49,7 @@
 		return
 	}
 	cold := !t.recentlyUnloaded.has(a)
-	if cold && c.coldLoads >= max(1, c.params.MaxColdLoads) {
+	if cold && !c.transit.allows(c.coldLoads) {
 		return
 	}
 	estimated := c.estimate(t, r)
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -106,6 +106,7 @@
 		// repeated at once: the precondition ensures that it is executed only once.
 		t.plannedOrders = slices.Insert(t.plannedOrders, 0, plan)
 		t.unansweredOrders++
+		pl.unobserved = true
 		pl.uncertain = t.unansweredOrders >= uncertainAfterOrders
 		if plan.operation == Load {
 			c.lateLoadsOf(order.Target).addUnanswered(order.Precondition, c.now)
@@ -126,7 +127,7 @@
 	pl := p.placement
 	pl.uncertain = false
 	if !pl.accepted {
-		pl.accepted, pl.acceptedAt = true, c.now
+		pl.accepted, pl.acceptedAt, pl.underWay = true, c.now, c.countColdLoads()
 		t.acceptedOrders++
 	}
 	pl.polls++
@@ -176,6 +177,9 @@
 	}
 	if pl.accepted && pl.adapter.Name != "" {
 		c.latencies.observeLoad(pl.cold, c.now-pl.acceptedAt, pl.polls == 1)
+		if pl.cold && !pl.unobserved {
+			c.transit.observe(c.now-pl.acceptedAt, max(pl.underWay, c.countColdLoads()), float64(maxLoadsPerTarget*len(c.targets)))
+		}
 	}
 	t.recentlyUnloaded.remove(pl.adapter)
 	c.markReady(pl)
--- a/internal/placer/params.go
+++ b/internal/placer/params.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Params are the settings of a core. A MaxColdLoads of 0 counts as 1. With an
-// Engine.CacheTokens of 0 the KV cache does not limit the granted requests.
+// Params are the settings of a core. With an Engine.CacheTokens of 0 the KV cache does
+// not limit the granted requests.
 type Params struct {
 	Engine Engine
 	// Regions maps data centres to their regions.
 	Regions map[string]string
-	// MaxColdLoads is the maximum number of concurrent adapter loads from the
-	// weights store, over all targets of the group.
+	// MaxColdLoads is the first limit of the concurrent adapter loads from the weights
+	// store, over all targets of the group. Observed load times adjust it.
 	MaxColdLoads int
 	// FirstOwner is set if no earlier owner has sent orders to the targets.
 	FirstOwner bool
