gateway: Streams are refused before their callers abandon them

Cause: the time after which callers abandon a stream that has not started was fixed at 4.5 s.

A resumed stream counts from its last event.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -28,6 +28,7 @@
 	Timeout           time.Duration // maximum time until the final answer
 	LatencyObjective  time.Duration // objective for the time until the answer; for streams, until the first event
 	EventGapObjective time.Duration // objective for the longest gap between two events of a stream
+	AbandonAfter      time.Duration // callers abandon a stream without an event for that long, 0 if they wait until their deadline
 	Priority          int           // 0 is the highest
 	MaxAttempts       int           // maximum number of targets that may run one request
 	Resumable         bool          // whether a stream may be continued on another target
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"time"
@@ -111,8 +112,13 @@
 // tryOpenStream makes one attempt to open a stream, from the lease to the
 // first event.
 func (c *call) tryOpenStream(lastEventID int64) (*targetStream, eventstream.Event, *errs.Error) {
-	lease, failure := c.server.opt.Placement.Acquire(c.ctx, c.service, c.placerRequest())
+	ctx, cancel := c.placementContext()
+	defer cancel()
+	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest())
 	if failure != nil {
+		if ctx.Err() != nil && c.ctx.Err() == nil {
+			failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
+		}
 		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
 	}
 	c.trace.addPlacement(lease)
@@ -133,13 +139,39 @@
 	return stream, event, nil
 }
 
+// abandonReserve is the part of the time until the caller abandons a stream that is left
+// for the refusal of its request.
+const abandonReserve = 150 * time.Millisecond
+
+// placementContext returns the context of a wait for a lease. It ends before the caller
+// abandons the stream, so that the caller still gets an answer.
+func (c *call) placementContext() (context.Context, context.CancelFunc) {
+	if c.route.AbandonAfter <= 0 {
+		return context.WithCancel(c.ctx)
+	}
+	return context.WithDeadline(c.ctx, c.waitingSince().Add(c.route.AbandonAfter-abandonReserve))
+}
+
+// waitingSince returns the time since which the caller has waited for the next event.
+func (c *call) waitingSince() time.Time {
+	if c.trace.lastEventAt.IsZero() {
+		return c.arrived
+	}
+	return c.trace.lastEventAt
+}
+
 // placerRequest builds the request for a lease.
 func (c *call) placerRequest() placer.Request {
 	output := c.meta.LengthHint
 	if output <= 0 {
 		output = c.meta.MaxOutputTokens / defaultOutputDivisor
 	}
+	abandon := c.route.AbandonAfter
+	if abandon > 0 {
+		abandon -= time.Since(c.waitingSince())
+	}
 	return placer.Request{
+		Abandon: abandon,
 		ID: c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: c.route.LatencyObjective - time.Since(c.arrived),
 		Deadline: c.timeLeft(), Exclude: c.excluded,
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -88,6 +88,9 @@
 		r := request
 		r.Objective -= time.Since(began)
 		r.Deadline -= time.Since(began)
+		if r.Abandon != 0 {
+			r.Abandon -= time.Since(began)
+		}
 		reply := c.askOwner(ctx, o, r)
 		if reply.Err == nil {
 			c.trackRunning(o.name, r, reply.Grant)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -236,7 +236,10 @@
 		Request: request, arrivalNumber: c.requestCount, queuedAt: c.now, firstEventDue: c.now + request.Objective - objectiveMargin,
 		deadline: c.now + request.Deadline, adapter: c.adapterState(request.Adapter),
 	}
-	r.latestStart = c.now + min(request.Deadline-c.minServiceTime(&request), streamStartLimit)
+	r.latestStart = c.now + request.Deadline - c.minServiceTime(&request)
+	if request.Abandon != 0 {
+		r.latestStart = min(r.latestStart, c.now+request.Abandon-abandonMargin)
+	}
 	r.adapter.countRequest(c.now)
 	if err := c.admit(r); err != nil {
 		c.refuseOnArrival(request, err)
--- a/internal/placer/params.go
+++ b/internal/placer/params.go
@@ -132,9 +132,9 @@
 	// avoided.
 	failuresToAvoid = 2
 
-	// streamStartLimit is the time after which callers abandon a stream that has
-	// not started.
-	streamStartLimit = 4500 * time.Millisecond
+	// abandonMargin is the part of the time until callers abandon a request that is
+	// reserved for its first event.
+	abandonMargin = 300 * time.Millisecond
 	// maxWaitFraction is the fraction of a request's remaining time that its
 	// expected wait may take on arrival.
 	maxWaitFraction = 0.6
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -403,3 +403,20 @@
 	sim.advance(time.Second)
 	g.Expect(sim.granted).To(gomega.HaveKey(patient))
 }
+
+// No target has room for a request's adapter, and the caller leaves long before its
+// deadline. It must get a refusal before it leaves.
+func TestWaitingRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 1, placer.Params{})
+	sim.streamTime = 20 * time.Second
+	for i := range adapterSlots {
+		sim.enqueue(adapter(i), nil)
+	}
+	sim.advance(time.Second)
+	const abandon = 3200 * time.Millisecond
+	waiting := sim.enqueue(adapter(9), func(r *placer.Request) { r.Deadline, r.Abandon = 10*time.Second, abandon })
+	sim.advance(abandon - 100*time.Millisecond)
+	g.Expect(sim.refused).To(gomega.HaveKey(waiting))
+	g.Expect(sim.refused[waiting].Err.Retry).To(gomega.BeNumerically(">", 0))
+}
