--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,7 +172,7 @@
 	}
 	return placer.Request{
 		Abandon: abandon,
-		ID: c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
+		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: c.route.LatencyObjective - time.Since(c.arrived),
 		Deadline: c.timeLeft(), Exclude: c.excluded,
 	}
