groupserver: Owners on VMs with processor time, cheaper views and ticks

Cause: on the grown Kovačič site an owner gets some 250 requests a second. The profile of BenchmarkOwner: each event of a request ran the whole core, each sync compared the whole view, up to 2,000 rows, and each tick walked the placements of all targets.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	d.groups = groupserver.New(groupserver.Options{
-		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Regions: s.Regions,
+		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Cores: s.Cores, Regions: s.Regions,
 		Store: deps.Store, Engines: deps.Orders, Observer: groupObserver{d},
 		TargetsCheckFences: s.TargetsCheckFences, StoreCalled: func(err error) { d.recordStoreCall(groupserver.Kind, err) },
 		Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -34,6 +34,9 @@
 	// MemoryBytes is the memory that the process may use, in bytes. No memory limit is
 	// set if it is 0.
 	MemoryBytes int64
+	// Cores is the processor time that the process may use, in cores. VMs with more of it
+	// are preferred as owners of groups. It is unknown if it is 0.
+	Cores float64
 	// ShutdownGrace is the time from SIGTERM until the process is killed.
 	ShutdownGrace time.Duration
 	// TargetDrainTime is the time after a target has announced that it leaves by which
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -57,7 +57,7 @@
 
 func (g *group) candidate() tenure.Candidate {
 	return tenure.Candidate{
-		VM: g.manager.opt.VM, Incarnation: g.manager.opt.Incarnation, Jitter: g.manager.jitter(g.name), Lease: g.manager.opt.Lease,
+		VM: g.manager.opt.VM, Incarnation: g.manager.opt.Incarnation, Jitter: g.manager.jitter(g.name, false), Lease: g.manager.opt.Lease,
 		TargetsCheckFences: g.manager.opt.TargetsCheckFences,
 	}
 }
@@ -183,9 +183,10 @@
 }
 
 // startAction starts the action that the tenure state machine asks for, unless an
-// earlier one is still running.
-func (g *group) startAction(ctx context.Context) {
+// earlier one is still running. ownsGroup tells whether this VM owns a group.
+func (g *group) startAction(ctx context.Context, ownsGroup bool) {
 	g.mu.Lock()
+	g.tenure.SetJitter(g.manager.jitter(g.name, ownsGroup))
 	if len(g.targets) == 0 && g.core == nil {
 		g.mu.Unlock()
 		return
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	Incarnation uint64
 	Address     string            // address of this VM for calls from peers
 	Lease       time.Duration     // minimum time before a VM that lost a group may own it again, 0 for tenure.DefaultLease
+	Cores       float64           // processor time of this VM, in cores, 0 if unknown
 	Regions     map[string]string // region by data centre
 	Store       objectstore.Store
 	Engines     EngineClient
@@ -176,11 +178,34 @@
 	return g
 }
 
-// jitter returns this VM's share of the maximum jitter delay for a group, from 0 to 1.
-func (m *Manager) jitter(group string) float64 {
-	return float64(xxhash.Sum64String(group+"\x00"+m.opt.VM)%1000) / 1000
+// An owner of a group with many requests needs processor time, so VMs with more of it
+// take over earlier: jitterTiers holds, from the largest to the smallest, the least
+// number of cores of a tier, and the part of the jitter delay from which the VMs of the
+// tier draw.
+var jitterTiers = []struct{ cores, from, to float64 }{{0.6, 0, 0.3}, {0.3, 0.2, 0.7}, {0, 0.5, 1}}
+
+// ownerJitter is added to the jitter of a VM that owns a group, so that others take over
+// the next one.
+const ownerJitter = 0.5
+
+// jitter returns this VM's share of the maximum jitter delay for a group, from 0 to 1.5.
+func (m *Manager) jitter(group string, ownsGroup bool) float64 {
+	fraction := float64(xxhash.Sum64String(group+"\x00"+m.opt.VM)%1000) / 1000
+	cores := m.opt.Cores
+	if cores <= 0 {
+		cores = defaultCores
+	}
+	tier := jitterTiers[slices.IndexFunc(jitterTiers, func(t struct{ cores, from, to float64 }) bool { return cores >= t.cores })]
+	jitter := tier.from + fraction*(tier.to-tier.from)
+	if ownsGroup {
+		jitter += ownerJitter
+	}
+	return jitter
 }
 
+// defaultCores is the processor time of a VM whose settings do not state it.
+const defaultCores = 0.4
+
 func (m *Manager) lookup(name string) *group {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -305,8 +330,9 @@
 		case <-ticker.C:
 		}
 		m.detectPause()
+		ownsGroup := m.OwnsAny()
 		for _, g := range m.allGroups() {
-			g.startAction(ctx)
+			g.startAction(ctx, ownsGroup)
 			g.startConfirmation(ctx)
 		}
 	}
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -110,7 +110,9 @@
 		g.core.Cancel(now, e.ID)
 		g.core.Release(now, e.ID, placer.Cancelled)
 	}
-	g.tick()
+	if g.core.HasQueue() {
+		g.tick()
+	}
 }
 
 func (g *group) rememberCancelled(now time.Duration, id string) {
@@ -142,7 +144,9 @@
 	reply := grouprpc.SyncReply{
 		Epoch: g.epoch, Blind: m.opt.StoreLost() || g.permissionLost(), VMs: g.countVMs(now), Backlog: g.core.Backlog(now),
 	}
-	g.view.update(g.core.ResidentAdapters(now))
+	if g.view.dueForUpdate(now) {
+		g.view.update(g.core.ResidentAdapters(now))
+	}
 	g.view.fillReply(request.Since, &reply)
 	return reply
 }
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -38,9 +38,11 @@
 	dispatchPass      uint64 // number of the current pass over the queue
 	lastFullPass      Time   // when the whole queue was last dispatched
 	hasNewRequest     bool   // a request arrived since the last pass
-	coldLoads         int    // adapters being loaded from the weights store
+	coldLoads         int    // adapters being loaded from the weights store, as of coldLoadsPass
+	coldLoadsPass     uint64 // pass over the queue in which coldLoads was counted
 	anyStale          bool   // an adapter may be placed in an outdated version
 	lastRunExpiry     Time   // when expired runs were last removed
+	lastSpareCheck    Time   // when spare slots were last freed
 }
 
 // New returns a core without targets.
@@ -190,6 +192,9 @@
 		pl.staleSince, c.anyStale = max(1, adapter.announcedAt), true
 	}
 	t.placements[a] = pl
+	if a.Name == "" {
+		t.models++
+	}
 	adapter.placements = append(adapter.placements, pl)
 	return pl
 }
@@ -199,6 +204,9 @@
 // own memory.
 func (c *Core) removePlacement(pl *placement) {
 	delete(pl.target.placements, pl.adapter)
+	if pl.adapter.Name == "" {
+		pl.target.models--
+	}
 	adapter := c.adapterState(pl.adapter)
 	adapter.placements = slices.DeleteFunc(adapter.placements, func(other *placement) bool { return other == pl })
 	pl.target.prefixes.dropAdapter(pl.adapter)
@@ -319,6 +327,10 @@
 	return next
 }
 
+// HasQueue reports whether requests are queued, so that an event may lead to a grant.
+// Without a queue the next tick is early enough.
+func (c *Core) HasQueue() bool { return len(c.queue) > 0 }
+
 // Queued returns the number of queued requests and the age of the oldest.
 func (c *Core) Queued(now Time) (length int, oldest time.Duration) {
 	c.advance(now)
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -125,7 +125,6 @@
 		return
 	}
 	c.dispatchPass++
-	c.coldLoads = c.countColdLoads()
 	if len(c.queue) > largeQueue && c.now < c.lastFullPass+largeQueuePassInterval {
 		c.hasNewRequest = false
 		c.dispatchRequest(c.queue[len(c.queue)-1])
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -23,6 +23,9 @@
 	if a.Name == "" || c.now < r.adapter.noLoadUntil || c.draining {
 		return false
 	}
+	if c.coldLoadsPass != c.dispatchPass {
+		c.coldLoads, c.coldLoadsPass = c.countColdLoads(), c.dispatchPass
+	}
 	var best loadOption
 	for _, avoided := range []bool{false, true} {
 		for _, t := range c.targets {
@@ -223,6 +226,10 @@
 // freeSpareSlots keeps one adapter slot of each target free, so that a load does not
 // have to wait for an unload.
 func (c *Core) freeSpareSlots() {
+	if c.now-c.lastSpareCheck < spareCheckInterval {
+		return
+	}
+	c.lastSpareCheck = c.now
 	for _, t := range c.targets {
 		if !t.acceptsWork() || !t.stateKnown || t.needsReport {
 			continue
@@ -236,6 +243,9 @@
 	}
 }
 
+// spareCheckInterval is the time between two checks for targets without a free slot.
+const spareCheckInterval = 20 * time.Millisecond
+
 // spareSlotIdleTime is the time without use after which an adapter is unloaded to
 // keep a slot free.
 const spareSlotIdleTime = 300 * time.Millisecond
@@ -257,7 +267,7 @@
 	}
 	c.modelLoadCreditAt = c.now
 	for _, t := range c.targets {
-		if !t.acceptsWork() || !t.stateKnown || t.needsReport || t.inFlight != nil || c.now < t.noOrdersUntil || c.now < t.avoidUntil || hasAnyModel(t) {
+		if !t.acceptsWork() || !t.stateKnown || t.needsReport || t.inFlight != nil || c.now < t.noOrdersUntil || c.now < t.avoidUntil || t.models > 0 {
 			continue
 		}
 		model := c.neededModel()
@@ -299,16 +309,6 @@
 	return targets == 0 || prefillShare/float64(targets) > busyPrefillShare
 }
 
-// hasAnyModel reports whether a target has a base model or is to load one.
-func hasAnyModel(t *targetState) bool {
-	for a := range t.placements {
-		if a.Name == "" {
-			return true
-		}
-	}
-	return false
-}
-
 // neededModel returns the base model with the most queued requests per target that
 // has it.
 func (c *Core) neededModel() string {
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -36,6 +36,7 @@
 type targetState struct {
 	description fleet.Target
 	placements  map[Adapter]*placement
+	models      int // base models among the placements
 
 	acceptedOrders int64 // number of orders that the target has accepted
 	stateKnown     bool  // acceptedOrders and placements are known
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -85,7 +85,7 @@
 type Candidate struct {
 	VM          string
 	Incarnation uint64
-	Jitter      float64 // fraction of the maximum jitter delay, 0 to 1, specific to this VM and group
+	Jitter      float64 // fraction of the maximum jitter delay, 0 to 1.5, specific to this VM and group
 	// Lease is the minimum time before a VM that lost the group may own it again,
 	// DefaultLease if it is not positive.
 	Lease time.Duration
@@ -135,6 +135,9 @@
 	return m.exists && !m.record.Released && m.record.Owner == m.self.VM && m.record.Incarnation == m.self.Incarnation
 }
 
+// SetJitter replaces the fraction of the maximum jitter delay.
+func (m *StateMachine) SetJitter(jitter float64) { m.self.Jitter = jitter }
+
 // SetAbsent records that the group has no object in the store.
 func (m *StateMachine) SetAbsent(now Time) {
 	if !m.recordRead || m.exists {
