gateway: A panic ends one request, and comment lines are no progress of a stream

Cause, from failures that operators of similar systems report, searched for here: - One unexpected error takes a process down: it could. The HTTP server of the entry VMs does not recover from a panic in a handler, net/rpc not from one in a method, and a panic in a background loop ends the process too (TestPanicIsContained covers the product's own mode only). With the guard removed, TestPanicEndsOneRequest ends with the test process. - A stalled stream that sends something now and then never ends: it could hold its request, connection and lease until the caller's deadline. Comment lines and blank lines counted as events, so the wait for the next event began anew with each. TestStalledStreamWithCommentLinesIsResumed failed. - Bytes that are no answer, without end, in a head or a body: bounded already, by the size of the read buffer and the deadline. TestEndlessAnswersFail shows it for nine forms.

Change: panics in a request, in an attempt, in a stream, in a call of another VM and in background work are contained, logged with the request's id and the stack, and counted (edge_panics); background work starts again. Only events with an ID count as progress.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -20,6 +20,7 @@
 	"cicadaslip/internal/kindwatch"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/peer"
 	"cicadaslip/internal/timeline"
 	"cicadaslip/internal/upstream"
@@ -162,9 +163,9 @@
 		return err
 	}
 	d.startWatches(ctx)
-	d.runInBackground(func() { d.groups.Run(ctx) })
-	d.runInBackground(func() { d.placement.Run(ctx) })
-	d.runInBackground(func() { d.expireMissingTargets(ctx) })
+	d.runInBackground(ctx, "groups", d.groups.Run)
+	d.runInBackground(ctx, "placement", d.placement.Run)
+	d.runInBackground(ctx, "target_expiry", d.expireMissingTargets)
 	served := make(chan error, 1)
 	go func() { served <- d.gateway.Serve(d.callerListener) }()
 	d.log.Info().Str(fieldEvent, "started").Str(fieldAddress, d.settings.CallerAddress).
@@ -178,12 +179,22 @@
 	return nil
 }
 
-// runInBackground runs f in a goroutine that d.background counts.
-func (d *Daemon) runInBackground(f func()) {
+// restartDelay is the pause before background work is started again after a panic.
+const restartDelay = 200 * time.Millisecond
+
+// runInBackground runs f in a goroutine that d.background counts. If f panics, it is
+// started again until ctx ends.
+func (d *Daemon) runInBackground(ctx context.Context, name string, f func(context.Context)) {
+	contained := func() (err error) {
+		defer d.contain(name, &err)
+		f(ctx)
+		return nil
+	}
 	d.background.Add(1)
 	go func() {
 		defer d.background.Done()
-		f()
+		for contained() != nil && pause.For(ctx, restartDelay) {
+		}
 	}()
 }
 
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -168,6 +168,28 @@
 	line.Send()
 }
 
+// Panicked implements gateway.Observer.
+func (o requestObserver) Panicked(request string, failure *errs.Error) {
+	o.d.panicked("request", request, failure)
+}
+
+// panicked logs and counts a contained panic.
+func (d *Daemon) panicked(place, request string, failure *errs.Error) {
+	d.metrics.Count(metrics.EdgePanics, place)
+	d.log.Error().Str(fieldEvent, "panic").Str(fieldRequest, request).Str(fieldAction, place).Str(fieldReason, failure.Error()).
+		Strs("stack", failure.Details).Send()
+}
+
+// contain makes a panic in a call of another VM the failure of the call. It must be
+// deferred.
+func (d *Daemon) contain(place string, err *error) {
+	if cause := recover(); cause != nil {
+		failure := errs.FromPanic(cause)
+		d.panicked(place, "", failure)
+		*err = failure
+	}
+}
+
 // logStep writes the log line of one step of a request.
 func (o requestObserver) logStep(level zerolog.Level, s *gateway.Summary, step *gateway.Step) {
 	line := o.d.log.WithLevel(level).Str(fieldEvent, step.Name).Str(fieldRequest, s.ID).Str(fieldTarget, step.Target).Dur(fieldAt, step.At)
@@ -234,7 +256,7 @@
 		_, _ = fmt.Fprintf(c, "{\"cicadaslip\": %s}\n", d.metrics.Var())
 	}}
 	go func() { _ = server.Serve(l) }() // serves until the process ends
-	d.runInBackground(func() {
+	d.runInBackground(ctx, "metrics", func(ctx context.Context) {
 		ticker := time.NewTicker(metrics.RotateInterval)
 		defer ticker.Stop()
 		for {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -12,7 +12,8 @@
 type groupService struct{ d *Daemon }
 
 // Acquire implements grouprpc.AcquireMethod.
-func (s *groupService) Acquire(request grouprpc.AcquireRequest, reply *grouprpc.AcquireReply) error {
+func (s *groupService) Acquire(request grouprpc.AcquireRequest, reply *grouprpc.AcquireReply) (err error) {
+	defer s.d.contain("acquire", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), request.Request.Deadline+time.Second)
 	defer cancel()
 	*reply = s.d.groups.Acquire(ctx, request)
@@ -20,13 +21,15 @@
 }
 
 // Events implements grouprpc.EventsMethod.
-func (s *groupService) Events(request grouprpc.EventsRequest, reply *grouprpc.EventsReply) error {
+func (s *groupService) Events(request grouprpc.EventsRequest, reply *grouprpc.EventsReply) (err error) {
+	defer s.d.contain("events", &err)
 	*reply = s.d.groups.Events(request)
 	return nil
 }
 
 // Sync implements grouprpc.SyncMethod.
-func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) error {
+func (s *groupService) Sync(request grouprpc.SyncRequest, reply *grouprpc.SyncReply) (err error) {
+	defer s.d.contain("sync", &err)
 	s.d.compareNewestRevisions(request.Seen)
 	s.d.relay.compareConfig(s.d.configVersion(), request.Config)
 	if request.Push != nil {
@@ -42,7 +45,8 @@
 }
 
 // Announce implements grouprpc.AnnounceMethod.
-func (s *groupService) Announce(request grouprpc.AnnounceRequest, reply *grouprpc.AnnounceReply) error {
+func (s *groupService) Announce(request grouprpc.AnnounceRequest, reply *grouprpc.AnnounceReply) (err error) {
+	defer s.d.contain("announce", &err)
 	*reply = s.d.groups.Announced(request)
 	return nil
 }
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -103,7 +103,7 @@
 	}
 	defer func() {
 		for _, f := range d.followers {
-			d.runInBackground(func() { f.Run(ctx) })
+			d.runInBackground(ctx, "watch", f.Run)
 		}
 	}()
 	follow(d.kinds.Config, configWatchPause, d.newObjectHandler(d.kinds.Config, d.handleConfigObject, d.config.advance))
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	pkgerrors "github.com/pkg/errors"
@@ -133,6 +135,12 @@
 	return Wrap(err, Internal, "unexpected failure")
 }
 
+// FromPanic returns the error for a recovered panic. Its details hold the stack of the
+// goroutine, which must be the one that panicked.
+func FromPanic(cause any) *Error {
+	return New(Internal, fmt.Sprintf("panic: %v", cause)).WithRan(RanUnknown).WithDetails(string(debug.Stack()))
+}
+
 // Is reports whether the first typed error in the chain of err has the given
 // code.
 func Is(err error, code Code) bool {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,12 +62,14 @@
 	possibleRuns   int      // number of targets that may have run the request
 	refusals       int      // number of targets that refused the request without running it
 	mayHaveRun     bool     // a target may be running or may have run the request
+	finished       bool     // finish was called
 }
 
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := &call{server: s, http: ctx, arrived: time.Now()}
 	c.trace.start(c.arrived)
+	defer c.contain()
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -95,6 +97,10 @@
 // finish ends the call and reports it to the observer. A streaming call
 // finishes when its response body is closed.
 func (c *call) finish() {
+	if c.finished {
+		return
+	}
+	c.finished = true
 	c.cancel()
 	c.server.unregister(c)
 	c.server.opt.Observer.Finished(c.summary())
--- /dev/null
+++ b/internal/gateway/contain_test.go
@@ -0,0 +1,183 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/balance"
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/gateway"
+	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/placer"
+	"cicadaslip/internal/upstream"
+)
+
+// world is a deployment of one route and one target.
+type world struct {
+	route      fleet.Route
+	target     string // address
+	panicIn    string // function that panics
+	panicked   chan string
+	abandoned  time.Duration
+	inFlight   func() int
+	placements int
+}
+
+func (w *world) maybePanic(function string) {
+	if w.panicIn == function {
+		panic("unexpected in " + function)
+	}
+}
+
+func (w *world) Routes() *fleet.RouteTable {
+	return fleet.NewRouteTable(&fleet.Config{Version: 1, Routes: []fleet.Route{w.route}, Services: map[string]fleet.Service{"s": {Name: "s"}}})
+}
+func (w *world) Usable(string) bool                   { return true }
+func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
+func (w *world) Pick(string, []string) (fleet.Target, bool) {
+	w.maybePanic("Pick")
+	return fleet.Target{ID: "t", Address: w.target}, true
+}
+func (w *world) ExpectedLatency(string, string) time.Duration { return time.Second }
+func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
+	w.maybePanic("RecordOutcome")
+}
+func (w *world) CountRequest(string)   {}
+func (w *world) TakeRetry(string) bool { return true }
+
+func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
+	w.maybePanic("ParseRequest")
+	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second}, nil, nil
+}
+func (w *world) AttemptFields(gateway.Attempt) httpfields.List { return nil }
+func (w *world) ParseResponse(int, httpfields.List) gateway.ResponseMeta {
+	w.maybePanic("ParseResponse")
+	return gateway.ResponseMeta{Signed: true}
+}
+func (w *world) RetryAfterField(time.Duration) httpfields.Field { return httpfields.Field{} }
+
+func (w *world) Acquire(context.Context, string, placer.Request) (gateway.Lease, *errs.Error) {
+	w.maybePanic("Acquire")
+	w.placements++
+	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: time.Second}, nil
+}
+func (w *world) Started(gateway.Lease, float64)         { w.maybePanic("Started") }
+func (w *world) Release(gateway.Lease, placer.Outcome)  { w.maybePanic("Release") }
+func (w *world) Finished(gateway.Summary)               {}
+func (w *world) Malformed(int, error)                   {}
+func (w *world) Panicked(request string, _ *errs.Error) { w.panicked <- request }
+
+// newWorld starts a server, and a target that answers with respond.
+func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
+	g := gomega.NewWithT(t)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = target.Close() })
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				respond(conn)
+			}()
+		}
+	}()
+	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), route: fleet.Route{
+		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
+	}}
+	server := gateway.New(gateway.Options{
+		Fleet: w, Placement: w, Dialect: w, Observer: w, Upstream: &upstream.Client{Dial: (&net.Dialer{}).DialContext},
+	})
+	w.inFlight = server.InFlight
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = server.Serve(l) }()
+	return w, l.Addr().String()
+}
+
+func get(g *gomega.WithT, address string) (status int, body string, err error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("X-Request-Id", "q1")
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+const plainAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against an unexpected error in the handling of one request that takes the whole
+// process down, or leaves the request counted as in flight.
+func TestPanicEndsOneRequest(t *testing.T) {
+	for function, kind := range map[string]fleet.Kind{
+		"ParseRequest": fleet.Idempotent, "Pick": fleet.Idempotent, "ParseResponse": fleet.Idempotent, "RecordOutcome": fleet.Idempotent,
+		"Acquire": fleet.Streaming, "Started": fleet.Streaming, "Release": fleet.Streaming,
+	} {
+		t.Run(function, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, kind, func(c net.Conn) {
+				answer := plainAnswer
+				if kind == fleet.Streaming {
+					answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 8\r\n\r\nid: 1\n\n\n"
+				}
+				_, _ = io.WriteString(c, answer)
+			})
+			w.panicIn = function
+			status, _, err := get(g, address)
+			g.Expect(err != nil || status == http.StatusBadGateway).To(gomega.BeTrue(), "status %d", status)
+			g.Eventually(w.panicked).Should(gomega.Receive())
+			g.Eventually(w.inFlight).Should(gomega.BeZero())
+			w.panicIn = ""
+			status, _, err = get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+		})
+	}
+}
+
+// Guards against a stalled stream that sends lines without events now and then, and so
+// keeps its request, its connection and its lease until the caller's deadline although
+// another target could continue it.
+func TestStalledStreamWithCommentLinesIsResumed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	connections := make(chan int, 2)
+	connections <- 1
+	connections <- 2
+	w, address := newWorld(t, fleet.Streaming, func(c net.Conn) {
+		if <-connections == 2 {
+			_, _ = io.WriteString(c, head+"id: 2\ndata: b\n\n")
+			return
+		}
+		_, _ = io.WriteString(c, head+"id: 1\ndata: a\n\n")
+		for {
+			if _, err := io.WriteString(c, ":\n\n"); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	w.route.Resumable, w.route.MaxAttempts = true, 2
+	_, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(w.placements).To(gomega.Equal(2))
+	g.Expect(strings.ReplaceAll(body, ":\n\n", "")).To(gomega.Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -52,7 +52,11 @@
 		}
 		c.excluded = append(c.excluded, target.ID)
 		running++
-		go func() { replies <- c.attemptPlain(target) }()
+		go func() {
+			r := &reply{target: target}
+			c.attemptPlain(r)
+			replies <- r
+		}()
 		c.trace.addStep(StepSent, target.ID, "")
 		return nil
 	}
@@ -168,9 +172,9 @@
 
 // attemptPlain sends the request to one target and reads the complete
 // response.
-func (c *call) attemptPlain(target fleet.Target) *reply {
-	startedAt := time.Now()
-	r := &reply{target: target}
+func (c *call) attemptPlain(r *reply) {
+	defer c.containAttempt(r)
+	startedAt, target := time.Now(), r.target
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	request := c.upstreamRequest(target.Address, Attempt{Target: target.ID})
@@ -182,7 +186,6 @@
 		r.exchange.Close()
 	}
 	c.server.opt.Fleet.RecordOutcome(c.service, target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
-	return r
 }
 
 // readPlain checks the head of a response and reads its body.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,7 +58,7 @@
 		c.finish()
 		return
 	}
-	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID}
+	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID, progressAt: time.Now()}
 	if len(first.Bytes) > 0 {
 		body.enqueue(first)
 	}
@@ -329,9 +329,10 @@
 type streamBody struct {
 	call        *call
 	source      *targetStream
-	pending     []byte // bytes of the current event that have not been read yet
-	lastEventID int64  // ID of the last event that the caller has or that was enqueued, 0 if none
-	endErr      error  // result of Read after the last event, nil while the stream goes on
+	pending     []byte    // bytes of the current event that have not been read yet
+	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
+	progressAt  time.Time // when the stream began at its target or the last event with an ID arrived
+	endErr      error     // result of Read after the last event, nil while the stream goes on
 	closed      bool
 }
 
@@ -340,7 +341,7 @@
 func (b *streamBody) enqueue(e eventstream.Event) {
 	b.pending = append(b.pending[:0], e.Bytes...)
 	if e.ID > 0 {
-		b.lastEventID = e.ID
+		b.lastEventID, b.progressAt = e.ID, time.Now()
 	}
 	b.call.trace.addEvent(time.Now())
 }
@@ -362,9 +363,10 @@
 // readNext reads the next event. If the current target fails, it resumes the
 // stream at another one.
 func (b *streamBody) readNext() {
+	defer b.contain()
 	c := b.call
 	if c.canRetryElsewhere() {
-		b.source.exchange.SetReadTimeout(maxEventGap)
+		b.source.exchange.SetReadTimeout(time.Until(b.progressAt.Add(maxEventGap)))
 	} else {
 		b.source.exchange.SetDeadline(c.deadline)
 	}
@@ -419,7 +421,7 @@
 		b.endErr = errs.New(errs.WrongAnswer, "the resumed stream does not continue at the next event")
 		return
 	}
-	b.source = stream
+	b.source, b.progressAt = stream, time.Now()
 	b.enqueue(event)
 	c.trace.addStep(StepResumed, stream.lease.Grant.Target, "")
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -133,6 +133,8 @@
 	Finished(Summary)
 	// Malformed reports input that is not a valid HTTP request.
 	Malformed(status int, err error)
+	// Panicked reports that a panic has ended a request.
+	Panicked(request string, failure *errs.Error)
 }
 
 // noopObserver ignores all notifications.
@@ -140,3 +142,5 @@
 
 func (noopObserver) Finished(Summary)     {}
 func (noopObserver) Malformed(int, error) {}
+
+func (noopObserver) Panicked(string, *errs.Error) {}
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -30,6 +30,7 @@
 	EdgeViewAge           Name = "edge_view_age"
 	EdgeVMs               Name = "edge_vms"
 	EdgeLogLinesDropped   Name = "edge_log_lines_dropped"
+	EdgePanics            Name = "edge_panics"
 )
 
 // EdgeDefinitions lists the metrics of an entry VM on the users' platform.
@@ -44,6 +45,7 @@
 	{EdgeStreamsResumed, Counter, "streams", "continued at another target"},
 	{EdgeAttemptsFailed, ByLabel, "attempts", "requests to a target that failed, by reason"},
 	{EdgeMalformed, ByLabel, "requests", "input that is no request, by status"},
+	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
 	{EdgeGroupChanges, ByLabel, "actions", "of this VM on the objects of groups, with the error code"},
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,3 +30,70 @@
 	g.Expect(failure.Code).To(gomega.Equal(errs.Timeout))
 	g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
 }
+
+// endless writes text again and again until the connection fails.
+func endless(conn net.Conn, text string) {
+	for {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
+
+// A target in trouble sends bytes that are no answer without end, in the head or in the
+// body. The exchange must fail within its deadline, and with bounded memory.
+func TestEndlessAnswersFail(t *testing.T) {
+	const limit = 1 << 20
+	for name, c := range map[string]struct{ head, rest string }{
+		"one line of the head":  {"HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx"},
+		"fields of the head":    {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"interim responses":     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"no HTTP":               {"", "\x00\x01\x02\x03"},
+		"blank lines":           {"", "\r\n"},
+		"body without a length": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+		"chunks":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"length of a chunk":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+		"trailer":               {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, c.head)
+				endless(conn, strings.Repeat(c.rest, 256))
+			}()
+			before := heapBytes()
+			client := upstream.Client{Dial: (&net.Dialer{}).DialContext}
+			const deadline, patience = time.Second, 10 * time.Second
+			ended := make(chan *errs.Error, 1)
+			go func() {
+				exchange, failure := client.Open(context.Background(), upstream.Request{
+					Address: listener.Addr().String(), Method: "GET", URI: "/",
+				}, upstream.Timeouts{Connect: time.Second, Deadline: time.Now().Add(deadline)})
+				if failure == nil {
+					_, failure = exchange.ReadAll(limit)
+					exchange.Close()
+				}
+				ended <- failure
+			}()
+			var failure *errs.Error
+			g.Eventually(ended).WithTimeout(patience).Should(gomega.Receive(&failure))
+			g.Expect(failure).NotTo(gomega.BeNil())
+			g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+			g.Expect(heapBytes()).To(gomega.BeNumerically("<", before+16*limit))
+		})
+	}
+}
+
+// heapBytes returns the size of the heap.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
