--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -26,7 +26,6 @@
 	target     string // address
 	panicIn    string // function that panics
 	panicked   chan string
-	abandoned  time.Duration
 	inFlight   func() int
 	placements int
 }
