edge: At the first start small VMs wait for the owners' word

Cause: when a deployment starts, each VM lists three kinds of objects and follows them until the groups have owners.

Change: at the first start of a deployment (bootstrap), VMs below 0.3 cores wait up to 9 s for an owner to send them the deployment before they list it; one in eight does not, in case that there are no larger ones. The watch of the groups waits up to 25 s.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/retrybudget"
 )
@@ -37,6 +39,8 @@
 	// Cores is the processor time that the process may use, in cores. VMs with more of it
 	// are preferred as owners of groups. It is unknown if it is 0.
 	Cores float64
+	// Bootstrap is set if the whole deployment starts for the first time.
+	Bootstrap bool
 	// ShutdownGrace is the time from SIGTERM until the process is killed.
 	ShutdownGrace time.Duration
 	// TargetDrainTime is the time after a target has announced that it leaves by which
@@ -58,6 +62,27 @@
 	DroppedLogLines func() int64
 }
 
+const (
+	// smallVMCores is the processor time below which a VM is small. Others are preferred
+	// as owners of groups.
+	smallVMCores = 0.3
+	// bootstrapListWait is how long small VMs wait, when the whole deployment starts, for
+	// the owners to send them the deployment. Otherwise each would read it from the store.
+	bootstrapListWait = 9 * time.Second
+	// listingShare is the share of the small VMs that do not wait, in case that there are
+	// no others.
+	listingShare = 8
+)
+
+// initialListWait returns how long this VM waits for the deployment from other VMs before
+// it reads it from the store.
+func (s *Settings) initialListWait() time.Duration {
+	if !s.Bootstrap || s.Cores <= 0 || s.Cores >= smallVMCores || xxhash.Sum64String(s.VM)%listingShare == 0 {
+		return 0
+	}
+	return bootstrapListWait
+}
+
 // Validate checks the settings. Its error lists every invalid setting.
 func (s *Settings) Validate() error {
 	var faults []string
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -23,7 +23,7 @@
 	maxWatchWait = 4 * time.Second
 	// maxGroupWatchWait is the longest wait for changes of the groups. It is longer than
 	// maxWatchWait because VMs also send these changes to each other.
-	maxGroupWatchWait = 10 * time.Second
+	maxGroupWatchWait = 25 * time.Second
 	// Pauses between a change and the next watch, so that many changes cost few calls.
 	configWatchPause  = 200 * time.Millisecond
 	versionWatchPause = 300 * time.Millisecond
@@ -97,7 +97,7 @@
 		if kind == groupserver.Kind {
 			f.WatchTimeout = maxGroupWatchWait
 		} else {
-			f.Active = d.followsStore
+			f.Active, f.InitialWait = d.followsStore, d.settings.initialListWait()
 		}
 		d.followers[kind] = f
 	}
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -57,6 +57,9 @@
 	// Active reports whether to watch the store now; nil means always. The objects are
 	// listed once in any case.
 	Active func() bool
+	// InitialWait is how long the first list waits for changes from other processes, which
+	// may make it unnecessary. It requires KnownRevision.
+	InitialWait time.Duration
 	// KnownRevision returns the revision up to which this process has received all
 	// changes from other processes, so that the watch can continue from there. It is
 	// nil if there is no such source.
@@ -112,6 +115,9 @@
 
 // Run lists and watches the objects until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	for began := time.Now(); f.knownRevision() == 0 && time.Since(began) < f.InitialWait && ctx.Err() == nil; {
+		pause.For(ctx, activePollInterval)
+	}
 	var revision int64
 	listed := false
 	retryDelay := minRetryDelay
