tenure: VMs that shut down are not asked for promises

In an outage of the store of 7.5 s VMs restarted in turn. A restarted VM cannot learn of the group without the store, so it gives no promise, and the owner had no permission from 22 s to the end of the outage: 85 requests refused in the two seconds from 24 s.

Change: a VM that shuts down tells the owner, which drops it. It takes over no group any more (also not by a write that takes effect late), and its next process counts as unknown to the owner, so it waits for longer than any reliance on promises.

--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -80,6 +80,8 @@
 	// Promise is the caller's promise not to order the group's targets, if the owner's last
 	// reply asked for one.
 	Promise tenure.Promise
+	// Leaving is set if the caller's process is shutting down and takes over no group.
+	Leaving bool
 }
 
 // SyncReply holds the changes since the state described by the request.
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -212,8 +212,11 @@
 	now := g.manager.now()
 	action := g.tenure.NextAction(now, g.manager.opt.StoreReachable())
 	g.mu.Unlock()
-	acquires := action == tenure.TakeOver || action == tenure.Challenge
-	if action == tenure.NoAction || acquires && g.manager.isDraining() || g.actionRunning.Swap(true) {
+	if action == tenure.NoAction || g.actionRunning.Swap(true) {
+		return
+	}
+	if acquires := action == tenure.TakeOver || action == tenure.Challenge; acquires && g.manager.draining.Load() {
+		g.actionRunning.Store(false)
 		return
 	}
 	go func() {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -86,8 +86,8 @@
 	layouts       map[string]int            // shards by service
 	layoutPending map[string]bool           // services whose layout is being decided or has been written by this VM
 	groups        map[string]*group
-	draining      bool
 
+	draining          atomic.Bool // this VM takes over no group any more and sends no orders
 	objectsRead       atomic.Bool // the objects of all groups were read
 	ownershipVerified atomic.Bool // the owned groups' objects were read after the last pause of the process
 	lastCheck         time.Time
@@ -364,9 +364,7 @@
 
 // Drain releases all owned groups.
 func (m *Manager) Drain() {
-	m.mu.Lock()
-	m.draining = true
-	m.mu.Unlock()
+	m.draining.Store(true)
 	for _, g := range m.allGroups() {
 		if g.owned() {
 			g.runAction(context.Background(), tenure.Release)
@@ -374,10 +372,10 @@
 	}
 }
 
-func (m *Manager) isDraining() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.draining
+// Leaving reports whether Drain was called and no takeover is under way. This process
+// takes over no group any more.
+func (m *Manager) Leaving() bool {
+	return m.draining.Load() && !slices.ContainsFunc(m.allGroups(), func(g *group) bool { return g.actionRunning.Load() })
 }
 
 // OwnedGroups returns the names of the groups that this VM owns.
--- a/internal/groupserver/ordergate.go
+++ b/internal/groupserver/ordergate.go
@@ -53,8 +53,11 @@
 // ordersAllowed reports whether an order may be sent now. If not, it returns the expected
 // time until one may. The caller holds the lock.
 func (g *group) ordersAllowed() (allowed bool, expectedWait time.Duration) {
-	if g.halted || g.manager.opt.TargetsCheckFences {
-		return !g.halted, blindWait
+	if g.halted || g.manager.draining.Load() {
+		return false, blindWait
+	}
+	if g.manager.opt.TargetsCheckFences {
+		return true, 0
 	}
 	if wait := g.tenure.OrdersFrom() - g.manager.now(); wait > 0 {
 		return false, wait
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -143,7 +143,11 @@
 	if request.Epoch != g.epoch {
 		request.Promise = tenure.Promise{} // made to another owner
 	}
-	g.orders.permission.HandleCall(stamp, request.VM, request.Promise)
+	if request.Leaving {
+		g.orders.permission.HandleLeave(request.VM)
+	} else {
+		g.orders.permission.HandleCall(stamp, request.VM, request.Promise)
+	}
 	for _, h := range request.Held {
 		g.core.AdoptRun(now, h.Request, h.Target, h.Started)
 	}
--- a/internal/tenure/permission.go
+++ b/internal/tenure/permission.go
@@ -87,6 +87,11 @@
 	p.members[vm] = m
 }
 
+// HandleLeave records that a process that called the owner will not take over any group
+// until it ends. No promise of its VM is needed then: the owner has not replied to the
+// next process there, which waits for longer than any reliance on promises.
+func (p *Permission) HandleLeave(vm string) { delete(p.members, vm) }
+
 // NeedsPromises reports whether the owner is to ask the VMs that call it for promises.
 func (p *Permission) NeedsPromises(now Time) bool {
 	return p.mayRely && now-p.confirmedAt > promisesAfter
--- a/internal/tenure/permission_test.go
+++ b/internal/tenure/permission_test.go
@@ -38,6 +38,7 @@
 	promise     tenure.Promise
 	promiseTo   int64 // epoch of the owner that asked for the promise
 	jitter      float64
+	leaving     bool // shuts down and takes over no group
 	ordersEnd   time.Duration // by when its last order has arrived
 }
 
@@ -170,17 +171,22 @@
 	if h.promiseTo == record.Epoch {
 		promise = h.promise
 	}
-	r.after(r.callDelay(), owner, func() { r.answerCall(owner, h, record.Epoch, promise) })
+	leaving := h.leaving
+	r.after(r.callDelay(), owner, func() { r.answerCall(owner, h, record.Epoch, promise, leaving) })
 }
 
 // answerCall handles a call of a host at the owner of an epoch and sends the reply.
-func (r *race) answerCall(owner, h *host, epoch int64, promise tenure.Promise) {
+func (r *race) answerCall(owner, h *host, epoch int64, promise tenure.Promise, leaving bool) {
 	record, _ := owner.machine.Record()
 	if !owner.machine.Owns() || record.Epoch != epoch {
 		return
 	}
 	owner.machine.PeerCalled(r.now)
-	owner.permission.HandleCall(r.now, h.name, promise)
+	if leaving {
+		owner.permission.HandleLeave(h.name)
+	} else {
+		owner.permission.HandleCall(r.now, h.name, promise)
+	}
 	asked, stamp, blind := owner.permission.NeedsPromises(r.now), r.now, owner.permission.Overdue(r.now)
 	r.after(r.callDelay(), h, func() {
 		if known, _ := h.machine.Record(); known.Epoch != epoch {
@@ -211,7 +217,8 @@
 // act carries out the action of a host by a conditional write.
 func (r *race) act(h *host) {
 	action := h.machine.NextAction(r.now, !h.storeCut)
-	if action == tenure.NoAction || h.acting {
+	acquires := action == tenure.TakeOver || action == tenure.Challenge
+	if action == tenure.NoAction || h.acting || h.leaving && acquires {
 		return
 	}
 	if action == tenure.Release {
@@ -290,7 +297,7 @@
 
 // order sends an order if the host may.
 func (r *race) order(h *host) {
-	if !h.machine.Owns() || h.halted || !r.checkFences && (r.now < h.machine.OrdersFrom() || !h.permission.AllowsOrder(r.now)) {
+	if !h.machine.Owns() || h.halted || h.leaving || !r.checkFences && (r.now < h.machine.OrdersFrom() || !h.permission.AllowsOrder(r.now)) {
 		return
 	}
 	record, _ := h.machine.Record()
@@ -335,7 +342,7 @@
 			if rapid.Bool().Draw(t, "owner") && r.record.Owner != "" {
 				h = r.host(r.record.Owner)
 			}
-			switch rapid.IntRange(0, 7).Draw(t, "fault") {
+			switch rapid.IntRange(0, 8).Draw(t, "fault") {
 			case 0:
 				h.pausedUntil = r.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause"))*time.Millisecond
 			case 1:
@@ -348,6 +355,13 @@
 				h.storeCut, h.peersCut = true, true
 			case 5:
 				r.restart(h)
+			case 7:
+				h.leaving = true
+				r.after(time.Duration(rapid.IntRange(500, 4000).Draw(t, "drain"))*time.Millisecond, nil, func() {
+					if h.leaving {
+						r.restart(h)
+					}
+				})
 			case 6:
 				for _, h := range r.hosts {
 					h.storeCut = true // the store is down
