socketstate: One look at a socket for callers and kept connections

callerconn and keptconn peeked at sockets each by itself. Orders without an answer are dropped from the owner's table once they have arrived, not only at a release or takeover.

tenure, test: in the model a reply to a process reached the next process on its host, which real connections do not do. A trace of rapid (one of 30,000 sequences failed) shows it: a VM shuts down at 3.5 s, is restarted, and the reply to its last call makes the new process believe that the owner knows it.

--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -7,8 +7,9 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"cicadaslip/internal/socketstate"
 )
 
 // sendBufferBytes limits the kernel's send buffer for a caller that does not
@@ -111,25 +112,5 @@
 	if c.closed.Load() {
 		return true
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	disconnected := false
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch err {
-		case nil:
-			disconnected = n == 0
-		case syscall.EAGAIN, syscall.EINTR:
-		default:
-			disconnected = true
-		}
-	})
-	return disconnected || err != nil
+	return socketstate.Of(c.Conn) == socketstate.Closed
 }
--- a/internal/groupserver/ordergate.go
+++ b/internal/groupserver/ordergate.go
@@ -14,18 +14,25 @@
 // orderGate decides whether the owner of a group may send orders, and tracks those that
 // may still reach their targets. Its times are those of bootclock.
 type orderGate struct {
-	permission  tenure.Permission
-	confirmedAt time.Duration // when the last confirmation was requested
-	confirming  bool          // a call for a confirmation is running
-	count       uint64
-	underWay    map[uint64]time.Duration // when each order without an answer was started, by number
+	permission tenure.Permission
+	askedAt    time.Duration // when the last confirmation was requested
+	confirming bool          // a call for a confirmation is running
+	count      uint64
+	underWay   map[uint64]time.Duration // when each order without an answer was started, by number
 }
 
+// maxUnderWay is the number of orders without an answer from which those that have arrived
+// are dropped.
+const maxUnderWay = 64
+
 // begin records that an order is about to be sent and returns its number.
 func (o *orderGate) begin(now time.Duration) uint64 {
 	if o.underWay == nil {
 		o.underWay = map[uint64]time.Duration{}
 	}
+	if len(o.underWay) >= maxUnderWay {
+		o.arriveWithin(now)
+	}
 	o.count++
 	o.underWay[o.count] = now
 	return o.count
@@ -33,7 +40,8 @@
 
 func (o *orderGate) answered(number uint64) { delete(o.underWay, number) }
 
-// arriveWithin returns the time by which all orders have reached their targets.
+// arriveWithin returns the time by which all orders have reached their targets, and drops
+// those that have.
 func (o *orderGate) arriveWithin(now time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for number, startedAt := range o.underWay {
@@ -101,9 +109,9 @@
 	now := bootclock.Now()
 	g.mu.Lock()
 	due := g.core != nil && !g.halted && !g.manager.opt.TargetsCheckFences && !g.orders.confirming &&
-		now-g.orders.confirmedAt >= tenure.ConfirmInterval
+		now-g.orders.askedAt >= tenure.ConfirmInterval
 	if due {
-		g.orders.confirming, g.orders.confirmedAt = true, now
+		g.orders.confirming, g.orders.askedAt = true, now
 	}
 	g.mu.Unlock()
 	if due {
--- a/internal/keptconn/conn.go
+++ b/internal/keptconn/conn.go
@@ -5,9 +5,9 @@
 
 import (
 	"net"
-	"syscall"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/socketstate"
 )
 
 // Conn is a connection that sends no request while bytes are waiting that no request asked
@@ -23,7 +23,7 @@
 // Write implements net.Conn. It fails with errs.TargetUnavailable, without writing, if the
 // connection cannot be used for another request.
 func (c *Conn) Write(p []byte) (int, error) {
-	if !c.requesting && !c.idle() {
+	if !c.requesting && socketstate.Of(c.Conn) != socketstate.Idle {
 		return 0, errs.NotRun(errs.TargetUnavailable, "the kept connection holds an answer that nobody asked for, or was closed")
 	}
 	c.requesting = true
@@ -35,22 +35,3 @@
 	c.requesting = false
 	return c.Conn.Read(p)
 }
-
-// idle reports whether the connection is open and no bytes are waiting.
-func (c *Conn) idle() bool {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = err == syscall.EAGAIN || err == syscall.EINTR
-	})
-	return err == nil && idle
-}
--- a/internal/tenure/permission_test.go
+++ b/internal/tenure/permission_test.go
@@ -38,7 +38,7 @@
 	promise     tenure.Promise
 	promiseTo   int64 // epoch of the owner that asked for the promise
 	jitter      float64
-	leaving     bool // shuts down and takes over no group
+	leaving     bool          // shuts down and takes over no group
 	ordersEnd   time.Duration // by when its last order has arrived
 }
 
@@ -171,25 +171,26 @@
 	if h.promiseTo == record.Epoch {
 		promise = h.promise
 	}
-	leaving := h.leaving
-	r.after(r.callDelay(), owner, func() { r.answerCall(owner, h, record.Epoch, promise, leaving) })
+	caller := *h // the process that calls, as it is now
+	r.after(r.callDelay(), owner, func() { r.answerCall(owner, h, caller, record.Epoch, promise) })
 }
 
-// answerCall handles a call of a host at the owner of an epoch and sends the reply.
-func (r *race) answerCall(owner, h *host, epoch int64, promise tenure.Promise, leaving bool) {
+// answerCall handles a call of a process on a host at the owner of an epoch and sends the
+// reply, which a later process on the host does not get.
+func (r *race) answerCall(owner, h *host, caller host, epoch int64, promise tenure.Promise) {
 	record, _ := owner.machine.Record()
 	if !owner.machine.Owns() || record.Epoch != epoch {
 		return
 	}
 	owner.machine.PeerCalled(r.now)
-	if leaving {
+	if caller.leaving {
 		owner.permission.HandleLeave(h.name)
 	} else {
 		owner.permission.HandleCall(r.now, h.name, promise)
 	}
 	asked, stamp, blind := owner.permission.NeedsPromises(r.now), r.now, owner.permission.Overdue(r.now)
 	r.after(r.callDelay(), h, func() {
-		if known, _ := h.machine.Record(); known.Epoch != epoch {
+		if known, _ := h.machine.Record(); known.Epoch != epoch || h.incarnation != caller.incarnation {
 			return
 		}
 		h.machine.OwnerResponded(r.now, blind)
