--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -143,9 +143,11 @@
 	if request.Epoch != g.epoch {
 		request.Promise = tenure.Promise{} // made to another owner
 	}
-	if request.Leaving {
+	switch {
+	case m.opt.TargetsCheckFences:
+	case request.Leaving:
 		g.orders.permission.HandleLeave(request.VM)
-	} else {
+	default:
 		g.orders.permission.HandleCall(stamp, request.VM, request.Promise)
 	}
 	for _, h := range request.Held {
