--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -69,8 +69,7 @@
 	// bootstrapListWait is how long small VMs wait, when the whole deployment starts, for
 	// the owners to send them the deployment. Otherwise each would read it from the store.
 	bootstrapListWait = 9 * time.Second
-	// listingShare is the share of the small VMs that do not wait, in case that there are
-	// no others.
+	// One in listingShare small VMs does not wait, in case that there are no others.
 	listingShare = 8
 )
 
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -184,9 +184,13 @@
 // tier draw.
 var jitterTiers = []struct{ cores, from, to float64 }{{0.6, 0, 0.3}, {0.3, 0.2, 0.7}, {0, 0.5, 1}}
 
-// ownerJitter is added to the jitter of a VM that owns a group, so that others take over
-// the next one.
-const ownerJitter = 0.5
+const (
+	// ownerJitter is added to the jitter of a VM that owns a group, so that others take
+	// over the next one.
+	ownerJitter = 0.5
+	// defaultCores is the processor time of a VM whose settings do not state it.
+	defaultCores = 0.4
+)
 
 // jitter returns this VM's share of the maximum jitter delay for a group, from 0 to 1.5.
 func (m *Manager) jitter(group string, ownsGroup bool) float64 {
@@ -203,9 +207,6 @@
 	return jitter
 }
 
-// defaultCores is the processor time of a VM whose settings do not state it.
-const defaultCores = 0.4
-
 func (m *Manager) lookup(name string) *group {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -76,9 +76,9 @@
 	// answerValidity is how long after an answer the owner is neither challenged nor
 	// replaced because calls to it fail.
 	answerValidity = 2500 * time.Millisecond
-	// unheardDelay is added to the waits of a VM to which the owner has not replied
+	// unheardWait is added to the waits of a VM to which the owner has not replied
 	// recently.
-	unheardDelay = 1500 * time.Millisecond
+	unheardWait = 1500 * time.Millisecond
 	// maxPast is the number of past owners that are recorded. No more own a group within
 	// a lease.
 	maxPast = 4
@@ -302,7 +302,7 @@
 	if m.self.TargetsCheckFences || m.heard(now, m.record.Reliant) {
 		return 0
 	}
-	return unheardDelay
+	return unheardWait
 }
 
 func (m *StateMachine) jitterDelay() time.Duration {
