tenure: Calls tell their process; shorter reliance on promises, longer memory of calls

Looked for in the code: a late message of a process that has shut down made the owner forget the next process on its VM. VMs to which the owner had not replied waited 8.1 s, once more after each restart.

Change: calls carry the incarnation of the process; owners rely on promises for 5 s instead of 8; VMs count as known for 11 s instead of 8.

--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -72,7 +72,7 @@
 	address, epoch, owner := o.address, o.epoch, o.owner
 	c.mu.Unlock()
 	request.Known, request.Push, request.Config = c.opt.KnownRevisions(), c.opt.UpdateFor(owner), c.opt.ConfigVersion()
-	request.Promise, request.Leaving = c.opt.Groups.Promise(o.name, epoch), c.opt.Groups.Leaving()
+	request.Promise, request.Incarnation, request.Leaving = c.opt.Groups.Promise(o.name, epoch), c.opt.Groups.Incarnation(), c.opt.Groups.Leaving()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply grouprpc.SyncReply
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -79,7 +79,8 @@
 	Seen   map[string]int64  // newest object revision that the caller has seen, by kind of object
 	// Promise is the caller's promise not to order the group's targets, if the owner's last
 	// reply asked for one.
-	Promise tenure.Promise
+	Promise     tenure.Promise
+	Incarnation uint64 // of the caller's process
 	// Leaving is set if the caller's process is shutting down and takes over no group.
 	Leaving bool
 }
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -373,6 +373,9 @@
 	}
 }
 
+// Incarnation returns the incarnation of this process.
+func (m *Manager) Incarnation() uint64 { return m.opt.Incarnation }
+
 // Leaving reports whether Drain was called and no takeover is under way. This process
 // takes over no group any more.
 func (m *Manager) Leaving() bool {
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -146,9 +146,9 @@
 	switch {
 	case m.opt.TargetsCheckFences:
 	case request.Leaving:
-		g.orders.permission.HandleLeave(request.VM)
+		g.orders.permission.HandleLeave(request.VM, request.Incarnation)
 	default:
-		g.orders.permission.HandleCall(stamp, request.VM, request.Promise)
+		g.orders.permission.HandleCall(stamp, request.VM, request.Incarnation, request.Promise)
 	}
 	for _, h := range request.Held {
 		g.core.AdoptRun(now, h.Request, h.Target, h.Started)
--- a/internal/tenure/permission.go
+++ b/internal/tenure/permission.go
@@ -26,12 +26,12 @@
 	overdueAfter = time.Second
 	// maxReliance is how long after the last confirmation an owner may rely on promises.
 	// VMs that it does not know wait for longer than that.
-	maxReliance = 8 * time.Second
+	maxReliance = 5 * time.Second
 	// memberTime is the time since its last call after which a VM is no longer asked for
 	// promises, and heardTime the time since the last reply within which a VM may assume
 	// that it is. heardTime is shorter by more than the time limit of a call.
-	memberTime = 10 * time.Second
-	heardTime  = 8 * time.Second
+	memberTime = 13 * time.Second
+	heardTime  = 11 * time.Second
 )
 
 // Permission is the permission of a group's owner to order the group's targets. It is
@@ -52,6 +52,7 @@
 
 // member is a VM that calls the owner.
 type member struct {
+	incarnation   uint64 // of the process that called last
 	calledAt      Time
 	promisedUntil Time
 }
@@ -75,12 +76,20 @@
 	}
 }
 
-// HandleCall records a call of another VM, with its promise.
-func (p *Permission) HandleCall(now Time, vm string, promise Promise) {
+// HandleCall records a call of a process on another VM, with its promise. A late call of an
+// earlier process says nothing about the VM.
+func (p *Permission) HandleCall(now Time, vm string, incarnation uint64, promise Promise) {
 	if p.members == nil {
 		p.members = map[string]member{}
 	}
-	m := member{calledAt: now, promisedUntil: p.members[vm].promisedUntil}
+	m := p.members[vm]
+	switch {
+	case incarnation < m.incarnation:
+		return
+	case incarnation > m.incarnation:
+		m = member{incarnation: incarnation}
+	}
+	m.calledAt = now
 	if promise.Given {
 		m.promisedUntil = max(m.promisedUntil, promise.Stamp+promiseTime)
 	}
@@ -90,7 +99,11 @@
 // HandleLeave records that a process that called the owner will not take over any group
 // until it ends. No promise of its VM is needed then: the owner has not replied to the
 // next process there, which waits for longer than any reliance on promises.
-func (p *Permission) HandleLeave(vm string) { delete(p.members, vm) }
+func (p *Permission) HandleLeave(vm string, incarnation uint64) {
+	if p.members[vm].incarnation <= incarnation {
+		delete(p.members, vm)
+	}
+}
 
 // NeedsPromises reports whether the owner is to ask the VMs that call it for promises.
 func (p *Permission) NeedsPromises(now Time) bool {
--- a/internal/tenure/permission_test.go
+++ b/internal/tenure/permission_test.go
@@ -184,9 +184,9 @@
 	}
 	owner.machine.PeerCalled(r.now)
 	if caller.leaving {
-		owner.permission.HandleLeave(h.name)
+		owner.permission.HandleLeave(h.name, caller.incarnation)
 	} else {
-		owner.permission.HandleCall(r.now, h.name, promise)
+		owner.permission.HandleCall(r.now, h.name, caller.incarnation, promise)
 	}
 	asked, stamp, blind := owner.permission.NeedsPromises(r.now), r.now, owner.permission.Overdue(r.now)
 	r.after(r.callDelay(), h, func() {
@@ -492,3 +492,16 @@
 	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"))
 	g.Expect(m.OrdersFrom()).To(gomega.Equal(now))
 }
+
+// Guards against a late message of a process that has shut down, which makes the owner
+// forget the next process on its VM.
+func TestLateLeaveDoesNotForgetTheNextProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p tenure.Permission
+	p.Confirm(0, true)
+	p.HandleCall(time.Second, "b", 2, tenure.Promise{})
+	p.HandleLeave("b", 1)
+	g.Expect(p.AllowsOrder(3*time.Second)).To(gomega.BeFalse(), "the next process has not promised anything")
+	p.HandleLeave("b", 2)
+	g.Expect(p.AllowsOrder(3 * time.Second)).To(gomega.BeTrue())
+}
