gateway: Streams that end without their end are logged and counted with their reason

A stream whose caller left ended without setting an error, because the HTTP server just closes its body.

'finished' carries cut=true, its reason is set for each stream, and edge_streams_cut counts them by error code. TestEveryCutStreamHasAReason; without the change in Close 'the caller leaves' fails (Cut false, no failure).

--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -38,4 +38,5 @@
 	fieldBorn         = "born"
 	fieldParts        = "parts"
 	fieldCrashed      = "crashed"
+	fieldCut          = "cut"
 )
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -171,6 +171,9 @@
 	if s.CallerLeft {
 		line.Bool(fieldCallerLeft, true)
 	}
+	if s.Trace.Cut {
+		line.Bool(fieldCut, true)
+	}
 	if s.Trace.Failure != nil {
 		line.Str(fieldReason, s.Trace.Failure.Error()).Str(fieldRan, string(s.Trace.Failure.Ran))
 	}
@@ -222,6 +225,9 @@
 	if s.Trace.Failure != nil {
 		m.Count(metrics.EdgeFailures, string(s.Trace.Failure.Code))
 	}
+	if s.Trace.Cut {
+		m.Count(metrics.EdgeStreamsCut, string(s.Trace.Failure.Code))
+	}
 	if s.Trace.EventCount > 0 {
 		m.Observe(metrics.EdgeFirstEvent, s.Trace.TimeToFirstEvent)
 		m.Observe(metrics.EdgeEventGap, s.Trace.LongestGap)
--- a/internal/gateway/contain.go
+++ b/internal/gateway/contain.go
@@ -32,7 +32,7 @@
 	if cause := recover(); cause != nil {
 		failure := errs.FromPanic(cause)
 		b.call.server.opt.Observer.Panicked(b.call.meta.ID, failure)
-		b.call.trace.setFailure(failure)
+		b.call.trace.setCut(failure)
 		b.pending, b.endErr = nil, failure
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -417,14 +417,14 @@
 	suspect := b.source.eventCount < progressEvents && c.mayCrashTargets()
 	if c.ctx.Err() != nil || b.lastEventID == 0 || !c.route.Repeatable() || c.possibleRuns >= c.route.MaxAttempts || suspect ||
 		!c.server.opt.Fleet.TakeRetry(c.service) {
-		c.trace.setFailure(failure)
+		c.trace.setCut(failure)
 		b.endErr = failure
 		return
 	}
 	stream, event, openFailure := c.openStream(b.lastEventID)
 	switch {
 	case openFailure != nil:
-		c.trace.setFailure(openFailure)
+		c.trace.setCut(openFailure)
 		b.endErr = openFailure
 		return
 	case stream.exchange.Status != fasthttp.StatusOK:
@@ -432,7 +432,7 @@
 		// report the failure is to cut the connection.
 		b.source = stream
 		b.endErr = errs.New(errs.TargetRefused, "the target chosen to resume the stream did not respond with status 200").WithRan(errs.RanYes)
-		c.trace.setFailure(failure)
+		c.trace.setCut(failure)
 		return
 	case len(event.Bytes) == 0:
 		b.source, b.endErr = stream, io.EOF
@@ -457,8 +457,12 @@
 	}
 	b.closed = true
 	b.source.release(b.call, placer.Cancelled)
-	if b.endErr == io.EOF {
+	switch b.endErr {
+	case io.EOF:
 		b.call.trace.setResponse(b.source.exchange.Status, b.source.lease.Grant.Target)
+	case nil:
+		b.call.callerLeft.Store(true)
+		b.call.trace.setCut(errs.New(errs.Cancelled, "writing to the caller failed").WithRan(errs.RanYes))
 	}
 	b.call.finish()
 	return nil
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -45,6 +45,7 @@
 	TimeToFirstEvent time.Duration // since the arrival of the request, 0 if there was no event
 	LongestGap       time.Duration // longest pause between two events
 	EventCount       int
+	Cut              bool // the response ended after its head without its end
 	lastEventAt      time.Time
 }
 
@@ -82,6 +83,12 @@
 	t.Status = httpStatus(e)
 }
 
+// setCut records the error with which a response ends after its head.
+func (t *Trace) setCut(e *errs.Error) {
+	t.Cut = true
+	t.setFailure(e)
+}
+
 // setResponse records that the response of a target is forwarded.
 func (t *Trace) setResponse(status int, target string) {
 	t.Status, t.Target = status, target
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -10,6 +10,7 @@
 	EdgeEventGap          Name = "edge_event_gap"
 	EdgeLate              Name = "edge_late"
 	EdgeStreamsResumed    Name = "edge_streams_resumed"
+	EdgeStreamsCut        Name = "edge_streams_cut"
 	EdgeAttemptsFailed    Name = "edge_attempts_failed"
 	EdgeMalformed         Name = "edge_malformed"
 	EdgeTargetConnections Name = "edge_target_connections"
@@ -44,6 +45,7 @@
 	{EdgeEventGap, Latency, microseconds, "of streams, the longest pause between two events"},
 	{EdgeLate, ByLabel, "streams", "first event or a pause over the route's objective"},
 	{EdgeStreamsResumed, Counter, "streams", "continued at another target"},
+	{EdgeStreamsCut, ByLabel, "streams", "ended after their head without their end, by error code; cancelled: the caller left"},
 	{EdgeAttemptsFailed, ByLabel, "attempts", "requests to a target that failed, by reason"},
 	{EdgeMalformed, ByLabel, "requests", "input that is no request, by status"},
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
