gateway: A late target is left only once another one has accepted the request

Callers saw streams that ended in the middle, and requests answered with 502 or 504, beside targets that were silent for one to three seconds and would have gone on.

Cause: an attempt that may still succeed was given up before another one was secured. After a pause (2.5 s; for the first event 2.5 times the estimate and 0.4 s) the exchange was closed, and only then a retry was taken from the budget and a place asked of the owner.

Change: a late target is kept while a retry and a lease are sought (handover). It is left when another target delivers the next event, or has had the request for 0.3 s without refusing it, so that no two targets work on a request for 400 ms. If the first one delivers before, the other attempt ends. While a request is at work or has begun, a refusal by the owner is asked again until the caller would leave. A retry is taken only for a request that has reached a target. A begun stream is due when its caller would leave, so owners do not put it last.

The fakes of contain_test.go got hooks; no check changed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,7 +61,9 @@
 	limitedByRoute bool      // the deadline follows from the route's timeout
 	trace          Trace
 	excluded       []string // IDs of targets that must not be tried again
-	possibleRuns   int      // number of targets that may have run the request
+	possibleRuns   int      // number of targets that run or may have run the request
+	arrivals       int      // number of targets that the request may have reached
+	holdsRetry     bool     // a retry was taken from the budget and has not been used
 	refusals       int      // number of targets that refused the request without running it
 	mayHaveRun     bool     // a target may be running or may have run the request
 	finished       bool     // finish was called
@@ -156,6 +158,9 @@
 	}
 }
 
+// ended reports whether the deadline has passed or the caller has disconnected.
+func (c *call) ended() bool { return c.ctx.Err() != nil || c.timeLeft() <= 0 }
+
 // timeLeft returns the time until the deadline.
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -31,6 +32,9 @@
 	stopTarget func()               // makes the target refuse connections
 	summaries  chan gateway.Summary // of finished requests
 	quarantine fakeQuarantine
+	acquire    func(placement int) *errs.Error // refuses placements, none if nil
+	noRetries  bool                            // the retry budget is used up
+	estimate   time.Duration                   // of the time until the first event, 1 s if 0
 }
 
 func (w *world) maybePanic(function string) {
@@ -53,16 +57,16 @@
 	w.maybePanic("RecordOutcome")
 }
 func (w *world) CountRequest(string)   {}
-func (w *world) TakeRetry(string) bool { return true }
+func (w *world) TakeRetry(string) bool { return !w.noRetries }
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
 	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
 }
 func (w *world) AttemptFields(gateway.Attempt) httpfields.List { return nil }
-func (w *world) ParseResponse(int, httpfields.List) gateway.ResponseMeta {
+func (w *world) ParseResponse(_ int, fields httpfields.List) gateway.ResponseMeta {
 	w.maybePanic("ParseResponse")
-	return gateway.ResponseMeta{Signed: true}
+	return gateway.ResponseMeta{Signed: true, NotRun: fields.Get("X-Not-Executed") != ""}
 }
 
 func (w *world) RetryAfterField(time.Duration) httpfields.Field {
@@ -72,7 +76,12 @@
 func (w *world) Acquire(context.Context, string, placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
-	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: time.Second}, nil
+	if w.acquire != nil {
+		if failure := w.acquire(w.placements); failure != nil {
+			return gateway.Lease{}, failure
+		}
+	}
+	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
 func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
 func (w *world) Limited(gateway.Lease, float64)                 {}
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -24,7 +24,6 @@
 	}
 	if failure.Ran != errs.RanNo {
 		c.mayHaveRun = true
-		c.possibleRuns++
 	}
 	c.server.opt.Placement.Release(lease, outcome)
 	step := Step{At: time.Since(c.trace.arrivedAt), Name: StepFailed, Target: lease.Grant.Target, Detail: string(failure.Code)}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,23 +8,14 @@
 
 	"github.com/valyala/fasthttp"
 
-	"cicadaslip/internal/balance"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/eventstream"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/upstream"
 )
 
 const (
-	// firstEventFactor and firstEventMargin limit the wait for the first event of
-	// a stream that may be sent to another target: the estimate of the lease times
-	// the factor, plus the margin.
-	firstEventFactor = 2.5
-	firstEventMargin = 400 * time.Millisecond
-	// maxEventGap is the pause between events after which such a stream is resumed
-	// on another target. Targets that process long prompts pause for more than a
-	// second.
-	maxEventGap = 2500 * time.Millisecond
 	// defaultOutputDivisor gives the expected output of a request without a length
 	// hint: its maximum output divided by this value.
 	defaultOutputDivisor = 4
@@ -33,25 +24,26 @@
 	absentRetryDelay = 20 * time.Millisecond
 )
 
-// targetStream is the open response of a target to a streaming request.
+// targetStream is an attempt at a streaming request, and the open response of its target.
 type targetStream struct {
 	lease    Lease
+	cancel   context.CancelFunc // ends the exchange
 	exchange *upstream.Exchange
 	events   *eventstream.Reader
-	leased   bool          // the lease has not been released
-	load     *balance.Load // load that the target reported, nil if none
-	body     []byte        // body of a response that is not an event stream
-
-	rateLimit float64   // that the target named, in requests per second, 0 if none
-	headAt    time.Time // when the head of the answer arrived
-
-	eventCount int   // events received from this target
-	after      int64 // ID of the event after which the stream was requested, 0 if from its beginning
+	response ResponseMeta
+	headAt   time.Time // when the head of the response arrived
+	body     []byte    // body of a response that is not an event stream
+	leased   bool      // the lease has not been released
+	sent     bool      // the request may have reached the target
+	handover *handover // planned if the first event is late, nil if none
+
+	opening    opening
+	eventCount int // events received from this target
 }
 
 // serveStream serves a request whose response is a stream of events.
 func (c *call) serveStream() {
-	stream, first, failure := c.openStream(c.meta.LastEventID)
+	stream, first, failure := c.openStream(opening{ctx: c.ctx, after: c.meta.LastEventID, waitingSince: c.arrived})
 	if failure != nil {
 		c.respondError(failure)
 		c.finish()
@@ -74,21 +66,23 @@
 // openStream opens a stream at a target, and tries further targets as long as
 // retries are allowed. It returns the stream with its first event. For a
 // stream without events, the event has no bytes.
-func (c *call) openStream(lastEventID int64) (*targetStream, eventstream.Event, *errs.Error) {
+func (c *call) openStream(o opening) (*targetStream, eventstream.Event, *errs.Error) {
 	for {
-		stream, event, failure := c.tryOpenStream(lastEventID)
-		if failure == nil {
+		stream, event, failure := c.tryOpenStream(o)
+		switch {
+		case failure == nil:
 			return stream, event, nil
-		}
-		if c.ctx.Err() != nil {
+		case c.ended():
 			return nil, event, c.contextError()
-		}
-		if !c.shouldRetryStream(failure) {
-			if c.mayHaveRun && failure.Ran == errs.RanNo {
-				failure = failure.WithRan(errs.RanUnknown)
-			}
+		case o.ctx.Err() != nil:
 			return nil, event, failure
+		case c.awaitPlacement(o, failure), c.shouldRetryStream(failure):
+			continue
 		}
+		if c.mayHaveRun && failure.Ran == errs.RanNo {
+			failure = failure.WithRan(errs.RanUnknown)
+		}
+		return nil, event, failure
 	}
 }
 
@@ -96,18 +90,30 @@
 // event was forwarded is sent to a further target.
 func (c *call) shouldRetryStream(failure *errs.Error) bool {
 	if failure.Ran == errs.RanNo {
-		if isPlacementFailure(failure) || c.refusals > maxRefusals {
-			return false
-		}
-		// Without a connection no target received the request, so a further
-		// attempt takes nothing from the retry budget.
-		return failure.Code == errs.TargetUnavailable || c.server.opt.Fleet.TakeRetry(c.service)
+		return !isPlacementFailure(failure) && c.refusals <= maxRefusals
+	}
+	return c.mayStartAnother() && !c.mayCrashTargets()
+}
+
+// mayStartAnother reports whether the request may run on a further target, in addition to
+// those that run or may have run it.
+func (c *call) mayStartAnother() bool {
+	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts
+}
+
+// awaitPlacement waits after a refusal by the placement until it may be asked again. It
+// returns false at once if the request is refused for good: one of which the caller has
+// nothing yet, and that is not at work at another target, is better sent again by the caller.
+func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
+	if !isPlacementFailure(failure) || o.handover == nil && o.after <= c.meta.LastEventID {
+		return false
 	}
-	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && !c.mayCrashTargets() && c.server.opt.Fleet.TakeRetry(c.service)
+	delay := max(minPlacementDelay, failure.Retry)
+	return time.Now().Add(delay).Before(c.placementDeadline(o)) && pause.For(o.ctx, delay)
 }
 
-// placementDetail marks errors of the placement. These are final, because the
-// placement has already asked all owners.
+// placementDetail marks errors of the placement. These are final unless awaitPlacement says
+// otherwise, because the placement has already asked all owners.
 const placementDetail = "placement"
 
 // isPlacementFailure reports whether an error comes from the placement.
@@ -115,54 +121,100 @@
 	return len(e.Details) > 0 && e.Details[0] == placementDetail
 }
 
-// tryOpenStream makes one attempt to open a stream, from the lease to the
-// first event.
-func (c *call) tryOpenStream(lastEventID int64) (*targetStream, eventstream.Event, *errs.Error) {
+// tryOpenStream makes one attempt to open a stream, from the lease to the first event. If
+// the target is late and the request moves to another one, it returns the stream there.
+func (c *call) tryOpenStream(o opening) (*targetStream, eventstream.Event, *errs.Error) {
+	lease, failure := c.acquire(o)
+	if failure != nil {
+		return nil, eventstream.Event{}, failure
+	}
+	s := &targetStream{lease: lease, leased: true, opening: o}
+	event, failure := s.open(c)
+	serverError := failure == nil && s.exchange.Status >= minServerErrorStatus
+	if failure == nil && !serverError && s.handover.keep() {
+		s.accept(c)
+		return s, event, nil
+	}
+	if s.handover.firstFailed() {
+		s.close()
+		stream, event, moveFailure := s.handover.wait()
+		s.fail(c, lateFailure(failure))
+		return stream, event, moveFailure
+	}
+	if serverError && !c.mayStartAnother() && o.handover == nil {
+		s.accept(c)
+		return s, event, nil
+	}
+	if serverError {
+		failure = errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes)
+	}
+	return nil, event, s.fail(c, failure)
+}
+
+// lateFailure returns the failure of a target from which a request has moved: its own, if it
+// has failed, or that it was late.
+func lateFailure(failure *errs.Error) *errs.Error {
+	if failure != nil {
+		return failure
+	}
+	return errs.New(errs.Timeout, "another target has continued the request").WithRan(errs.RanUnknown)
+}
+
+// acquire waits for a lease, and checks that the request may be sent to its target.
+func (c *call) acquire(o opening) (Lease, *errs.Error) {
 	if failure := c.checkQuarantine(); failure != nil {
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
+	}
+	if !c.takeRetry() {
+		return Lease{}, errs.NotRun(errs.Overloaded, "the retry budget of the service is used up").WithRetry(refusalRetryAfter).WithDetails(placementDetail)
 	}
-	ctx, cancel := c.placementContext()
+	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
-	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest())
+	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
 	if failure != nil {
 		if ctx.Err() != nil && c.ctx.Err() == nil {
 			failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
 		}
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
 	}
 	c.trace.addPlacement(lease)
 	if failure := c.checkQuarantine(); failure != nil { // it may have begun during the wait
 		c.server.opt.Placement.Release(lease, placer.Cancelled)
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
 	}
 	if !c.server.opt.Fleet.Usable(lease.Grant.Target) {
 		c.server.opt.Placement.Release(lease, placer.Unsent)
 		c.excluded = append(c.excluded, lease.Grant.Target)
 		c.refusals++
-		return nil, eventstream.Event{}, errs.NotRun(errs.NoTarget, "the target is marked as leaving").WithDetails(lease.Grant.Target)
-	}
-	stream, failure := c.sendStreamRequest(lease, lastEventID)
-	if failure != nil {
-		return nil, eventstream.Event{}, failure
+		return Lease{}, errs.NotRun(errs.NoTarget, "the target is marked as leaving").WithDetails(lease.Grant.Target)
 	}
-	event, failure := stream.firstEvent(c)
-	if failure != nil {
-		return nil, event, failure
+	return lease, nil
+}
+
+// takeRetry takes a retry from the budget if the request has reached a target before. A retry
+// that was taken and not used counts for the next attempt.
+func (c *call) takeRetry() bool {
+	if c.arrivals > 0 && !c.holdsRetry {
+		c.holdsRetry = c.server.opt.Fleet.TakeRetry(c.service)
+		return c.holdsRetry
 	}
-	return stream, event, nil
+	return true
 }
 
 // abandonReserve is the part of the time until the caller abandons a stream that is left
 // for the refusal of its request.
 const abandonReserve = 150 * time.Millisecond
 
-// placementContext returns the context of a wait for a lease. It ends before the caller
-// abandons the stream, so that the caller still gets an answer.
-func (c *call) placementContext() (context.Context, context.CancelFunc) {
+// minPlacementDelay is the time until the placement is asked again after a refusal.
+const minPlacementDelay = 200 * time.Millisecond
+
+// placementDeadline returns when the wait for a lease ends: before the caller abandons the
+// stream, so that it still gets an answer.
+func (c *call) placementDeadline(o opening) time.Time {
 	if c.route.AbandonAfter <= 0 {
-		return context.WithCancel(c.ctx)
+		return c.deadline
 	}
-	return context.WithDeadline(c.ctx, c.waitingSince().Add(c.route.AbandonAfter-abandonReserve))
+	return o.waitingSince.Add(c.route.AbandonAfter - abandonReserve)
 }
 
 // waitingSince returns the time since which the caller has waited for the next event.
@@ -174,62 +226,163 @@
 }
 
 // placerRequest builds the request for a lease.
-func (c *call) placerRequest() placer.Request {
+func (c *call) placerRequest(o opening) placer.Request {
 	output := c.meta.LengthHint
 	if output <= 0 {
 		output = c.meta.MaxOutputTokens / defaultOutputDivisor
 	}
 	abandon := c.route.AbandonAfter
 	if abandon > 0 {
-		abandon -= time.Since(c.waitingSince())
+		abandon -= time.Since(o.waitingSince)
+	}
+	objective := c.route.LatencyObjective - time.Since(c.arrived)
+	if o.after > c.meta.LastEventID && abandon > 0 {
+		objective = abandon
 	}
 	return placer.Request{
 		Abandon: abandon,
 		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
-		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: c.route.LatencyObjective - time.Since(c.arrived),
+		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: objective,
 		Deadline: c.timeLeft(), Exclude: c.excluded,
 	}
 }
 
-// sendStreamRequest sends the request to the target of a lease and checks the
-// head of the response.
-func (c *call) sendStreamRequest(lease Lease, lastEventID int64) (*targetStream, *errs.Error) {
-	g := lease.Grant
+// open sends the request to the target of the lease and reads the response up to the first
+// event. For a stream without events it returns an event without bytes. The call's record of
+// attempts changes only in accept and fail, because another attempt may be under way.
+func (s *targetStream) open(c *call) (eventstream.Event, *errs.Error) {
+	if failure := s.send(c); failure != nil {
+		return eventstream.Event{}, failure
+	}
+	if failure := s.checkHead(c); failure != nil {
+		return eventstream.Event{}, failure
+	}
+	if s.exchange.Status != fasthttp.StatusOK {
+		var failure *errs.Error
+		if s.body, failure = s.exchange.ReadAll(maxResponseBytes); failure == nil && s.opening.handover != nil {
+			failure = errs.New(errs.TargetRefused, "the target did not respond with status 200").WithRan(errs.RanYes)
+		}
+		return eventstream.Event{}, failure
+	}
+	event, err := s.next(c)
+	switch {
+	case err == io.EOF:
+		return eventstream.Event{}, nil
+	case err != nil:
+		return eventstream.Event{}, streamFailure(err)
+	}
+	s.countEvent(c)
+	return event, nil
+}
+
+// send sends the request to the target of the lease and reads the head of the response.
+func (s *targetStream) send(c *call) (failure *errs.Error) {
+	g := s.lease.Grant
 	attempt := Attempt{Target: g.Target, Engine: c.isEngine, Priority: g.Priority}
 	if c.meta.Adapter.Name != "" {
 		attempt.Version = max(g.Version, c.server.opt.Fleet.RequiredVersion(c.meta.Adapter))
 	}
-	if lastEventID > c.meta.LastEventID {
-		attempt.LastEventID = lastEventID
+	if s.opening.after > c.meta.LastEventID {
+		attempt.LastEventID = s.opening.after
 	}
-	deadline := c.deadline
-	if limit := c.firstEventDeadline(lease); limit.Before(deadline) {
-		deadline = limit
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(s.opening.ctx)
+	request := c.upstreamRequest(g.Address, attempt)
+	request.Connected = func() { s.markSent(c) }
+	if s.exchange, failure = c.server.opt.Upstream.Open(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
+		return failure
 	}
-	exchange, failure := c.server.opt.Upstream.Open(c.ctx, c.upstreamRequest(g.Address, attempt), upstream.Timeouts{Connect: connectTimeout, Deadline: deadline})
-	if failure != nil {
-		return nil, c.recordFailedAttempt(lease, failure, 0)
+	s.events, s.headAt = eventstream.NewReader(s.exchange), time.Now()
+	s.response = c.server.opt.Dialect.ParseResponse(s.exchange.Status, s.exchange.Fields)
+	c.server.opt.Fleet.RecordRateLimit(g.Target, s.response.RateLimit)
+	if s.response.RateLimit > 0 {
+		c.server.opt.Placement.Limited(s.lease, s.response.RateLimit)
+	}
+	return nil
+}
+
+// markSent records that the request is being sent to the target.
+func (s *targetStream) markSent(c *call) {
+	s.sent = true
+	c.possibleRuns++
+	c.arrivals++
+	c.holdsRetry = false
+	if s.opening.handover != nil {
+		s.opening.handover.sent()
+		return
 	}
-	exchange.SetDeadline(c.deadline)
-	response := c.server.opt.Dialect.ParseResponse(exchange.Status, exchange.Fields)
-	c.server.opt.Fleet.RecordRateLimit(lease.Grant.Target, response.RateLimit)
-	if response.RateLimit > 0 {
-		c.server.opt.Placement.Limited(lease, response.RateLimit)
+	s.handover = c.planHandover(s, s.opening, firstEventDelay(s.lease))
+}
+
+// checkHead returns an error if the target refuses the request, or if the response is not one
+// to this request.
+func (s *targetStream) checkHead(c *call) *errs.Error {
+	if s.response.NotRun {
+		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter)
 	}
-	if failure := c.checkStreamHead(lease, exchange, response); failure != nil {
-		exchange.Close()
-		return nil, failure
+	return c.checkResponse(s.exchange, s.response)
+}
+
+// accept records that the response of the target is forwarded to the caller.
+func (s *targetStream) accept(c *call) {
+	if s.exchange.Status != fasthttp.StatusOK {
+		s.release(c, placer.Errored)
+		return
 	}
-	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, after: max(lastEventID, c.meta.LastEventID)}
-	if exchange.Status == fasthttp.StatusOK {
-		return stream, nil
+	if s.eventCount == 0 {
+		return
 	}
-	if stream.body, failure = exchange.ReadAll(maxResponseBytes); failure != nil {
-		exchange.Close()
-		return nil, c.recordFailedAttempt(lease, failure, 0)
+	slowness := 0.0
+	if s.response.Load != nil {
+		slowness = s.response.Load.Slowness
 	}
-	stream.release(c, placer.Errored)
-	return stream, nil
+	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.response.RateLimit, Age: time.Since(s.headAt)})
+}
+
+// fail records that the attempt has failed, and releases the lease. It returns the failure
+// with the ID of the target added.
+func (s *targetStream) fail(c *call, failure *errs.Error) *errs.Error {
+	s.close()
+	s.leased = false
+	if s.sent && failure.Ran == errs.RanNo {
+		c.possibleRuns--
+	}
+	s.opening.handover.attemptFailed()
+	switch {
+	case s.response.NotRun:
+		return s.recordRefusal(c, failure)
+	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
+		c.mayHaveRun = true
+		c.excluded = append(c.excluded, s.lease.Grant.Target)
+		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
+		c.trace.addStep(StepFailed, s.lease.Grant.Target, string(errs.Cancelled))
+		return failure
+	}
+	return c.recordFailedAttempt(s.lease, failure, s.eventCount)
+}
+
+// recordRefusal records that the target has not run the request.
+func (s *targetStream) recordRefusal(c *call, failure *errs.Error) *errs.Error {
+	target := s.lease.Grant.Target
+	c.refusals++
+	outcome := placer.AtCapacity
+	if s.response.Misdirected {
+		outcome = placer.Absent
+		pause.For(c.ctx, absentRetryDelay)
+	} else {
+		c.excluded = append(c.excluded, target)
+	}
+	c.server.opt.Placement.Release(s.lease, outcome)
+	c.trace.addStep(StepFailed, target, "refused as not run")
+	return failure.WithDetails(target)
+}
+
+// close ends the exchange with the target.
+func (s *targetStream) close() {
+	if s.exchange != nil {
+		s.exchange.Close()
+	}
+	s.cancel()
 }
 
 // next returns the next event. It returns io.EOF only at the end of a stream that may be
@@ -241,7 +394,7 @@
 		return event, err
 	}
 	switch {
-	case s.eventCount == 0 && s.after == 0:
+	case s.eventCount == 0 && s.opening.after == 0:
 		err = errs.New(errs.TruncatedAnswer, "the connection ended before an event")
 	case c.targetEnded(s.lease.Grant.Address):
 		err = errs.New(errs.TruncatedAnswer, "the connection ended together with the target")
@@ -261,79 +414,11 @@
 func (s *targetStream) release(c *call, outcome placer.Outcome) {
 	if s.leased {
 		s.leased = false
-		s.exchange.Close()
+		s.close()
 		c.server.opt.Placement.Release(s.lease, outcome)
 	}
 }
 
-// firstEventDeadline returns the time until which to wait for the first event:
-// the deadline of the request, or an earlier time if the request can be sent
-// to another target.
-func (c *call) firstEventDeadline(lease Lease) time.Time {
-	if !c.canRetryElsewhere() {
-		return c.deadline
-	}
-	return time.Now().Add(time.Duration(firstEventFactor*float64(lease.Estimate)) + firstEventMargin)
-}
-
-// canRetryElsewhere reports whether the request may run on a further target if
-// the current attempt fails.
-func (c *call) canRetryElsewhere() bool {
-	return c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts
-}
-
-// checkStreamHead checks the head of a response. A server error counts as a
-// failed attempt if the request can be sent to another target; otherwise the
-// target's response is forwarded to the caller.
-func (c *call) checkStreamHead(lease Lease, e *upstream.Exchange, response ResponseMeta) *errs.Error {
-	switch {
-	case response.NotRun:
-		c.refusals++
-		outcome := placer.AtCapacity
-		if response.Misdirected {
-			outcome = placer.Absent
-			time.Sleep(absentRetryDelay)
-		} else {
-			c.excluded = append(c.excluded, lease.Grant.Target)
-		}
-		c.server.opt.Placement.Release(lease, outcome)
-		c.trace.addStep(StepFailed, lease.Grant.Target, "refused as not run")
-		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter).WithDetails(lease.Grant.Target)
-	case e.Status >= minServerErrorStatus && c.canRetryElsewhere():
-		return c.recordFailedAttempt(lease, errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes), 0)
-	}
-	if failure := c.checkResponse(e, response); failure != nil {
-		return c.recordFailedAttempt(lease, failure, 0)
-	}
-	return nil
-}
-
-// firstEvent reads the first event and reports it to the placement. At the end
-// of a stream without events it returns an event without bytes.
-func (s *targetStream) firstEvent(c *call) (eventstream.Event, *errs.Error) {
-	if !s.leased {
-		return eventstream.Event{}, nil
-	}
-	if c.canRetryElsewhere() {
-		s.exchange.SetReadTimeout(time.Until(c.firstEventDeadline(s.lease)))
-	}
-	event, err := s.next(c)
-	if err == io.EOF {
-		return eventstream.Event{}, nil
-	}
-	if err != nil {
-		s.exchange.Close()
-		return event, c.recordFailedAttempt(s.lease, streamFailure(err), s.eventCount)
-	}
-	s.countEvent(c)
-	slowness := 0.0
-	if s.load != nil {
-		slowness = s.load.Slowness
-	}
-	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.rateLimit, Age: time.Since(s.headAt)})
-	return event, nil
-}
-
 // streamFailure returns the typed error for a failed read from a stream.
 func streamFailure(err error) *errs.Error {
 	if upstream.IsTimeout(err) {
@@ -347,6 +432,7 @@
 type streamBody struct {
 	call        *call
 	source      *targetStream
+	handover    *handover // planned if the source is late with the next event, nil if none
 	pending     []byte    // bytes of the current event that have not been read yet
 	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
 	progressAt  time.Time // when the stream began at its target or the last event with an ID arrived
@@ -383,70 +469,95 @@
 func (b *streamBody) readNext() {
 	defer b.contain()
 	c := b.call
-	if c.canRetryElsewhere() {
-		b.source.exchange.SetReadTimeout(time.Until(b.progressAt.Add(maxEventGap)))
-	} else {
-		b.source.exchange.SetDeadline(c.deadline)
+	if b.handover == nil && b.lastEventID > 0 {
+		next := opening{after: b.lastEventID, waitingSince: c.waitingSince()}
+		b.handover = c.planHandover(b.source, next, time.Until(b.progressAt.Add(c.eventGapDelay())))
 	}
 	event, err := b.source.next(c)
-	switch {
-	case err == nil && event.ID > 0 && event.ID != b.lastEventID+1 && b.lastEventID > 0:
+	if err == nil && event.ID > 0 && event.ID != b.lastEventID+1 && b.lastEventID > 0 {
 		err = errs.New(errs.WrongAnswer, "the stream skipped or repeated an event")
+	}
+	progress := err == nil && event.ID > 0 || err == io.EOF
+	switch {
+	case b.handover.hasMoved(), progress && !b.handover.keep():
+		b.move(lateFailure(nil))
 	case err == nil:
+		if progress {
+			b.handover = nil
+		}
 		b.enqueue(event)
 		b.source.countEvent(c)
-		return
 	case err == io.EOF:
 		b.endErr = io.EOF
 		if b.source.eventCount < progressEvents {
 			c.recordProgress()
 		}
 		b.source.release(c, placer.Done)
+	case b.handover.firstFailed():
+		b.move(streamFailure(err))
+	default:
+		_ = b.source.fail(c, streamFailure(err))
+		b.resume(streamFailure(err))
+	}
+}
+
+// move replaces the source by the stream that the handover has opened.
+func (b *streamBody) move(failure *errs.Error) {
+	b.source.close()
+	stream, event, openFailure := b.handover.wait()
+	b.handover = nil
+	_ = b.source.fail(b.call, failure)
+	if openFailure != nil {
+		b.resume(openFailure)
 		return
 	}
-	b.resume(streamFailure(err))
+	b.continueWith(stream, event)
 }
 
 // resume continues the stream at another target after a failure, if a retry is
 // allowed.
 func (b *streamBody) resume(failure *errs.Error) {
 	c := b.call
-	b.source.exchange.Close()
-	b.source.leased = false
-	_ = c.recordFailedAttempt(b.source.lease, failure, b.source.eventCount)
 	suspect := b.source.eventCount < progressEvents && c.mayCrashTargets()
-	if c.ctx.Err() != nil || b.lastEventID == 0 || !c.route.Repeatable() || c.possibleRuns >= c.route.MaxAttempts || suspect ||
-		!c.server.opt.Fleet.TakeRetry(c.service) {
-		c.trace.setCut(failure)
-		b.endErr = failure
+	if c.ended() || b.lastEventID == 0 || suspect || !c.mayStartAnother() {
+		b.cut(failure)
 		return
 	}
-	stream, event, openFailure := c.openStream(b.lastEventID)
-	switch {
-	case openFailure != nil:
-		c.trace.setCut(openFailure)
-		b.endErr = openFailure
+	stream, event, openFailure := c.openStream(opening{ctx: c.ctx, after: b.lastEventID, waitingSince: c.waitingSince()})
+	if openFailure != nil {
+		b.cut(openFailure)
 		return
+	}
+	b.continueWith(stream, event)
+}
+
+// cut ends the stream without its end.
+func (b *streamBody) cut(failure *errs.Error) {
+	b.call.trace.setCut(failure)
+	b.endErr = failure
+}
+
+// continueWith continues the stream with the events of another target, of which the first
+// one has been read.
+func (b *streamBody) continueWith(stream *targetStream, event eventstream.Event) {
+	c := b.call
+	b.source = stream
+	switch {
 	case stream.exchange.Status != fasthttp.StatusOK:
 		// The caller already has the head of the response, so the only way to
 		// report the failure is to cut the connection.
-		b.source = stream
-		b.endErr = errs.New(errs.TargetRefused, "the target chosen to resume the stream did not respond with status 200").WithRan(errs.RanYes)
-		c.trace.setCut(failure)
-		return
+		b.cut(errs.New(errs.TargetRefused, "the target chosen to resume the stream did not respond with status 200").WithRan(errs.RanYes))
 	case len(event.Bytes) == 0:
-		b.source, b.endErr = stream, io.EOF
-		b.source.release(c, placer.Done)
-		return
+		b.endErr = io.EOF
+		stream.release(c, placer.Done)
 	case event.ID != b.lastEventID+1:
-		b.source = stream
-		b.source.release(c, placer.Failed)
-		b.endErr = errs.New(errs.WrongAnswer, "the resumed stream does not continue at the next event")
-		return
+		stream.release(c, placer.Failed)
+		b.cut(errs.New(errs.WrongAnswer, "the resumed stream does not continue at the next event"))
+	default:
+		b.progressAt = time.Now()
+		b.enqueue(event)
+		c.trace.addStep(StepResumed, stream.lease.Grant.Target, "")
 	}
-	b.source, b.progressAt = stream, time.Now()
-	b.enqueue(event)
-	c.trace.addStep(StepResumed, stream.lease.Grant.Target, "")
 }
 
 // Close implements io.Closer. The HTTP server calls it when the stream has
@@ -456,14 +567,16 @@
 		return nil
 	}
 	b.closed = true
-	b.source.release(b.call, placer.Cancelled)
+	c := b.call
+	b.handover.abandon()
+	b.source.release(c, placer.Cancelled)
 	switch b.endErr {
 	case io.EOF:
-		b.call.trace.setResponse(b.source.exchange.Status, b.source.lease.Grant.Target)
+		c.trace.setResponse(b.source.exchange.Status, b.source.lease.Grant.Target)
 	case nil:
-		b.call.callerLeft.Store(true)
-		b.call.trace.setCut(errs.New(errs.Cancelled, "writing to the caller failed").WithRan(errs.RanYes))
+		c.callerLeft.Store(true)
+		c.trace.setCut(errs.New(errs.Cancelled, "writing to the caller failed").WithRan(errs.RanYes))
 	}
-	b.call.finish()
+	c.finish()
 	return nil
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -13,6 +13,7 @@
 	StepSent    = "sent"
 	StepFailed  = "attempt_failed"
 	StepResumed = "resumed"
+	StepLate    = "late" // the target is late with its next event, so that another one is sought
 )
 
 // Step is one event in the handling of a request, such as a placement or a
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -51,6 +51,8 @@
 	URI     string          // path and query, as received from the caller
 	Fields  httpfields.List // header fields; Content-Length is added
 	Body    []byte
+	// Connected is called before the first byte of the request is sent, unless it is nil.
+	Connected func()
 }
 
 // Exchange is one request to a target and its response.
@@ -92,6 +94,9 @@
 	e := &Exchange{conn: conn, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
+	if r.Connected != nil {
+		r.Connected()
+	}
 	e.send(r)
 	if err := e.readHead(); err != nil {
 		ran := errs.RanUnknown
@@ -203,21 +208,6 @@
 	return body, nil
 }
 
-// SetReadTimeout makes reads fail once the timeout has passed, counted from
-// this call. The deadline of the exchange still applies.
-func (e *Exchange) SetReadTimeout(timeout time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.aborted {
-		return
-	}
-	end := time.Now().Add(timeout)
-	if end.After(e.deadline) {
-		end = e.deadline
-	}
-	_ = e.conn.SetReadDeadline(end)
-}
-
 // abort makes all reads and writes of the exchange fail.
 func (e *Exchange) abort() {
 	e.mu.Lock()
