eventstream: A line that fills the read buffer does not end its event

What callers saw: an event whose line is a multiple of 2048 bytes long ended before its blank line, and a line that goes on with "id:" behind the buffer's end gave the event its ID. A stream that broke off there was continued after an event that was passed on in part.

Cause: Next looked at the last part of a line as if it were the line. Behind a part that fills the buffer the rest of the line is only its line feed, which looks like a blank line.

Evidence: TestLinesThatFillTheReadBufferStayWhole without the change: length 2042, event 0: 2055 bytes instead of 2056 It tries every length from 2000 to 4160, each also with "id: 99" at its end.

Why the fix works: the whole line is looked at, from its start in the event.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -34,10 +34,11 @@
 // errs.TruncatedAnswer.
 func (r *Reader) Next() (Event, error) {
 	r.event = r.event[:0]
+	lineStart := 0
 	var id int64
 	for {
-		line, err := r.input.ReadSlice('\n')
-		r.event = append(r.event, line...)
+		part, err := r.input.ReadSlice('\n')
+		r.event = append(r.event, part...)
 		if len(r.event) > maxEventBytes {
 			return Event{}, errs.New(errs.TooLarge, "an event of the stream exceeds the size limit")
 		}
@@ -49,7 +50,8 @@
 		case err != nil:
 			return Event{}, err
 		}
-		content := bytes.TrimRight(line, "\r\n")
+		content := bytes.TrimRight(r.event[lineStart:], "\r\n")
+		lineStart = len(r.event)
 		if len(content) == 0 {
 			return Event{Bytes: r.event, ID: id}, nil
 		}
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -66,3 +66,23 @@
 	_, err = eventstream.NewReader(strings.NewReader(strings.Repeat("x", 2<<20))).Next()
 	g.Expect(errs.Is(err, errs.TooLarge)).To(gomega.BeTrue())
 }
+
+// Guards against an event that ends early, or takes its ID from the middle of a line, because
+// the line fills the read buffer.
+func TestLinesThatFillTheReadBufferStayWhole(t *testing.T) {
+	const event2 = "id: 8\ndata: b\n\n"
+	for length := 2000; length <= 2*2048+64; length++ {
+		for _, rest := range []string{"", "id: 99"} { // what follows a line that was cut at the buffer's end
+			g := gomega.NewWithT(t)
+			line := "data: " + strings.Repeat("x", length-len("data: ")) + rest
+			event1 := "id: 7\n" + line + "\n\n"
+			r := eventstream.NewReader(strings.NewReader(event1 + event2))
+			for id, text := range []string{event1, event2} {
+				e, err := r.Next()
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(string(e.Bytes) == text).To(gomega.BeTrue(), "length %d, event %d: %d bytes instead of %d", length, id, len(e.Bytes), len(text))
+				g.Expect(e.ID).To(gomega.Equal(int64(7+id)), "length %d", length)
+			}
+		}
+	}
+}
