gateway: Text that is no event is not passed on inside a stream

What callers saw: the text, the JSON object or the whole head of an error in the middle of their stream, behind which the stream ended as complete; an error event without an ID in a stream whose events have IDs; and, where the caller itself continued a stream, events that it already had or a gap.

Cause: whatever stands between two blank lines was an event, and only events with an ID were compared with the one before. The first event of a target's answer was not compared at all unless it continued a stream that the caller had from another target.

Why the fix works: a line is passed on only if it is a comment or begins with a name that a field may have; a status line, JSON, HTML and plain text are none. Behind an event with an ID only the event with the next ID goes on, the first event of an answer included. Anything else counts as a broken stream, which is resumed where the route allows it and cut otherwise.

The fake in contain_test.go now reads the request's ID, a refusal and a missing signature from the answer, and records after which event an attempt continues; what it checked is unchanged.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/httpfields"
 )
 
 // maxEventBytes is the maximum size of one event.
@@ -16,8 +17,9 @@
 
 // Event is one whole event as received, including the blank line that ends it.
 type Event struct {
-	Bytes []byte // valid until the next call to Next
-	ID    int64  // 0 if the event has no ID or one that is not a number
+	Bytes   []byte // valid until the next call to Next
+	ID      int64  // 0 if the event has no ID or one that is not a number
+	Comment bool   // the event has no fields, only comments or nothing
 }
 
 // Reader reads events from a stream. It is not safe for concurrent use.
@@ -31,11 +33,12 @@
 
 // Next returns the next whole event. It returns io.EOF at the end of the
 // stream. If the stream ends within an event, it fails with
-// errs.TruncatedAnswer.
+// errs.TruncatedAnswer, and with errs.WrongAnswer at a line that is neither a
+// field nor a comment, such as the status line of another answer.
 func (r *Reader) Next() (Event, error) {
 	r.event = r.event[:0]
 	lineStart := 0
-	var id int64
+	result := Event{Comment: true}
 	for {
 		part, err := r.input.ReadSlice('\n')
 		r.event = append(r.event, part...)
@@ -52,11 +55,19 @@
 		}
 		content := bytes.TrimRight(r.event[lineStart:], "\r\n")
 		lineStart = len(r.event)
-		if len(content) == 0 {
-			return Event{Bytes: r.event, ID: id}, nil
+		name, value, _ := bytes.Cut(content, []byte(":"))
+		switch {
+		case len(content) == 0:
+			result.Bytes = r.event
+			return result, nil
+		case len(name) == 0: // a comment
+			continue
+		case !httpfields.ValidName(name):
+			return Event{}, errs.New(errs.WrongAnswer, "a line of the stream is neither a field nor a comment")
 		}
-		if value, found := bytes.CutPrefix(content, []byte("id:")); found {
-			id, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64) // 0 if it is not a number
+		result.Comment = false
+		if string(name) == "id" {
+			result.ID, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64) // 0 if it is not a number
 		}
 	}
 }
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -86,3 +86,32 @@
 		}
 	}
 }
+
+// Guards against the text, the object or the head of an error that is taken for an event.
+func TestTextThatIsNoEventFails(t *testing.T) {
+	for _, text := range []string{
+		"upstream error: no capacity\n\n", "HTTP/1.1 200 OK\r\n\r\n", "{\"error\":1}\n\n", "}\n\n", "<html>\n\n", " id: 2\n\n", "id: 2\n</p>\n\n", "no capacity\n\n",
+	} {
+		g := gomega.NewWithT(t)
+		r := eventstream.NewReader(strings.NewReader("id: 1\ndata: a\n\n" + text))
+		_, err := r.Next()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = r.Next()
+		g.Expect(errs.Is(err, errs.WrongAnswer)).To(gomega.BeTrue(), "%q: %v", text, err)
+	}
+}
+
+// Guards against refusing a field because its name is unknown or it has no value, and against
+// comments that are taken for events.
+func TestFieldsAndComments(t *testing.T) {
+	for text, comment := range map[string]bool{
+		"data\n\n": false, "x-version: 2\ndata:\n\n": false, "retry: 3\n\n": false, ": busy\ndata: a\n\n": false,
+		":\n\n": true, ": busy {}\r\n:\r\n\r\n": true, "\n": true,
+	} {
+		g := gomega.NewWithT(t)
+		e, err := eventstream.NewReader(strings.NewReader(text)).Next()
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "%q", text)
+		g.Expect(string(e.Bytes)).To(gomega.Equal(text))
+		g.Expect(e.Comment).To(gomega.Equal(comment), "%q", text)
+	}
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,15 +23,17 @@
 
 // world is a deployment of one route and one target.
 type world struct {
-	route      fleet.Route
-	target     string // address
-	panicIn    string // function that panics
-	panicked   chan string
-	inFlight   func() int
-	placements int
-	stopTarget func()               // makes the target refuse connections
-	summaries  chan gateway.Summary // of finished requests
-	quarantine fakeQuarantine
+	route        fleet.Route
+	target       string // address
+	panicIn      string // function that panics
+	panicked     chan string
+	inFlight     func() int
+	placements   int
+	lastEventID  int64                // of the requests
+	resumedAfter atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
+	stopTarget   func()               // makes the target refuse connections
+	summaries    chan gateway.Summary // of finished requests
+	quarantine   fakeQuarantine
 }
 
 func (w *world) maybePanic(function string) {
@@ -57,12 +60,17 @@
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
-	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
+	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second, LastEventID: w.lastEventID, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
 }
-func (w *world) AttemptFields(gateway.Attempt) httpfields.List { return nil }
-func (w *world) ParseResponse(int, httpfields.List) gateway.ResponseMeta {
+
+func (w *world) AttemptFields(a gateway.Attempt) httpfields.List {
+	w.resumedAfter.Store(a.LastEventID)
+	return nil
+}
+
+func (w *world) ParseResponse(_ int, fields httpfields.List) gateway.ResponseMeta {
 	w.maybePanic("ParseResponse")
-	return gateway.ResponseMeta{Signed: true}
+	return gateway.ResponseMeta{RequestID: fields.Get("X-Request-Id"), NotRun: fields.Get("X-Not-Run") != "", Signed: fields.Get("X-Unsigned") == ""}
 }
 
 func (w *world) RetryAfterField(time.Duration) httpfields.Field {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 
 	eventCount int   // events received from this target
 	after      int64 // ID of the event after which the stream was requested, 0 if from its beginning
+	sequence   sequence
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -221,6 +222,7 @@
 		return nil, failure
 	}
 	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, after: max(lastEventID, c.meta.LastEventID)}
+	stream.sequence = c.newSequence(stream.after)
 	if exchange.Status == fasthttp.StatusOK {
 		return stream, nil
 	}
@@ -232,23 +234,6 @@
 	return stream, nil
 }
 
-// next returns the next event. It returns io.EOF only at the end of a stream that may be
-// complete: one without length and chunks is not if it has no event, or if its target has
-// ended.
-func (s *targetStream) next(c *call) (eventstream.Event, error) {
-	event, err := s.events.Next()
-	if err != io.EOF || !s.exchange.Unframed() {
-		return event, err
-	}
-	switch {
-	case s.eventCount == 0 && s.after == 0:
-		err = errs.New(errs.TruncatedAnswer, "the connection ended before an event")
-	case c.targetEnded(s.lease.Grant.Address):
-		err = errs.New(errs.TruncatedAnswer, "the connection ended together with the target")
-	}
-	return event, err
-}
-
 // countEvent counts an event that was received from the target.
 func (s *targetStream) countEvent(c *call) {
 	if s.eventCount++; s.eventCount == progressEvents {
--- a/internal/httpfields/fields.go
+++ b/internal/httpfields/fields.go
@@ -77,10 +77,8 @@
 	if !found || len(name) == 0 {
 		return Field{}, errs.New(errs.InvalidRequest, "a header line has no name")
 	}
-	for _, c := range name {
-		if !isTokenChar(c) {
-			return Field{}, errs.New(errs.InvalidRequest, "a header name contains an invalid character")
-		}
+	if !ValidName(name) {
+		return Field{}, errs.New(errs.InvalidRequest, "a header name contains an invalid character")
 	}
 	value = bytes.Trim(value, " \t")
 	for _, c := range value {
@@ -91,6 +89,16 @@
 	return Field{Name: string(name), Value: string(value)}, nil
 }
 
+// ValidName reports whether a name consists of characters that the name of a field may have.
+func ValidName(name []byte) bool {
+	for _, c := range name {
+		if !isTokenChar(c) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // isTokenChar reports whether c may be part of a header name.
 func isTokenChar(c byte) bool {
 	switch {
