gateway: Only the rest of a stream continues it, and only a stated end ends it

What callers saw: a stream that had broken off ended as complete because the target that was to continue it answered 200 with an empty body of another type, or closed its connection behind the head of an answer without a length. With other answers (204, 206, 301, 400, 404, 101, a comment before the next event) the stream was cut although a further target was allowed.

Cause: any answer with status 200 could continue a stream, and any end of its body without an event was the end of the stream. For streams without a length the check that an event had arrived did not hold for continued ones. Answers with another status were found only behind the loop over further targets.

Why the fix works: the head of an answer that is to go on in the middle of a stream needs status 200 and the type of an event stream; otherwise the attempt has failed, and the next target is tried if one is allowed. An answer without an event ends the stream only if its length or its last chunk says so and it names the request. Whether a target that says so tells the truth cannot be known; the events do not tell which is the last.

A caller that continues a stream itself and gets no event and no length now gets 502 instead of an empty stream, for the same reason.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,6 +64,7 @@
 	possibleRuns   int      // number of targets that may have run the request
 	refusals       int      // number of targets that refused the request without running it
 	mayHaveRun     bool     // a target may be running or may have run the request
+	streamBegun    bool     // the caller is sent the head of a stream
 	finished       bool     // finish was called
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,8 +45,7 @@
 	rateLimit float64   // that the target named, in requests per second, 0 if none
 	headAt    time.Time // when the head of the answer arrived
 
-	eventCount int   // events received from this target
-	after      int64 // ID of the event after which the stream was requested, 0 if from its beginning
+	eventCount int // events received from this target
 	sequence   sequence
 }
 
@@ -69,6 +68,7 @@
 	if len(first.Bytes) > 0 {
 		body.enqueue(first)
 	}
+	c.streamBegun = true
 	c.http.SetBodyStream(body, -1)
 }
 
@@ -221,8 +221,7 @@
 		exchange.Close()
 		return nil, failure
 	}
-	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, after: max(lastEventID, c.meta.LastEventID)}
-	stream.sequence = c.newSequence(stream.after)
+	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, sequence: c.newSequence(max(lastEventID, c.meta.LastEventID), response)}
 	if exchange.Status == fasthttp.StatusOK {
 		return stream, nil
 	}
@@ -284,6 +283,8 @@
 		c.server.opt.Placement.Release(lease, outcome)
 		c.trace.addStep(StepFailed, lease.Grant.Target, "refused as not run")
 		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter).WithDetails(lease.Grant.Target)
+	case c.checkContinuation(e) != nil:
+		return c.recordFailedAttempt(lease, c.checkContinuation(e), 0)
 	case e.Status >= minServerErrorStatus && c.canRetryElsewhere():
 		return c.recordFailedAttempt(lease, errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes), 0)
 	}
