upstream: Only final statuses are answers

What callers would have seen: a status such as 101, 099 or 700 with the signature of a target was passed on. Behind a 101 a caller that did not ask for another protocol finds no answer, and its connection stays in use.

Cause: the parser takes any three digits for a status, and ends the loop over interim answers at 101.

Evidence: TestOnlyFinalStatusesAreAnswers without the change fails at its first status (1).

Why the fix works: a status outside 200 to 599 fails the exchange like any invalid answer. Not covered: the parser reads status 000 as 200, and does not tell.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -27,6 +27,10 @@
 	// resetLingerSeconds makes Close reset the connection and discard unsent
 	// bytes.
 	resetLingerSeconds = 0
+	// Range of the statuses of final answers. The parser reads interim answers over, except
+	// for 101, which no request asks for.
+	minStatus = 200
+	maxStatus = 599
 )
 
 // expiredDeadline lies in the past, so that all pending and future reads and
@@ -161,7 +165,9 @@
 	if err := e.response.ReadLimitBody(bufio.NewReaderSize(e.conn, readBufferBytes), 0); err != nil {
 		return err
 	}
-	e.Status = e.response.StatusCode()
+	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
+		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
+	}
 	for name, value := range e.response.Header.All() {
 		e.Fields = append(e.Fields, httpfields.Field{Name: string(name), Value: string(value)})
 	}
--- /dev/null
+++ b/internal/upstream/status_test.go
@@ -0,0 +1,45 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/upstream"
+)
+
+// Guards against a status line that is no final answer and is passed on as one: callers would
+// take 101 for a change of the protocol and wait for the rest of others.
+func TestOnlyFinalStatusesAreAnswers(t *testing.T) {
+	for status := 1; status < 1000; status++ {
+		g := gomega.NewWithT(t)
+		client := upstream.Client{Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = far.Read(make([]byte, 256)) // the request
+				_, _ = fmt.Fprintf(far, "HTTP/1.1 %03d x\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", status)
+				_ = far.Close()
+			}()
+			return near, nil
+		}}
+		e, failure := client.Open(context.Background(), upstream.Request{Address: "t", Method: "GET", URI: "/"}, upstream.Timeouts{
+			Connect: time.Minute, Deadline: time.Now().Add(time.Minute),
+		})
+		if status >= 200 && status < 600 {
+			g.Expect(failure).To(gomega.BeNil(), "status %d", status)
+			g.Expect(e.Status).To(gomega.Equal(status))
+			_, err := e.Read(make([]byte, 1))
+			g.Expect(err).To(gomega.Equal(io.EOF))
+			e.Close()
+			continue
+		}
+		g.Expect(failure).NotTo(gomega.BeNil(), "status %d", status)
+		g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+	}
+}
