upstream: An answer that may have no body is not one that ends with its connection

What callers saw: 502 instead of a whole 204 or 304 without a length, if the target ended right behind it; the request had run, and may have been sent to a second target.

Cause: without a length field such an answer counted as one whose body ends with the connection, which is whole only if the target is still there.

Evidence: TestAnswerWithoutABodyIsWholeAlthoughItsTargetEnds without the change: status 502 instead of 204.

Why the fix works: only an answer whose status allows a body can be unframed.

--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -97,3 +97,20 @@
 		g.Expect(body).To(gomega.Equal("an answer"))
 	}
 }
+
+// Guards against an answer without a body that is taken for one that lost its body with its
+// target.
+func TestAnswerWithoutABodyIsWholeAlthoughItsTargetEnds(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.NonIdempotent, fleet.Streaming} {
+		g := gomega.NewWithT(t)
+		var w *world
+		w, address := newWorld(t, kind, func(conn net.Conn) {
+			w.stopTarget()
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nX-Request-Id: q1\r\n\r\n")
+		})
+		status, body, err := get(g, address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusNoContent))
+		g.Expect(body).To(gomega.BeEmpty())
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,6 +69,7 @@
 	writeDone    chan struct{} // closed when writing the request has ended
 	mu           sync.Mutex    // guards aborted and deadline
 	aborted      bool
+	hasBody      bool // the status allows a body
 	complete     bool // the response body was read to its end
 	deadline     time.Time
 	connectTime  time.Duration
@@ -168,6 +169,7 @@
 	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
 		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
 	}
+	e.hasBody = e.response.BodyStream() != nil
 	for name, value := range e.response.Header.All() {
 		e.Fields = append(e.Fields, httpfields.Field{Name: string(name), Value: string(value)})
 	}
@@ -191,7 +193,9 @@
 
 // Unframed reports whether the response has neither a length nor chunks, so that its body
 // ends with the connection. Such a body may lack its end although Read returns io.EOF.
-func (e *Exchange) Unframed() bool { return e.response.Header.ContentLength() == identityLength }
+func (e *Exchange) Unframed() bool {
+	return e.hasBody && e.response.Header.ContentLength() == identityLength
+}
 
 // identityLength is what fasthttp returns as the length of an unframed body.
 const identityLength = -2
