--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,7 @@
 	Fields httpfields.List // header fields of the response
 
 	conn         net.Conn
+	input        input
 	response     fasthttp.Response
 	stopAbort    func() bool   // stops abort from running when the context ends
 	bytesWritten atomic.Int64  // of the request, set when writing has ended
@@ -94,7 +95,7 @@
 		return nil, errs.Wrap(err, errs.TargetUnavailable, "connecting to the target failed").WithRan(errs.RanNo)
 	}
 	c.opened.Add(1)
-	e := &Exchange{conn: conn, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
+	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
 	e.send(r)
@@ -160,11 +161,36 @@
 	return append(b, r.Body...)
 }
 
+// input reads from a connection and keeps the error with which that ended, because the parser
+// replaces some.
+type input struct {
+	conn net.Conn
+	err  error
+}
+
+// Read implements io.Reader.
+func (i *input) Read(p []byte) (int, error) {
+	n, err := i.conn.Read(p)
+	if err != nil {
+		i.err = err
+	}
+	return n, err
+}
+
+// cause returns the timeout of the connection if that is what made the parser fail with err,
+// otherwise err.
+func (i *input) cause(err error) error {
+	if IsTimeout(i.err) {
+		return i.err
+	}
+	return err
+}
+
 // readHead reads the status line and the header fields of the response.
 func (e *Exchange) readHead() error {
 	e.response.StreamBody = true
-	if err := e.response.ReadLimitBody(bufio.NewReaderSize(e.conn, readBufferBytes), 0); err != nil {
-		return err
+	if err := e.response.ReadLimitBody(bufio.NewReaderSize(&e.input, readBufferBytes), 0); err != nil {
+		return e.input.cause(err)
 	}
 	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
 		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
@@ -185,8 +211,12 @@
 		return 0, io.EOF
 	}
 	n, err := body.Read(p)
-	if err == io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
 		e.complete = true
+	default:
+		err = e.input.cause(err)
 	}
 	return n, err
 }
