upstream: No request is sent into an answer that is already there

A target that writes before it has received a request (an earlier refusal once more) got the request all the same, and its bytes were read as the answer.

Change: a new connection that already holds bytes, or was closed, is closed without writing. Nothing of the request was sent, so it has not run and may go to another target.

Change to an existing test: the target of TestEndlessAnswersFail reads the request before it answers. It wrote without reading, which is now the other case (not run, as nothing was sent); the checks are the same.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/socketstate"
 )
 
 const (
@@ -90,6 +91,10 @@
 		return nil, errs.Wrap(err, errs.TargetUnavailable, "connecting to the target failed").WithRan(errs.RanNo)
 	}
 	c.opened.Add(1)
+	if socketstate.Of(conn) != socketstate.Idle {
+		_ = conn.Close()
+		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
+	}
 	e := &Exchange{conn: conn, input: bufio.NewReaderSize(conn, readBufferBytes), connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/socketstate"
 	"cicadaslip/internal/upstream"
 )
 
@@ -65,6 +66,7 @@
 				if err != nil {
 					return
 				}
+				_, _ = conn.Read(make([]byte, 1024)) // the request
 				_, _ = io.WriteString(conn, c.head)
 				endless(conn, strings.Repeat(c.rest, 256))
 			}()
@@ -97,3 +99,78 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// Guards against an answer that a target wrote before the request, which is taken for the
+// answer to it, and against a request that runs beside such an answer.
+func TestAnswerBeforeTheRequestKeepsItFromBeingSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	received := make(chan int64, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		n, _ := io.Copy(io.Discard, conn) // ends with the connection
+		received <- n
+	}()
+	client := upstream.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		for err == nil && socketstate.Of(conn) == socketstate.Idle {
+			time.Sleep(time.Millisecond)
+		}
+		return conn, err
+	}}
+	exchange, failure := client.Open(context.Background(), upstream.Request{
+		Address: listener.Addr().String(), Method: "POST", URI: "/", Body: []byte("zip"),
+	}, upstream.Timeouts{Connect: time.Second, Deadline: time.Now().Add(time.Second)})
+	if failure == nil {
+		exchange.Close()
+	}
+	g.Expect(<-received).To(gomega.BeZero(), "bytes of the request")
+	g.Expect(failure).NotTo(gomega.BeNil())
+	g.Expect(failure.Code).To(gomega.Equal(errs.TargetUnavailable))
+	g.Expect(failure.Ran).To(gomega.Equal(errs.RanNo))
+}
+
+// Guards against a connection that is used for a second request, whose answer could be a
+// second copy of the first one.
+func TestExchangesHaveConnectionsOfTheirOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	const exchanges = 3
+	closed := make(chan struct{}, exchanges)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 1024)
+				_, _ = conn.Read(buf)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok")
+				if _, err := conn.Read(buf); err != nil {
+					closed <- struct{}{}
+				}
+			}()
+		}
+	}()
+	client := upstream.Client{Dial: (&net.Dialer{}).DialContext}
+	for range exchanges {
+		exchange, failure := client.Open(context.Background(), upstream.Request{
+			Address: listener.Addr().String(), Method: "GET", URI: "/",
+		}, upstream.Timeouts{Connect: time.Second, Deadline: time.Now().Add(time.Second)})
+		g.Expect(failure).To(gomega.BeNil())
+		_, failure = exchange.ReadAll(1 << 10)
+		g.Expect(failure).To(gomega.BeNil())
+		exchange.Close()
+		g.Eventually(closed).Should(gomega.Receive())
+	}
+	g.Expect(client.OpenedConnections()).To(gomega.Equal(int64(exchanges)))
+}
