gateway: The time and header limits of the configuration apply to callers

What callers saw: a request on a connection that had been idle for less than the configuration allows met our close and got no answer, when the idle limit of the configuration is longer than the built-in 15 s; a header that took longer than 3 s, or of more than 16 KiB, got 400 or 431 though the configuration allows it.

Cause: only the body limit was taken from the configuration.

Evidence, on the code before: TestIdleLimitOfTheConfigurationApplies (still open after 10 s with a limit of 0.4 s), TestHeaderLimitsOfTheConfigurationApply ("large, allowed": Expected <int>: 431 to equal <int>: 200; "large, too large": 200 instead of 431).

Change: the connections of callers have their read deadlines from the configuration in force (internal/callerconn; the HTTP server tells when a request begins and ends). A wait that ends is measured again, so a longer limit also holds for connections that are idle when it comes into force; TestLongerIdleLimitAppliesToOpenConnections passed before (15 s) and fails if extendWait is taken out. A new connection may wait for its first byte as long as an idle one. The body of a request has the longer one of both limits. Header limits up to 64 KiB can be configured.

Changes to existing test code: the fake fleet of internal/gateway has the new method Limits.

--- /dev/null
+++ b/internal/callerconn/conn.go
@@ -0,0 +1,106 @@
+package callerconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"cicadaslip/internal/socketstate"
+)
+
+// Conn is a caller's connection. Writes fail after the listener's
+// WriteTimeout, so that a caller that does not read cannot hold resources for
+// long.
+type Conn struct {
+	net.Conn
+	listener  *Listener
+	closed    atomic.Bool
+	idle      atomic.Bool // no byte of a request has arrived
+	idleSince time.Time   // when the wait for it began
+}
+
+// BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
+func (c *Conn) BeginIdle() {
+	if c.listener.Limits == nil {
+		return
+	}
+	c.idle.Store(true)
+	c.idleSince = time.Now()
+	_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.listener.Limits().Idle))
+}
+
+// BeginRequest starts the time limit for the header of a request, whose first byte has
+// arrived.
+func (c *Conn) BeginRequest() {
+	if c.listener.Limits == nil {
+		return
+	}
+	c.idle.Store(false)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait() {
+			continue
+		}
+		return n, err
+	}
+}
+
+// extendWait moves the read deadline if the time limit has become longer since the
+// connection is idle. It reports whether it has done so.
+func (c *Conn) extendWait() bool {
+	if !c.idle.Load() {
+		return false
+	}
+	end := c.idleSince.Add(c.listener.Limits().Idle)
+	return time.Until(end) > 0 && c.Conn.SetReadDeadline(end) == nil
+}
+
+// Write implements net.Conn. It fails if it does not complete within
+// WriteTimeout.
+func (c *Conn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(c.listener.WriteTimeout))
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. It returns immediately; linger closes the
+// connection in the background, and the connection counts towards the
+// listener's limit until then.
+func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		go c.linger()
+	}
+	return nil
+}
+
+// linger closes the sending side, discards input for up to lingerTimeout or
+// maxLingerBytes, and closes the connection. Closing it with unread input
+// would reset it, and a caller that sent too much would lose the error
+// response.
+func (c *Conn) linger() {
+	defer c.listener.openConns.Add(-1)
+	defer c.Conn.Close()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
+}
+
+// Disconnected reports whether the caller has closed its sending side, the
+// connection has failed, or Close was called. It peeks at the socket, because
+// the HTTP server does not read while a request is in progress.
+func (c *Conn) Disconnected() bool {
+	if c.closed.Load() {
+		return true
+	}
+	return socketstate.Of(c.Conn) == socketstate.Closed
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -4,12 +4,9 @@
 package callerconn
 
 import (
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
-
-	"cicadaslip/internal/socketstate"
 )
 
 // sendBufferBytes limits the kernel's send buffer for a caller that does not
@@ -23,6 +20,12 @@
 	maxLingerBytes = 4 << 20
 )
 
+// Limits bounds how long a caller may take.
+type Limits struct {
+	Idle   time.Duration // until the first byte of the next request
+	Header time.Duration // from there to the end of its header
+}
+
 // Listener limits the number of open connections and the duration of each
 // write.
 type Listener struct {
@@ -34,6 +37,9 @@
 	// RefusalResponse is the complete HTTP response sent to connections beyond
 	// Limit.
 	RefusalResponse []byte
+	// Limits returns the current time limits of callers. If it is nil, the HTTP server sets
+	// the deadlines of reads.
+	Limits func() Limits
 
 	openConns atomic.Int64
 }
@@ -50,7 +56,9 @@
 			_ = tcp.SetWriteBuffer(sendBufferBytes)
 		}
 		if l.openConns.Add(1) <= l.Limit {
-			return &Conn{Conn: c, listener: l}, nil
+			conn := &Conn{Conn: c, listener: l}
+			conn.BeginIdle()
+			return conn, nil
 		}
 		l.openConns.Add(-1)
 		l.refuse(c)
@@ -63,54 +71,3 @@
 	_, _ = c.Write(l.RefusalResponse)
 	_ = c.Close()
 }
-
-// Conn is a caller's connection. Writes fail after the listener's
-// WriteTimeout, so that a caller that does not read cannot hold resources for
-// long.
-type Conn struct {
-	net.Conn
-	listener *Listener
-	closed   atomic.Bool
-}
-
-// Write implements net.Conn. It fails if it does not complete within
-// WriteTimeout.
-func (c *Conn) Write(p []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(c.listener.WriteTimeout))
-	return c.Conn.Write(p)
-}
-
-// Close implements net.Conn. It returns immediately; linger closes the
-// connection in the background, and the connection counts towards the
-// listener's limit until then.
-func (c *Conn) Close() error {
-	if !c.closed.Swap(true) {
-		go c.linger()
-	}
-	return nil
-}
-
-// linger closes the sending side, discards input for up to lingerTimeout or
-// maxLingerBytes, and closes the connection. Closing it with unread input
-// would reset it, and a caller that sent too much would lose the error
-// response.
-func (c *Conn) linger() {
-	defer c.listener.openConns.Add(-1)
-	defer c.Conn.Close()
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
-}
-
-// Disconnected reports whether the caller has closed its sending side, the
-// connection has failed, or Close was called. It peeks at the socket, because
-// the HTTP server does not read while a request is in progress.
-func (c *Conn) Disconnected() bool {
-	if c.closed.Load() {
-		return true
-	}
-	return socketstate.Of(c.Conn) == socketstate.Closed
-}
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -50,6 +50,14 @@
 // Routes implements gateway.Fleet.
 func (d *deployment) Routes() *fleet.RouteTable { return d.routes.Load() }
 
+// Limits implements gateway.Fleet.
+func (d *deployment) Limits() fleet.Limits {
+	if routes := d.routes.Load(); routes != nil {
+		return routes.Config.Limits
+	}
+	return fleet.Limits{}
+}
+
 // setConfig puts a configuration into force unless the one in force has the same or a
 // newer version. It reports whether the configuration took effect.
 func (d *deployment) setConfig(c *fleet.Config) bool {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -118,6 +118,9 @@
 	if err == nil && fields.Count("Host") != 1 {
 		err = errs.New(errs.InvalidRequest, "the request does not have exactly one Host header field")
 	}
+	if err == nil && len(h.Method())+len(h.RequestURI())+len(h.RawHeaders()) > c.server.limits().HeaderBytes {
+		err = errs.New(errs.TooLarge, "the header of the request is too large")
+	}
 	if err != nil {
 		c.http.SetConnectionClose()
 		return errs.As(err)
@@ -189,6 +192,8 @@
 		return fasthttp.StatusNotFound
 	case e.Code == errs.InvalidRequest:
 		return fasthttp.StatusBadRequest
+	case e.Code == errs.TooLarge && e.Ran == errs.RanUnset:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case e.Code == errs.Timeout:
 		return fasthttp.StatusGatewayTimeout
 	}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	stopTarget func()               // makes the target refuse connections
 	summaries  chan gateway.Summary // of finished requests
 	quarantine fakeQuarantine
+	limits     atomic.Pointer[fleet.Limits] // of the configuration, none if nil
+	malformed  chan int                     // status of each answer to malformed input
 }
 
 func (w *world) maybePanic(function string) {
@@ -42,6 +45,13 @@
 func (w *world) Routes() *fleet.RouteTable {
 	return fleet.NewRouteTable(&fleet.Config{Version: 1, Routes: []fleet.Route{w.route}, Services: map[string]fleet.Service{"s": {Name: "s"}}})
 }
+
+func (w *world) Limits() fleet.Limits {
+	if limits := w.limits.Load(); limits != nil {
+		return *limits
+	}
+	return fleet.Limits{}
+}
 func (w *world) Usable(string) bool                   { return true }
 func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
 func (w *world) Pick(string, []string) (fleet.Target, bool) {
@@ -82,7 +92,7 @@
 func (w *world) RecordRateLimit(string, float64)                {}
 func (w *world) Release(gateway.Lease, placer.Outcome)          { w.maybePanic("Release") }
 func (w *world) Finished(s gateway.Summary)                     { w.summaries <- s }
-func (w *world) Malformed(int, error)                           {}
+func (w *world) Malformed(status int, _ error)                  { w.malformed <- status }
 func (w *world) Panicked(request string, _ *errs.Error)         { w.panicked <- request }
 
 // newWorld starts a server, and a target that answers with respond.
@@ -105,7 +115,7 @@
 			}()
 		}
 	}()
-	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
+	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan int, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
 		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
 	}}
 	server := gateway.New(gateway.Options{
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,121 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/fleet"
+)
+
+const callerRequest = "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\n"
+
+// newLimitedWorld starts a server with the limits of a configuration.
+func newLimitedWorld(t *testing.T, limits fleet.Limits) (w *world, address string) {
+	w, address = newWorld(t, fleet.NonIdempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) })
+	w.limits.Store(&limits)
+	return w, address
+}
+
+// connect opens a connection and sends the texts, with a pause after each but the last one.
+func connect(t *testing.T, address string, pause time.Duration, texts ...string) net.Conn {
+	g := gomega.NewWithT(t)
+	c, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	for i, text := range texts {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		_, err = io.WriteString(c, text)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	return c
+}
+
+// ended reads the rest of a connection until it ends, and returns it with the time taken.
+func ended(g *gomega.WithT, c net.Conn) (rest string, took time.Duration) {
+	began := time.Now()
+	_ = c.SetReadDeadline(began.Add(10 * time.Second))
+	text, err := io.ReadAll(c)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(text), time.Since(began)
+}
+
+// Guards against an idle limit of the configuration that does not apply: callers reuse a
+// connection shortly before its end and lose a request that crosses an earlier close.
+func TestIdleLimitOfTheConfigurationApplies(t *testing.T) {
+	const idle = 400 * time.Millisecond
+	for name, texts := range map[string][]string{"after a request": {callerRequest + "\r\n"}, "new connection": {""}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: idle, HeaderTimeout: 50 * time.Millisecond})
+			_, took := ended(g, connect(t, address, 0, texts...))
+			g.Expect(took).To(gomega.BeNumerically(">=", idle))
+			g.Expect(took).To(gomega.BeNumerically("<", 5*idle))
+		})
+	}
+}
+
+// Guards against a longer idle limit that does not apply to the connections that are open
+// when it comes into force.
+func TestLongerIdleLimitAppliesToOpenConnections(t *testing.T) {
+	for name, before := range map[string]int{"after a request": 1, "new connection": 0} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: 300 * time.Millisecond})
+			c := connect(t, address, 0, strings.Repeat(callerRequest+"\r\n", before))
+			input := bufio.NewReader(c)
+			for range before {
+				resp, err := http.ReadResponse(input, nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+			w.limits.Store(&fleet.Limits{IdleTimeout: 5 * time.Second})
+			time.Sleep(time.Second)
+			_, err := io.WriteString(c, callerRequest+"\r\n")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp, err := http.ReadResponse(input, nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+		})
+	}
+}
+
+// Guards against a header that the configuration allows and that is cut off or refused.
+func TestHeaderLimitsOfTheConfigurationApply(t *testing.T) {
+	const long = 3500 * time.Millisecond // longer than the limit without a configuration
+	for name, c := range map[string]struct {
+		limits fleet.Limits
+		pause  time.Duration
+		size   int
+		status int
+	}{
+		"slow, allowed":    {fleet.Limits{HeaderTimeout: 2 * long}, long, 10, http.StatusOK},
+		"large, allowed":   {fleet.Limits{HeaderBytes: 32 << 10}, 0, 20 << 10, http.StatusOK},
+		"large, too large": {fleet.Limits{HeaderBytes: 4 << 10}, 0, 5 << 10, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			_, address := newLimitedWorld(t, c.limits)
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, callerRequest)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			time.Sleep(c.pause)
+			_, _ = fmt.Fprintf(conn, "X-Long: %s\r\n\r\n", strings.Repeat("x", c.size)) // fails if the answer has come
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.StatusCode).To(gomega.Equal(c.status))
+		})
+	}
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -95,6 +95,9 @@
 	// Routes returns the current route table, or nil if no configuration has been
 	// loaded.
 	Routes() *fleet.RouteTable
+	// Limits returns the limits for callers, with zero values if no configuration has been
+	// loaded.
+	Limits() fleet.Limits
 	// Usable reports whether requests may currently be sent to a target.
 	Usable(target string) bool
 	// RequiredVersion returns the oldest version of an adapter that may be used,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/upstream"
 )
 
@@ -25,12 +27,13 @@
 	// maxConnections limits the connections of callers, so that these and as many
 	// connections to targets stay within the file descriptors of a VM.
 	maxConnections = 1800
-	// Limits until a configuration is loaded. The configuration replaces only
-	// the body limit, in requestConfig.
+	// Limits until a configuration is loaded.
 	defaultHeaderBytes   = 16 << 10
 	defaultBodyBytes     = 4 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	// maxHeaderBytes bounds the header limit of a configuration.
+	maxHeaderBytes = 64 << 10
 	// concurrencyMargin is added to maxConnections for the HTTP server's own
 	// limit, so that connections beyond maxConnections are refused by the
 	// listener.
@@ -77,9 +80,8 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleMalformed, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Concurrency: maxConnections + concurrencyMargin,
-		ReadBufferSize: defaultHeaderBytes, ReadTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxRequestBodySize: defaultBodyBytes, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: true,
-		HeaderReceived: s.requestConfig, CloseOnShutdown: true, Logger: discardLogger{},
+		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: defaultBodyBytes, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: true,
+		HeaderReceived: s.requestConfig, CloseOnShutdown: true, ConnState: trackState, Logger: discardLogger{},
 	}
 	return s
 }
@@ -91,21 +93,45 @@
 // Printf discards a log line.
 func (discardLogger) Printf(string, ...any) {}
 
-// requestConfig returns the body limit of the current configuration.
+// limits returns the limits of the current configuration, and defaults for those that it
+// does not set.
+func (s *Server) limits() fleet.Limits {
+	limits := s.opt.Fleet.Limits()
+	return fleet.Limits{
+		HeaderBytes: cmp.Or(min(limits.HeaderBytes, maxHeaderBytes), defaultHeaderBytes), BodyBytes: cmp.Or(limits.BodyBytes, defaultBodyBytes),
+		HeaderTimeout: cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout), IdleTimeout: cmp.Or(limits.IdleTimeout, defaultIdleTimeout),
+	}
+}
+
+// requestConfig returns the limits for the body of a request.
 func (s *Server) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	routes := s.opt.Fleet.Routes()
-	if routes == nil {
-		return fasthttp.RequestConfig{}
+	limits := s.limits()
+	return fasthttp.RequestConfig{MaxRequestBodySize: limits.BodyBytes, ReadTimeout: max(limits.HeaderTimeout, limits.IdleTimeout)}
+}
+
+// callerLimits returns the time limits for the connections of callers.
+func (s *Server) callerLimits() callerconn.Limits {
+	limits := s.limits()
+	return callerconn.Limits{Idle: limits.IdleTimeout, Header: limits.HeaderTimeout}
+}
+
+// trackState tells the connection of a caller when a request begins and ends.
+func trackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*callerconn.Conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		conn.BeginRequest()
+	case state == fasthttp.StateIdle:
+		conn.BeginIdle()
 	}
-	limits := routes.Config.Limits
-	return fasthttp.RequestConfig{MaxRequestBodySize: limits.BodyBytes}
 }
 
 // Serve accepts connections from a listener and handles their requests until
 // the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	err := s.http.Serve(&callerconn.Listener{
-		Listener: l, Limit: maxConnections, WriteTimeout: callerWriteTimeout,
+		Listener: l, Limit: maxConnections, WriteTimeout: callerWriteTimeout, Limits: s.callerLimits,
 		RefusalResponse: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
 	})
 	if err != nil {
