gateway, test: The crashed target stops listening before its last bytes

The stand-in wrote bytes that are no answer and closed its listener afterwards; the gateway looks whether the target still accepts connections as soon as it has read them, and then it did. A crashed target accepts none, so the listener is closed first.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -109,8 +109,8 @@
 			g := gomega.NewWithT(t)
 			var w *world
 			w, address := newWorld(t, c.kind, func(conn net.Conn) {
+				w.stopTarget() // first, because the gateway may look at once
 				_, _ = io.WriteString(conn, c.sent)
-				w.stopTarget()
 			})
 			_, _, _ = get(g, address) // whole or cut
 			<-w.summaries
