gateway: A request that arrives too slowly gets 408, and no request no answer

What callers saw: 400, after which a request is not sent again, when a request or its body had not arrived in time; and a 400 on a new connection on which nothing had been sent, where it would be taken for the answer to the next request.

Evidence, on the code before: TestRequestThatArrivesTooSlowlyGets408 (Expected <string>: HTTP/1.1 400 Bad Request to have prefix HTTP/1.1 408, for half a line, header, body, chunk), TestConnectionWithoutARequestGetsNoAnswer (HTTP/1.1 400 Bad Request, to be empty).

Change: 408 for input that times out; it has been passed on to no target. While a connection is idle, any failed read ends it without an answer.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -42,12 +42,18 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. While no request has begun, any failure is io.EOF, so that the
+// HTTP server closes the connection without a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait() {
+		switch {
+		case n > 0 || err == nil:
+			return n, err
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait():
 			continue
+		case c.idle.Load():
+			return 0, io.EOF
 		}
 		return n, err
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -89,6 +89,38 @@
 	}
 }
 
+// Guards against an answer on a connection without a request, which would be taken for the
+// answer to the next one.
+func TestConnectionWithoutARequestGetsNoAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: 200 * time.Millisecond, HeaderTimeout: 100 * time.Millisecond})
+	text, _ := ended(g, connect(t, address, 0))
+	g.Expect(text).To(gomega.BeEmpty())
+	g.Expect(w.malformed).To(gomega.BeEmpty())
+}
+
+// Guards against a caller whose request arrives too slowly and that is told by a 400 not to
+// send it again.
+func TestRequestThatArrivesTooSlowlyGets408(t *testing.T) {
+	limits := fleet.Limits{IdleTimeout: 300 * time.Millisecond, HeaderTimeout: 200 * time.Millisecond}
+	for name, text := range map[string]string{
+		"half a line":   "GET /",
+		"half a header": callerRequest,
+		"half a body":   callerRequest + "Content-Length: 10\r\n\r\nbody",
+		"half a chunk":  callerRequest + "Transfer-Encoding: chunked\r\n\r\n5\r\nbo",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, address := newLimitedWorld(t, limits)
+			answer, took := ended(g, connect(t, address, 0, strings.Replace(text, "GET /x", "POST /x", 1)))
+			g.Expect(answer).To(gomega.HavePrefix("HTTP/1.1 408 "))
+			g.Expect(answer).To(gomega.ContainSubstring("Connection: close"))
+			g.Expect(took).To(gomega.BeNumerically(">=", limits.HeaderTimeout))
+			g.Expect(took).To(gomega.BeNumerically("<", 5*limits.IdleTimeout))
+		})
+	}
+}
+
 // Guards against a header that the configuration allows and that is cut off or refused.
 func TestHeaderLimitsOfTheConfigurationApply(t *testing.T) {
 	const long = 3500 * time.Millisecond // longer than the limit without a configuration
@@ -99,6 +131,7 @@
 		status int
 	}{
 		"slow, allowed":    {fleet.Limits{HeaderTimeout: 2 * long}, long, 10, http.StatusOK},
+		"slow, too slow":   {fleet.Limits{HeaderTimeout: 200 * time.Millisecond}, time.Second, 10, http.StatusRequestTimeout},
 		"large, allowed":   {fleet.Limits{HeaderBytes: 32 << 10}, 0, 20 << 10, http.StatusOK},
 		"large, too large": {fleet.Limits{HeaderBytes: 4 << 10}, 0, 5 << 10, http.StatusRequestHeaderFieldsTooLarge},
 	} {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -165,10 +165,13 @@
 	}
 }
 
-// handleMalformed responds to input that is not a valid HTTP request.
+// handleMalformed responds to input that is not a valid HTTP request, or not a whole one
+// within the time limits.
 func (s *Server) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	switch {
+	case upstream.IsTimeout(err):
+		status = fasthttp.StatusRequestTimeout
 	case strings.Contains(err.Error(), "body size exceeds"):
 		status = fasthttp.StatusRequestEntityTooLarge
 	case strings.Contains(err.Error(), "too big request header"), strings.Contains(err.Error(), "small read buffer"):
