callerconn: Input that is there when a time limit ends is read

What callers saw: a request sent within its time got no answer, or 408, when the process did not run at the moment at which the time limit ended (a pause, a delayed process): the timer fired before the input was looked at.

Evidence: TestInputThatArrivedDuringAPauseIsRead failed before, for an idle connection (EOF) and inside a header (i/o timeout).

Change: when a time limit ends, the connection is looked at; input that is there is read, once for each limit, so that a caller that sends a byte now and then gains nothing.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -11,6 +11,10 @@
 	"cicadaslip/internal/socketstate"
 )
 
+// lateInputTime is the time to read input that was there when its time limit ended, as
+// after a pause of the process.
+const lateInputTime = 100 * time.Millisecond
+
 // Conn is a caller's connection. Writes fail after the listener's
 // WriteTimeout, so that a caller that does not read cannot hold resources for
 // long.
@@ -20,6 +24,7 @@
 	closed    atomic.Bool
 	idle      atomic.Bool // no byte of a request has arrived
 	idleSince time.Time   // when the wait for it began
+	lateInput bool        // the current time limit has ended while input was there
 }
 
 // BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
@@ -28,6 +33,7 @@
 		return
 	}
 	c.idle.Store(true)
+	c.lateInput = false
 	c.idleSince = time.Now()
 	_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.listener.Limits().Idle))
 }
@@ -39,6 +45,7 @@
 		return
 	}
 	c.idle.Store(false)
+	c.lateInput = false
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
 }
 
@@ -60,8 +67,13 @@
 }
 
 // extendWait moves the read deadline if the time limit has become longer since the
-// connection is idle. It reports whether it has done so.
+// connection is idle, or if input is there that was not read in time. It reports whether it
+// has done so.
 func (c *Conn) extendWait() bool {
+	if !c.lateInput && socketstate.Of(c.Conn) == socketstate.Readable {
+		c.lateInput = true
+		return c.Conn.SetReadDeadline(time.Now().Add(lateInputTime)) == nil
+	}
 	if !c.idle.Load() {
 		return false
 	}
