--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -121,6 +121,9 @@
 	if err == nil && fields.Count("Host") != 1 {
 		err = errs.New(errs.InvalidRequest, "the request does not have exactly one Host header field")
 	}
+	if err == nil && len(h.Method())+len(h.RequestURI())+len(h.RawHeaders()) > c.server.limits().HeaderBytes {
+		err = errs.New(errs.TooLarge, "the header of the request is too large")
+	}
 	if err != nil {
 		c.http.SetConnectionClose()
 		return errs.As(err)
@@ -195,6 +198,8 @@
 		return fasthttp.StatusNotFound
 	case e.Code == errs.InvalidRequest:
 		return fasthttp.StatusBadRequest
+	case e.Code == errs.TooLarge && e.Ran == errs.RanUnset:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case e.Code == errs.Timeout:
 		return fasthttp.StatusGatewayTimeout
 	}
@@ -231,20 +236,6 @@
 	}
 }
 
-// checkResponse checks that a response comes from a target and belongs to this
-// request.
-func (c *call) checkResponse(e *upstream.Exchange, response ResponseMeta) *errs.Error {
-	switch {
-	case response.RequestID != "" && response.RequestID != c.meta.ID:
-		return errs.New(errs.WrongAnswer, "the response carries the ID of another request").WithRan(errs.RanUnknown)
-	case response.Encoded:
-		return errs.New(errs.WrongAnswer, "the response has a content encoding").WithRan(errs.RanUnknown)
-	case !response.Signed:
-		return errs.New(errs.WrongAnswer, "the response carries no target signature").WithRan(errs.RanUnknown)
-	}
-	return nil
-}
-
 // contextError returns the error for a call whose deadline has passed or whose
 // caller has disconnected.
 func (c *call) contextError() *errs.Error {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,12 +28,12 @@
 type targetStream struct {
 	lease    Lease
 	cancel   context.CancelFunc // ends the exchange
-	exchange *upstream.Exchange
+	answer                      // without an exchange before the head of the response has arrived
 	events   *eventstream.Reader
-	response ResponseMeta
 	headAt   time.Time // when the head of the response arrived
 	body     []byte    // body of a response that is not an event stream
 	leased   bool      // the lease has not been released
+	refused  bool      // the target has stated that it did not run the request
 	sent     bool      // the request may have reached the target
 	handover *handover // planned if the first event is late, nil if none
 
@@ -291,15 +291,14 @@
 	ctx, s.cancel = context.WithCancel(s.opening.ctx)
 	request := c.upstreamRequest(g.Address, attempt)
 	request.Connected = func() { s.markSent(c) }
-	if s.exchange, failure = c.server.opt.Upstream.Open(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
+	if s.answer, failure = c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
 		return failure
 	}
 	s.events, s.headAt = eventstream.NewReader(s.exchange), time.Now()
-	s.response = c.server.opt.Dialect.ParseResponse(s.exchange.Status, s.exchange.Fields)
-	s.sequence = c.newSequence(s.opening.after, s.response)
-	c.server.opt.Fleet.RecordRateLimit(g.Target, s.response.RateLimit)
-	if s.response.RateLimit > 0 {
-		c.server.opt.Placement.Limited(s.lease, s.response.RateLimit)
+	s.sequence = c.newSequence(s.opening.after, s.meta)
+	c.server.opt.Fleet.RecordRateLimit(g.Target, s.meta.RateLimit)
+	if s.meta.RateLimit > 0 {
+		c.server.opt.Placement.Limited(s.lease, s.meta.RateLimit)
 	}
 	return nil
 }
@@ -320,13 +319,13 @@
 // checkHead returns an error if the target refuses the request, or if the response is not one
 // to this request.
 func (s *targetStream) checkHead(c *call) *errs.Error {
-	if s.response.NotRun {
+	if s.refused = c.refuses(s.answer); s.refused {
 		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter)
 	}
 	if failure := c.checkContinuation(s.exchange); failure != nil {
 		return failure
 	}
-	return c.checkResponse(s.exchange, s.response)
+	return c.checkAnswer(s.answer)
 }
 
 // accept records that the response of the target is forwarded to the caller.
@@ -339,10 +338,10 @@
 		return
 	}
 	slowness := 0.0
-	if s.response.Load != nil {
-		slowness = s.response.Load.Slowness
+	if s.meta.Load != nil {
+		slowness = s.meta.Load.Slowness
 	}
-	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.response.RateLimit, Age: time.Since(s.headAt)})
+	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.meta.RateLimit, Age: time.Since(s.headAt)})
 }
 
 // fail records that the attempt has failed, and releases the lease. It returns the failure
@@ -355,7 +354,7 @@
 	}
 	s.opening.handover.attemptFailed()
 	switch {
-	case s.response.NotRun:
+	case s.refused:
 		return s.recordRefusal(c, failure)
 	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
 		c.mayHaveRun = true
@@ -372,7 +371,7 @@
 	target := s.lease.Grant.Target
 	c.refusals++
 	outcome := placer.AtCapacity
-	if s.response.Misdirected {
+	if s.meta.Misdirected {
 		outcome = placer.Absent
 		pause.For(c.ctx, absentRetryDelay)
 	} else {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/socketstate"
 )
 
 const (
@@ -66,6 +67,7 @@
 
 	conn         net.Conn
 	input        input
+	reader       *bufio.Reader // of input
 	response     fasthttp.Response
 	stopAbort    func() bool   // stops abort from running when the context ends
 	bytesWritten atomic.Int64  // of the request, set when writing has ended
@@ -97,7 +99,12 @@
 		return nil, errs.Wrap(err, errs.TargetUnavailable, "connecting to the target failed").WithRan(errs.RanNo)
 	}
 	c.opened.Add(1)
+	if socketstate.Of(conn) != socketstate.Idle {
+		_ = conn.Close()
+		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
+	}
 	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
+	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
 	if r.Connected != nil {
@@ -194,7 +201,7 @@
 // readHead reads the status line and the header fields of the response.
 func (e *Exchange) readHead() error {
 	e.response.StreamBody = true
-	if err := e.response.ReadLimitBody(bufio.NewReaderSize(&e.input, readBufferBytes), 0); err != nil {
+	if err := e.response.ReadLimitBody(e.reader, 0); err != nil {
 		return e.input.cause(err)
 	}
 	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
@@ -207,6 +214,28 @@
 	return nil
 }
 
+// Next skips the rest of the current response, of at most limit bytes, and reads the head
+// of the next response on the same connection. It fails if the current response ends with
+// the connection.
+func (e *Exchange) Next(limit int64) *errs.Error {
+	if e.Unframed() {
+		return errs.New(errs.WrongAnswer, "the response ends with the connection, so no other can follow").WithRan(errs.RanUnknown)
+	}
+	if n, err := io.CopyN(io.Discard, e, limit+1); err != io.EOF {
+		if n > limit {
+			return errs.New(errs.TooLarge, "the response body of the target is too large").WithRan(errs.RanUnknown)
+		}
+		return typedError(err).WithRan(errs.RanUnknown)
+	}
+	e.complete = false
+	e.Fields = nil
+	e.response.Reset()
+	if err := e.readHead(); err != nil {
+		return typedError(err).WithRan(errs.RanUnknown)
+	}
+	return nil
+}
+
 // Read reads the response body. It returns io.EOF only at the end of a
 // complete body.
 func (e *Exchange) Read(p []byte) (int, error) {
