gateway: A handover can itself be handed over, and ends whole

Callers would have seen: a request that stays at a second silent target although a third would take it (504, cut stream); a stream that four refusals keep at a mute target; after a panic, a lease and an exchange left open, and two targets at work for over a second; a target that works on while the caller reads slowly.

Causes: the second target of a handover had no handover of its own; refusals were counted over the whole call; an attempt's clean-up was skipped by a panic; ending an exchange only expired its deadlines, so that the connection was closed when the reader came back from the caller.

Change: each attempt plans its handover, which first ends the one before; refusals count per opening, and one that has begun asks again; a panic abandons the attempt; Exchange.abort closes the connection. A slow caller does not make its target late: the delay counts from the read.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -66,7 +66,7 @@
 // planHandover begins a handover after a delay, unless the first target delivers before. It
 // returns nil if the request may not run on a further target.
 func (c *call) planHandover(from *targetStream, o opening, delay time.Duration) *handover {
-	if o.handover != nil || !c.mayStartAnother() {
+	if !c.mayStartAnother() {
 		return nil
 	}
 	h := &handover{call: c, from: from, next: o, done: make(chan struct{})}
@@ -82,7 +82,7 @@
 		return
 	}
 	h.started = true
-	h.next.ctx, h.cancel = context.WithCancel(h.call.ctx)
+	h.next.ctx, h.cancel = context.WithCancel(h.from.opening.ctx)
 	h.next.handover = h
 	h.mu.Unlock()
 	defer close(h.done)
@@ -92,6 +92,10 @@
 		h.failure = c.contextError()
 		return
 	}
+	if earlier := h.from.opening.handover; earlier != nil && !earlier.take() {
+		h.failure = errs.New(errs.Cancelled, "the request has stayed at an earlier target")
+		return
+	}
 	if c.mayCrashTargets() {
 		h.failure = errs.New(errs.Quarantined, "the request may crash a further target")
 		return
@@ -205,7 +209,7 @@
 	return h.stream, h.event, h.failure
 }
 
-// abandon ends the handover at the end of the call.
+// abandon ends the handover at the end of the call. A nil handover ignores it.
 func (h *handover) abandon() {
 	if !h.keep() {
 		h.cancel()
--- /dev/null
+++ b/internal/gateway/handover_chain_test.go
@@ -0,0 +1,88 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/fleet"
+)
+
+// inTurn answers each request with the next function, and all later ones with the last.
+func inTurn(respond ...func(net.Conn)) func(net.Conn) {
+	var requests atomic.Int64
+	return func(c net.Conn) { respond[min(int(requests.Add(1)), len(respond))-1](c) }
+}
+
+// mute sends the parts and then nothing until the gateway closes the connection.
+func mute(parts ...string) func(net.Conn) {
+	return func(c net.Conn) {
+		writes(parts...)(c)
+		_, _ = c.Read(make([]byte, 1))
+	}
+}
+
+// Guards against a request that stays at a second silent target until its caller leaves,
+// although a third target would take it.
+func TestRequestLeavesASecondSilentTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second string
+		third         []string
+	}{
+		"before the first event, no head": {third: []string{streamHead, chunk1, chunk2, chunk3, lastChunk}},
+		"before the first event, a head":  {second: streamHead, third: []string{streamHead, chunk1, chunk2, chunk3, lastChunk}},
+		"begun":                           {first: streamHead + chunk1 + chunk2, second: streamHead, third: []string{streamHead, chunk3, lastChunk}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, inTurn(mute(c.first), mute(c.second), writes(c.third...)))
+			w.route.Resumable, w.route.MaxAttempts, w.estimate = true, 3, time.Millisecond
+			status, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(body).To(gomega.Equal(wholeStream))
+		})
+	}
+}
+
+// Guards against a begun stream that is taken from its sound target by another one that does
+// not continue it: its first event is not the next one of the stream.
+func TestStreamStaysUntilAnotherTargetContinuesIt(t *testing.T) {
+	for name, second := range map[string]func(net.Conn){
+		"it begins anew":     writes(streamHead, chunk1, chunk2, chunk3, lastChunk),
+		"it skips an event":  writes(streamHead, "7\r\nid: 4\n\n\r\n", lastChunk),
+		"it sends a comment": mute(streamHead, "3\r\n:\n\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, inTurn(func(c net.Conn) {
+				writes(streamHead, chunk1, chunk2)(c)
+				time.Sleep(2600 * time.Millisecond) // shortly after the other target has the request
+				writes(chunk3, lastChunk)(c)
+			}, second))
+			w.route.Resumable, w.route.MaxAttempts = true, 2
+			_, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(wholeStream))
+		})
+	}
+}
+
+// Guards against a handover that gives up because some targets refused the request, and does
+// not ask again although there is time and the first target sends nothing more.
+func TestHandoverAsksAgainAfterRefusals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	refuse := writes(refusal)
+	w, address := newWorld(t, fleet.Streaming, inTurn(mute(streamHead, chunk1), refuse, refuse, refuse, refuse, refuse, refuse,
+		writes(streamHead, chunk2, chunk3, lastChunk)))
+	w.route.Resumable, w.route.MaxAttempts = true, 3
+	_, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal(wholeStream))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,7 @@
 		c.finish()
 		return
 	}
-	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID, progressAt: time.Now()}
+	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID}
 	if len(first.Bytes) > 0 {
 		body.enqueue(first)
 	}
@@ -69,6 +69,7 @@
 // retries are allowed. It returns the stream with its first event. For a
 // stream without events, the event has no bytes.
 func (c *call) openStream(o opening) (*targetStream, eventstream.Event, *errs.Error) {
+	earlierRefusals := c.refusals
 	for {
 		stream, event, failure := c.tryOpenStream(o)
 		switch {
@@ -78,7 +79,10 @@
 			return nil, event, c.contextError()
 		case o.ctx.Err() != nil:
 			return nil, event, failure
-		case c.awaitPlacement(o, failure), c.shouldRetryStream(failure):
+		case c.shouldRetryStream(failure, c.refusals-earlierRefusals):
+			continue
+		case c.awaitPlacement(o, failure):
+			earlierRefusals = c.refusals
 			continue
 		}
 		if c.mayHaveRun && failure.Ran == errs.RanNo {
@@ -89,10 +93,10 @@
 }
 
 // shouldRetryStream reports whether a stream whose attempt failed before an
-// event was forwarded is sent to a further target.
-func (c *call) shouldRetryStream(failure *errs.Error) bool {
+// event was forwarded is sent to a further target, after a number of refusals.
+func (c *call) shouldRetryStream(failure *errs.Error, refusals int) bool {
 	if failure.Ran == errs.RanNo {
-		return !isPlacementFailure(failure) && c.refusals <= maxRefusals
+		return !isPlacementFailure(failure) && refusals <= maxRefusals
 	}
 	return c.mayStartAnother() && !c.mayCrashTargets()
 }
@@ -103,11 +107,11 @@
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts
 }
 
-// awaitPlacement waits after a refusal by the placement until it may be asked again. It
+// awaitPlacement waits after refusals until the placement may be asked again. It
 // returns false at once if the request is refused for good: one of which the caller has
 // nothing yet, and that is not at work at another target, is better sent again by the caller.
 func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
-	if !isPlacementFailure(failure) || o.handover == nil && o.after <= c.meta.LastEventID {
+	if failure.Ran != errs.RanNo || o.handover == nil && o.after <= c.meta.LastEventID {
 		return false
 	}
 	delay := max(minPlacementDelay, failure.Retry)
@@ -131,6 +135,21 @@
 		return nil, eventstream.Event{}, failure
 	}
 	s := &targetStream{lease: lease, leased: true, opening: o}
+	settled := false
+	defer func() {
+		if !settled { // a panic
+			s.handover.abandon()
+			o.handover.attemptFailed()
+			s.release(c, placer.Cancelled)
+		}
+	}()
+	stream, event, failure := s.settle(c)
+	settled = true
+	return stream, event, failure
+}
+
+// settle opens the stream and decides on the outcome of the attempt.
+func (s *targetStream) settle(c *call) (*targetStream, eventstream.Event, *errs.Error) {
 	event, failure := s.open(c)
 	serverError := failure == nil && s.exchange.Status >= minServerErrorStatus
 	if failure == nil && !serverError && s.handover.keep() {
@@ -143,7 +162,7 @@
 		s.fail(c, lateFailure(failure))
 		return stream, event, moveFailure
 	}
-	if serverError && !c.mayStartAnother() && o.handover == nil {
+	if serverError && !c.mayStartAnother() && s.opening.handover == nil {
 		s.accept(c)
 		return s, event, nil
 	}
@@ -311,7 +330,6 @@
 	c.holdsRetry = false
 	if s.opening.handover != nil {
 		s.opening.handover.sent()
-		return
 	}
 	s.handover = c.planHandover(s, s.opening, firstEventDelay(s.lease))
 }
@@ -387,7 +405,9 @@
 	if s.exchange != nil {
 		s.exchange.Close()
 	}
-	s.cancel()
+	if s.cancel != nil {
+		s.cancel()
+	}
 }
 
 // countEvent counts an event that was received from the target.
@@ -423,7 +443,6 @@
 	handover    *handover // planned if the source is late with the next event, nil if none
 	pending     []byte    // bytes of the current event that have not been read yet
 	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
-	progressAt  time.Time // when the stream began at its target or the last event with an ID arrived
 	endErr      error     // result of Read after the last event, nil while the stream goes on
 	closed      bool
 }
@@ -433,7 +452,7 @@
 func (b *streamBody) enqueue(e eventstream.Event) {
 	b.pending = append(b.pending[:0], e.Bytes...)
 	if e.ID > 0 {
-		b.lastEventID, b.progressAt = e.ID, time.Now()
+		b.lastEventID = e.ID
 	}
 	b.call.trace.addEvent(time.Now())
 }
@@ -459,7 +478,7 @@
 	c := b.call
 	if b.handover == nil && b.lastEventID > 0 {
 		next := opening{after: b.lastEventID, waitingSince: c.waitingSince()}
-		b.handover = c.planHandover(b.source, next, time.Until(b.progressAt.Add(c.eventGapDelay())))
+		b.handover = c.planHandover(b.source, next, c.eventGapDelay())
 	}
 	event, err := b.source.next(c)
 	progress := err == nil && event.ID > 0 || err == io.EOF
@@ -491,12 +510,16 @@
 	b.source.close()
 	stream, event, openFailure := b.handover.wait()
 	b.handover = nil
-	_ = b.source.fail(b.call, failure)
+	late := b.source
+	if openFailure == nil {
+		b.source = stream
+	}
+	_ = late.fail(b.call, failure)
 	if openFailure != nil {
 		b.resume(openFailure)
 		return
 	}
-	b.continueWith(stream, event)
+	b.continueWith(event)
 }
 
 // resume continues the stream at another target after a failure, if a retry is
@@ -513,7 +536,8 @@
 		b.cut(openFailure)
 		return
 	}
-	b.continueWith(stream, event)
+	b.source = stream
+	b.continueWith(event)
 }
 
 // cut ends the stream without its end.
@@ -522,19 +546,17 @@
 	b.endErr = failure
 }
 
-// continueWith continues the stream with the events of another target, of which the first
-// one has been read.
-func (b *streamBody) continueWith(stream *targetStream, event eventstream.Event) {
+// continueWith continues the stream with the events of a new source, of which the first one
+// has been read.
+func (b *streamBody) continueWith(event eventstream.Event) {
 	c := b.call
-	b.source = stream
 	if len(event.Bytes) == 0 {
 		b.endErr = io.EOF
-		stream.release(c, placer.Done)
+		b.source.release(c, placer.Done)
 		return
 	}
-	b.progressAt = time.Now()
 	b.enqueue(event)
-	c.trace.addStep(StepResumed, stream.lease.Grant.Target, "")
+	c.trace.addStep(StepResumed, b.source.lease.Grant.Target, "")
 }
 
 // Close implements io.Closer. The HTTP server calls it when the stream has
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,10 +34,6 @@
 	maxStatus = 599
 )
 
-// expiredDeadline lies in the past, so that all pending and future reads and
-// writes fail at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // Client opens exchanges with targets. It is safe for concurrent use.
 type Client struct {
 	// Dial opens a connection to a target.
@@ -72,11 +68,8 @@
 	stopAbort    func() bool   // stops abort from running when the context ends
 	bytesWritten atomic.Int64  // of the request, set when writing has ended
 	writeDone    chan struct{} // closed when writing the request has ended
-	mu           sync.Mutex    // guards aborted and deadline
-	aborted      bool
-	hasBody      bool // the status allows a body
-	complete     bool // the response body was read to its end
-	deadline     time.Time
+	hasBody      bool          // the status allows a body
+	complete     bool          // the response body was read to its end
 	connectTime  time.Duration
 }
 
@@ -103,7 +96,7 @@
 		_ = conn.Close()
 		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
 	}
-	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
+	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
 	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
@@ -176,13 +169,17 @@
 // input reads from a connection and keeps the error with which that ended, because the parser
 // replaces some.
 type input struct {
-	conn net.Conn
-	err  error
+	conn    net.Conn
+	aborted atomic.Bool // the connection was closed by Exchange.abort
+	err     error
 }
 
 // Read implements io.Reader.
 func (i *input) Read(p []byte) (int, error) {
 	n, err := i.conn.Read(p)
+	if err != nil && i.aborted.Load() {
+		err = os.ErrDeadlineExceeded
+	}
 	if err != nil {
 		i.err = err
 	}
@@ -277,12 +274,14 @@
 	return body, nil
 }
 
-// abort makes all reads and writes of the exchange fail.
+// abort closes the connection, so that the target stops working on the request. All reads
+// and writes of the exchange fail as after its deadline.
 func (e *Exchange) abort() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.aborted = true
-	_ = e.conn.SetDeadline(expiredDeadline)
+	e.input.aborted.Store(true)
+	if tcp, ok := e.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(resetLingerSeconds)
+	}
+	_ = e.conn.Close()
 }
 
 // Close ends the exchange. The connection is reset if the response is
@@ -315,13 +314,3 @@
 	}
 	return errs.Wrap(err, errs.TruncatedAnswer, "the target closed the connection or sent an invalid response")
 }
-
-// SetDeadline replaces the deadline of the whole exchange.
-func (e *Exchange) SetDeadline(deadline time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.deadline = deadline
-	if !e.aborted {
-		_ = e.conn.SetDeadline(deadline)
-	}
-}
