advisory, gateway: One table for what targets state in their answers

The limit of requests was the only statement of a target that was read, with a table, a call and an event of its own. gateway.TargetStatement is now what the head of an answer states, with the incarnation it belongs to and when the request was sent, and the deployment keeps all of it in an advisory.Table. A statement counts only from an answer of the target to this request: before, the limit of another request's answer counted too.

Leaving and pauses are not decoded yet, and nothing obeys them.

--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -6,8 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/balance"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
@@ -32,14 +34,14 @@
 	changes         []targetChange                 // since the last call of takeChanges
 	balancers       map[string]*balance.Balancer   // by plain service
 	budgets         map[string]*retrybudget.Budget // by service
-	limits          *ratelimit.Table
+	statements      *advisory.Table
 }
 
 func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, versions *versionTable, m *metrics.Registry) *deployment {
 	return &deployment{
 		settings: s, startedAt: startedAt, position: position, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
-		limits: ratelimit.NewTable(),
+		statements: advisory.NewTable(),
 	}
 }
 
@@ -143,7 +145,7 @@
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	d.changes = append(d.changes, diffTargets(before, d.targets)...)
-	d.limits.Retain(func(target string) bool { _, found := d.targets[target]; return found })
+	d.statements.Retain(func(target string) bool { _, found := d.targets[target]; return found })
 	for service := range byService {
 		d.balancer(service)
 	}
@@ -213,36 +215,39 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.limits.Exhausted(now)...))
+	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.statements.Exhausted(now)...))
 	if found {
-		d.limits.Take(now, target.ID)
+		d.statements.TakeFromLimit(now, target.ID)
 	}
 	return target, found
 }
 
-// RecordRateLimit implements gateway.Fleet.
-func (d *deployment) RecordRateLimit(target string, perSecond float64) {
+// RecordStatement implements gateway.Fleet.
+func (d *deployment) RecordStatement(target string, s gateway.TargetStatement) {
 	var position ratelimit.Position // of no use without a limit
-	if perSecond > 0 {
+	if s.RateLimit > 0 {
 		position = d.position()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limits.Observe(d.now(), target, perSecond, position)
+	d.statements.Observe(advisory.Incarnation{Target: target, Born: s.Born}, advisory.Statement{
+		Leaving: s.Leaving, Pause: s.Pause, RateLimit: s.RateLimit,
+		SentAt: s.SentAt.Sub(d.startedAt), HeardAt: s.HeardAt.Sub(d.startedAt),
+	}, position)
 }
 
 // rateLimits returns the limits that targets have named to this VM.
 func (d *deployment) rateLimits() map[string]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limits.Limits()
+	return d.statements.RateLimits()
 }
 
 // countAgainstLimit counts a request that is sent to a target under the grant of an owner.
 func (d *deployment) countAgainstLimit(target string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limits.Count(d.now(), target)
+	d.statements.CountAgainstLimit(d.now(), target)
 }
 
 // takeFromLimit reports whether this VM may send a request to a target by its own choice, and
@@ -250,7 +255,7 @@
 func (d *deployment) takeFromLimit(target string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limits.Take(d.now(), target)
+	return d.statements.TakeFromLimit(d.now(), target)
 }
 
 // ExpectedLatency implements gateway.Fleet.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -239,6 +239,20 @@
 	return nil
 }
 
+// statement returns what the head of a response states about its target. It returns false
+// if the response does not come from the target or does not belong to this request: a
+// refusal may lack the signature, and one that expects another target may come from another
+// target at the same address.
+func (c *call) statement(response ResponseMeta, sentAt time.Time, born int64) (TargetStatement, bool) {
+	s := response.Statement
+	s.Born, s.SentAt, s.HeardAt = born, sentAt, time.Now()
+	belongs := response.RequestID == "" || response.RequestID == c.meta.ID
+	if !belongs || response.Misdirected || response.Encoded || !response.Signed && !response.NotRun {
+		return TargetStatement{HeardAt: s.HeardAt}, false
+	}
+	return s, true
+}
+
 // contextError returns the error for a call whose deadline has passed or whose
 // caller has disconnected.
 func (c *call) contextError() *errs.Error {
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -74,13 +74,13 @@
 	w.placements++
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: time.Second}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
-func (w *world) Limited(gateway.Lease, float64)                 {}
-func (w *world) RecordRateLimit(string, float64)                {}
-func (w *world) Release(gateway.Lease, placer.Outcome)          { w.maybePanic("Release") }
-func (w *world) Finished(s gateway.Summary)                     { w.summaries <- s }
-func (w *world) Malformed(int, error)                           {}
-func (w *world) Panicked(request string, _ *errs.Error)         { w.panicked <- request }
+func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
+func (w *world) Limited(gateway.Lease, gateway.TargetStatement)  {}
+func (w *world) RecordStatement(string, gateway.TargetStatement) {}
+func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
+func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
+func (w *world) Malformed(int, error)                            {}
+func (w *world) Panicked(request string, _ *errs.Error)          { w.panicked <- request }
 
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,6 +29,7 @@
 	meta     ResponseMeta
 	failure  *errs.Error
 	target   fleet.Target
+	sentAt   time.Time
 }
 
 // acceptable reports whether the reply is a response without a server error,
@@ -178,6 +179,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	request := c.upstreamRequest(target.Address, Attempt{Target: target.ID})
+	r.sentAt = time.Now()
 	r.exchange, r.failure = c.server.opt.Upstream.Open(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
 	connectTime := time.Duration(0)
 	if r.failure == nil {
@@ -192,7 +194,9 @@
 // readPlain checks the head of a response and reads its body.
 func (c *call) readPlain(r *reply) {
 	r.meta = c.server.opt.Dialect.ParseResponse(r.exchange.Status, r.exchange.Fields)
-	c.server.opt.Fleet.RecordRateLimit(r.target.ID, r.meta.RateLimit)
+	if head, stated := c.statement(r.meta, r.sentAt, r.target.Born); stated {
+		c.server.opt.Fleet.RecordStatement(r.target.ID, head)
+	}
 	if r.meta.NotRun {
 		r.failure = errs.NotRun(errs.Overloaded, "the target refused the request").WithRetry(refusalRetryAfter)
 		return
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -42,7 +42,7 @@
 	Misdirected bool          // the target did not run the request, which expects another target, model or version
 	Encoded     bool          // the body has a content encoding, so it is not the target's own bytes
 	Load        *balance.Load // load that the target reports, nil if none
-	RateLimit   float64       // requests per second that the target takes from all VMs together, 0 if it names none
+	Statement   TargetStatement
 }
 
 // Dialect encodes and decodes the header fields of the platform.
@@ -72,16 +72,22 @@
 type TargetStatement struct {
 	Slowness  float64       // multiple of its usual processing time, 0 if not stated
 	RateLimit float64       // requests per second that it takes from all VMs together, 0 if it names none
-	Age       time.Duration // since the head arrived
+	Leaving   bool          // it is about to stop and takes no new requests
+	Pause     time.Duration // for which it wants no request from this VM, 0 if it names none
+	Born      int64         // its start time according to the grant or this VM's view, in Unix milliseconds, 0 if unknown
+	SentAt    time.Time     // when the answered request was sent
+	HeardAt   time.Time     // when the head arrived
 }
 
+// Age returns the time since the head arrived.
+func (s TargetStatement) Age() time.Duration { return time.Since(s.HeardAt) }
+
 // Placement selects targets for requests to model engines.
 type Placement interface {
 	// Acquire waits for a target. If it fails, the request has not run.
 	Acquire(ctx context.Context, service string, request placer.Request) (Lease, *errs.Error)
-	// Limited reports that the target has answered and named a rate limit, in requests per
-	// second.
-	Limited(lease Lease, rateLimit float64)
+	// Limited reports that the head of an answer named a rate limit.
+	Limited(lease Lease, head TargetStatement)
 	// Started reports that the first event has arrived, with what the head of the answer
 	// stated.
 	Started(lease Lease, head TargetStatement)
@@ -110,9 +116,8 @@
 	// attempt, connect the time to connect (0 if there was no connection) and load
 	// the load that the target reported (nil if none).
 	RecordOutcome(service, target string, outcome balance.Outcome, took, connect time.Duration, load *balance.Load)
-	// RecordRateLimit records the rate limit that an answer of a target named, in requests
-	// per second, 0 if it named none.
-	RecordRateLimit(target string, perSecond float64)
+	// RecordStatement records what a target stated in the head of an answer.
+	RecordStatement(target string, statement TargetStatement)
 	// CountRequest counts a request towards the retry budget of a service.
 	CountRequest(service string)
 	// TakeRetry takes one retry or hedge from the retry budget of a service. It
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,8 +42,7 @@
 	load     *balance.Load // load that the target reported, nil if none
 	body     []byte        // body of a response that is not an event stream
 
-	rateLimit float64   // that the target named, in requests per second, 0 if none
-	headAt    time.Time // when the head of the answer arrived
+	head TargetStatement // what the head of the answer stated
 
 	eventCount int   // events received from this target
 	after      int64 // ID of the event after which the stream was requested, 0 if from its beginning
@@ -206,21 +205,25 @@
 	if limit := c.firstEventDeadline(lease); limit.Before(deadline) {
 		deadline = limit
 	}
+	sentAt := time.Now()
 	exchange, failure := c.server.opt.Upstream.Open(c.ctx, c.upstreamRequest(g.Address, attempt), upstream.Timeouts{Connect: connectTimeout, Deadline: deadline})
 	if failure != nil {
 		return nil, c.recordFailedAttempt(lease, failure, 0)
 	}
 	exchange.SetDeadline(c.deadline)
 	response := c.server.opt.Dialect.ParseResponse(exchange.Status, exchange.Fields)
-	c.server.opt.Fleet.RecordRateLimit(lease.Grant.Target, response.RateLimit)
-	if response.RateLimit > 0 {
-		c.server.opt.Placement.Limited(lease, response.RateLimit)
+	head, stated := c.statement(response, sentAt, g.Born)
+	if stated {
+		c.server.opt.Fleet.RecordStatement(g.Target, head)
+	}
+	if head.RateLimit > 0 {
+		c.server.opt.Placement.Limited(lease, head)
 	}
 	if failure := c.checkStreamHead(lease, exchange, response); failure != nil {
 		exchange.Close()
 		return nil, failure
 	}
-	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, after: max(lastEventID, c.meta.LastEventID)}
+	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, head: head, leased: true, after: max(lastEventID, c.meta.LastEventID)}
 	if exchange.Status == fasthttp.StatusOK {
 		return stream, nil
 	}
@@ -326,11 +329,10 @@
 		return event, c.recordFailedAttempt(s.lease, streamFailure(err), s.eventCount)
 	}
 	s.countEvent(c)
-	slowness := 0.0
 	if s.load != nil {
-		slowness = s.load.Slowness
+		s.head.Slowness = s.load.Slowness
 	}
-	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.rateLimit, Age: time.Since(s.headAt)})
+	c.server.opt.Placement.Started(s.lease, s.head)
 	return event, nil
 }
 
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -195,7 +195,7 @@
 		return gateway.Lease{}, false
 	}
 	c.localGrants[best.Target]++
-	grant := placer.Grant{Request: request.ID, Target: best.Target, Address: bestTarget.Address, Version: best.Version, Priority: request.Priority}
+	grant := placer.Grant{Request: request.ID, Target: best.Target, Address: bestTarget.Address, Version: best.Version, Priority: request.Priority, Born: bestTarget.Born}
 	return gateway.Lease{Grant: grant, Estimate: request.Objective / 2}, true
 }
 
--- a/internal/groupclient/events.go
+++ b/internal/groupclient/events.go
@@ -32,13 +32,13 @@
 		h.Started = true
 	}
 	c.mu.Unlock()
-	c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: head.Slowness, RateLimit: head.RateLimit, Age: head.Age})
+	c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: head.Slowness, RateLimit: head.RateLimit, Age: head.Age()})
 }
 
 // Limited implements gateway.Placement.
-func (c *Client) Limited(lease gateway.Lease, rateLimit float64) {
+func (c *Client) Limited(lease gateway.Lease, head gateway.TargetStatement) {
 	if lease.Owner != "" {
-		c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventLimited, RateLimit: rateLimit})
+		c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventLimited, RateLimit: head.RateLimit, Age: head.Age()})
 	}
 }
 
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -276,7 +276,7 @@
 	c.emit(GrantRequest{
 		Grant: Grant{
 			Request: r.ID, Target: t.description.ID, Address: t.description.Address, Version: pl.version,
-			Priority: enginePriority(r.Priority, late),
+			Priority: enginePriority(r.Priority, late), Born: t.description.Born,
 		},
 		Estimate: best.firstEvent, Backlog: best.backlog, Waited: c.now - r.queuedAt,
 	})
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -47,6 +47,7 @@
 	Address  string // address of the target, as ip:port
 	Version  int64  // adapter version, 0 if unknown
 	Priority int    // priority for the engine, 0 is the most urgent
+	Born     int64  // start time of the target, in Unix milliseconds, 0 if unknown
 }
 
 // Operation is the kind of an order.
