--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -1,6 +1,7 @@
 package advisory
 
 import (
+	"math"
 	"time"
 
 	"cicadaslip/internal/ratelimit"
@@ -15,36 +16,65 @@
 // Statement is what the head of one answer states about its target.
 type Statement struct {
 	Leaving   bool
+	Unclear   bool          // neither Leaving nor the opposite
 	Pause     time.Duration // for which the target wants no request from this VM, 0 if none
 	RateLimit float64       // requests per second from all VMs together, 0 if there is no limit
 	SentAt    time.Duration // when the answered request was sent
 	HeardAt   time.Duration // when the head arrived
 }
 
-// Source tells where a statement comes from.
+// Source tells who heard a statement.
 type Source string
 
 // Sources of statements.
 const (
-	Answer Source = "answer" // an answer to this VM
-	Peer   Source = "owner"  // another VM, through the owner of a target group
+	Answer Source = "answer" // this VM, from the target
+	Owner  Source = "owner"  // another VM, and the owner of a target group passed it on
 )
 
-// record is what one target has stated. Statements of older incarnations are dropped.
+const (
+	// never is the time of what has not happened.
+	never = time.Duration(math.MinInt64)
+	// unlistedRetention is how long the statements of a target are kept that is not listed. The
+	// entry of a target may be missing for a while, and may reach this VM later than its answer.
+	unlistedRetention = time.Minute
+)
+
+// record is what one incarnation of a target has stated.
 type record struct {
-	born        int64
-	leaving     bool
-	source      Source
-	leavingAt   time.Duration // newest statement that the target leaves
-	stayedAt    time.Duration // newest request whose answer did not state that
-	pausedUntil time.Duration // 0 if there is no pause
-	pauseSentAt time.Duration // request whose answer set or ended the pause
+	born          int64
+	heardAt       time.Duration // newest statement to this VM that the target leaves
+	toldAt        time.Duration // newest statement to another VM that the target leaves
+	stayedAt      time.Duration // newest request of this VM whose answer did not state it
+	leavingSince  time.Duration // of the statement that made the target leave
+	changed       uint64        // version of the table in which the target began to leave
+	pausedUntil   time.Duration
+	unlistedSince time.Duration // never if the target is listed
+}
+
+// leaving reports whether the target leaves. An answer to an earlier request than the
+// statement says nothing about what came after.
+func (r *record) leaving() bool {
+	at := max(r.heardAt, r.toldAt)
+	return at != never && at >= r.stayedAt
 }
 
-// Table holds the statements of all targets to one VM. It is not safe for concurrent use.
+// source returns who heard that the target leaves.
+func (r *record) source() Source {
+	if r.heardAt != never {
+		return Answer
+	}
+	return Owner
+}
+
+// Table holds the statements of all targets that a VM has heard of. It is not safe for
+// concurrent use.
 type Table struct {
 	records map[string]*record // by target
+	// limits outlive an incarnation: that a new one takes more than the former is for its
+	// first answer to tell.
 	limits  *ratelimit.Table
+	version uint64 // number of the targets that have begun to leave
 }
 
 // NewTable returns an empty table.
@@ -52,42 +82,61 @@
 	return &Table{records: map[string]*record{}, limits: ratelimit.NewTable()}
 }
 
-// Observe records the statement of an answer to this VM.
-func (t *Table) Observe(i Incarnation, s Statement, p ratelimit.Position) {
-	r := t.record(i)
-	if r == nil {
-		return
+// Observe records the statement of an answer to this VM. It reports whether the target
+// begins or ceases to leave.
+func (t *Table) Observe(i Incarnation, s Statement, p ratelimit.Position) bool {
+	if known := t.records[i.Target]; known != nil && known.born > i.Born {
+		return false
 	}
 	t.limits.Observe(s.HeardAt, i.Target, s.RateLimit, p)
+	r := t.record(i)
+	before := r.leaving()
 	switch {
 	case s.Leaving:
-		r.leaving, r.source, r.leavingAt = true, Answer, max(r.leavingAt, s.HeardAt)
-	case s.SentAt >= r.leavingAt:
-		r.leaving = false
+		r.heardAt = max(r.heardAt, s.HeardAt)
+	case !s.Unclear:
+		r.stayedAt = max(r.stayedAt, s.SentAt)
 	}
 	if s.Pause > 0 {
-		r.pausedUntil, r.pauseSentAt = max(r.pausedUntil, s.HeardAt+s.Pause), max(r.pauseSentAt, s.SentAt)
+		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
 	}
+	return t.noteChange(r, before, s.HeardAt)
 }
 
-// record returns the record of an incarnation, and creates it if there is none or an older
-// one. It returns nil if the target has a newer incarnation.
+// record returns the record of an incarnation that is not older than the known one, and
+// creates it if there is none.
 func (t *Table) record(i Incarnation) *record {
 	r := t.records[i.Target]
-	switch {
-	case r == nil || r.born < i.Born:
-		r = &record{born: i.Born}
+	if r == nil || r.born < i.Born {
+		r = &record{born: i.Born, heardAt: never, toldAt: never, stayedAt: never, unlistedSince: never}
 		t.records[i.Target] = r
-	case r.born > i.Born:
-		return nil
 	}
 	return r
 }
 
+// noteChange gives a target that begins to leave a version. It reports whether the target
+// begins or ceases to leave.
+func (t *Table) noteChange(r *record, before bool, at time.Duration) bool {
+	after := r.leaving()
+	if after && !before {
+		t.version++
+		r.changed, r.leavingSince = t.version, at
+	}
+	return after != before
+}
+
 // Leaving reports whether a target has stated that it leaves.
 func (t *Table) Leaving(i Incarnation) bool {
 	r := t.records[i.Target]
-	return r != nil && r.born >= i.Born && r.leaving
+	return r != nil && r.born >= i.Born && r.leaving()
+}
+
+// Origin returns who heard that a target leaves, and how long ago.
+func (t *Table) Origin(now time.Duration, target string) (Source, time.Duration) {
+	if r := t.records[target]; r != nil {
+		return r.source(), now - r.leavingSince
+	}
+	return "", 0
 }
 
 // PausedFor returns the time for which a target wants no request from this VM, 0 if it takes
@@ -100,14 +149,23 @@
 	return max(0, r.pausedUntil-now)
 }
 
-// Retain removes the statements of targets that no longer exist.
-func (t *Table) Retain(exists func(target string) bool) {
-	for target := range t.records {
-		if !exists(target) {
+// Retain drops the statements of former incarnations, and of targets that are no longer
+// listed. listed returns the start time of a target that is listed.
+func (t *Table) Retain(now time.Duration, listed func(target string) (born int64, found bool)) {
+	for target, r := range t.records {
+		born, found := listed(target)
+		switch {
+		case found && born > r.born:
+			delete(t.records, target)
+		case found:
+			r.unlistedSince = never
+		case r.unlistedSince == never:
+			r.unlistedSince = now
+		case now-r.unlistedSince > unlistedRetention:
 			delete(t.records, target)
 		}
 	}
-	t.limits.Retain(exists)
+	t.limits.Retain(func(target string) bool { _, found := listed(target); return found })
 }
 
 // TakeFromLimit records a request that this VM sends to a target by its own choice and
--- /dev/null
+++ b/internal/advisory/table_test.go
@@ -0,0 +1,249 @@
+package advisory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cicadaslip/internal/advisory"
+	"cicadaslip/internal/ratelimit"
+)
+
+// answer is one answer of an incarnation of the target, as the test knows it.
+type answer struct {
+	vm          int
+	born        int64
+	sent, heard time.Duration // at the VM
+	leaving     bool
+	unclear     bool
+}
+
+// message is a delta on its way to another VM.
+type message struct {
+	to    int
+	delta advisory.Delta
+}
+
+// world is one target, with several incarnations at one ID, and the VMs that hear of it.
+type world struct {
+	now      time.Duration
+	vms      []*advisory.Table
+	seen     []uint64 // by VM: version of the first VM's table that it has received
+	sent     []uint64 // by VM: version of its own table that the first VM has received
+	born     int64
+	leaving  bool
+	requests []*answer // not yet answered
+	answers  []*answer // of all incarnations, not yet recorded
+	recorded []*answer
+	messages []message
+	told     bool // a message has arrived
+}
+
+// step advances the clock. Times are distinct, so that the order of events is defined.
+func (w *world) step(t *rapid.T) {
+	w.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
+}
+
+// mustLeave reports whether a VM has to keep requests from the newest incarnation: it has
+// recorded an answer in which the target says that it leaves, and none to a later request in
+// which it does not.
+func (w *world) mustLeave(vm int) bool {
+	var said, stayed time.Duration = -1, -1
+	for _, a := range w.recorded {
+		if a.vm != vm || a.born != w.born || a.unclear {
+			continue
+		}
+		if a.leaving {
+			said = max(said, a.heard)
+		} else {
+			stayed = max(stayed, a.sent)
+		}
+	}
+	return said >= 0 && said >= stayed
+}
+
+// mayLeave reports whether the newest incarnation has ever stated that it leaves.
+func (w *world) mayLeave() bool {
+	for _, a := range w.recorded {
+		if a.born == w.born && a.leaving && !a.unclear {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) check(t *rapid.T) {
+	i := advisory.Incarnation{Target: "t", Born: w.born}
+	for vm, table := range w.vms {
+		leaving := table.Leaving(i)
+		if w.mustLeave(vm) && !leaving {
+			t.Fatalf("VM %d sends requests to incarnation %d although it has said that it leaves", vm, w.born)
+		}
+		if leaving && !w.told && !w.mustLeave(vm) {
+			t.Fatalf("VM %d keeps requests from incarnation %d, which has said that it does not leave", vm, w.born)
+		}
+		if leaving && !w.mayLeave() {
+			t.Fatalf("VM %d keeps requests from incarnation %d, which has not said that it leaves", vm, w.born)
+		}
+	}
+}
+
+// Guards against a statement that is lost or comes back in any order of answers, messages
+// between VMs, lost messages and restarts of the target at the same ID: an old answer that is
+// recorded after a newer one, an answer of a former incarnation, and a message that is late.
+func TestStatementsOfAnyOrder(t *testing.T) {
+	const rounds = 50 // of rapid's number of checks
+	for range rounds {
+		rapid.Check(t, checkAnyOrder)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+func checkAnyOrder(t *rapid.T) {
+	vms := rapid.IntRange(2, 4).Draw(t, "VMs")
+	w := &world{born: 1, seen: make([]uint64, vms), sent: make([]uint64, vms)}
+	for range vms {
+		w.vms = append(w.vms, advisory.NewTable())
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"target changes its mind": func(t *rapid.T) { w.step(t); w.leaving = !w.leaving },
+		"target restarts":         func(t *rapid.T) { w.step(t); w.born++; w.leaving = false },
+		"request is sent": func(t *rapid.T) {
+			w.step(t)
+			w.requests = append(w.requests, &answer{vm: rapid.IntRange(0, vms-1).Draw(t, "VM"), born: w.born, sent: w.now})
+		},
+		"request is answered": func(t *rapid.T) {
+			if len(w.requests) == 0 {
+				t.Skip("no request")
+			}
+			w.step(t)
+			n := rapid.IntRange(0, len(w.requests)-1).Draw(t, "request")
+			a := w.requests[n]
+			w.requests = append(w.requests[:n:n], w.requests[n+1:]...)
+			if a.born == w.born { // those to former incarnations have failed
+				a.leaving, a.heard, a.unclear = w.leaving, w.now, rapid.IntRange(0, 9).Draw(t, "unclear") == 0
+				w.answers = append(w.answers, a)
+			}
+		},
+		"answer is recorded": func(t *rapid.T) {
+			if len(w.answers) == 0 {
+				t.Skip("no answer")
+			}
+			w.step(t)
+			n := rapid.IntRange(0, len(w.answers)-1).Draw(t, "answer")
+			a := w.answers[n]
+			if rapid.Bool().Draw(t, "once") {
+				w.answers = append(w.answers[:n:n], w.answers[n+1:]...)
+			}
+			w.vms[a.vm].Observe(advisory.Incarnation{Target: "t", Born: a.born}, advisory.Statement{
+				Leaving: a.leaving && !a.unclear, Unclear: a.unclear, SentAt: a.sent, HeardAt: a.heard,
+			}, ratelimit.Position{VMs: vms})
+			w.recorded = append(w.recorded, a)
+		},
+		"VM calls the owner": func(t *rapid.T) {
+			w.step(t)
+			vm := rapid.IntRange(1, vms-1).Draw(t, "VM")
+			w.messages = append(w.messages,
+				message{0, w.vms[vm].Since(w.now, w.sent[vm], true)},
+				message{vm, w.vms[0].Since(w.now, w.seen[vm], false)})
+		},
+		"message arrives": func(t *rapid.T) {
+			if len(w.messages) == 0 {
+				t.Skip("no message")
+			}
+			w.step(t)
+			n := rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+			m := w.messages[n]
+			w.messages, w.told = append(w.messages[:n:n], w.messages[n+1:]...), true
+			if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
+				w.vms[m.to].Merge(w.now, m.delta)
+			}
+		},
+		"target is listed": func(t *rapid.T) {
+			w.step(t)
+			listed := rapid.IntRange(0, 5).Draw(t, "listed") > 0
+			born := w.born - int64(rapid.IntRange(0, 1).Draw(t, "behind"))
+			w.vms[rapid.IntRange(0, vms-1).Draw(t, "VM")].Retain(w.now, func(string) (int64, bool) { return born, listed })
+		},
+		"": w.check,
+	})
+}
+
+// Guards against a target that stays out of use although a later answer no longer says that
+// it leaves, or that comes back because of an older one.
+func TestLaterAnswerEndsAStatement(t *testing.T) {
+	g := gomega.NewWithT(t)
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	table := advisory.NewTable()
+	observe := func(sent, heard time.Duration, leaving bool) bool {
+		table.Observe(i, advisory.Statement{Leaving: leaving, SentAt: sent, HeardAt: heard}, ratelimit.Position{})
+		return table.Leaving(i)
+	}
+	g.Expect(observe(2, 5, true)).To(gomega.BeTrue())
+	g.Expect(observe(4, 6, false)).To(gomega.BeTrue(), "sent before the statement")
+	g.Expect(observe(6, 7, false)).To(gomega.BeFalse())
+	g.Expect(observe(1, 3, false)).To(gomega.BeFalse())
+	g.Expect(observe(2, 4, true)).To(gomega.BeFalse(), "older than the answer that ended it")
+	g.Expect(observe(7, 8, true)).To(gomega.BeTrue())
+}
+
+// Guards against a statement that does not reach all VMs through the owner, or not the next
+// owner and a VM that starts after the former owner's end.
+func TestStatementsReachAllVMs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var vms []*advisory.Table
+	for range 4 {
+		vms = append(vms, advisory.NewTable())
+	}
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	sync := func(now time.Duration, vm, owner *advisory.Table) {
+		owner.Merge(now, vm.Since(now, 0, true))
+		vm.Merge(now, owner.Since(now, 0, false))
+	}
+	now := time.Second
+	g.Expect(vms[1].Observe(i, advisory.Statement{Leaving: true, SentAt: 0, HeardAt: now}, ratelimit.Position{VMs: 4})).To(gomega.BeTrue())
+	sync(now, vms[1], vms[0])
+	sync(now, vms[2], vms[0])
+	for n := range 3 {
+		g.Expect(vms[n].Leaving(i)).To(gomega.BeTrue(), fmt.Sprint("VM ", n))
+	}
+	source, age := vms[2].Origin(3*time.Second, "t")
+	g.Expect(source).To(gomega.Equal(advisory.Owner))
+	g.Expect(age).To(gomega.Equal(2 * time.Second))
+	now = 5 * time.Second
+	next := vms[2] // which has heard of it only from the former owner
+	sync(now, vms[3], next)
+	g.Expect(vms[3].Leaving(i)).To(gomega.BeTrue(), "a VM that starts later")
+	restarted := advisory.NewTable()
+	sync(now, vms[1], restarted)
+	g.Expect(restarted.Leaving(i)).To(gomega.BeTrue(), "an owner that has started anew")
+	g.Expect(restarted.Leaving(advisory.Incarnation{Target: "t", Born: 8})).To(gomega.BeFalse(), "the next incarnation")
+	g.Expect(vms[1].Since(now, vms[1].Since(now, 0, true).Version, true).Leaving).To(gomega.BeEmpty(), "nothing is told twice")
+}
+
+// Guards against statements that are kept for ever, and against one that is lost because the
+// entry of its target is missing for a while.
+func TestStatementsEndWithTheirTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := advisory.NewTable()
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: time.Second}, ratelimit.Position{})
+	unlisted := func(string) (int64, bool) { return 0, false }
+	table.Retain(2*time.Second, unlisted)
+	table.Retain(30*time.Second, unlisted)
+	g.Expect(table.Leaving(i)).To(gomega.BeTrue())
+	table.Retain(40*time.Second, func(string) (int64, bool) { return 7, true })
+	table.Retain(50*time.Second, unlisted)
+	table.Retain(100*time.Second, unlisted)
+	g.Expect(table.Leaving(i)).To(gomega.BeTrue(), "it was listed in between")
+	table.Retain(111*time.Second, unlisted)
+	g.Expect(table.Leaving(i)).To(gomega.BeFalse())
+	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: 120 * time.Second}, ratelimit.Position{})
+	table.Retain(121*time.Second, func(string) (int64, bool) { return 8, true })
+	g.Expect(table.Since(121*time.Second, 0, false).Leaving).To(gomega.BeEmpty())
+}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/groupclient"
@@ -75,6 +76,7 @@
 	relay          relay
 	followers      map[string]*kindwatch.Follower // by kind
 	deployment     *deployment
+	publishing     sync.Mutex
 	versions       *versionTable
 	groups         *groupserver.Manager
 	placement      *groupclient.Client
@@ -121,10 +123,11 @@
 		Observer: ownerObserver{d}, Target: d.usableTarget, SeenRevisions: d.newestRevisions, HandlePeerRevisions: d.compareNewestRevisions,
 		KnownRevisions: d.appliedRevisions, UpdateFor: d.updateForOwner, HandleReply: d.handleSyncReply, ConfigVersion: d.configVersion,
 		RequiredVersion: d.versions.required, Quarantine: d.quarantine,
+		LeavingSince: d.leavingSince, MergeLeaving: d.mergeLeaving,
 		RateLimits: d.rateLimits, TakeFromLimit: d.takeFromLimit, CountAgainstLimit: d.countAgainstLimit,
 	})
 	d.upstream = &upstream.Client{Dial: deps.Dial}
-	d.deployment = newDeployment(s, d.startedAt, d.placement.Position, d.versions, d.metrics)
+	d.deployment = newDeployment(s, d.startedAt, d.placement.Position, d.leavingChanged, d.versions, d.metrics)
 	d.gateway = gateway.New(gateway.Options{
 		Fleet: d.deployment, Placement: d.placement, Dialect: deps.Dialect,
 		Upstream: d.upstream, Observer: requestObserver{d}, Quarantine: d.quarantine,
@@ -231,11 +234,15 @@
 	sourceStore  = "store"  // read from the store by this VM
 	sourceRelay  = "relay"  // sent by another VM
 	sourceLapsed = "lapsed" // the time for which a missing target is kept has ended
+	sourceAnswer = string(advisory.Answer)
+	sourceOwner  = string(advisory.Owner)
 )
 
 // publishFleet logs the changes of targets, and passes the services, targets and
 // announced adapter versions to the group manager. source is the value of fieldSource.
 func (d *Daemon) publishFleet(source string) {
+	d.publishing.Lock() // so that the newest state is published last
+	defer d.publishing.Unlock()
 	d.logTargetChanges(source)
 	services, targets := d.deployment.servicesAndTargets()
 	d.groups.SetFleet(services, targets)
@@ -244,6 +251,14 @@
 	}
 }
 
+// leavingChanged publishes that a target has begun or ceased to leave by its own word.
+func (d *Daemon) leavingChanged(source string) {
+	d.publishFleet(source)
+	if source == sourceAnswer {
+		d.placement.TellLeaving()
+	}
+}
+
 // expireMissingTargets removes targets that are still missing some time after an outage of
 // the store. It returns when ctx ends.
 func (d *Daemon) expireMissingTargets(ctx context.Context) {
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -21,8 +21,10 @@
 	settings  *Settings
 	startedAt time.Time
 	position  func() ratelimit.Position // of this VM in the deployment
-	versions  *versionTable
-	metrics   *metrics.Registry
+	// leavingChanged is called after a target has begun or ceased to leave by its own word.
+	leavingChanged func(source string)
+	versions       *versionTable
+	metrics        *metrics.Registry
 
 	routes atomic.Pointer[fleet.RouteTable]
 
@@ -37,9 +39,9 @@
 	statements      *advisory.Table
 }
 
-func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, versions *versionTable, m *metrics.Registry) *deployment {
+func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, leavingChanged func(source string), versions *versionTable, m *metrics.Registry) *deployment {
 	return &deployment{
-		settings: s, startedAt: startedAt, position: position, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
+		settings: s, startedAt: startedAt, position: position, leavingChanged: leavingChanged, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
 		statements: advisory.NewTable(),
 	}
@@ -140,12 +142,24 @@
 	before := d.targets
 	d.targets = map[string]fleet.Target{}
 	byService := map[string][]fleet.Target{}
-	for _, t := range d.registry.Targets(time.Now()) {
+	listed := d.registry.Targets(time.Now())
+	told := map[string]bool{} // targets that are only known to leave because they have said so
+	for _, t := range listed {
+		if !t.Leaving && d.statements.Leaving(advisory.Incarnation{Target: t.ID, Born: t.Born}) {
+			t.Leaving, told[t.ID] = true, true
+		}
 		d.targets[t.ID] = t
 		byService[t.Service] = append(byService[t.Service], t)
 	}
-	d.changes = append(d.changes, diffTargets(before, d.targets)...)
-	d.statements.Retain(func(target string) bool { _, found := d.targets[target]; return found })
+	now := d.now()
+	for _, c := range diffTargets(before, d.targets) {
+		if told[c.target.ID] && c.kind == targetLeaving {
+			source, age := d.statements.Origin(now, c.target.ID)
+			c.source, c.age = string(source), age
+		}
+		d.changes = append(d.changes, c)
+	}
+	d.statements.Retain(now, func(target string) (int64, bool) { t, found := d.targets[target]; return t.Born, found })
 	for service := range byService {
 		d.balancer(service)
 	}
@@ -198,13 +212,32 @@
 	return t, found && !t.Leaving
 }
 
-// Usable implements gateway.Fleet. It reports true for a target unknown to this VM,
-// because the owner of the target's group may have learned of the target earlier.
-func (d *deployment) Usable(id string) bool {
+// Usable implements gateway.Fleet. It reports true for a target, or a newer incarnation of
+// it, of which this VM has not heard, because the owner of the target's group may have
+// learned of it earlier.
+func (d *deployment) Usable(id string, born int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t, found := d.targets[id]
-	return !found || !t.Leaving
+	if t, found := d.targets[id]; found && t.Born >= born {
+		return !t.Leaving
+	}
+	return !d.statements.Leaving(advisory.Incarnation{Target: id, Born: born})
+}
+
+// leavingByService returns the number of targets that leave, by service.
+func (d *deployment) leavingByService() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := map[string]int64{}
+	for service := range d.balancers {
+		counts[service] = 0
+	}
+	for _, t := range d.targets {
+		if t.Leaving {
+			counts[t.Service]++
+		}
+	}
+	return counts
 }
 
 // RequiredVersion implements gateway.Fleet.
@@ -228,12 +261,57 @@
 	if s.RateLimit > 0 {
 		position = d.position()
 	}
+	statement := advisory.Statement{
+		Leaving: s.Leaving, Unclear: len(s.Invalid) > 0, Pause: s.Pause, RateLimit: s.RateLimit,
+		SentAt: s.SentAt.Sub(d.startedAt), HeardAt: s.HeardAt.Sub(d.startedAt),
+	}
+	if d.observe(advisory.Incarnation{Target: target, Born: s.Born}, statement, position) {
+		d.leavingChanged(sourceAnswer)
+	}
+}
+
+// IgnoreStatement implements gateway.Fleet.
+func (d *deployment) IgnoreStatement(reason string) {
+	d.metrics.Count(metrics.EdgeStatementsIgnored, reason)
+}
+
+// observe records a statement of an answer. It reports whether the targets in use may have
+// changed.
+func (d *deployment) observe(i advisory.Incarnation, s advisory.Statement, p ratelimit.Position) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.statements.Observe(advisory.Incarnation{Target: target, Born: s.Born}, advisory.Statement{
-		Leaving: s.Leaving, Pause: s.Pause, RateLimit: s.RateLimit,
-		SentAt: s.SentAt.Sub(d.startedAt), HeardAt: s.HeardAt.Sub(d.startedAt),
-	}, position)
+	if i.Born == 0 {
+		i.Born = d.targets[i.Target].Born
+	}
+	changed := d.statements.Observe(i, s, p)
+	if changed {
+		d.rebuild()
+	}
+	return changed
+}
+
+// leavingSince returns the targets of which this VM has heard after a version that they
+// leave, with own set only from the targets themselves.
+func (d *deployment) leavingSince(version uint64, own bool) advisory.Delta {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.statements.Since(d.now(), version, own)
+}
+
+// mergeLeaving adds the targets that leave according to another VM.
+func (d *deployment) mergeLeaving(delta advisory.Delta) {
+	if len(delta.Leaving) == 0 {
+		return
+	}
+	d.mu.Lock()
+	changed := d.statements.Merge(d.now(), delta)
+	if changed {
+		d.rebuild()
+	}
+	d.mu.Unlock()
+	if changed {
+		d.leavingChanged(sourceOwner)
+	}
 }
 
 // rateLimits returns the limits that targets have named to this VM.
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -20,6 +20,7 @@
 	fieldResult       = "result"
 	fieldPrecondition = "precondition"
 	fieldTook         = "took_ms"
+	fieldAge          = "age_ms"
 	fieldAt           = "at_ms"
 	fieldEstimate     = "estimate_ms"
 	fieldBacklog      = "backlog_ms"
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
@@ -49,6 +50,12 @@
 
 func (d *Daemon) usableTarget(id string) (fleet.Target, bool) { return d.deployment.usableTarget(id) }
 
+func (d *Daemon) leavingSince(version uint64, own bool) advisory.Delta {
+	return d.deployment.leavingSince(version, own)
+}
+
+func (d *Daemon) mergeLeaving(delta advisory.Delta) { d.deployment.mergeLeaving(delta) }
+
 func (d *Daemon) rateLimits() map[string]float64 { return d.deployment.rateLimits() }
 
 func (d *Daemon) countAgainstLimit(target string) { d.deployment.countAgainstLimit(target) }
@@ -290,6 +297,9 @@
 	d.metrics.Set(metrics.EdgeConfigVersion, int64(d.configVersion()))
 	d.metrics.Set(metrics.EdgeVMs, int64(d.placement.VMs()))
 	d.metrics.Set(metrics.EdgeTargetConnections, d.upstream.OpenedConnections())
+	for service, count := range d.deployment.leavingByService() {
+		d.metrics.SetLabel(metrics.EdgeTargetsLeaving, service, count)
+	}
 	waiting, age := d.groups.QueueStats()
 	d.metrics.Set(metrics.EdgeQueue, int64(waiting))
 	d.metrics.Set(metrics.EdgeQueueAge, age.Milliseconds())
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -36,7 +36,11 @@
 		s.d.applyUpdate(request.Push)
 	}
 	s.d.quarantine.Merge(request.Quarantine)
+	s.d.mergeLeaving(request.LeavingTargets)
 	*reply = s.d.groups.Sync(request)
+	if request.WantsLeaving {
+		reply.LeavingTargets = s.d.leavingSince(request.LeavingSeen, false)
+	}
 	if request.WantsQuarantine {
 		reply.Quarantine = s.d.quarantine.Since(request.QuarantineSeen)
 	}
--- a/internal/edge/targetchange.go
+++ b/internal/edge/targetchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cicadaslip/internal/fleet"
 )
@@ -15,6 +16,7 @@
 	targetUp        targetChangeKind = "up"
 	targetRestarted targetChangeKind = "restarted"
 	targetLeaving   targetChangeKind = "leaving"
+	targetStaying   targetChangeKind = "staying" // no longer leaving, and not restarted
 	targetGone      targetChangeKind = "gone"
 )
 
@@ -22,6 +24,8 @@
 type targetChange struct {
 	target fleet.Target
 	kind   targetChangeKind
+	source string        // who heard the target say so, empty if its description tells it
+	age    time.Duration // since the target said so
 }
 
 // diffTargets returns the changes between two tables of targets, sorted by target ID.
@@ -31,16 +35,18 @@
 		old, known := before[id]
 		switch {
 		case t.Leaving && (!known || !old.Leaving):
-			changes = append(changes, targetChange{t, targetLeaving})
+			changes = append(changes, targetChange{target: t, kind: targetLeaving})
 		case !known:
-			changes = append(changes, targetChange{t, targetUp})
+			changes = append(changes, targetChange{target: t, kind: targetUp})
 		case t.Born != old.Born:
-			changes = append(changes, targetChange{t, targetRestarted})
+			changes = append(changes, targetChange{target: t, kind: targetRestarted})
+		case old.Leaving && !t.Leaving:
+			changes = append(changes, targetChange{target: t, kind: targetStaying})
 		}
 	}
 	for id, t := range before {
 		if _, present := after[id]; !present {
-			changes = append(changes, targetChange{t, targetGone})
+			changes = append(changes, targetChange{target: t, kind: targetGone})
 		}
 	}
 	slices.SortFunc(changes, func(a, b targetChange) int { return cmp.Compare(a.target.ID, b.target.ID) })
@@ -50,8 +56,12 @@
 // logTargetChanges logs each change of a target in this VM's view since the last call.
 func (d *Daemon) logTargetChanges(source string) {
 	for _, c := range d.deployment.takeChanges() {
-		d.log.Info().Str(fieldEvent, "target_"+string(c.kind)).Str(fieldTarget, c.target.ID).
-			Str(fieldService, c.target.Service).Str(fieldAddress, c.target.Address).Int64(fieldBorn, c.target.Born).
-			Str(fieldSource, source).Send()
+		line := d.log.Info().Str(fieldEvent, "target_"+string(c.kind)).Str(fieldTarget, c.target.ID).
+			Str(fieldService, c.target.Service).Str(fieldAddress, c.target.Address).Int64(fieldBorn, c.target.Born)
+		if c.source == "" {
+			line.Str(fieldSource, source).Send()
+			continue
+		}
+		line.Str(fieldSource, c.source).Dur(fieldAge, c.age).Send()
 	}
 }
--- /dev/null
+++ b/internal/edgetest/leaving_test.go
@@ -0,0 +1,238 @@
+package edgetest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/standin/engine"
+)
+
+// leavingHeader is the header field in which targets say that they leave.
+const leavingHeader = "Server-Leaving"
+
+// drainWatch records what callers see of targets that leave.
+type drainWatch struct {
+	c      *cluster
+	mu     sync.Mutex
+	asked  map[string]question          // by ID of the request
+	passed map[string]map[int]time.Time // first answer with leavingHeader, by target and VM
+}
+
+// question is a request that a caller sent.
+type question struct {
+	vm int
+	at time.Time
+}
+
+func newDrainWatch(c *cluster) *drainWatch {
+	return &drainWatch{c: c, asked: map[string]question{}, passed: map[string]map[int]time.Time{}}
+}
+
+// ask sends a request to a VM.
+func (w *drainWatch) ask(vm int, v *vm, r request) answer {
+	r.id = fmt.Sprintf("q%d", number.Add(1))
+	w.mu.Lock()
+	w.asked[r.id] = question{vm, time.Now()}
+	w.mu.Unlock()
+	a := w.c.ask(v, r)
+	if a.header.Get(leavingHeader) == "" {
+		return a
+	}
+	target, _, _ := strings.Cut(a.header.Get("X-Server-Stamp"), ".")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.passed[target] == nil {
+		w.passed[target] = map[int]time.Time{}
+	}
+	if _, found := w.passed[target][vm]; !found {
+		w.passed[target][vm] = time.Now()
+	}
+	return a
+}
+
+// check expects that a target got no request that a caller sent later than drainBound after
+// its VM, and any other one, had passed on an answer in which the target says that it leaves.
+// since is when the store heard of it, or later.
+func (w *drainWatch) check(target *engine.Target, since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	passed, first := w.passed[target.Settings.ID], since
+	for _, at := range passed {
+		if at.Before(first) {
+			first = at
+		}
+	}
+	broken, late, after := 0, 0, 0
+	for _, run := range target.Runs() {
+		q := w.asked[run.ID]
+		if at, told := passed[q.vm]; told && q.at.Sub(at) > drainBound {
+			broken++
+		}
+		if q.at.Sub(first) > drainBound {
+			late++
+		}
+		if q.at.After(first) {
+			after++
+		}
+	}
+	w.c.t.Logf("%s: heard by %d VMs, %d requests sent after the first answer that says so, %d after %v, %d of VMs that had passed it on",
+		target.Settings.ID, len(passed), after, late, drainBound, broken)
+	w.c.g.Expect(broken).To(gomega.BeZero(), "requests to %s from VMs that had passed on that it leaves", target.Settings.ID)
+	w.c.g.Expect(late).To(gomega.BeZero(), "requests to %s, of which another VM had heard that it leaves", target.Settings.ID)
+}
+
+// keepAsking sends requests to a VM until an end, with several callers.
+func (w *drainWatch) keepAsking(callers *sync.WaitGroup, vm int, v *vm, end time.Time) {
+	for i := range 4 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				w.ask(vm, v, request{path: quote + "x", adapter: fmt.Sprint("a", (i+n)%3), deadline: 2 * time.Second})
+				w.ask(vm, v, request{path: lookup + "x", deadline: time.Second})
+			}
+		})
+	}
+}
+
+// Guards against requests to a target that has said in an answer that it leaves, from the VM
+// that passed the answer on and from all others, also after the owner of the target's group
+// is replaced, and from a VM that starts later.
+func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	const observed = drainBound + 2*time.Second
+	for _, test := range []struct {
+		name        string
+		reportAfter time.Duration // when the target tells the store, negative for never
+		killOwner   bool
+		startVM     bool
+	}{
+		{name: "never told to the store, owner killed, VM started", reportAfter: -1, killOwner: true, startVM: true},
+		{name: "told to the store later", reportAfter: drainBound + time.Second},
+		{name: "told to the store at once"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := start(t, 3)
+			c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+			w := newDrainWatch(c)
+			var callers sync.WaitGroup
+			began := time.Now()
+			end := began.Add(time.Second + observed)
+			former := c.owner()
+			for i, v := range c.vms {
+				if !test.killOwner || v != former {
+					w.keepAsking(&callers, i, v, end)
+				}
+			}
+			time.Sleep(time.Second)
+			leaving := []*engine.Target{c.engines[0], c.engines[1], c.apps[0], c.apps[1]}
+			for _, target := range leaving {
+				target.SayLeaving("1")
+			}
+			if test.killOwner {
+				time.Sleep(drainBound / 5)
+				former.daemon.Kill()
+			}
+			if test.startVM {
+				time.Sleep(drainBound / 2)
+				v := c.vm(3)
+				c.g.Eventually(v.ready).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
+				w.keepAsking(&callers, 3, v, end)
+			}
+			if test.reportAfter >= 0 {
+				time.Sleep(test.reportAfter)
+				for _, target := range leaving {
+					c.g.Expect(target.Leave()).To(gomega.Succeed())
+				}
+			}
+			told := time.Now()
+			callers.Wait()
+			for _, target := range leaving {
+				if test.reportAfter != 0 {
+					c.g.Expect(w.passed).To(gomega.HaveKey(target.Settings.ID))
+				}
+				w.check(target, told)
+			}
+			c.g.Expect(c.engines[2].Runs()).NotTo(gomega.BeEmpty())
+			if test.startVM {
+				c.g.Expect(c.logs.text()).To(gomega.MatchRegexp(`"vm":"vm3","event":"target_leaving","target":"e0"[^}]*"source":"owner","age_ms":`))
+			}
+		})
+	}
+}
+
+// Guards against a target that stays out of use although it has started anew, or never said
+// that it leaves: in a value that says nothing, or in an answer that is not its own.
+func TestOnlyItsOwnWordTakesATargetOutOfUse(t *testing.T) {
+	c := start(t, 2)
+	only := c.apps[0]
+	for _, other := range c.apps[1:] {
+		c.g.Expect(other.Leave()).To(gomega.Succeed())
+	}
+	served := func() int {
+		status := 0
+		for _, v := range c.vms {
+			if status = c.ask(v, request{path: lookup + "x"}).status; status != http.StatusOK {
+				break
+			}
+		}
+		return status
+	}
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
+	for _, values := range [][]string{{"0"}, {"yes"}, {"1", "1"}, {""}, {"true"}, {"-1"}, {"01"}} {
+		only.SayLeaving(values...)
+		for range 4 {
+			c.g.Expect(served()).To(gomega.Equal(http.StatusOK), "after %q", values)
+		}
+	}
+	for _, fault := range []engine.Fault{engine.Foreign, engine.Unsigned} {
+		only.SayLeaving("1")
+		only.SetFault(fault, 1)
+		c.ask(c.vms[0], request{path: booking + "x"})
+		only.SayLeaving()
+		c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK), string(fault))
+	}
+	only.SayLeaving("1")
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusServiceUnavailable))
+	only.Crash()
+	time.Sleep(2 * time.Millisecond) // the start time of a target counts milliseconds
+	c.target(only.Settings)
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK), "started anew at the same address")
+	c.g.Expect(c.logs.text()).To(gomega.And(
+		gomega.MatchRegexp(`"event":"target_leaving","target":"a0"[^}]*"source":"answer","age_ms":`),
+		gomega.MatchRegexp(`"event":"target_restarted"[^}]*"target":"a0"`)))
+}
+
+// Guards against requests that wait for their deadline although all targets of the service
+// have said that they leave, and against streams that are cut because their target leaves.
+func TestRequestsAreRefusedAtOnceWhileAllTargetsLeave(t *testing.T) {
+	c := start(t, 2)
+	objective := time.Second // of the routes
+	c.g.Expect(c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}).status).To(gomega.Equal(http.StatusOK))
+	for _, target := range append(append([]*engine.Target{}, c.engines...), c.apps...) {
+		target.SayLeaving("1")
+	}
+	for _, path := range []string{quote, lookup, booking} {
+		adapter := ""
+		if path == quote {
+			adapter = "a1"
+		}
+		for _, v := range c.vms {
+			c.g.Eventually(func() int {
+				a := c.ask(v, request{path: path + "x", adapter: adapter})
+				if a.status == http.StatusOK && path == quote {
+					c.g.Expect(a.body).To(gomega.Equal(stream(a.id)), "a stream that has begun goes on")
+				}
+				return a.status
+			}).WithTimeout(limit).Should(gomega.Equal(http.StatusServiceUnavailable))
+			a := c.ask(v, request{path: path + "x", adapter: adapter})
+			c.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			c.g.Expect(a.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			c.g.Expect(a.took).To(gomega.BeNumerically("<", objective), path)
+			c.g.Expect(c.runs(a.id)).To(gomega.BeEmpty())
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -248,8 +248,14 @@
 	s.Born, s.SentAt, s.HeardAt = born, sentAt, time.Now()
 	belongs := response.RequestID == "" || response.RequestID == c.meta.ID
 	if !belongs || response.Misdirected || response.Encoded || !response.Signed && !response.NotRun {
+		if s.states() {
+			c.server.opt.Fleet.IgnoreStatement(ForeignStatement)
+		}
 		return TargetStatement{HeardAt: s.HeardAt}, false
 	}
+	for _, field := range s.Invalid {
+		c.server.opt.Fleet.IgnoreStatement(field)
+	}
 	return s, true
 }
 
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,8 @@
 	panicked   chan string
 	inFlight   func() int
 	placements int
+	leaving    []string             // targets that leave and are granted nevertheless
+	retries    int                  // taken from the budget
 	stopTarget func()               // makes the target refuse connections
 	summaries  chan gateway.Summary // of finished requests
 	quarantine fakeQuarantine
@@ -42,7 +45,7 @@
 func (w *world) Routes() *fleet.RouteTable {
 	return fleet.NewRouteTable(&fleet.Config{Version: 1, Routes: []fleet.Route{w.route}, Services: map[string]fleet.Service{"s": {Name: "s"}}})
 }
-func (w *world) Usable(string) bool                   { return true }
+func (w *world) Usable(target string, _ int64) bool   { return !slices.Contains(w.leaving, target) }
 func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
 func (w *world) Pick(string, []string) (fleet.Target, bool) {
 	w.maybePanic("Pick")
@@ -52,8 +55,11 @@
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
 }
-func (w *world) CountRequest(string)   {}
-func (w *world) TakeRetry(string) bool { return true }
+func (w *world) CountRequest(string) {}
+func (w *world) TakeRetry(string) bool {
+	w.retries++
+	return true
+}
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
@@ -69,13 +75,19 @@
 	return httpfields.Field{Name: "Retry-After", Value: "1"}
 }
 
-func (w *world) Acquire(context.Context, string, placer.Request) (gateway.Lease, *errs.Error) {
+func (w *world) Acquire(_ context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
+	for _, target := range w.leaving {
+		if !slices.Contains(r.Exclude, target) {
+			return gateway.Lease{Grant: placer.Grant{Target: target, Address: w.target}, Estimate: time.Second}, nil
+		}
+	}
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: time.Second}, nil
 }
 func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
-func (w *world) Limited(gateway.Lease, gateway.TargetStatement)  {}
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement)   {}
+func (w *world) IgnoreStatement(string)                          {}
 func (w *world) RecordStatement(string, gateway.TargetStatement) {}
 func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
 func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -75,10 +75,20 @@
 	Leaving   bool          // it is about to stop and takes no new requests
 	Pause     time.Duration // for which it wants no request from this VM, 0 if it names none
 	Born      int64         // its start time according to the grant or this VM's view, in Unix milliseconds, 0 if unknown
+	Invalid   []string      // header fields whose statement is ignored
 	SentAt    time.Time     // when the answered request was sent
 	HeardAt   time.Time     // when the head arrived
 }
 
+// ForeignStatement is the reason to ignore the statement of an answer that does not come from
+// the target, or that belongs to another request.
+const ForeignStatement = "foreign"
+
+// states reports whether the head states anything but its target's slowness.
+func (s *TargetStatement) states() bool {
+	return s.Leaving || s.Pause > 0 || s.RateLimit > 0 || len(s.Invalid) > 0
+}
+
 // Age returns the time since the head arrived.
 func (s TargetStatement) Age() time.Duration { return time.Since(s.HeardAt) }
 
@@ -86,8 +96,8 @@
 type Placement interface {
 	// Acquire waits for a target. If it fails, the request has not run.
 	Acquire(ctx context.Context, service string, request placer.Request) (Lease, *errs.Error)
-	// Limited reports that the head of an answer named a rate limit.
-	Limited(lease Lease, head TargetStatement)
+	// Stated reports that the head of an answer has arrived.
+	Stated(lease Lease, head TargetStatement)
 	// Started reports that the first event has arrived, with what the head of the answer
 	// stated.
 	Started(lease Lease, head TargetStatement)
@@ -101,8 +111,9 @@
 	// Routes returns the current route table, or nil if no configuration has been
 	// loaded.
 	Routes() *fleet.RouteTable
-	// Usable reports whether requests may currently be sent to a target.
-	Usable(target string) bool
+	// Usable reports whether requests may currently be sent to an incarnation of a target.
+	// born is its start time in Unix milliseconds, 0 if unknown.
+	Usable(target string, born int64) bool
 	// RequiredVersion returns the oldest version of an adapter that may be used,
 	// or 0 if any version may be used.
 	RequiredVersion(a placer.Adapter) int64
@@ -118,6 +129,9 @@
 	RecordOutcome(service, target string, outcome balance.Outcome, took, connect time.Duration, load *balance.Load)
 	// RecordStatement records what a target stated in the head of an answer.
 	RecordStatement(target string, statement TargetStatement)
+	// IgnoreStatement counts what the head of an answer stated in a way that cannot be used:
+	// the name of a header field, or ForeignStatement.
+	IgnoreStatement(reason string)
 	// CountRequest counts a request towards the retry budget of a service.
 	CountRequest(service string)
 	// TakeRetry takes one retry or hedge from the retry budget of a service. It
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,26 +120,14 @@
 	if failure := c.checkQuarantine(); failure != nil {
 		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
 	}
-	ctx, cancel := c.placementContext()
-	defer cancel()
-	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest())
+	lease, failure := c.acquireLease()
 	if failure != nil {
-		if ctx.Err() != nil && c.ctx.Err() == nil {
-			failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
-		}
 		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
 	}
-	c.trace.addPlacement(lease)
 	if failure := c.checkQuarantine(); failure != nil { // it may have begun during the wait
 		c.server.opt.Placement.Release(lease, placer.Cancelled)
 		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
 	}
-	if !c.server.opt.Fleet.Usable(lease.Grant.Target) {
-		c.server.opt.Placement.Release(lease, placer.Unsent)
-		c.excluded = append(c.excluded, lease.Grant.Target)
-		c.refusals++
-		return nil, eventstream.Event{}, errs.NotRun(errs.NoTarget, "the target is marked as leaving").WithDetails(lease.Grant.Target)
-	}
 	stream, failure := c.sendStreamRequest(lease, lastEventID)
 	if failure != nil {
 		return nil, eventstream.Event{}, failure
@@ -151,6 +139,29 @@
 	return stream, event, nil
 }
 
+// acquireLease waits for a target that does not leave. The owner of a group may learn later
+// than this VM that a target leaves.
+func (c *call) acquireLease() (Lease, *errs.Error) {
+	ctx, cancel := c.placementContext()
+	defer cancel()
+	for {
+		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest())
+		if failure != nil {
+			if ctx.Err() != nil && c.ctx.Err() == nil {
+				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
+			}
+			return Lease{}, failure
+		}
+		c.trace.addPlacement(lease)
+		if c.server.opt.Fleet.Usable(lease.Grant.Target, lease.Grant.Born) {
+			return lease, nil
+		}
+		c.server.opt.Placement.Release(lease, placer.Cancelled)
+		c.excluded = append(c.excluded, lease.Grant.Target)
+		c.trace.addStep(StepSkipped, lease.Grant.Target, "the target leaves")
+	}
+}
+
 // abandonReserve is the part of the time until the caller abandons a stream that is left
 // for the refusal of its request.
 const abandonReserve = 150 * time.Millisecond
@@ -215,9 +226,7 @@
 	head, stated := c.statement(response, sentAt, g.Born)
 	if stated {
 		c.server.opt.Fleet.RecordStatement(g.Target, head)
-	}
-	if head.RateLimit > 0 {
-		c.server.opt.Placement.Limited(lease, head)
+		c.server.opt.Placement.Stated(lease, head)
 	}
 	if failure := c.checkStreamHead(lease, exchange, response); failure != nil {
 		exchange.Close()
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -10,6 +10,7 @@
 // Names of the steps of a request.
 const (
 	StepPlaced  = "placed"
+	StepSkipped = "skipped"
 	StepSent    = "sent"
 	StepFailed  = "attempt_failed"
 	StepResumed = "resumed"
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/grouprpc"
@@ -97,6 +98,11 @@
 	UpdateFor func(owner string) *grouprpc.DeploymentUpdate
 	// HandleReply receives the reply to a sync call of the owner at an address.
 	HandleReply func(owner, address string, reply *grouprpc.SyncReply)
+	// LeavingSince returns the targets of which this VM has heard after a version of its table
+	// that they leave, with own set only from the targets themselves. MergeLeaving receives
+	// those of an owner.
+	LeavingSince func(version uint64, own bool) advisory.Delta
+	MergeLeaving func(d advisory.Delta)
 	// RateLimits returns the limits that targets have named to this VM, by target.
 	RateLimits func() map[string]float64
 	// TakeFromLimit reports whether this VM may send a request to a target without a grant,
--- a/internal/groupclient/events.go
+++ b/internal/groupclient/events.go
@@ -35,9 +35,15 @@
 	c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: head.Slowness, RateLimit: head.RateLimit, Age: head.Age()})
 }
 
-// Limited implements gateway.Placement.
-func (c *Client) Limited(lease gateway.Lease, head gateway.TargetStatement) {
-	if lease.Owner != "" {
+// Stated implements gateway.Placement.
+func (c *Client) Stated(lease gateway.Lease, head gateway.TargetStatement) {
+	if lease.Owner == "" {
+		return
+	}
+	if head.Leaving {
+		c.tellOwner(lease.Group)
+	}
+	if head.RateLimit > 0 {
 		c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventLimited, RateLimit: head.RateLimit, Age: head.Age()})
 	}
 }
--- a/internal/groupclient/quarantine.go
+++ b/internal/groupclient/quarantine.go
@@ -7,12 +7,12 @@
 )
 
 // groupsPerExchange is the number of groups for each owner with which a VM exchanges what it
-// knows of parts that crash targets. The owners are called less often the more groups there
+// knows of parts that crash targets, and of targets that leave. The owners are called less often the more groups there
 // are, so this keeps the time between two exchanges at half a second.
 const groupsPerExchange = 5
 
 // exchangesQuarantine reports whether an owner is one of those with which this VM exchanges
-// its quarantine table: the first ones, by the names of the groups, that respond. All VMs
+// its quarantine table and the leaving targets: the first ones, by the names of the groups, that respond. All VMs
 // choose the same owners, so that what one VM has learned soon reaches the others, and few
 // times. The caller holds the lock.
 func (c *Client) exchangesQuarantine(o *ownerState) bool {
--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -77,7 +77,9 @@
 	}
 	address, epoch, owner := o.address, o.epoch, o.owner
 	wants, sent, seen := c.exchangesQuarantine(o), o.quarantineSent, o.quarantineSeen
+	leavingSent, leavingSeen := o.leavingSent, o.leavingSeen
 	c.mu.Unlock()
+	request.LeavingTargets, request.LeavingSeen, request.WantsLeaving = c.leavingSince(leavingSent, wants), leavingSeen, wants
 	if wants {
 		request.WantsQuarantine, request.Quarantine, request.QuarantineSeen = true, c.quarantineSince(sent), seen
 	}
@@ -91,6 +93,7 @@
 	if err == nil {
 		c.opt.HandlePeerRevisions(reply.Seen)
 		c.opt.Quarantine.Merge(reply.Quarantine)
+		c.opt.MergeLeaving(reply.LeavingTargets)
 		if reply.NotOwner {
 			c.opt.Groups.SetRecord(request.Group, reply.Record, reply.At)
 		} else {
@@ -114,6 +117,10 @@
 	if wants {
 		o.quarantineSent, o.quarantineSeen = request.Quarantine.Version, reply.Quarantine.Version
 	}
+	o.leavingSent = request.LeavingTargets.Version
+	if wants {
+		o.leavingSeen = reply.LeavingTargets.Version
+	}
 	c.ownerResponded(o)
 	now := c.now()
 	o.report = ownerReport{receivedAt: now, vms: reply.VMs, rank: reply.Rank, backlog: reply.Backlog}
--- a/internal/groupclient/view.go
+++ b/internal/groupclient/view.go
@@ -23,6 +23,8 @@
 	report         ownerReport
 	version        uint64 // version of the owner's view up to which resident is known
 	resident       map[placer.Adapter][]placer.ResidentAdapter
+	leavingSent    uint64        // version of this VM's table of leaving targets that the owner has received
+	leavingSeen    uint64        // version of the owner's table that this VM has received
 	quarantineSent uint64        // version of this VM's quarantine table that the owner has received
 	quarantineSeen uint64        // version of the owner's quarantine table that this VM has received
 	syncing        bool          // a sync call is running
@@ -54,6 +56,7 @@
 	o.waitsEnded = done
 	o.silent, o.responded, o.version = false, false, 0
 	o.quarantineSent, o.quarantineSeen = 0, 0
+	o.leavingSent, o.leavingSeen = 0, 0
 }
 
 func (o *ownerState) applySync(reply grouprpc.SyncReply) {
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/placer"
@@ -104,6 +105,12 @@
 	WantsQuarantine bool
 	Quarantine      quarantine.Delta
 	QuarantineSeen  uint64
+	// LeavingTargets are the targets of which the caller has heard that they leave, since its
+	// last call that this owner answered. WantsLeaving is set if the caller wants to hear of
+	// others, and LeavingSeen is the version of the owner's table that it has received.
+	LeavingTargets advisory.Delta
+	WantsLeaving   bool
+	LeavingSeen    uint64
 }
 
 // SyncReply holds the changes since the state described by the request.
@@ -129,6 +136,9 @@
 	// Quarantine is what the owner has learned of parts that crash targets since
 	// QuarantineSeen, if the caller wants to know.
 	Quarantine quarantine.Delta
+	// LeavingTargets are the targets of which the owner has heard since LeavingSeen that they
+	// leave, if the caller wants to know.
+	LeavingTargets advisory.Delta
 }
 
 // AnnounceRequest carries the record of a group after a takeover.
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -32,6 +32,8 @@
 	EdgeLogLinesDropped   Name = "edge_log_lines_dropped"
 	EdgePanics            Name = "edge_panics"
 	EdgeQuarantines       Name = "edge_quarantines"
+	EdgeTargetsLeaving    Name = "edge_targets_leaving"
+	EdgeStatementsIgnored Name = "edge_statements_ignored"
 )
 
 // EdgeDefinitions lists the metrics of an entry VM on the users' platform.
@@ -48,6 +50,8 @@
 	{EdgeMalformed, ByLabel, "requests", "input that is no request, by status"},
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
+	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
+	{EdgeStatementsIgnored, ByLabel, "statements", "of targets about themselves that were ignored, by header field; foreign: in an answer of another target or to another request"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
 	{EdgeGroupChanges, ByLabel, "actions", "of this VM on the objects of groups, with the error code"},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -81,6 +81,7 @@
 	beats    int64
 	leaving  bool
 	overfull bool
+	said     []string // values of Server-Leaving in each answer
 	newest   map[string]int64
 	loseNext int // orders that get no answer
 }
@@ -152,6 +153,14 @@
 	return t.Beat()
 }
 
+// SayLeaving makes all further answers of the target state that it leaves, without a word to
+// the store. Other values than "1" state nothing.
+func (t *Target) SayLeaving(values ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.said = values
+}
+
 // Crash ends the target and all its connections.
 func (t *Target) Crash() { _ = t.server.Close() }
 
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -14,6 +14,11 @@
 const statusElsewhere = 421
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	for _, value := range t.said {
+		w.Header().Add("Server-Leaving", value)
+	}
+	t.mu.Unlock()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.Settings.ID {
 		w.Header().Set("X-Instance-Id", t.Settings.ID)
 		w.WriteHeader(statusElsewhere)
