placer: Order no planned loads from a leaving target

What callers saw: nothing directly; a target that leaves was still ordered to load the adapters that had been planned for it, and polled for their end, which costs it and the weights store work for a copy that no request will use.

Cause: planning looks at whether a target takes work, sending did not.

A load or poll of a leaving target stays planned and is sent if the target stays after all; it no longer makes the owner's next tick due. Unloads and reports are sent as before.

Evidence: without the fix TestPlannedLoadsAreNotOrderedFromALeavingTarget: 8 times "a load of a1 was ordered from a leaving target", and so on TestInvariantsUnderLostAndLateOrders, whose simulation now counts such orders as violations: failed after 4 tests.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -321,6 +321,9 @@
 	next := c.now + idleTickInterval
 	for _, t := range c.targets {
 		for _, p := range t.plannedOrders {
+			if !t.accepts(p) {
+				continue
+			}
 			next = min(next, max(p.notBefore, t.noOrdersUntil, c.now+time.Millisecond))
 		}
 	}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -23,7 +23,7 @@
 // sendNextOrder sends the first planned order of a target that may be sent now.
 func (c *Core) sendNextOrder(t *targetState) {
 	for i, p := range t.plannedOrders {
-		if p.notBefore > c.now || p.afterUnload != nil && t.placements[p.afterUnload.adapter] == p.afterUnload || !c.hasSlotFor(t, p) {
+		if !t.accepts(p) || p.notBefore > c.now || p.afterUnload != nil && t.placements[p.afterUnload.adapter] == p.afterUnload || !c.hasSlotFor(t, p) {
 			continue
 		}
 		t.plannedOrders = slices.Delete(t.plannedOrders, i, i+1)
@@ -45,6 +45,10 @@
 	}
 }
 
+// accepts reports whether a target may get a planned order. A leaving target gets no loads,
+// and no polls for the end of one.
+func (t *targetState) accepts(p plannedOrder) bool { return p.operation != Load || t.acceptsWork() }
+
 // hasSlotFor reports whether a target has a free slot for a planned order. Only loads
 // of adapters that the target has not yet accepted need one.
 func (c *Core) hasSlotFor(t *targetState, p plannedOrder) bool {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -318,6 +318,24 @@
 	g.Expect(sim.loadOrders).To(gomega.BeNumerically(">", 0), "a load from the target's own disk is free")
 }
 
+// Guards against loads that were planned before their target began to leave and are ordered
+// nevertheless, while their requests wait for them.
+func TestPlannedLoadsAreNotOrderedFromALeavingTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 2, placer.Params{})
+	var ids []string
+	for i := range 6 {
+		ids = append(ids, sim.enqueue(adapter(i), nil))
+	}
+	sim.leaving["t0"] = true
+	sim.updateTargets()
+	sim.advance(4 * time.Second)
+	g.Expect(sim.violations).To(gomega.BeEmpty())
+	for _, id := range ids {
+		g.Expect(sim.granted).To(gomega.HaveKey(id))
+	}
+}
+
 // After a target has denied having an adapter, requests for the adapter must wait until
 // it has been loaded again.
 func TestMissingAdapterIsReloaded(t *testing.T) {
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -233,6 +233,9 @@
 func (sim *simulation) deliverOrder(order placer.Order) {
 	if order.Operation == placer.Load {
 		sim.loadOrders++
+		if sim.leaving[order.Target] {
+			sim.violations = append(sim.violations, fmt.Sprintf("a load of %s was ordered from a leaving target", order.Adapter.Name))
+		}
 	}
 	apply := func(answered bool) {
 		e := sim.engines[order.Target]
