placer: Refuse waiting requests at once when all targets leave

What callers saw: while all targets of a group leave, new requests were refused at once with a Retry-After, but those that already waited in the queue, for a load say, waited until it was too late for any target, and then got the refusal.

Cause: only the admission of new requests looked for targets that take work.

The queue is now refused with the same answer, so the front end asks the owners of other groups of the service, or the caller comes back in time.

Evidence: TestWaitingRequestsAreRefusedWhenAllTargetsLeave without the fix: "Expected <map[string]placer.RefuseRequest | len:0>: {} to have key r1"; passes.

--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -304,7 +304,7 @@
 		}
 	}
 	if targets == 0 {
-		return errs.NotRun(errs.NoTarget, "no target of the group takes new work").WithRetry(maxRetryAfter / 2)
+		return errNoTarget()
 	}
 	if len(c.queue) == 0 {
 		return nil
@@ -324,18 +324,29 @@
 	return nil
 }
 
+// errNoTarget returns the error for requests to a group whose targets all leave.
+func errNoTarget() *errs.Error {
+	return errs.NotRun(errs.NoTarget, "no target of the group takes new work").WithRetry(maxRetryAfter / 2)
+}
+
 // retryAfter returns the retry delay for a request that would wait that long.
 func retryAfter(wait time.Duration) time.Duration {
 	return min(maxRetryAfter, max(minRetryAfter, wait/2))
 }
 
 // refuseExpired refuses queued requests that can no longer be answered in time, and
-// all of them while the owner drains.
+// all of them while the owner drains or all targets leave.
 func (c *Core) refuseExpired() {
+	if len(c.queue) == 0 {
+		return
+	}
+	served := slices.ContainsFunc(c.targets, (*targetState).acceptsWork)
 	for _, r := range slices.Clone(c.queue) {
 		switch {
 		case c.draining:
 			c.refuse(r, errs.NotRun(errs.Draining, "the owner of the target group is shutting down"))
+		case !served:
+			c.refuse(r, errNoTarget())
 		case c.now >= r.latestStart:
 			c.refuse(r, errs.NotRun(errs.DeadlineUnreachable, "no target could start the request in time").WithRetry(minRetryAfter))
 		}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -336,6 +336,27 @@
 	}
 }
 
+// Guards against requests that wait until their deadline in the queue of a group whose targets
+// all leave.
+func TestWaitingRequestsAreRefusedWhenAllTargetsLeave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 2, placer.Params{})
+	var ids []string
+	for i := range 4 {
+		ids = append(ids, sim.enqueue(adapter(i), nil))
+	}
+	sim.leaving["t0"] = true
+	sim.updateTargets()
+	g.Expect(sim.refused).To(gomega.BeEmpty(), "the other target serves them")
+	sim.leaving["t1"] = true
+	sim.updateTargets()
+	for _, id := range ids {
+		g.Expect(sim.refused).To(gomega.HaveKey(id))
+		g.Expect(sim.refused[id].Err.Code).To(gomega.Equal(errs.NoTarget))
+		g.Expect(sim.refused[id].Err.Retry).To(gomega.BeNumerically(">", 0))
+	}
+}
+
 // After a target has denied having an adapter, requests for the adapter must wait until
 // it has been loaded again.
 func TestMissingAdapterIsReloaded(t *testing.T) {
