--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,6 +41,8 @@
 	estimate     time.Duration                   // of the time until the first event, 1 s if 0
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
 	malformed    chan int                        // status of each answer to malformed input
+	leaving      []string                        // targets that leave and are granted nevertheless
+	retries      int                             // taken from the budget
 }
 
 func (w *world) maybePanic(function string) {
@@ -58,7 +61,7 @@
 	}
 	return fleet.Limits{}
 }
-func (w *world) Usable(string) bool                   { return true }
+func (w *world) Usable(target string, _ int64) bool   { return !slices.Contains(w.leaving, target) }
 func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
 func (w *world) Pick(string, []string) (fleet.Target, bool) {
 	w.maybePanic("Pick")
@@ -68,8 +71,11 @@
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
 }
-func (w *world) CountRequest(string)   {}
-func (w *world) TakeRetry(string) bool { return !w.noRetries }
+func (w *world) CountRequest(string) {}
+func (w *world) TakeRetry(string) bool {
+	w.retries++
+	return !w.noRetries
+}
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
@@ -94,7 +100,7 @@
 	return httpfields.Field{Name: "Retry-After", Value: "1"}
 }
 
-func (w *world) Acquire(context.Context, string, placer.Request) (gateway.Lease, *errs.Error) {
+func (w *world) Acquire(_ context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
 	if w.acquire != nil {
@@ -102,15 +108,21 @@
 			return gateway.Lease{}, failure
 		}
 	}
+	for _, target := range w.leaving {
+		if !slices.Contains(r.Exclude, target) {
+			return gateway.Lease{Grant: placer.Grant{Target: target, Address: w.target}, Estimate: time.Second}, nil
+		}
+	}
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
-func (w *world) Limited(gateway.Lease, float64)                 {}
-func (w *world) RecordRateLimit(string, float64)                {}
-func (w *world) Release(gateway.Lease, placer.Outcome)          { w.maybePanic("Release") }
-func (w *world) Finished(s gateway.Summary)                     { w.summaries <- s }
-func (w *world) Malformed(status int, _ error)                  { w.malformed <- status }
-func (w *world) Panicked(request string, _ *errs.Error)         { w.panicked <- request }
+func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement)   {}
+func (w *world) IgnoreStatement(string)                          {}
+func (w *world) RecordStatement(string, gateway.TargetStatement) {}
+func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
+func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
+func (w *world) Malformed(status int, _ error)                   { w.malformed <- status }
+func (w *world) Panicked(request string, _ *errs.Error)          { w.panicked <- request }
 
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,6 +30,7 @@
 	failure  *errs.Error
 	refused  bool // the target states that it did not run the request
 	target   fleet.Target
+	sentAt   time.Time
 }
 
 // acceptable reports whether the reply is a response without a server error,
@@ -179,6 +180,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	request := c.upstreamRequest(target.Address, Attempt{Target: target.ID})
+	r.sentAt = time.Now()
 	a, failure := c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
 	r.failure = failure
 	connectTime := time.Duration(0)
@@ -194,7 +196,9 @@
 
 // readPlain checks the head of an answer and reads its body.
 func (c *call) readPlain(r *reply, a answer) {
-	c.server.opt.Fleet.RecordRateLimit(r.target.ID, r.meta.RateLimit)
+	if head, stated := c.statement(r.meta, r.sentAt, r.target.Born); stated {
+		c.server.opt.Fleet.RecordStatement(r.target.ID, head)
+	}
 	if c.refuses(a) {
 		r.refused = true
 		r.failure = errs.NotRun(errs.Overloaded, "the target refused the request").WithRetry(refusalRetryAfter)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,12 +30,13 @@
 	cancel   context.CancelFunc // ends the exchange
 	answer                      // without an exchange before the head of the response has arrived
 	events   *eventstream.Reader
-	headAt   time.Time // when the head of the response arrived
-	body     []byte    // body of a response that is not an event stream
-	leased   bool      // the lease has not been released
-	refused  bool      // the target has stated that it did not run the request
-	sent     bool      // the request may have reached the target
-	handover *handover // planned if the first event is late, nil if none
+	head     TargetStatement // what the head of the response stated
+	sentAt   time.Time       // when the request was sent
+	body     []byte          // body of a response that is not an event stream
+	leased   bool            // the lease has not been released
+	refused  bool            // the target has stated that it did not run the request
+	sent     bool            // the request may have reached the target
+	handover *handover       // planned if the first event is late, nil if none
 
 	opening    opening
 	eventCount int // events received from this target
@@ -181,7 +182,7 @@
 	return errs.New(errs.Timeout, "another target has continued the request").WithRan(errs.RanUnknown)
 }
 
-// acquire waits for a lease, and checks that the request may be sent to its target.
+// acquire waits for a lease of a target that does not leave.
 func (c *call) acquire(o opening) (Lease, *errs.Error) {
 	if failure := c.checkQuarantine(); failure != nil {
 		return Lease{}, failure.WithDetails(placementDetail)
@@ -189,27 +190,38 @@
 	if !c.takeRetry() {
 		return Lease{}, errs.NotRun(errs.Overloaded, "the retry budget of the service is used up").WithRetry(refusalRetryAfter).WithDetails(placementDetail)
 	}
-	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
-	defer cancel()
-	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
+	lease, failure := c.acquireUsable(o)
 	if failure != nil {
-		if ctx.Err() != nil && c.ctx.Err() == nil {
-			failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
-		}
 		return Lease{}, failure.WithDetails(placementDetail)
 	}
-	c.trace.addPlacement(lease)
 	if failure := c.checkQuarantine(); failure != nil { // it may have begun during the wait
 		c.server.opt.Placement.Release(lease, placer.Cancelled)
 		return Lease{}, failure.WithDetails(placementDetail)
 	}
-	if !c.server.opt.Fleet.Usable(lease.Grant.Target) {
-		c.server.opt.Placement.Release(lease, placer.Unsent)
+	return lease, nil
+}
+
+// acquireUsable waits for a target that does not leave. The owner of a group may learn later
+// than this VM that a target leaves.
+func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
+	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
+	defer cancel()
+	for {
+		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
+		if failure != nil {
+			if ctx.Err() != nil && c.ctx.Err() == nil {
+				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
+			}
+			return Lease{}, failure
+		}
+		c.trace.addPlacement(lease)
+		if c.server.opt.Fleet.Usable(lease.Grant.Target, lease.Grant.Born) {
+			return lease, nil
+		}
+		c.server.opt.Placement.Release(lease, placer.Cancelled)
 		c.excluded = append(c.excluded, lease.Grant.Target)
-		c.refusals++
-		return Lease{}, errs.NotRun(errs.NoTarget, "the target is marked as leaving").WithDetails(lease.Grant.Target)
+		c.trace.addStep(StepSkipped, lease.Grant.Target, "the target leaves")
 	}
-	return lease, nil
 }
 
 // takeRetry takes a retry from the budget if the request has reached a target before. A retry
@@ -313,18 +325,18 @@
 	if s.answer, failure = c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
 		return failure
 	}
-	s.events, s.headAt = eventstream.NewReader(s.exchange), time.Now()
-	s.sequence = c.newSequence(s.opening.after, s.meta)
-	c.server.opt.Fleet.RecordRateLimit(g.Target, s.meta.RateLimit)
-	if s.meta.RateLimit > 0 {
-		c.server.opt.Placement.Limited(s.lease, s.meta.RateLimit)
+	s.events, s.sequence = eventstream.NewReader(s.exchange), c.newSequence(s.opening.after, s.meta)
+	var stated bool
+	if s.head, stated = c.statement(s.meta, s.sentAt, g.Born); stated {
+		c.server.opt.Fleet.RecordStatement(g.Target, s.head)
+		c.server.opt.Placement.Stated(s.lease, s.head)
 	}
 	return nil
 }
 
 // markSent records that the request is being sent to the target.
 func (s *targetStream) markSent(c *call) {
-	s.sent = true
+	s.sent, s.sentAt = true, time.Now()
 	c.possibleRuns++
 	c.arrivals++
 	c.holdsRetry = false
@@ -355,11 +367,10 @@
 	if s.eventCount == 0 {
 		return
 	}
-	slowness := 0.0
 	if s.meta.Load != nil {
-		slowness = s.meta.Load.Slowness
+		s.head.Slowness = s.meta.Load.Slowness
 	}
-	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.meta.RateLimit, Age: time.Since(s.headAt)})
+	c.server.opt.Placement.Started(s.lease, s.head)
 }
 
 // fail records that the attempt has failed, and releases the lease. It returns the failure
--- a/internal/groupclient/events.go
+++ b/internal/groupclient/events.go
@@ -32,13 +32,19 @@
 		h.Started = true
 	}
 	c.mu.Unlock()
-	c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: head.Slowness, RateLimit: head.RateLimit, Age: head.Age})
+	c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventStarted, Slowness: head.Slowness, RateLimit: head.RateLimit, Age: head.Age()})
 }
 
-// Limited implements gateway.Placement.
-func (c *Client) Limited(lease gateway.Lease, rateLimit float64) {
-	if lease.Owner != "" {
-		c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventLimited, RateLimit: rateLimit})
+// Stated implements gateway.Placement.
+func (c *Client) Stated(lease gateway.Lease, head gateway.TargetStatement) {
+	if lease.Owner == "" {
+		return
+	}
+	if head.Leaving {
+		c.tellOwner(lease.Group)
+	}
+	if head.RateLimit > 0 {
+		c.queueEvent(lease.Group, grouprpc.Event{ID: lease.Grant.Request, Kind: grouprpc.EventLimited, RateLimit: head.RateLimit, Age: head.Age()})
 	}
 }
 
