gateway: A retry that is not sent goes back to the budget, and sound targets are not excluded

And after a handover that ended at the first target both targets were excluded, so that a later break found only third ones.

A retry is kept for the next attempt and returned at the end of the handover or call (TestReturnedRetryIsAllowedAgain); a target is excluded only if it has failed; a request whose handover has ended is not sent any more once it is connected.

--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -399,3 +399,11 @@
 	}
 	return allowed
 }
+
+// ReturnRetry implements gateway.Fleet.
+func (d *deployment) ReturnRetry(service string, takenAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).Return(d.now(), takenAt.Sub(d.startedAt))
+	d.metrics.Count(metrics.EdgeRepeats, "returned")
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,14 +60,14 @@
 	deadline       time.Time // when the gateway gives up on the request
 	limitedByRoute bool      // the deadline follows from the route's timeout
 	trace          Trace
-	excluded       []string // IDs of targets that must not be tried again
-	possibleRuns   int      // number of targets that run or may have run the request
-	arrivals       int      // number of targets that the request may have reached
-	holdsRetry     bool     // a retry was taken from the budget and has not been used
-	refusals       int      // number of targets that refused the request without running it
-	mayHaveRun     bool     // a target may be running or may have run the request
-	streamBegun    bool     // the caller is sent the head of a stream
-	finished       bool     // finish was called
+	excluded       []string  // IDs of targets that must not be tried again
+	possibleRuns   int       // number of targets that run or may have run the request
+	arrivals       int       // number of targets that the request may have reached
+	retryTakenAt   time.Time // of a retry that was taken from the budget and has not been sent, zero if there is none
+	refusals       int       // number of targets that refused the request without running it
+	mayHaveRun     bool      // a target may be running or may have run the request
+	streamBegun    bool      // the caller is sent the head of a stream
+	finished       bool      // finish was called
 }
 
 // handle serves one request of a caller.
@@ -107,6 +107,7 @@
 	}
 	c.finished = true
 	c.cancel()
+	c.returnRetry()
 	c.server.unregister(c)
 	c.server.opt.Observer.Finished(c.summary())
 }
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -77,6 +77,8 @@
 	return !w.noRetries
 }
 
+func (w *world) ReturnRetry(string, time.Time) { w.retries-- }
+
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
 	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second, LastEventID: w.lastEventID, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +104,7 @@
 	c.trace.addStep(StepLate, h.from.lease.Grant.Target, "")
 	c.excluded = append(c.excluded, h.from.lease.Grant.Target)
 	h.stream, h.event, h.failure = c.openStream(h.next)
+	c.returnRetry()
 	if h.failure == nil && !h.take() {
 		h.stream.release(c, placer.Cancelled)
 		h.stream, h.failure = nil, errs.New(errs.Cancelled, "the first target delivered the next event")
@@ -170,6 +172,8 @@
 	if started {
 		h.cancel()
 		<-h.done
+		first := h.from.lease.Grant.Target
+		h.call.excluded = slices.DeleteFunc(h.call.excluded, func(target string) bool { return target == first })
 	}
 	return true
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -140,6 +140,8 @@
 	// TakeRetry takes one retry or hedge from the retry budget of a service. It
 	// returns false if the budget is used up.
 	TakeRetry(service string) bool
+	// ReturnRetry gives back a retry that was taken at a time and that was not sent.
+	ReturnRetry(service string, takenAt time.Time)
 }
 
 // Quarantine keeps requests from targets that they would crash. Parts are the IDs of the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -224,16 +224,27 @@
 	}
 }
 
-// takeRetry takes a retry from the budget if the request has reached a target before. A retry
-// that was taken and not used counts for the next attempt.
+// takeRetry takes a retry from the budget if the request has reached a target before. One that
+// was taken and not sent counts for the next attempt.
 func (c *call) takeRetry() bool {
-	if c.arrivals > 0 && !c.holdsRetry {
-		c.holdsRetry = c.server.opt.Fleet.TakeRetry(c.service)
-		return c.holdsRetry
+	if c.arrivals == 0 || !c.retryTakenAt.IsZero() {
+		return true
 	}
+	if !c.server.opt.Fleet.TakeRetry(c.service) {
+		return false
+	}
+	c.retryTakenAt = time.Now()
 	return true
 }
 
+// returnRetry gives back a retry that was taken and not sent.
+func (c *call) returnRetry() {
+	if !c.retryTakenAt.IsZero() {
+		c.server.opt.Fleet.ReturnRetry(c.service, c.retryTakenAt)
+		c.retryTakenAt = time.Time{}
+	}
+}
+
 // abandonReserve is the part of the time until the caller abandons a stream that is left
 // for the refusal of its request.
 const abandonReserve = 150 * time.Millisecond
@@ -321,7 +332,7 @@
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(s.opening.ctx)
 	request := c.upstreamRequest(g.Address, attempt)
-	request.Connected = func() { s.markSent(c) }
+	request.Connected = func() bool { return s.markSent(c) }
 	if s.answer, failure = c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
 		return failure
 	}
@@ -334,16 +345,21 @@
 	return nil
 }
 
-// markSent records that the request is being sent to the target.
-func (s *targetStream) markSent(c *call) {
+// markSent records that the request is being sent to the target. It returns false if it need
+// not be sent any more.
+func (s *targetStream) markSent(c *call) bool {
+	if s.opening.ctx.Err() != nil {
+		return false
+	}
 	s.sent, s.sentAt = true, time.Now()
 	c.possibleRuns++
 	c.arrivals++
-	c.holdsRetry = false
+	c.retryTakenAt = time.Time{}
 	if s.opening.handover != nil {
 		s.opening.handover.sent()
 	}
 	s.handover = c.planHandover(s, s.opening, firstEventDelay(s.lease))
+	return true
 }
 
 // checkHead returns an error if the target refuses the request, or if the response is not one
@@ -386,8 +402,7 @@
 	case s.refused:
 		return s.recordRefusal(c, failure)
 	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
-		c.mayHaveRun = true
-		c.excluded = append(c.excluded, s.lease.Grant.Target)
+		c.mayHaveRun = c.mayHaveRun || s.sent
 		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
 		c.trace.addStep(StepFailed, s.lease.Grant.Target, string(errs.Cancelled))
 		return failure
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -66,7 +66,7 @@
 	{EdgeOwnersSilent, Counter, "times", "an owner did not answer any more"},
 	{EdgeConfigVersion, Gauge, "version", "configuration in force"},
 	{EdgeStoreCalls, ByLabel, "calls", "lists and watches of the store, by kind and error code"},
-	{EdgeRepeats, ByLabel, "requests", "questions to the budget of repeats, allowed or denied"},
+	{EdgeRepeats, ByLabel, "requests", "questions to the budget of repeats, allowed or denied; returned: allowed and not sent"},
 	{EdgeQueue, Gauge, "requests", "waiting for a target, as owner"},
 	{EdgeQueueAge, Gauge, "milliseconds", "of the oldest request that waits, as owner"},
 	{EdgeViewAge, Gauge, "milliseconds", "since the last news of the deployment from another VM, -1 if none is followed"},
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -62,6 +62,15 @@
 	return true
 }
 
+// Return gives back a retry that TryRetry allowed at a time and that was not sent.
+func (b *Budget) Return(now, takenAt time.Duration) {
+	b.advance(now)
+	slot := int64(takenAt / (b.settings.Window / slots))
+	if i := slot % (slots + 1); b.slot-slot <= slots && b.retries[i] > 0 {
+		b.retries[i]--
+	}
+}
+
 // advance moves to the slot of a time and returns its index. It clears the slots that
 // come into use again.
 func (b *Budget) advance(now time.Duration) int {
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -63,3 +63,16 @@
 	g.Expect(b.TryRetry(9 * time.Second)).To(gomega.BeFalse())
 	g.Expect(b.TryRetry(12 * time.Second)).To(gomega.BeTrue())
 }
+
+// Guards against retries that are taken, not sent, and missing for requests that need them.
+func TestReturnedRetryIsAllowedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := retrybudget.New(settings)
+	for b.TryRetry(0) {
+	}
+	b.Return(5*time.Second, 0)
+	g.Expect(b.TryRetry(5 * time.Second)).To(gomega.BeTrue())
+	g.Expect(b.TryRetry(5 * time.Second)).To(gomega.BeFalse())
+	b.Return(30*time.Second, 0) // its slot has been used again
+	g.Expect(b.TryRetry(30 * time.Second)).To(gomega.BeTrue())
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -52,8 +52,9 @@
 	URI     string          // path and query, as received from the caller
 	Fields  httpfields.List // header fields; Content-Length is added
 	Body    []byte
-	// Connected is called before the first byte of the request is sent, unless it is nil.
-	Connected func()
+	// Connected is called before the first byte of the request is sent, unless it is nil. If
+	// it returns false, nothing is sent.
+	Connected func() bool
 }
 
 // Exchange is one request to a target and its response.
@@ -100,8 +101,10 @@
 	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
-	if r.Connected != nil {
-		r.Connected()
+	if r.Connected != nil && !r.Connected() {
+		close(e.writeDone)
+		e.Close()
+		return nil, errs.NotRun(errs.Cancelled, "the request was not sent")
 	}
 	e.send(r)
 	if err := e.readHead(); err != nil {
