groupclient: A request whose owner falls silent goes to another owner or target

Callers saw 503 without Retry-After for requests that waited for a place when the owner of their group did not answer a sync call for 0.4 s, although another owner, the next one or a target that holds the adapter would have taken them.

Cause: watchOwner ends the wait by cancelling its context. The call then fails with Cancelled, as if the caller had left, which isOwnerUnavailable takes for a refusal by the owner.

Evidence: TestRequestOfASilentOwnerGoesToATarget; without the fix cancelled: the owner of the target group did not answer

Fix: if the wait was ended and the request was not, the owner counts as unavailable.

--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -131,16 +131,19 @@
 	if o.local {
 		return c.opt.Groups.Acquire(ctx, args)
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(request.Deadline, time.Millisecond))
+	waitCtx, cancel := context.WithTimeout(ctx, max(request.Deadline, time.Millisecond))
 	defer cancel()
 	stop := make(chan struct{})
 	defer close(stop)
 	go c.watchOwner(o, stop, cancel)
 	var reply grouprpc.AcquireReply
-	if err := c.opt.Peers.Call(ctx, o.address, grouprpc.AcquireMethod, args, &reply); err != nil {
+	if err := c.opt.Peers.Call(waitCtx, o.address, grouprpc.AcquireMethod, args, &reply); err != nil {
 		c.queueEvent(o.name, grouprpc.Event{ID: request.ID, Kind: grouprpc.EventCancelled})
-		failure := errs.As(err)
-		return grouprpc.AcquireReply{Err: errs.NotRun(failure.Code, "the owner of the target group did not answer")}
+		code := errs.As(err).Code
+		if code == errs.Cancelled && ctx.Err() == nil {
+			code = errs.PeerUnavailable // watchOwner has ended the wait
+		}
+		return grouprpc.AcquireReply{Err: errs.NotRun(code, "the owner of the target group did not answer")}
 	}
 	return reply
 }
