groupclient: A request is asked for again under an ID of its own

Callers saw 503 for requests that had waited at an owner which did not answer for half a second and then went on.

Cause: the client ends the wait with an event Cancelled for the request's ID. The owner keeps the IDs of cancelled requests for 10 s, so it refused the same request, asked for again once it was heard, as one whose caller had stopped waiting.

Evidence: TestRequestWaitsAgainAtAnOwnerThatWasSilent; without the fix cancelled: the caller stopped waiting

Fix: each repetition has an ID of its own, so the owner still drops the wait that was given up.

--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"cicadaslip/internal/errs"
@@ -63,7 +64,8 @@
 func (c *Client) Acquire(ctx context.Context, service string, request placer.Request) (gateway.Lease, *errs.Error) {
 	request.Holder, request.DataCentre = c.opt.VM, c.opt.DataCentre
 	began := time.Now()
-	for {
+	id := request.ID
+	for repetition := 1; ; repetition++ {
 		names := c.opt.Groups.RankedGroups(service, request.Adapter.Model+"/"+request.Adapter.Name)
 		lease, failure := c.askOwners(ctx, c.candidates(names), request, began)
 		if failure == nil {
@@ -79,6 +81,8 @@
 			return gateway.Lease{}, errs.NotRun(errs.NotOwner, "no owner of a target group of the service responds").WithRetry(noOwnerRetryAfter)
 		}
 		pause.For(ctx, ownerPollInterval)
+		// An owner takes a request whose ID was cancelled for one that has ended.
+		request.ID = id + "." + strconv.Itoa(repetition)
 	}
 }
 
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -131,8 +131,10 @@
 func (noQuarantine) Merge(quarantine.Delta)           {}
 
 var (
-	service  = map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{}}}
-	target   = fleet.Target{ID: "t", Service: "s", Address: "127.0.0.1:1"}
+	service = map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{
+		AdapterSlots: 4, CacheTokens: 200000, EventTokens: 8, Models: []fleet.BaseModel{{Name: "m"}},
+	}}}
+	target   = fleet.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 8, Models: []fleet.ResidentModel{{Name: "m", Version: 1}}}
 	resident = placer.Adapter{Model: "m", Name: "a1"}
 	group    = groupserver.GroupName("s", 0)
 )
@@ -204,3 +206,44 @@
 	g.Expect(r.failure).To(gomega.BeNil())
 	g.Expect(r.lease.Grant.Target).To(gomega.Equal("t"))
 }
+
+// fullEngines refuse to load an adapter until free is closed.
+type fullEngines struct {
+	free chan struct{}
+}
+
+func (e fullEngines) Order(context.Context, placer.Order, string, int64) placer.OrderResult {
+	select {
+	case <-e.free:
+		return placer.AlreadyApplied
+	default:
+		return placer.Conflict
+	}
+}
+
+func (e fullEngines) Report(context.Context, string, string) (*placer.Report, error) {
+	return &placer.Report{Models: map[string]int64{"m": 1}}, nil
+}
+
+// Guards against a request that is refused because its owner, silent for half a second, has
+// taken the end of that wait for the end of the request.
+func TestRequestWaitsAgainAtAnOwnerThatWasSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	engines := fullEngines{free: make(chan struct{})}
+	vm2 := newManager(t, "vm2", engines)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go vm2.Run(ctx)
+	g.Eventually(vm2.OwnedGroups).WithTimeout(30 * time.Second).Should(gomega.HaveLen(1))
+	c, peers := newClient(t, map[string]owner{"vm2": vm2})
+	result := c.acquire(10 * time.Second)
+	time.Sleep(300 * time.Millisecond)
+	heard := peers.silence("vm2")
+	time.Sleep(900 * time.Millisecond)
+	heard()
+	time.AfterFunc(time.Second, func() { close(engines.free) })
+	var r acquireResult
+	g.Eventually(result).WithTimeout(9 * time.Second).Should(gomega.Receive(&r))
+	g.Expect(r.failure).To(gomega.BeNil())
+	g.Expect(r.lease.Owner).To(gomega.Equal("vm2"))
+}
