groupclient: The wait for the next owner begins when the last one falls silent

Callers saw 503 for requests that had waited for more than 2.5 s in the queue of an owner that then ended, although the next owner answered a second later.

Cause: maxOwnerWait was counted from the beginning of Acquire, so the wait at the first owner had used it up.

Evidence: TestRequestThatHasWaitedGetsTheNextOwner; without the fix not_owner: no owner of a target group of the service responds

Fix: it is counted from the end of the last wait at an owner.

--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -60,13 +60,14 @@
 
 // Acquire implements gateway.Placement. While no owner responds, it chooses a target
 // from this VM's view of the groups. A request whose adapter is not resident waits
-// for the next owner, for at most maxOwnerWait.
+// for the next owner, for at most maxOwnerWait since the last one responded.
 func (c *Client) Acquire(ctx context.Context, service string, request placer.Request) (gateway.Lease, *errs.Error) {
 	request.Holder, request.DataCentre = c.opt.VM, c.opt.DataCentre
-	began := time.Now()
-	id := request.ID
+	began, id := time.Now(), request.ID
+	ownerHeardAt := began
 	for repetition := 1; ; repetition++ {
 		names := c.opt.Groups.RankedGroups(service, request.Adapter.Model+"/"+request.Adapter.Name)
+		askedAt := time.Now()
 		lease, failure := c.askOwners(ctx, c.candidates(names), request, began)
 		if failure == nil {
 			return lease, nil
@@ -77,7 +78,10 @@
 		if lease, found := c.chooseLocally(names, request); found {
 			return lease, nil
 		}
-		if time.Since(began) > maxOwnerWait || ctx.Err() != nil {
+		if time.Since(askedAt) > suspectAfter {
+			ownerHeardAt = time.Now() // the request has waited at an owner that responded
+		}
+		if time.Since(ownerHeardAt) > maxOwnerWait || ctx.Err() != nil {
 			return gateway.Lease{}, errs.NotRun(errs.NotOwner, "no owner of a target group of the service responds").WithRetry(noOwnerRetryAfter)
 		}
 		pause.For(ctx, ownerPollInterval)
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -247,3 +247,23 @@
 	g.Expect(r.failure).To(gomega.BeNil())
 	g.Expect(r.lease.Owner).To(gomega.Equal("vm2"))
 }
+
+// Guards against a request that is refused since it has waited for long when its owner falls
+// silent, although the next owner responds soon.
+func TestRequestThatHasWaitedGetsTheNextOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	vm2 := &busyOwner{epoch: 1, free: make(chan struct{}), waiting: make(chan string, 8)}
+	vm3 := &busyOwner{epoch: 2, free: make(chan struct{}), waiting: make(chan string, 8)}
+	close(vm3.free)
+	c, peers := newClient(t, map[string]owner{"vm2": vm2, "vm3": vm3})
+	result := c.acquire(10 * time.Second)
+	g.Eventually(vm2.waiting).Should(gomega.Receive())
+	time.Sleep(maxOwnerWait + 200*time.Millisecond)
+	defer peers.silence("vm2")()
+	time.Sleep(1200 * time.Millisecond)
+	c.opt.Groups.SetRecord(group, tenure.Record{Owner: "vm3", Incarnation: 1, Address: "vm3", Epoch: 2}, 2)
+	var r acquireResult
+	g.Eventually(result).WithTimeout(3 * time.Second).Should(gomega.Receive(&r))
+	g.Expect(r.failure).To(gomega.BeNil())
+	g.Expect(r.lease.Owner).To(gomega.Equal("vm3"))
+}
