gateway: A slow plain request is hedged again

Callers saw 504 for repeatable requests that stayed at a silent target until their deadline although a sound one would have answered.

Cause: the hedge was tried once. If the retry budget or the choice of a target denied it at that moment, or if the second target was silent too, no further target was ever asked.

Evidence: TestSlowRequestIsHedgedAgain; without the fix 4 of 4 cases fail Expected <int>: 504 to equal <int>: 200

Fix: the hedge is tried again after the usual delay, within max_attempts and the limit of targets that may refuse a request. The fakes of contain_test.go got hooks; no check changed.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -43,6 +43,10 @@
 	malformed    chan int                        // status of each answer to malformed input
 	leaving      []string                        // targets that leave and are granted nevertheless
 	retries      int                             // taken from the budget
+	takeRetry    func() bool                     // decides on retries, unless it is nil
+	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
+	latency      time.Duration                   // expected of plain targets, 1 s if 0
+	dial         func()                          // is called after a connection to a target was opened, unless it is nil
 }
 
 func (w *world) maybePanic(function string) {
@@ -63,16 +67,24 @@
 }
 func (w *world) Usable(target string, _ int64) bool   { return !slices.Contains(w.leaving, target) }
 func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
-func (w *world) Pick(string, []string) (fleet.Target, bool) {
+func (w *world) Pick(_ string, exclude []string) (fleet.Target, bool) {
 	w.maybePanic("Pick")
+	if w.pick != nil && !w.pick(exclude) {
+		return fleet.Target{}, false
+	}
 	return fleet.Target{ID: "t", Address: w.target}, true
 }
-func (w *world) ExpectedLatency(string, string) time.Duration { return time.Second }
+
+func (w *world) ExpectedLatency(string, string) time.Duration { return cmp.Or(w.latency, time.Second) }
+
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
 }
 func (w *world) CountRequest(string) {}
 func (w *world) TakeRetry(string) bool {
+	if w.takeRetry != nil && !w.takeRetry() {
+		return false
+	}
 	w.retries++
 	return !w.noRetries
 }
@@ -126,6 +138,14 @@
 func (w *world) Malformed(status int, _ error)                   { w.malformed <- status }
 func (w *world) Panicked(request string, _ *errs.Error)          { w.panicked <- request }
 
+func (w *world) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if w.dial != nil {
+		w.dial()
+	}
+	return conn, err
+}
+
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
 	g := gomega.NewWithT(t)
@@ -150,7 +170,7 @@
 		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
 	}}
 	server := gateway.New(gateway.Options{
-		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: (&net.Dialer{}).DialContext},
+		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: w.dialTarget},
 	})
 	w.inFlight = server.InFlight
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,9 +40,9 @@
 }
 
 // servePlain serves a request to a service whose responses are not streams. It
-// tries one target after another as long as retries are allowed. If the first
-// target is slow, a hedge is sent to a second one while the first is still
-// running.
+// tries one target after another as long as retries are allowed. If the targets
+// that have the request are slow, a hedge is sent to a further one while they are
+// still running.
 func (c *call) servePlain() {
 	replies := make(chan *reply, c.route.MaxAttempts+maxRefusals+1)
 	running := 0
@@ -99,10 +99,10 @@
 				return
 			}
 		case <-hedge.C:
-			if c.route.Repeatable() && attempts < c.route.MaxAttempts && c.timeLeft() > minHedgeDelay &&
-				c.server.opt.Fleet.TakeRetry(c.service) && start() == nil {
+			if c.mayHedge(attempts) && c.server.opt.Fleet.TakeRetry(c.service) && start() == nil {
 				attempts++
 			}
+			hedge.Reset(c.hedgeDelay())
 		case <-c.ctx.Done():
 			c.abandon(attempts)
 			return
@@ -117,16 +117,27 @@
 	c.respondError(c.contextError())
 }
 
-// hedgeDelay returns the time after which the request is hedged.
+// hedgeDelay returns the time after which the request is hedged, or after which that is tried
+// again: it depends on the last target that the request was sent to.
 func (c *call) hedgeDelay() time.Duration {
-	return max(minHedgeDelay, hedgeFactor*c.server.opt.Fleet.ExpectedLatency(c.service, c.excluded[0]))
+	return max(minHedgeDelay, hedgeFactor*c.server.opt.Fleet.ExpectedLatency(c.service, c.excluded[len(c.excluded)-1]))
 }
 
+// mayHedge reports whether the request may be sent to a further target while attempts are
+// running.
+func (c *call) mayHedge(attempts int) bool {
+	return c.route.Repeatable() && attempts < c.route.MaxAttempts && c.timeLeft() > minHedgeDelay && !c.triedEnough()
+}
+
+// triedEnough reports whether the request was sent to as many targets as it may be sent to,
+// including those that refused it.
+func (c *call) triedEnough() bool { return len(c.excluded) >= c.route.MaxAttempts+maxRefusals }
+
 // shouldRetry reports whether a request is sent to a further target after a
 // failed attempt. It takes a retry from the budget unless no attempt reached a
 // target.
 func (c *call) shouldRetry(attempts int, last *reply) bool {
-	if c.ctx.Err() != nil || len(c.excluded) >= c.route.MaxAttempts+maxRefusals {
+	if c.ctx.Err() != nil || c.triedEnough() {
 		return false
 	}
 	if attempts == 0 && last.failure != nil && last.failure.Code == errs.TargetUnavailable {
