gateway: A plain request returns the retries that no target received

Requests whose target had failed found the retry budget used up by retries and hedges that were never sent.

Cause: the retry was taken before a target was picked and connected to, and was lost if there was none to pick, or no connection.

Evidence: TestRetryThatNoTargetReceivesIsReturned; without the fix 4 of 5 cases fail, e.g. hedges, no target can be picked: Expected <int>: 5 to equal <int>: 0 no connection: Expected <int>: 6 to equal <int>: 0

Fix: it goes back to the budget. Whether an attempt needs none follows from all attempts before it, not from the last one, as a refusal may come before an attempt without a connection.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -47,3 +47,36 @@
 		})
 	}
 }
+
+// Guards against retries that are taken from the budget and that no target receives, so that
+// other requests find none.
+func TestRetryThatNoTargetReceivesIsReturned(t *testing.T) {
+	failed := writes("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno")
+	for name, c := range map[string]struct {
+		target     func(net.Conn)
+		pick       func(exclude []string) bool
+		stopTarget bool // after the first connection
+		retries    int
+	}{
+		"retry, no target can be picked":  {target: failed, pick: func(exclude []string) bool { return len(exclude) == 0 }},
+		"hedges, no target can be picked": {target: func(c net.Conn) { time.Sleep(400 * time.Millisecond); failed(c) }, pick: func(exclude []string) bool { return len(exclude) == 0 }},
+		"no connection":                   {target: failed, stopTarget: true},
+		"a refusal, then no connection":   {target: writes(refusal), stopTarget: true},
+		"sent":                            {target: failed, retries: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var w *world
+			w, address := newWorld(t, fleet.Idempotent, func(conn net.Conn) {
+				if c.stopTarget {
+					w.stopTarget()
+				}
+				c.target(conn)
+			})
+			w.route.MaxAttempts, w.latency, w.pick = 3, time.Millisecond, c.pick
+			_, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(w.retries).To(gomega.Equal(c.retries))
+		})
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -31,6 +31,7 @@
 	refused  bool // the target states that it did not run the request
 	target   fleet.Target
 	sentAt   time.Time
+	retryAt  time.Time // when the attempt's retry was taken from the budget, zero if it took none
 }
 
 // acceptable reports whether the reply is a response without a server error,
@@ -39,15 +40,18 @@
 	return r.failure == nil && r.exchange.Status < minServerErrorStatus
 }
 
+// sent reports whether the target may have received a part of the request.
+func (r *reply) sent() bool { return r.failure == nil || r.failure.Code != errs.TargetUnavailable }
+
 // servePlain serves a request to a service whose responses are not streams. It
 // tries one target after another as long as retries are allowed. If the targets
 // that have the request are slow, a hedge is sent to a further one while they are
 // still running.
 func (c *call) servePlain() {
 	replies := make(chan *reply, c.route.MaxAttempts+maxRefusals+1)
-	running := 0
+	running, sent := 0, false
 	var last *reply
-	start := func() *errs.Error {
+	start := func(retryAt time.Time) *errs.Error {
 		target, found := c.server.opt.Fleet.Pick(c.service, c.excluded)
 		if !found {
 			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(time.Second)
@@ -55,14 +59,27 @@
 		c.excluded = append(c.excluded, target.ID)
 		running++
 		go func() {
-			r := &reply{target: target}
+			r := &reply{target: target, retryAt: retryAt}
 			c.attemptPlain(r)
 			replies <- r
 		}()
 		c.trace.addStep(StepSent, target.ID, "")
 		return nil
 	}
-	if failure := start(); failure != nil {
+	first := func() *errs.Error { return start(time.Time{}) }
+	// retry starts an attempt that the retry budget must allow.
+	retry := func() *errs.Error {
+		if !c.server.opt.Fleet.TakeRetry(c.service) {
+			return errs.NotRun(errs.Overloaded, "the retry budget of the service is used up")
+		}
+		takenAt := time.Now()
+		failure := start(takenAt)
+		if failure != nil {
+			c.server.opt.Fleet.ReturnRetry(c.service, takenAt)
+		}
+		return failure
+	}
+	if failure := first(); failure != nil {
 		c.respondError(failure)
 		return
 	}
@@ -73,6 +90,12 @@
 		select {
 		case r := <-replies:
 			running--
+			switch {
+			case r.sent():
+				sent = true
+			case !r.retryAt.IsZero():
+				c.server.opt.Fleet.ReturnRetry(c.service, r.retryAt)
+			}
 			if r.failure != nil && r.failure.Ran == errs.RanNo {
 				attempts--
 			} else {
@@ -90,7 +113,11 @@
 			if supersedes(r, last) {
 				last = r
 			}
-			if c.shouldRetry(attempts, last) && start() == nil {
+			next := retry
+			if !sent && attempts == 0 {
+				next = first
+			}
+			if c.shouldRetry(attempts) && next() == nil {
 				attempts++
 				continue
 			}
@@ -99,7 +126,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.mayHedge(attempts) && c.server.opt.Fleet.TakeRetry(c.service) && start() == nil {
+			if c.mayHedge(attempts) && retry() == nil {
 				attempts++
 			}
 			hedge.Reset(c.hedgeDelay())
@@ -133,20 +160,13 @@
 // including those that refused it.
 func (c *call) triedEnough() bool { return len(c.excluded) >= c.route.MaxAttempts+maxRefusals }
 
-// shouldRetry reports whether a request is sent to a further target after a
-// failed attempt. It takes a retry from the budget unless no attempt reached a
-// target.
-func (c *call) shouldRetry(attempts int, last *reply) bool {
+// shouldRetry reports whether a request may be sent to a further target after a
+// failed attempt.
+func (c *call) shouldRetry(attempts int) bool {
 	if c.ctx.Err() != nil || c.triedEnough() {
 		return false
 	}
-	if attempts == 0 && last.failure != nil && last.failure.Code == errs.TargetUnavailable {
-		return true // no target received any byte of the request
-	}
-	if attempts > 0 && (!c.route.Repeatable() || attempts >= c.route.MaxAttempts || c.mayCrashTargets()) {
-		return false
-	}
-	return c.server.opt.Fleet.TakeRetry(c.service)
+	return attempts == 0 || c.route.Repeatable() && attempts < c.route.MaxAttempts && !c.mayCrashTargets()
 }
 
 // supersedes reports whether r replaces last as the reply for the caller. A
