gateway: A request that may crash targets is not hedged

A slow plain request with a part under suspicion was hedged, so that it could crash a target more. Retries looked at the suspicion, hedges did not.

Evidence: TestSuspectIsNotHedged; without the fix Expected <int>: 2 to be zero-valued

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -80,3 +80,18 @@
 		})
 	}
 }
+
+// Guards against a request that may crash targets and is hedged, so that it reaches one
+// target more.
+func TestSuspectIsNotHedged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) {
+		time.Sleep(500 * time.Millisecond)
+		writes(plainAnswer)(c)
+	})
+	w.route.MaxAttempts, w.latency, w.quarantine.suspect = 3, time.Millisecond, true
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(w.retries).To(gomega.BeZero())
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -153,7 +153,7 @@
 // mayHedge reports whether the request may be sent to a further target while attempts are
 // running.
 func (c *call) mayHedge(attempts int) bool {
-	return c.route.Repeatable() && attempts < c.route.MaxAttempts && c.timeLeft() > minHedgeDelay && !c.triedEnough()
+	return c.route.Repeatable() && attempts < c.route.MaxAttempts && c.timeLeft() > minHedgeDelay && !c.triedEnough() && !c.mayCrashTargets()
 }
 
 // triedEnough reports whether the request was sent to as many targets as it may be sent to,
