gateway: A late attempt cannot send the body of the caller's next request

A target could run a request with the body of another one: an attempt of a plain request whose connection opened at the moment when another attempt had answered, or its caller had left.

Cause: attempts may outlive the call, and encoded its body only after the dial. The body is a buffer of the caller's connection, which the next request had used again by then.

Evidence: TestLateAttemptDoesNotSendTheBodyOfTheNextRequest (a dial that succeeds although its context has ended); without the fix, bodies that the target received: <map[uint8]int | len:2>: {97: 1, 98: 2}

Fix: the attempt has its own copy, and sends nothing once the call has ended.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -1,8 +1,13 @@
 package gateway_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +100,63 @@
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 	g.Expect(w.retries).To(gomega.BeZero())
 }
+
+// Guards against an attempt whose connection opens only when the request has been answered:
+// its body was that of the next request on the caller's connection.
+func TestLateAttemptDoesNotSendTheBodyOfTheNextRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const bytes = 1 << 10
+	bodies := make(chan byte, 8)
+	w, address := newWorld(t, fleet.Idempotent, nil)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = target.Close() }()
+	go func() {
+		for {
+			c, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if body, err := io.ReadAll(r.Body); err == nil {
+					bodies <- body[0]
+					writes(plainAnswer)(c)
+				}
+			}()
+		}
+	}()
+	w.target = target.Addr().String()
+	var dials atomic.Int64
+	answered, late := make(chan struct{}), make(chan struct{})
+	w.route.MaxAttempts, w.latency = 2, time.Millisecond
+	w.dial = func() {
+		if dials.Add(1) == 1 {
+			<-answered
+			time.AfterFunc(100*time.Millisecond, func() { close(late) })
+		}
+	}
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	answers := bufio.NewReader(conn)
+	for _, request := range []string{"qa", "qb"} {
+		_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", request, bytes, strings.Repeat(request[1:], bytes))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	close(answered)
+	<-late
+	received := map[byte]int{}
+	for len(bodies) > 0 {
+		received[<-bodies]++
+	}
+	g.Expect(received).To(gomega.Equal(map[byte]int{'a': 1, 'b': 1}))
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cicadaslip/internal/balance"
@@ -30,6 +31,7 @@
 	failure  *errs.Error
 	refused  bool // the target states that it did not run the request
 	target   fleet.Target
+	request  upstream.Request
 	sentAt   time.Time
 	retryAt  time.Time // when the attempt's retry was taken from the budget, zero if it took none
 }
@@ -58,8 +60,9 @@
 		}
 		c.excluded = append(c.excluded, target.ID)
 		running++
+		r := &reply{target: target, retryAt: retryAt, request: c.upstreamRequest(target.Address, Attempt{Target: target.ID})}
+		r.request.Body = slices.Clone(c.body) // the attempt may outlive the call, whose buffer is used again
 		go func() {
-			r := &reply{target: target, retryAt: retryAt}
 			c.attemptPlain(r)
 			replies <- r
 		}()
@@ -210,9 +213,9 @@
 	startedAt, target := time.Now(), r.target
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	request := c.upstreamRequest(target.Address, Attempt{Target: target.ID})
+	r.request.Connected = func() bool { return ctx.Err() == nil }
 	r.sentAt = time.Now()
-	a, failure := c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
+	a, failure := c.ask(ctx, r.request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
 	r.failure = failure
 	connectTime := time.Duration(0)
 	if r.failure == nil {
