--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
@@ -160,6 +161,7 @@
 		HandlePeerRevisions: func(map[string]int64) {}, KnownRevisions: func() grouprpc.StoreRevisions { return grouprpc.StoreRevisions{} },
 		UpdateFor: func(string) *grouprpc.DeploymentUpdate { return nil }, HandleReply: func(string, string, *grouprpc.SyncReply) {},
 		RateLimits: func() map[string]float64 { return nil }, TakeFromLimit: func(string) bool { return true },
+		LeavingSince: func(uint64, bool) advisory.Delta { return advisory.Delta{} }, MergeLeaving: func(advisory.Delta) {},
 		CountAgainstLimit: func(string) {}, ConfigVersion: func() uint64 { return 1 },
 	})
 	c.opt.Groups.SetRecord(group, tenure.Record{Owner: "vm2", Incarnation: 1, Address: "vm2", Epoch: 1}, 1)
