eventstream: An ID beyond the range of numbers is none

What callers would have seen: behind an event with such an ID a stream was cut, because no event can follow the highest number; a stream that was continued asked for that number.

Cause: the parser of numbers returns the highest one together with its error.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -67,7 +67,16 @@
 		}
 		result.Comment = false
 		if string(name) == "id" {
-			result.ID, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64) // 0 if it is not a number
+			result.ID = parseID(value)
 		}
 	}
 }
+
+// parseID returns 0 for an ID that is not a number.
+func parseID(value []byte) int64 {
+	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
