target: Only final statuses are answers to calls

What callers would have seen, in the product's own mode: a status such as 099, 101 or 700 of a service was the outcome of a call, stored for calls that run at most once.

Evidence: TestOnlyFinalStatusesAreAnswers in internal/target without the change fails at its first status (99).

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/httpfields"
 )
 
 // trackedConn is a connection that serves a single request. It records whether
@@ -118,6 +120,9 @@
 	if err := resp.ReadLimitBody(conn.reader, maxBodyBytes); err != nil {
 		return nil, errs.Wrap(err, errs.TargetUnavailable, "target sent no complete response").WithRan(errs.RanUnknown)
 	}
+	if !httpfields.FinalStatus(resp.StatusCode()) {
+		return nil, errs.New(errs.WrongAnswer, "target sent status "+strconv.Itoa(resp.StatusCode())+", which is no final answer").WithRan(errs.RanUnknown)
+	}
 	return resp, nil
 }
 
--- a/internal/target/truncated_test.go
+++ b/internal/target/truncated_test.go
@@ -201,3 +201,15 @@
 		})
 	}
 }
+
+// Guards against a status that is no final answer and is stored as the outcome of a call.
+func TestOnlyFinalStatusesAreAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScriptedTarget(t)
+	for _, status := range []int{99, 101, 600, 999} {
+		s.set(fmt.Sprintf("HTTP/1.1 %03d x\r\nX-Request-Id: q1\r\nContent-Length: 0\r\n\r\n", status))
+		_, err := target.New(patient).CallService(context.Background(), target.ServiceCall{Request: "q1", Target: model.Target{Address: s.address}, Kind: "k", ResponseTimeout: time.Minute})
+		g.Expect(err).To(gomega.HaveOccurred(), "status %d", status)
+		g.Expect(errs.As(err).Ran).To(gomega.Equal(errs.RanUnknown))
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -27,10 +27,6 @@
 	// resetLingerSeconds makes Close reset the connection and discard unsent
 	// bytes.
 	resetLingerSeconds = 0
-	// Range of the statuses of final answers. The parser reads interim answers over, except
-	// for 101, which no request asks for.
-	minStatus = 200
-	maxStatus = 599
 )
 
 // expiredDeadline lies in the past, so that all pending and future reads and
@@ -192,7 +188,7 @@
 	if err := e.response.ReadLimitBody(bufio.NewReaderSize(&e.input, readBufferBytes), 0); err != nil {
 		return e.input.cause(err)
 	}
-	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
+	if e.Status = e.response.StatusCode(); !httpfields.FinalStatus(e.Status) {
 		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
 	}
 	e.hasBody = e.response.BodyStream() != nil
