upstream: A head that can be read in two ways fails

What callers would have seen: the rest of a head, or the head of an error, as the body of a 200, if a target sent a bare line feed where the blank line is due and a blank line came later; the sizes of chunks inside a body if the answer was one of HTTP/1.0 with chunks; and 200 for a status of 000.

Cause: the parser ends a head at a bare line feed if a blank line follows anywhere, ignores the transfer coding of HTTP/1.0, and reads 000 as 200.

Why the fix works: the bytes of the head are kept while it is parsed. It must end in a blank line, show the status that was parsed, and have no transfer coding below HTTP/1.1. A bare line feed behind a field, HTTP/1.0 with a length and blank lines before the head are still read.

TestOnlyFinalStatusesAreAnswers now includes status 000.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -157,16 +157,20 @@
 	return append(b, r.Body...)
 }
 
-// input reads from a connection and keeps the error with which that ended, because the parser
-// replaces some.
+// input reads from a connection and keeps what the parser hides.
 type input struct {
-	conn net.Conn
-	err  error
+	conn   net.Conn
+	head   []byte // bytes read while the head is parsed
+	inBody bool   // the head has been parsed
+	err    error  // with which reading ended; the parser replaces some
 }
 
 // Read implements io.Reader.
 func (i *input) Read(p []byte) (int, error) {
 	n, err := i.conn.Read(p)
+	if !i.inBody {
+		i.head = append(i.head, p[:n]...)
+	}
 	if err != nil {
 		i.err = err
 	}
@@ -185,9 +189,15 @@
 // readHead reads the status line and the header fields of the response.
 func (e *Exchange) readHead() error {
 	e.response.StreamBody = true
-	if err := e.response.ReadLimitBody(bufio.NewReaderSize(&e.input, readBufferBytes), 0); err != nil {
+	reader := bufio.NewReaderSize(&e.input, readBufferBytes)
+	if err := e.response.ReadLimitBody(reader, 0); err != nil {
 		return e.input.cause(err)
 	}
+	head := e.input.head[:len(e.input.head)-reader.Buffered()]
+	e.input.head, e.input.inBody = nil, true
+	if err := checkHead(head, &e.response.Header); err != nil {
+		return err
+	}
 	if e.Status = e.response.StatusCode(); !httpfields.FinalStatus(e.Status) {
 		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
 	}
--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,30 @@
+package upstream
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"cicadaslip/internal/errs"
+)
+
+var headEnd = []byte("\r\n\r\n")
+
+// checkHead rejects a head, with the interim answers before it, that the parser reads in its
+// own way: it ends a head at a bare line feed if a blank line follows in the body, reads
+// status 000 as 200, and ignores the transfer coding of HTTP/1.0.
+func checkHead(head []byte, parsed *fasthttp.ResponseHeader) error {
+	before, ended := bytes.CutSuffix(head, headEnd)
+	final := before[bytes.LastIndex(before, headEnd)+1:]
+	statusLine, fields, _ := bytes.Cut(bytes.TrimLeft(final, "\r\n"), []byte("\n"))
+	switch {
+	case !ended:
+		return errs.New(errs.WrongAnswer, "the head of the response does not end in a blank line")
+	case !bytes.Contains(statusLine, []byte(" "+strconv.Itoa(parsed.StatusCode()))):
+		return errs.New(errs.WrongAnswer, "the response has an invalid status")
+	case !parsed.IsHTTP11() && bytes.Contains(bytes.ToLower(fields), []byte("transfer-encoding")):
+		return errs.New(errs.WrongAnswer, "the response has a transfer coding that its HTTP version does not know")
+	}
+	return nil
+}
--- a/internal/upstream/status_test.go
+++ b/internal/upstream/status_test.go
@@ -17,7 +17,7 @@
 // Guards against a status line that is no final answer and is passed on as one: callers would
 // take 101 for a change of the protocol and wait for the rest of others.
 func TestOnlyFinalStatusesAreAnswers(t *testing.T) {
-	for status := 1; status < 1000; status++ {
+	for status := range 1000 {
 		g := gomega.NewWithT(t)
 		client := upstream.Client{Dial: func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
--- a/internal/upstream/truncated_test.go
+++ b/internal/upstream/truncated_test.go
@@ -232,3 +232,36 @@
 		}
 	}
 }
+
+// Guards against a head that ends without its blank line, so that the rest of it is taken for
+// the body, and against framing that is taken for the body.
+func TestHeadsThatCanBeReadInTwoWaysFail(t *testing.T) {
+	for name, text := range map[string]string{
+		"a bare line feed in the head":          "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\nContent-Length: 5\r\n\r\nhello",
+		"another head behind a bare line feed":  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\nHTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\nx",
+		"bare line feeds, a blank line behind":  "HTTP/1.1 200 OK\nContent-Length: 6\n\na\r\n\r\nb",
+		"bare line feeds":                       "HTTP/1.1 200 OK\nContent-Length: 1\n\na",
+		"chunks of HTTP/1.0":                    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunks of HTTP/1.0 behind an interim":  "HTTP/1.1 100 x\r\n\r\nHTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"status 000 behind an interim":          "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"a length and a transfer coding of 1.0": "HTTP/1.0 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+	} {
+		for _, byteWise := range []bool{false, true} {
+			body, _, failure := overPipe(truncation{name: name, sent: text, end: closed, byteWise: byteWise})
+			if failure == nil || failure.Ran != errs.RanUnknown {
+				t.Errorf("%s: body %q, failure %v", name, body, failure)
+			}
+		}
+	}
+	for name, text := range map[string]string{
+		"HTTP/1.0":                       "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"without fields":                 "HTTP/1.1 200 OK\r\n\r\nok",
+		"blank lines before":             "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"spaces before the status":       "HTTP/1.1   200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"a bare line feed behind a line": "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nok",
+	} {
+		if body, _, failure := overPipe(truncation{name: name, sent: text, end: closed}); failure != nil || body != "ok" {
+			t.Errorf("%s: body %q, failure %v", name, body, failure)
+		}
+	}
+}
