upstream: An answer to HEAD has no body

What callers saw: 504 at the end of their time for a HEAD request whose target told the length of the body, as it should, and kept the connection; the request counted as one that may have run, and a repeatable one went to further targets.

Cause: the body of that length was waited for.

Evidence: TestAnswerToHeadHasNoBody without the change: 504 Gateway Timeout after 4.0 s.

Why the fix works: the parser is told that the method allows no body. The length that the target told is not passed on.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,7 +66,7 @@
 	writeDone    chan struct{} // closed when writing the request has ended
 	mu           sync.Mutex    // guards aborted and deadline
 	aborted      bool
-	hasBody      bool // the status allows a body
+	hasBody      bool // the method and the status allow a body
 	complete     bool // the response body was read to its end
 	deadline     time.Time
 	connectTime  time.Duration
@@ -95,7 +95,7 @@
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
 	e.send(r)
-	if err := e.readHead(); err != nil {
+	if err := e.readHead(r.Method); err != nil {
 		ran := errs.RanUnknown
 		e.Close()
 		if e.bytesWritten.Load() == 0 {
@@ -186,9 +186,10 @@
 	return err
 }
 
-// readHead reads the status line and the header fields of the response.
-func (e *Exchange) readHead() error {
-	e.response.StreamBody = true
+// readHead reads the status line and the header fields of the response to a request with a
+// method.
+func (e *Exchange) readHead(method string) error {
+	e.response.StreamBody, e.response.SkipBody = true, method == fasthttp.MethodHead
 	reader := bufio.NewReaderSize(&e.input, readBufferBytes)
 	if err := e.response.ReadLimitBody(reader, 0); err != nil {
 		return e.input.cause(err)
