gateway: A stream with something else than events is logged as a wrong answer

What operators saw: truncated_answer, as for a target that broke off its stream.

Cause: any error of a stream but a timeout was reported as an interruption.

Evidence: TestTextThatIsNoEventIsLoggedAsAWrongAnswer without the change: truncated_answer instead of wrong_answer.

Why the fix works: the code of the reader's error is kept.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 )
 
@@ -266,3 +267,20 @@
 		})
 	}
 }
+
+// Guards against a log that cannot tell a target that sent something else than events from one
+// that broke off its stream.
+func TestTextThatIsNoEventIsLoggedAsAWrongAnswer(t *testing.T) {
+	for text, reason := range map[string]errs.Code{
+		"HTTP/1.1 500 x\r\n\r\n": errs.WrongAnswer, event(3): errs.WrongAnswer, "data: x\n\n": errs.WrongAnswer, "id: 2\nda": errs.TruncatedAnswer,
+	} {
+		g := gomega.NewWithT(t)
+		w, address := newWorld(t, fleet.Streaming, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, streamHead+chunk(event(1)+text)+lastChunk)
+		})
+		_, _, err := get(g, address)
+		g.Expect(err).To(gomega.HaveOccurred())
+		steps := (<-w.summaries).Trace.Steps
+		g.Expect(steps[len(steps)-1].Detail).To(gomega.Equal(string(reason)), "%q", text)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -322,8 +322,11 @@
 
 // streamFailure returns the typed error for a failed read from a stream.
 func streamFailure(err error) *errs.Error {
-	if upstream.IsTimeout(err) {
+	switch {
+	case upstream.IsTimeout(err):
 		return errs.Wrap(err, errs.Timeout, "no event arrived from the target in time").WithRan(errs.RanUnknown)
+	case errs.Is(err, errs.WrongAnswer):
+		return errs.As(err).WithRan(errs.RanUnknown)
 	}
 	return errs.Wrap(err, errs.TruncatedAnswer, "the event stream was interrupted").WithRan(errs.RanUnknown)
 }
