--- /dev/null
+++ b/internal/callerconn/conn.go
@@ -0,0 +1,124 @@
+package callerconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"cicadaslip/internal/socketstate"
+)
+
+// lateInputTime is the time to read input that was there when its time limit ended, as
+// after a pause of the process.
+const lateInputTime = 100 * time.Millisecond
+
+// Conn is a caller's connection. Writes fail after the listener's
+// WriteTimeout, so that a caller that does not read cannot hold resources for
+// long.
+type Conn struct {
+	net.Conn
+	listener  *Listener
+	closed    atomic.Bool
+	idle      atomic.Bool // no byte of a request has arrived
+	idleSince time.Time   // when the wait for it began
+	lateInput bool        // the current time limit has ended while input was there
+}
+
+// BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
+func (c *Conn) BeginIdle() {
+	if c.listener.Limits == nil {
+		return
+	}
+	c.idle.Store(true)
+	c.lateInput = false
+	c.idleSince = time.Now()
+	_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.listener.Limits().Idle))
+}
+
+// BeginRequest starts the time limit for the header of a request, whose first byte has
+// arrived.
+func (c *Conn) BeginRequest() {
+	if c.listener.Limits == nil {
+		return
+	}
+	c.idle.Store(false)
+	c.lateInput = false
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
+}
+
+// Read implements net.Conn. While no request has begun, any failure is io.EOF, so that the
+// HTTP server closes the connection without a response.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		switch {
+		case n > 0 || err == nil:
+			return n, err
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait():
+			continue
+		case c.idle.Load():
+			return 0, io.EOF
+		}
+		return n, err
+	}
+}
+
+// extendWait moves the read deadline if the time limit has become longer since the
+// connection is idle, or if input is there that was not read in time. It reports whether it
+// has done so.
+func (c *Conn) extendWait() bool {
+	if !c.lateInput && socketstate.Of(c.Conn) == socketstate.Readable {
+		c.lateInput = true
+		return c.Conn.SetReadDeadline(time.Now().Add(lateInputTime)) == nil
+	}
+	if !c.idle.Load() {
+		return false
+	}
+	end := c.idleSince.Add(c.listener.Limits().Idle)
+	return time.Until(end) > 0 && c.Conn.SetReadDeadline(end) == nil
+}
+
+// Write implements net.Conn. It fails if it does not complete within
+// WriteTimeout.
+func (c *Conn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(c.listener.WriteTimeout))
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. It returns immediately; linger closes the
+// connection in the background, and the connection counts towards the
+// listener's limit until then.
+func (c *Conn) Close() error {
+	if !c.closed.Swap(true) {
+		go c.linger()
+	}
+	return nil
+}
+
+// linger closes the sending side, discards input for up to lingerTimeout or
+// maxLingerBytes, and closes the connection. Closing it with unread input
+// would reset it, and a caller that sent too much would lose the error
+// response.
+func (c *Conn) linger() {
+	defer c.listener.openConns.Add(-1)
+	defer c.Conn.Close()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = tcp.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
+}
+
+// Disconnected reports whether the caller has closed its sending side, the
+// connection has failed, or Close was called. It peeks at the socket, because
+// the HTTP server does not read while a request is in progress.
+func (c *Conn) Disconnected() bool {
+	if c.closed.Load() {
+		return true
+	}
+	return socketstate.Of(c.Conn) == socketstate.Closed
+}
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -6,8 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/balance"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
@@ -19,8 +21,10 @@
 	settings  *Settings
 	startedAt time.Time
 	position  func() ratelimit.Position // of this VM in the deployment
-	versions  *versionTable
-	metrics   *metrics.Registry
+	// leavingChanged is called after a target has begun or ceased to leave by its own word.
+	leavingChanged func(source string)
+	versions       *versionTable
+	metrics        *metrics.Registry
 
 	routes atomic.Pointer[fleet.RouteTable]
 
@@ -32,14 +36,14 @@
 	changes         []targetChange                 // since the last call of takeChanges
 	balancers       map[string]*balance.Balancer   // by plain service
 	budgets         map[string]*retrybudget.Budget // by service
-	limits          *ratelimit.Table
+	statements      *advisory.Table
 }
 
-func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, versions *versionTable, m *metrics.Registry) *deployment {
+func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, leavingChanged func(source string), versions *versionTable, m *metrics.Registry) *deployment {
 	return &deployment{
-		settings: s, startedAt: startedAt, position: position, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
+		settings: s, startedAt: startedAt, position: position, leavingChanged: leavingChanged, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
-		limits: ratelimit.NewTable(),
+		statements: advisory.NewTable(),
 	}
 }
 
@@ -50,6 +54,14 @@
 // Routes implements gateway.Fleet.
 func (d *deployment) Routes() *fleet.RouteTable { return d.routes.Load() }
 
+// Limits implements gateway.Fleet.
+func (d *deployment) Limits() fleet.Limits {
+	if routes := d.routes.Load(); routes != nil {
+		return routes.Config.Limits
+	}
+	return fleet.Limits{}
+}
+
 // setConfig puts a configuration into force unless the one in force has the same or a
 // newer version. It reports whether the configuration took effect.
 func (d *deployment) setConfig(c *fleet.Config) bool {
@@ -138,12 +150,24 @@
 	before := d.targets
 	d.targets = map[string]fleet.Target{}
 	byService := map[string][]fleet.Target{}
-	for _, t := range d.registry.Targets(time.Now()) {
+	listed := d.registry.Targets(time.Now())
+	told := map[string]bool{} // targets that are only known to leave because they have said so
+	for _, t := range listed {
+		if !t.Leaving && d.statements.Leaving(advisory.Incarnation{Target: t.ID, Born: t.Born}) {
+			t.Leaving, told[t.ID] = true, true
+		}
 		d.targets[t.ID] = t
 		byService[t.Service] = append(byService[t.Service], t)
 	}
-	d.changes = append(d.changes, diffTargets(before, d.targets)...)
-	d.limits.Retain(func(target string) bool { _, found := d.targets[target]; return found })
+	now := d.now()
+	for _, c := range diffTargets(before, d.targets) {
+		if told[c.target.ID] && c.kind == targetLeaving {
+			source, age := d.statements.Origin(now, c.target.ID)
+			c.source, c.age = string(source), age
+		}
+		d.changes = append(d.changes, c)
+	}
+	d.statements.Retain(now, func(target string) (int64, bool) { t, found := d.targets[target]; return t.Born, found })
 	for service := range byService {
 		d.balancer(service)
 	}
@@ -196,13 +220,32 @@
 	return t, found && !t.Leaving
 }
 
-// Usable implements gateway.Fleet. It reports true for a target unknown to this VM,
-// because the owner of the target's group may have learned of the target earlier.
-func (d *deployment) Usable(id string) bool {
+// Usable implements gateway.Fleet. It reports true for a target, or a newer incarnation of
+// it, of which this VM has not heard, because the owner of the target's group may have
+// learned of it earlier.
+func (d *deployment) Usable(id string, born int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t, found := d.targets[id]
-	return !found || !t.Leaving
+	if t, found := d.targets[id]; found && t.Born >= born {
+		return !t.Leaving
+	}
+	return !d.statements.Leaving(advisory.Incarnation{Target: id, Born: born})
+}
+
+// leavingByService returns the number of targets that leave, by service.
+func (d *deployment) leavingByService() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := map[string]int64{}
+	for service := range d.balancers {
+		counts[service] = 0
+	}
+	for _, t := range d.targets {
+		if t.Leaving {
+			counts[t.Service]++
+		}
+	}
+	return counts
 }
 
 // RequiredVersion implements gateway.Fleet.
@@ -213,36 +256,84 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.limits.Exhausted(now)...))
+	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.statements.Exhausted(now)...))
 	if found {
-		d.limits.Take(now, target.ID)
+		d.statements.TakeFromLimit(now, target.ID)
 	}
 	return target, found
 }
 
-// RecordRateLimit implements gateway.Fleet.
-func (d *deployment) RecordRateLimit(target string, perSecond float64) {
+// RecordStatement implements gateway.Fleet.
+func (d *deployment) RecordStatement(target string, s gateway.TargetStatement) {
 	var position ratelimit.Position // of no use without a limit
-	if perSecond > 0 {
+	if s.RateLimit > 0 {
 		position = d.position()
 	}
+	statement := advisory.Statement{
+		Leaving: s.Leaving, Unclear: len(s.Invalid) > 0, Pause: s.Pause, RateLimit: s.RateLimit,
+		SentAt: s.SentAt.Sub(d.startedAt), HeardAt: s.HeardAt.Sub(d.startedAt),
+	}
+	if d.observe(advisory.Incarnation{Target: target, Born: s.Born}, statement, position) {
+		d.leavingChanged(sourceAnswer)
+	}
+}
+
+// IgnoreStatement implements gateway.Fleet.
+func (d *deployment) IgnoreStatement(reason string) {
+	d.metrics.Count(metrics.EdgeStatementsIgnored, reason)
+}
+
+// observe records a statement of an answer. It reports whether the targets in use may have
+// changed.
+func (d *deployment) observe(i advisory.Incarnation, s advisory.Statement, p ratelimit.Position) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if i.Born == 0 {
+		i.Born = d.targets[i.Target].Born
+	}
+	changed := d.statements.Observe(i, s, p)
+	if changed {
+		d.rebuild()
+	}
+	return changed
+}
+
+// leavingSince returns the targets of which this VM has heard after a version that they
+// leave, with own set only from the targets themselves.
+func (d *deployment) leavingSince(version uint64, own bool) advisory.Delta {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limits.Observe(d.now(), target, perSecond, position)
+	return d.statements.Since(d.now(), version, own)
+}
+
+// mergeLeaving adds the targets that leave according to another VM.
+func (d *deployment) mergeLeaving(delta advisory.Delta) {
+	if len(delta.Leaving) == 0 {
+		return
+	}
+	d.mu.Lock()
+	changed := d.statements.Merge(d.now(), delta)
+	if changed {
+		d.rebuild()
+	}
+	d.mu.Unlock()
+	if changed {
+		d.leavingChanged(sourceOwner)
+	}
 }
 
 // rateLimits returns the limits that targets have named to this VM.
 func (d *deployment) rateLimits() map[string]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limits.Limits()
+	return d.statements.RateLimits()
 }
 
 // countAgainstLimit counts a request that is sent to a target under the grant of an owner.
 func (d *deployment) countAgainstLimit(target string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limits.Count(d.now(), target)
+	d.statements.CountAgainstLimit(d.now(), target)
 }
 
 // takeFromLimit reports whether this VM may send a request to a target by its own choice, and
@@ -250,7 +341,7 @@
 func (d *deployment) takeFromLimit(target string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limits.Take(d.now(), target)
+	return d.statements.TakeFromLimit(d.now(), target)
 }
 
 // ExpectedLatency implements gateway.Fleet.
@@ -308,3 +399,11 @@
 	}
 	return allowed
 }
+
+// ReturnRetry implements gateway.Fleet.
+func (d *deployment) ReturnRetry(service string, takenAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).Return(d.now(), takenAt.Sub(d.startedAt))
+	d.metrics.Count(metrics.EdgeRepeats, "returned")
+}
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -20,6 +20,7 @@
 	fieldResult       = "result"
 	fieldPrecondition = "precondition"
 	fieldTook         = "took_ms"
+	fieldAge          = "age_ms"
 	fieldAt           = "at_ms"
 	fieldEstimate     = "estimate_ms"
 	fieldBacklog      = "backlog_ms"
@@ -38,4 +39,5 @@
 	fieldBorn         = "born"
 	fieldParts        = "parts"
 	fieldCrashed      = "crashed"
+	fieldCut          = "cut"
 )
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,12 +60,14 @@
 	deadline       time.Time // when the gateway gives up on the request
 	limitedByRoute bool      // the deadline follows from the route's timeout
 	trace          Trace
-	excluded       []string // IDs of targets that must not be tried again
-	possibleRuns   int      // number of targets that may have run the request
-	refusals       int      // number of targets that refused the request without running it
-	mayHaveRun     bool     // a target may be running or may have run the request
-	streamBegun    bool     // the caller is sent the head of a stream
-	finished       bool     // finish was called
+	excluded       []string  // IDs of targets that must not be tried again
+	possibleRuns   int       // number of targets that run or may have run the request
+	arrivals       int       // number of targets that the request may have reached
+	retryTakenAt   time.Time // of a retry that was taken from the budget and has not been sent, zero if there is none
+	refusals       int       // number of targets that refused the request without running it
+	mayHaveRun     bool      // a target may be running or may have run the request
+	streamBegun    bool      // the caller is sent the head of a stream
+	finished       bool      // finish was called
 }
 
 // handle serves one request of a caller.
@@ -105,6 +107,7 @@
 	}
 	c.finished = true
 	c.cancel()
+	c.returnRetry()
 	c.server.unregister(c)
 	c.server.opt.Observer.Finished(c.summary())
 }
@@ -119,6 +122,9 @@
 	if err == nil && fields.Count("Host") != 1 {
 		err = errs.New(errs.InvalidRequest, "the request does not have exactly one Host header field")
 	}
+	if err == nil && len(h.Method())+len(h.RequestURI())+len(h.RawHeaders()) > c.server.limits().HeaderBytes {
+		err = errs.New(errs.TooLarge, "the header of the request is too large")
+	}
 	if err != nil {
 		c.http.SetConnectionClose()
 		return errs.As(err)
@@ -157,6 +163,9 @@
 	}
 }
 
+// ended reports whether the deadline has passed or the caller has disconnected.
+func (c *call) ended() bool { return c.ctx.Err() != nil || c.timeLeft() <= 0 }
+
 // timeLeft returns the time until the deadline.
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
@@ -190,6 +199,8 @@
 		return fasthttp.StatusNotFound
 	case e.Code == errs.InvalidRequest:
 		return fasthttp.StatusBadRequest
+	case e.Code == errs.TooLarge && e.Ran == errs.RanUnset:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case e.Code == errs.Timeout:
 		return fasthttp.StatusGatewayTimeout
 	}
@@ -226,18 +237,24 @@
 	}
 }
 
-// checkResponse checks that a response comes from a target and belongs to this
-// request.
-func (c *call) checkResponse(e *upstream.Exchange, response ResponseMeta) *errs.Error {
-	switch {
-	case response.RequestID != "" && response.RequestID != c.meta.ID:
-		return errs.New(errs.WrongAnswer, "the response carries the ID of another request").WithRan(errs.RanUnknown)
-	case response.Encoded:
-		return errs.New(errs.WrongAnswer, "the response has a content encoding").WithRan(errs.RanUnknown)
-	case !response.Signed:
-		return errs.New(errs.WrongAnswer, "the response carries no target signature").WithRan(errs.RanUnknown)
-	}
-	return nil
+// statement returns what the head of a response states about its target. It returns false
+// if the response does not come from the target or does not belong to this request: a
+// refusal may lack the signature, and one that expects another target may come from another
+// target at the same address.
+func (c *call) statement(response ResponseMeta, sentAt time.Time, born int64) (TargetStatement, bool) {
+	s := response.Statement
+	s.Born, s.SentAt, s.HeardAt = born, sentAt, time.Now()
+	belongs := response.RequestID == c.meta.ID || response.RequestID == "" && response.Signed
+	if !belongs || response.Misdirected || response.Encoded || !response.Signed && !response.NotRun {
+		if s.states() {
+			c.server.opt.Fleet.IgnoreStatement(ForeignStatement)
+		}
+		return TargetStatement{HeardAt: s.HeardAt}, false
+	}
+	for _, field := range s.Invalid {
+		c.server.opt.Fleet.IgnoreStatement(field)
+	}
+	return s, true
 }
 
 // contextError returns the error for a call whose deadline has passed or whose
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -1,10 +1,12 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -34,6 +36,13 @@
 	stopTarget   func()               // makes the target refuse connections
 	summaries    chan gateway.Summary // of finished requests
 	quarantine   fakeQuarantine
+	acquire      func(placement int) *errs.Error // refuses placements, none if nil
+	noRetries    bool                            // the retry budget is used up
+	estimate     time.Duration                   // of the time until the first event, 1 s if 0
+	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
+	malformed    chan int                        // status of each answer to malformed input
+	leaving      []string                        // targets that leave and are granted nevertheless
+	retries      int                             // taken from the budget
 }
 
 func (w *world) maybePanic(function string) {
@@ -45,7 +54,14 @@
 func (w *world) Routes() *fleet.RouteTable {
 	return fleet.NewRouteTable(&fleet.Config{Version: 1, Routes: []fleet.Route{w.route}, Services: map[string]fleet.Service{"s": {Name: "s"}}})
 }
-func (w *world) Usable(string) bool                   { return true }
+
+func (w *world) Limits() fleet.Limits {
+	if limits := w.limits.Load(); limits != nil {
+		return *limits
+	}
+	return fleet.Limits{}
+}
+func (w *world) Usable(target string, _ int64) bool   { return !slices.Contains(w.leaving, target) }
 func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
 func (w *world) Pick(string, []string) (fleet.Target, bool) {
 	w.maybePanic("Pick")
@@ -55,8 +71,13 @@
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
 }
-func (w *world) CountRequest(string)   {}
-func (w *world) TakeRetry(string) bool { return true }
+func (w *world) CountRequest(string) {}
+func (w *world) TakeRetry(string) bool {
+	w.retries++
+	return !w.noRetries
+}
+
+func (w *world) ReturnRetry(string, time.Time) { w.retries-- }
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
@@ -68,27 +89,42 @@
 	return nil
 }
 
-func (w *world) ParseResponse(_ int, fields httpfields.List) gateway.ResponseMeta {
+func (w *world) ParseResponse(status int, fields httpfields.List) gateway.ResponseMeta {
 	w.maybePanic("ParseResponse")
-	return gateway.ResponseMeta{RequestID: fields.Get("X-Request-Id"), NotRun: fields.Get("X-Not-Run") != "", Signed: fields.Get("X-Unsigned") == ""}
+	misdirected := status == http.StatusMisdirectedRequest
+	return gateway.ResponseMeta{
+		Signed: fields.Get("X-Unsigned") == "", RequestID: fields.Get("X-Request-Id"),
+		NotRun: fields.Get("X-Not-Executed") != "" || misdirected, Misdirected: misdirected,
+	}
 }
 
 func (w *world) RetryAfterField(time.Duration) httpfields.Field {
 	return httpfields.Field{Name: "Retry-After", Value: "1"}
 }
 
-func (w *world) Acquire(context.Context, string, placer.Request) (gateway.Lease, *errs.Error) {
+func (w *world) Acquire(_ context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
-	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: time.Second}, nil
+	if w.acquire != nil {
+		if failure := w.acquire(w.placements); failure != nil {
+			return gateway.Lease{}, failure
+		}
+	}
+	for _, target := range w.leaving {
+		if !slices.Contains(r.Exclude, target) {
+			return gateway.Lease{Grant: placer.Grant{Target: target, Address: w.target}, Estimate: time.Second}, nil
+		}
+	}
+	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
-func (w *world) Limited(gateway.Lease, float64)                 {}
-func (w *world) RecordRateLimit(string, float64)                {}
-func (w *world) Release(gateway.Lease, placer.Outcome)          { w.maybePanic("Release") }
-func (w *world) Finished(s gateway.Summary)                     { w.summaries <- s }
-func (w *world) Malformed(int, error)                           {}
-func (w *world) Panicked(request string, _ *errs.Error)         { w.panicked <- request }
+func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement)   {}
+func (w *world) IgnoreStatement(string)                          {}
+func (w *world) RecordStatement(string, gateway.TargetStatement) {}
+func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
+func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
+func (w *world) Malformed(status int, _ error)                   { w.malformed <- status }
+func (w *world) Panicked(request string, _ *errs.Error)          { w.panicked <- request }
 
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
@@ -110,7 +146,7 @@
 			}()
 		}
 	}()
-	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
+	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan int, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
 		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
 	}}
 	server := gateway.New(gateway.Options{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,23 +8,14 @@
 
 	"github.com/valyala/fasthttp"
 
-	"cicadaslip/internal/balance"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/eventstream"
+	"cicadaslip/internal/pause"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/upstream"
 )
 
 const (
-	// firstEventFactor and firstEventMargin limit the wait for the first event of
-	// a stream that may be sent to another target: the estimate of the lease times
-	// the factor, plus the margin.
-	firstEventFactor = 2.5
-	firstEventMargin = 400 * time.Millisecond
-	// maxEventGap is the pause between events after which such a stream is resumed
-	// on another target. Targets that process long prompts pause for more than a
-	// second.
-	maxEventGap = 2500 * time.Millisecond
 	// defaultOutputDivisor gives the expected output of a request without a length
 	// hint: its maximum output divided by this value.
 	defaultOutputDivisor = 4
@@ -33,25 +24,28 @@
 	absentRetryDelay = 20 * time.Millisecond
 )
 
-// targetStream is the open response of a target to a streaming request.
+// targetStream is an attempt at a streaming request, and the open response of its target.
 type targetStream struct {
 	lease    Lease
-	exchange *upstream.Exchange
+	cancel   context.CancelFunc // ends the exchange
+	answer                      // without an exchange before the head of the response has arrived
 	events   *eventstream.Reader
-	leased   bool          // the lease has not been released
-	load     *balance.Load // load that the target reported, nil if none
-	body     []byte        // body of a response that is not an event stream
-
-	rateLimit float64   // that the target named, in requests per second, 0 if none
-	headAt    time.Time // when the head of the answer arrived
+	head     TargetStatement // what the head of the response stated
+	sentAt   time.Time       // when the request was sent
+	body     []byte          // body of a response that is not an event stream
+	leased   bool            // the lease has not been released
+	refused  bool            // the target has stated that it did not run the request
+	sent     bool            // the request may have reached the target
+	handover *handover       // planned if the first event is late, nil if none
 
+	opening    opening
 	eventCount int // events received from this target
 	sequence   sequence
 }
 
 // serveStream serves a request whose response is a stream of events.
 func (c *call) serveStream() {
-	stream, first, failure := c.openStream(c.meta.LastEventID)
+	stream, first, failure := c.openStream(opening{ctx: c.ctx, after: c.meta.LastEventID, waitingSince: c.arrived})
 	if failure != nil {
 		c.respondError(failure)
 		c.finish()
@@ -64,7 +58,7 @@
 		c.finish()
 		return
 	}
-	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID, progressAt: time.Now()}
+	body := &streamBody{call: c, source: stream, lastEventID: c.meta.LastEventID}
 	if len(first.Bytes) > 0 {
 		body.enqueue(first)
 	}
@@ -75,40 +69,58 @@
 // openStream opens a stream at a target, and tries further targets as long as
 // retries are allowed. It returns the stream with its first event. For a
 // stream without events, the event has no bytes.
-func (c *call) openStream(lastEventID int64) (*targetStream, eventstream.Event, *errs.Error) {
+func (c *call) openStream(o opening) (*targetStream, eventstream.Event, *errs.Error) {
+	earlierRefusals := c.refusals
 	for {
-		stream, event, failure := c.tryOpenStream(lastEventID)
-		if failure == nil {
+		stream, event, failure := c.tryOpenStream(o)
+		switch {
+		case failure == nil:
 			return stream, event, nil
-		}
-		if c.ctx.Err() != nil {
+		case c.ended():
 			return nil, event, c.contextError()
-		}
-		if !c.shouldRetryStream(failure) {
-			if c.mayHaveRun && failure.Ran == errs.RanNo {
-				failure = failure.WithRan(errs.RanUnknown)
-			}
+		case o.ctx.Err() != nil:
 			return nil, event, failure
+		case c.shouldRetryStream(failure, c.refusals-earlierRefusals):
+			continue
+		case c.awaitPlacement(o, failure):
+			earlierRefusals = c.refusals
+			continue
+		}
+		if c.mayHaveRun && failure.Ran == errs.RanNo {
+			failure = failure.WithRan(errs.RanUnknown)
 		}
+		return nil, event, failure
 	}
 }
 
 // shouldRetryStream reports whether a stream whose attempt failed before an
-// event was forwarded is sent to a further target.
-func (c *call) shouldRetryStream(failure *errs.Error) bool {
+// event was forwarded is sent to a further target, after a number of refusals.
+func (c *call) shouldRetryStream(failure *errs.Error, refusals int) bool {
 	if failure.Ran == errs.RanNo {
-		if isPlacementFailure(failure) || c.refusals > maxRefusals {
-			return false
-		}
-		// Without a connection no target received the request, so a further
-		// attempt takes nothing from the retry budget.
-		return failure.Code == errs.TargetUnavailable || c.server.opt.Fleet.TakeRetry(c.service)
+		return !isPlacementFailure(failure) && refusals <= maxRefusals
 	}
-	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && !c.mayCrashTargets() && c.server.opt.Fleet.TakeRetry(c.service)
+	return c.mayStartAnother() && !c.mayCrashTargets()
+}
+
+// mayStartAnother reports whether the request may run on a further target, in addition to
+// those that run or may have run it.
+func (c *call) mayStartAnother() bool {
+	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts
 }
 
-// placementDetail marks errors of the placement. These are final, because the
-// placement has already asked all owners.
+// awaitPlacement waits after refusals until the placement may be asked again. It
+// returns false at once if the request is refused for good: one of which the caller has
+// nothing yet, and that is not at work at another target, is better sent again by the caller.
+func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
+	if failure.Ran != errs.RanNo || o.handover == nil && o.after <= c.meta.LastEventID {
+		return false
+	}
+	delay := max(minPlacementDelay, failure.Retry)
+	return time.Now().Add(delay).Before(c.placementDeadline(o)) && pause.For(o.ctx, delay)
+}
+
+// placementDetail marks errors of the placement. These are final unless awaitPlacement says
+// otherwise, because the placement has already asked all owners.
 const placementDetail = "placement"
 
 // isPlacementFailure reports whether an error comes from the placement.
@@ -116,54 +128,137 @@
 	return len(e.Details) > 0 && e.Details[0] == placementDetail
 }
 
-// tryOpenStream makes one attempt to open a stream, from the lease to the
-// first event.
-func (c *call) tryOpenStream(lastEventID int64) (*targetStream, eventstream.Event, *errs.Error) {
+// tryOpenStream makes one attempt to open a stream, from the lease to the first event. If
+// the target is late and the request moves to another one, it returns the stream there.
+func (c *call) tryOpenStream(o opening) (*targetStream, eventstream.Event, *errs.Error) {
+	lease, failure := c.acquire(o)
+	if failure != nil {
+		return nil, eventstream.Event{}, failure
+	}
+	s := &targetStream{lease: lease, leased: true, opening: o}
+	settled := false
+	defer func() {
+		if !settled { // a panic
+			s.handover.abandon()
+			o.handover.attemptFailed()
+			s.release(c, placer.Cancelled)
+		}
+	}()
+	stream, event, failure := s.settle(c)
+	settled = true
+	return stream, event, failure
+}
+
+// settle opens the stream and decides on the outcome of the attempt.
+func (s *targetStream) settle(c *call) (*targetStream, eventstream.Event, *errs.Error) {
+	event, failure := s.open(c)
+	serverError := failure == nil && s.exchange.Status >= minServerErrorStatus
+	if failure == nil && !serverError && s.handover.keep() {
+		s.accept(c)
+		return s, event, nil
+	}
+	if s.handover.firstFailed() {
+		s.close()
+		stream, event, moveFailure := s.handover.wait()
+		s.fail(c, lateFailure(failure))
+		return stream, event, moveFailure
+	}
+	if serverError && !c.mayStartAnother() && s.opening.handover == nil {
+		s.accept(c)
+		return s, event, nil
+	}
+	if serverError {
+		failure = errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes)
+	}
+	return nil, event, s.fail(c, failure)
+}
+
+// lateFailure returns the failure of a target from which a request has moved: its own, if it
+// has failed, or that it was late.
+func lateFailure(failure *errs.Error) *errs.Error {
+	if failure != nil {
+		return failure
+	}
+	return errs.New(errs.Timeout, "another target has continued the request").WithRan(errs.RanUnknown)
+}
+
+// acquire waits for a lease of a target that does not leave.
+func (c *call) acquire(o opening) (Lease, *errs.Error) {
 	if failure := c.checkQuarantine(); failure != nil {
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
 	}
-	ctx, cancel := c.placementContext()
-	defer cancel()
-	lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest())
+	if !c.takeRetry() {
+		return Lease{}, errs.NotRun(errs.Overloaded, "the retry budget of the service is used up").WithRetry(refusalRetryAfter).WithDetails(placementDetail)
+	}
+	lease, failure := c.acquireUsable(o)
 	if failure != nil {
-		if ctx.Err() != nil && c.ctx.Err() == nil {
-			failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
-		}
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
 	}
-	c.trace.addPlacement(lease)
 	if failure := c.checkQuarantine(); failure != nil { // it may have begun during the wait
 		c.server.opt.Placement.Release(lease, placer.Cancelled)
-		return nil, eventstream.Event{}, failure.WithDetails(placementDetail)
+		return Lease{}, failure.WithDetails(placementDetail)
 	}
-	if !c.server.opt.Fleet.Usable(lease.Grant.Target) {
-		c.server.opt.Placement.Release(lease, placer.Unsent)
+	return lease, nil
+}
+
+// acquireUsable waits for a target that does not leave. The owner of a group may learn later
+// than this VM that a target leaves.
+func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
+	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
+	defer cancel()
+	for {
+		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
+		if failure != nil {
+			if ctx.Err() != nil && c.ctx.Err() == nil {
+				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
+			}
+			return Lease{}, failure
+		}
+		c.trace.addPlacement(lease)
+		if c.server.opt.Fleet.Usable(lease.Grant.Target, lease.Grant.Born) {
+			return lease, nil
+		}
+		c.server.opt.Placement.Release(lease, placer.Cancelled)
 		c.excluded = append(c.excluded, lease.Grant.Target)
-		c.refusals++
-		return nil, eventstream.Event{}, errs.NotRun(errs.NoTarget, "the target is marked as leaving").WithDetails(lease.Grant.Target)
+		c.trace.addStep(StepSkipped, lease.Grant.Target, "the target leaves")
 	}
-	stream, failure := c.sendStreamRequest(lease, lastEventID)
-	if failure != nil {
-		return nil, eventstream.Event{}, failure
+}
+
+// takeRetry takes a retry from the budget if the request has reached a target before. One that
+// was taken and not sent counts for the next attempt.
+func (c *call) takeRetry() bool {
+	if c.arrivals == 0 || !c.retryTakenAt.IsZero() {
+		return true
 	}
-	event, failure := stream.firstEvent(c)
-	if failure != nil {
-		return nil, event, failure
+	if !c.server.opt.Fleet.TakeRetry(c.service) {
+		return false
+	}
+	c.retryTakenAt = time.Now()
+	return true
+}
+
+// returnRetry gives back a retry that was taken and not sent.
+func (c *call) returnRetry() {
+	if !c.retryTakenAt.IsZero() {
+		c.server.opt.Fleet.ReturnRetry(c.service, c.retryTakenAt)
+		c.retryTakenAt = time.Time{}
 	}
-	return stream, event, nil
 }
 
 // abandonReserve is the part of the time until the caller abandons a stream that is left
 // for the refusal of its request.
 const abandonReserve = 150 * time.Millisecond
 
-// placementContext returns the context of a wait for a lease. It ends before the caller
-// abandons the stream, so that the caller still gets an answer.
-func (c *call) placementContext() (context.Context, context.CancelFunc) {
+// minPlacementDelay is the time until the placement is asked again after a refusal.
+const minPlacementDelay = 200 * time.Millisecond
+
+// placementDeadline returns when the wait for a lease ends: before the caller abandons the
+// stream, so that it still gets an answer.
+func (c *call) placementDeadline(o opening) time.Time {
 	if c.route.AbandonAfter <= 0 {
-		return context.WithCancel(c.ctx)
+		return c.deadline
 	}
-	return context.WithDeadline(c.ctx, c.waitingSince().Add(c.route.AbandonAfter-abandonReserve))
+	return o.waitingSince.Add(c.route.AbandonAfter - abandonReserve)
 }
 
 // waitingSince returns the time since which the caller has waited for the next event.
@@ -175,62 +270,170 @@
 }
 
 // placerRequest builds the request for a lease.
-func (c *call) placerRequest() placer.Request {
+func (c *call) placerRequest(o opening) placer.Request {
 	output := c.meta.LengthHint
 	if output <= 0 {
 		output = c.meta.MaxOutputTokens / defaultOutputDivisor
 	}
 	abandon := c.route.AbandonAfter
 	if abandon > 0 {
-		abandon -= time.Since(c.waitingSince())
+		abandon -= time.Since(o.waitingSince)
+	}
+	objective := c.route.LatencyObjective - time.Since(c.arrived)
+	if o.after > c.meta.LastEventID && abandon > 0 {
+		objective = abandon
 	}
 	return placer.Request{
 		Abandon: abandon,
 		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
-		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: c.route.LatencyObjective - time.Since(c.arrived),
+		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: objective,
 		Deadline: c.timeLeft(), Exclude: c.excluded,
 	}
 }
 
-// sendStreamRequest sends the request to the target of a lease and checks the
-// head of the response.
-func (c *call) sendStreamRequest(lease Lease, lastEventID int64) (*targetStream, *errs.Error) {
-	g := lease.Grant
+// open sends the request to the target of the lease and reads the response up to the first
+// event. For a stream without events it returns an event without bytes. The call's record of
+// attempts changes only in accept and fail, because another attempt may be under way.
+func (s *targetStream) open(c *call) (eventstream.Event, *errs.Error) {
+	if failure := s.send(c); failure != nil {
+		return eventstream.Event{}, failure
+	}
+	if failure := s.checkHead(c); failure != nil {
+		return eventstream.Event{}, failure
+	}
+	if s.exchange.Status != fasthttp.StatusOK {
+		var failure *errs.Error
+		if s.body, failure = s.exchange.ReadAll(maxResponseBytes); failure == nil && s.opening.handover != nil {
+			failure = errs.New(errs.TargetRefused, "the target did not respond with status 200").WithRan(errs.RanYes)
+		}
+		return eventstream.Event{}, failure
+	}
+	event, err := s.next(c)
+	switch {
+	case err == io.EOF:
+		return eventstream.Event{}, nil
+	case err != nil:
+		return eventstream.Event{}, streamFailure(err)
+	}
+	s.countEvent(c)
+	return event, nil
+}
+
+// send sends the request to the target of the lease and reads the head of the response.
+func (s *targetStream) send(c *call) (failure *errs.Error) {
+	g := s.lease.Grant
 	attempt := Attempt{Target: g.Target, Engine: c.isEngine, Priority: g.Priority}
 	if c.meta.Adapter.Name != "" {
 		attempt.Version = max(g.Version, c.server.opt.Fleet.RequiredVersion(c.meta.Adapter))
 	}
-	if lastEventID > c.meta.LastEventID {
-		attempt.LastEventID = lastEventID
+	if s.opening.after > c.meta.LastEventID {
+		attempt.LastEventID = s.opening.after
 	}
-	deadline := c.deadline
-	if limit := c.firstEventDeadline(lease); limit.Before(deadline) {
-		deadline = limit
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(s.opening.ctx)
+	request := c.upstreamRequest(g.Address, attempt)
+	request.Connected = func() bool { return s.markSent(c) }
+	if s.answer, failure = c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
+		return failure
 	}
-	exchange, failure := c.server.opt.Upstream.Open(c.ctx, c.upstreamRequest(g.Address, attempt), upstream.Timeouts{Connect: connectTimeout, Deadline: deadline})
-	if failure != nil {
-		return nil, c.recordFailedAttempt(lease, failure, 0)
+	s.events, s.sequence = eventstream.NewReader(s.exchange), c.newSequence(s.opening.after, s.meta)
+	var stated bool
+	if s.head, stated = c.statement(s.meta, s.sentAt, g.Born); stated {
+		c.server.opt.Fleet.RecordStatement(g.Target, s.head)
+		c.server.opt.Placement.Stated(s.lease, s.head)
 	}
-	exchange.SetDeadline(c.deadline)
-	response := c.server.opt.Dialect.ParseResponse(exchange.Status, exchange.Fields)
-	c.server.opt.Fleet.RecordRateLimit(lease.Grant.Target, response.RateLimit)
-	if response.RateLimit > 0 {
-		c.server.opt.Placement.Limited(lease, response.RateLimit)
+	return nil
+}
+
+// markSent records that the request is being sent to the target. It returns false if it need
+// not be sent any more.
+func (s *targetStream) markSent(c *call) bool {
+	if s.opening.ctx.Err() != nil {
+		return false
+	}
+	s.sent, s.sentAt = true, time.Now()
+	c.possibleRuns++
+	c.arrivals++
+	c.retryTakenAt = time.Time{}
+	if s.opening.handover != nil {
+		s.opening.handover.sent()
+	}
+	s.handover = c.planHandover(s, s.opening, firstEventDelay(s.lease))
+	return true
+}
+
+// checkHead returns an error if the target refuses the request, or if the response is not one
+// to this request.
+func (s *targetStream) checkHead(c *call) *errs.Error {
+	if s.refused = c.refuses(s.answer); s.refused {
+		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter)
 	}
-	if failure := c.checkStreamHead(lease, exchange, response); failure != nil {
-		exchange.Close()
-		return nil, failure
+	if failure := c.checkContinuation(s.exchange); failure != nil {
+		return failure
 	}
-	stream := &targetStream{lease: lease, exchange: exchange, events: eventstream.NewReader(exchange), load: response.Load, rateLimit: response.RateLimit, headAt: time.Now(), leased: true, sequence: c.newSequence(max(lastEventID, c.meta.LastEventID), response)}
-	if exchange.Status == fasthttp.StatusOK {
-		return stream, nil
+	return c.checkAnswer(s.answer)
+}
+
+// accept records that the response of the target is forwarded to the caller.
+func (s *targetStream) accept(c *call) {
+	if s.exchange.Status != fasthttp.StatusOK {
+		s.release(c, placer.Errored)
+		return
+	}
+	if s.eventCount == 0 {
+		return
+	}
+	if s.meta.Load != nil {
+		s.head.Slowness = s.meta.Load.Slowness
+	}
+	c.server.opt.Placement.Started(s.lease, s.head)
+}
+
+// fail records that the attempt has failed, and releases the lease. It returns the failure
+// with the ID of the target added.
+func (s *targetStream) fail(c *call, failure *errs.Error) *errs.Error {
+	s.close()
+	s.leased = false
+	if s.sent && failure.Ran == errs.RanNo {
+		c.possibleRuns--
+	}
+	s.opening.handover.attemptFailed()
+	switch {
+	case s.refused:
+		return s.recordRefusal(c, failure)
+	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
+		c.mayHaveRun = c.mayHaveRun || s.sent
+		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
+		c.trace.addStep(StepFailed, s.lease.Grant.Target, string(errs.Cancelled))
+		return failure
+	}
+	return c.recordFailedAttempt(s.lease, failure, s.eventCount)
+}
+
+// recordRefusal records that the target has not run the request.
+func (s *targetStream) recordRefusal(c *call, failure *errs.Error) *errs.Error {
+	target := s.lease.Grant.Target
+	c.refusals++
+	outcome := placer.AtCapacity
+	if s.meta.Misdirected {
+		outcome = placer.Absent
+		pause.For(c.ctx, absentRetryDelay)
+	} else {
+		c.excluded = append(c.excluded, target)
+	}
+	c.server.opt.Placement.Release(s.lease, outcome)
+	c.trace.addStep(StepFailed, target, "refused as not run")
+	return failure.WithDetails(target)
+}
+
+// close ends the exchange with the target.
+func (s *targetStream) close() {
+	if s.exchange != nil {
+		s.exchange.Close()
 	}
-	if stream.body, failure = exchange.ReadAll(maxResponseBytes); failure != nil {
-		exchange.Close()
-		return nil, c.recordFailedAttempt(lease, failure, 0)
+	if s.cancel != nil {
+		s.cancel()
 	}
-	stream.release(c, placer.Errored)
-	return stream, nil
 }
 
 // countEvent counts an event that was received from the target.
@@ -245,81 +448,11 @@
 func (s *targetStream) release(c *call, outcome placer.Outcome) {
 	if s.leased {
 		s.leased = false
-		s.exchange.Close()
+		s.close()
 		c.server.opt.Placement.Release(s.lease, outcome)
 	}
 }
 
-// firstEventDeadline returns the time until which to wait for the first event:
-// the deadline of the request, or an earlier time if the request can be sent
-// to another target.
-func (c *call) firstEventDeadline(lease Lease) time.Time {
-	if !c.canRetryElsewhere() {
-		return c.deadline
-	}
-	return time.Now().Add(time.Duration(firstEventFactor*float64(lease.Estimate)) + firstEventMargin)
-}
-
-// canRetryElsewhere reports whether the request may run on a further target if
-// the current attempt fails.
-func (c *call) canRetryElsewhere() bool {
-	return c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts
-}
-
-// checkStreamHead checks the head of a response. A server error counts as a
-// failed attempt if the request can be sent to another target; otherwise the
-// target's response is forwarded to the caller.
-func (c *call) checkStreamHead(lease Lease, e *upstream.Exchange, response ResponseMeta) *errs.Error {
-	switch {
-	case response.NotRun:
-		c.refusals++
-		outcome := placer.AtCapacity
-		if response.Misdirected {
-			outcome = placer.Absent
-			time.Sleep(absentRetryDelay)
-		} else {
-			c.excluded = append(c.excluded, lease.Grant.Target)
-		}
-		c.server.opt.Placement.Release(lease, outcome)
-		c.trace.addStep(StepFailed, lease.Grant.Target, "refused as not run")
-		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter).WithDetails(lease.Grant.Target)
-	case c.checkContinuation(e) != nil:
-		return c.recordFailedAttempt(lease, c.checkContinuation(e), 0)
-	case e.Status >= minServerErrorStatus && c.canRetryElsewhere():
-		return c.recordFailedAttempt(lease, errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes), 0)
-	}
-	if failure := c.checkResponse(e, response); failure != nil {
-		return c.recordFailedAttempt(lease, failure, 0)
-	}
-	return nil
-}
-
-// firstEvent reads the first event and reports it to the placement. At the end
-// of a stream without events it returns an event without bytes.
-func (s *targetStream) firstEvent(c *call) (eventstream.Event, *errs.Error) {
-	if !s.leased {
-		return eventstream.Event{}, nil
-	}
-	if c.canRetryElsewhere() {
-		s.exchange.SetReadTimeout(time.Until(c.firstEventDeadline(s.lease)))
-	}
-	event, err := s.next(c)
-	if err == io.EOF {
-		return eventstream.Event{}, nil
-	}
-	if err != nil {
-		s.exchange.Close()
-		return event, c.recordFailedAttempt(s.lease, streamFailure(err), s.eventCount)
-	}
-	s.countEvent(c)
-	slowness := 0.0
-	if s.load != nil {
-		slowness = s.load.Slowness
-	}
-	c.server.opt.Placement.Started(s.lease, TargetStatement{Slowness: slowness, RateLimit: s.rateLimit, Age: time.Since(s.headAt)})
-	return event, nil
-}
-
 // streamFailure returns the typed error for a failed read from a stream.
 func streamFailure(err error) *errs.Error {
 	switch {
@@ -336,9 +469,9 @@
 type streamBody struct {
 	call        *call
 	source      *targetStream
+	handover    *handover // planned if the source is late with the next event, nil if none
 	pending     []byte    // bytes of the current event that have not been read yet
 	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
-	progressAt  time.Time // when the stream began at its target or the last event with an ID arrived
 	endErr      error     // result of Read after the last event, nil while the stream goes on
 	closed      bool
 }
@@ -348,7 +481,7 @@
 func (b *streamBody) enqueue(e eventstream.Event) {
 	b.pending = append(b.pending[:0], e.Bytes...)
 	if e.ID > 0 {
-		b.lastEventID, b.progressAt = e.ID, time.Now()
+		b.lastEventID = e.ID
 	}
 	b.call.trace.addEvent(time.Now())
 }
@@ -372,70 +505,87 @@
 func (b *streamBody) readNext() {
 	defer b.contain()
 	c := b.call
-	if c.canRetryElsewhere() {
-		b.source.exchange.SetReadTimeout(time.Until(b.progressAt.Add(maxEventGap)))
-	} else {
-		b.source.exchange.SetDeadline(c.deadline)
+	if b.handover == nil && b.lastEventID > 0 {
+		next := opening{after: b.lastEventID, waitingSince: c.waitingSince()}
+		b.handover = c.planHandover(b.source, next, c.eventGapDelay())
 	}
 	event, err := b.source.next(c)
+	progress := err == nil && event.ID > 0 || err == io.EOF
 	switch {
-	case err == nil && event.ID > 0 && event.ID != b.lastEventID+1 && b.lastEventID > 0:
-		err = errs.New(errs.WrongAnswer, "the stream skipped or repeated an event")
+	case b.handover.hasMoved(), progress && !b.handover.keep():
+		b.move(lateFailure(nil))
 	case err == nil:
+		if progress {
+			b.handover = nil
+		}
 		b.enqueue(event)
 		b.source.countEvent(c)
-		return
 	case err == io.EOF:
 		b.endErr = io.EOF
 		if b.source.eventCount < progressEvents {
 			c.recordProgress()
 		}
 		b.source.release(c, placer.Done)
+	case b.handover.firstFailed():
+		b.move(streamFailure(err))
+	default:
+		_ = b.source.fail(c, streamFailure(err))
+		b.resume(streamFailure(err))
+	}
+}
+
+// move replaces the source by the stream that the handover has opened.
+func (b *streamBody) move(failure *errs.Error) {
+	b.source.close()
+	stream, event, openFailure := b.handover.wait()
+	b.handover = nil
+	late := b.source
+	if openFailure == nil {
+		b.source = stream
+	}
+	_ = late.fail(b.call, failure)
+	if openFailure != nil {
+		b.resume(openFailure)
 		return
 	}
-	b.resume(streamFailure(err))
+	b.continueWith(event)
 }
 
 // resume continues the stream at another target after a failure, if a retry is
 // allowed.
 func (b *streamBody) resume(failure *errs.Error) {
 	c := b.call
-	b.source.exchange.Close()
-	b.source.leased = false
-	_ = c.recordFailedAttempt(b.source.lease, failure, b.source.eventCount)
 	suspect := b.source.eventCount < progressEvents && c.mayCrashTargets()
-	if c.ctx.Err() != nil || b.lastEventID == 0 || !c.route.Repeatable() || c.possibleRuns >= c.route.MaxAttempts || suspect ||
-		!c.server.opt.Fleet.TakeRetry(c.service) {
-		c.trace.setFailure(failure)
-		b.endErr = failure
+	if c.ended() || b.lastEventID == 0 || suspect || !c.mayStartAnother() {
+		b.cut(failure)
 		return
 	}
-	stream, event, openFailure := c.openStream(b.lastEventID)
-	switch {
-	case openFailure != nil:
-		c.trace.setFailure(openFailure)
-		b.endErr = openFailure
-		return
-	case stream.exchange.Status != fasthttp.StatusOK:
-		// The caller already has the head of the response, so the only way to
-		// report the failure is to cut the connection.
-		b.source = stream
-		b.endErr = errs.New(errs.TargetRefused, "the target chosen to resume the stream did not respond with status 200").WithRan(errs.RanYes)
-		c.trace.setFailure(failure)
+	stream, event, openFailure := c.openStream(opening{ctx: c.ctx, after: b.lastEventID, waitingSince: c.waitingSince()})
+	if openFailure != nil {
+		b.cut(openFailure)
 		return
-	case len(event.Bytes) == 0:
-		b.source, b.endErr = stream, io.EOF
+	}
+	b.source = stream
+	b.continueWith(event)
+}
+
+// cut ends the stream without its end.
+func (b *streamBody) cut(failure *errs.Error) {
+	b.call.trace.setCut(failure)
+	b.endErr = failure
+}
+
+// continueWith continues the stream with the events of a new source, of which the first one
+// has been read.
+func (b *streamBody) continueWith(event eventstream.Event) {
+	c := b.call
+	if len(event.Bytes) == 0 {
+		b.endErr = io.EOF
 		b.source.release(c, placer.Done)
 		return
-	case event.ID != b.lastEventID+1:
-		b.source = stream
-		b.source.release(c, placer.Failed)
-		b.endErr = errs.New(errs.WrongAnswer, "the resumed stream does not continue at the next event")
-		return
 	}
-	b.source, b.progressAt = stream, time.Now()
 	b.enqueue(event)
-	c.trace.addStep(StepResumed, stream.lease.Grant.Target, "")
+	c.trace.addStep(StepResumed, b.source.lease.Grant.Target, "")
 }
 
 // Close implements io.Closer. The HTTP server calls it when the stream has
@@ -445,10 +595,16 @@
 		return nil
 	}
 	b.closed = true
-	b.source.release(b.call, placer.Cancelled)
-	if b.endErr == io.EOF {
-		b.call.trace.setResponse(b.source.exchange.Status, b.source.lease.Grant.Target)
-	}
-	b.call.finish()
+	c := b.call
+	b.handover.abandon()
+	b.source.release(c, placer.Cancelled)
+	switch b.endErr {
+	case io.EOF:
+		c.trace.setResponse(b.source.exchange.Status, b.source.lease.Grant.Target)
+	case nil:
+		c.callerLeft.Store(true)
+		c.trace.setCut(errs.New(errs.Cancelled, "writing to the caller failed").WithRan(errs.RanYes))
+	}
+	c.finish()
 	return nil
 }
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -10,6 +10,7 @@
 	EdgeEventGap          Name = "edge_event_gap"
 	EdgeLate              Name = "edge_late"
 	EdgeStreamsResumed    Name = "edge_streams_resumed"
+	EdgeStreamsCut        Name = "edge_streams_cut"
 	EdgeAttemptsFailed    Name = "edge_attempts_failed"
 	EdgeMalformed         Name = "edge_malformed"
 	EdgeTargetConnections Name = "edge_target_connections"
@@ -32,6 +33,8 @@
 	EdgeLogLinesDropped   Name = "edge_log_lines_dropped"
 	EdgePanics            Name = "edge_panics"
 	EdgeQuarantines       Name = "edge_quarantines"
+	EdgeTargetsLeaving    Name = "edge_targets_leaving"
+	EdgeStatementsIgnored Name = "edge_statements_ignored"
 )
 
 // EdgeDefinitions lists the metrics of an entry VM on the users' platform.
@@ -44,10 +47,13 @@
 	{EdgeEventGap, Latency, microseconds, "of streams, the longest pause between two events"},
 	{EdgeLate, ByLabel, "streams", "first event or a pause over the route's objective"},
 	{EdgeStreamsResumed, Counter, "streams", "continued at another target"},
+	{EdgeStreamsCut, ByLabel, "streams", "ended after their head without their end, by error code; cancelled: the caller left"},
 	{EdgeAttemptsFailed, ByLabel, "attempts", "requests to a target that failed, by reason"},
 	{EdgeMalformed, ByLabel, "requests", "input that is no request, by status"},
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
+	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
+	{EdgeStatementsIgnored, ByLabel, "statements", "of targets about themselves that were ignored, by header field; foreign: in an answer of another target or to another request"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
 	{EdgeGroupChanges, ByLabel, "actions", "of this VM on the objects of groups, with the error code"},
@@ -60,7 +66,7 @@
 	{EdgeOwnersSilent, Counter, "times", "an owner did not answer any more"},
 	{EdgeConfigVersion, Gauge, "version", "configuration in force"},
 	{EdgeStoreCalls, ByLabel, "calls", "lists and watches of the store, by kind and error code"},
-	{EdgeRepeats, ByLabel, "requests", "questions to the budget of repeats, allowed or denied"},
+	{EdgeRepeats, ByLabel, "requests", "questions to the budget of repeats, allowed or denied; returned: allowed and not sent"},
 	{EdgeQueue, Gauge, "requests", "waiting for a target, as owner"},
 	{EdgeQueueAge, Gauge, "milliseconds", "of the oldest request that waits, as owner"},
 	{EdgeViewAge, Gauge, "milliseconds", "since the last news of the deployment from another VM, -1 if none is followed"},
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,6 +16,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/socketstate"
 )
 
 const (
@@ -29,10 +30,6 @@
 	resetLingerSeconds = 0
 )
 
-// expiredDeadline lies in the past, so that all pending and future reads and
-// writes fail at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // Client opens exchanges with targets. It is safe for concurrent use.
 type Client struct {
 	// Dial opens a connection to a target.
@@ -51,6 +48,9 @@
 	URI     string          // path and query, as received from the caller
 	Fields  httpfields.List // header fields; Content-Length is added
 	Body    []byte
+	// Connected is called before the first byte of the request is sent, unless it is nil. If
+	// it returns false, nothing is sent.
+	Connected func() bool
 }
 
 // Exchange is one request to a target and its response.
@@ -60,15 +60,14 @@
 
 	conn         net.Conn
 	input        input
+	reader       *bufio.Reader // of input
 	response     fasthttp.Response
 	stopAbort    func() bool   // stops abort from running when the context ends
 	bytesWritten atomic.Int64  // of the request, set when writing has ended
 	writeDone    chan struct{} // closed when writing the request has ended
-	mu           sync.Mutex    // guards aborted and deadline
-	aborted      bool
-	hasBody      bool // the method and the status allow a body
-	complete     bool // the response body was read to its end
-	deadline     time.Time
+	method       string        // of the request
+	hasBody      bool          // the method and the status allow a body
+	complete     bool          // the response body was read to its end
 	connectTime  time.Duration
 }
 
@@ -91,11 +90,21 @@
 		return nil, errs.Wrap(err, errs.TargetUnavailable, "connecting to the target failed").WithRan(errs.RanNo)
 	}
 	c.opened.Add(1)
-	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{}), deadline: timeouts.Deadline}
+	if socketstate.Of(conn) != socketstate.Idle {
+		_ = conn.Close()
+		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
+	}
+	e := &Exchange{conn: conn, method: r.Method, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
+	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
+	if r.Connected != nil && !r.Connected() {
+		close(e.writeDone)
+		e.Close()
+		return nil, errs.NotRun(errs.Cancelled, "the request was not sent")
+	}
 	e.send(r)
-	if err := e.readHead(r.Method); err != nil {
+	if err := e.readHead(); err != nil {
 		ran := errs.RanUnknown
 		e.Close()
 		if e.bytesWritten.Load() == 0 {
@@ -159,18 +168,22 @@
 
 // input reads from a connection and keeps what the parser hides.
 type input struct {
-	conn   net.Conn
-	head   []byte // bytes read while the head is parsed
-	inBody bool   // the head has been parsed
-	err    error  // with which reading ended; the parser replaces some
+	conn    net.Conn
+	aborted atomic.Bool // the connection was closed by Exchange.abort
+	head    []byte      // bytes read while a head is parsed
+	inHead  bool        // a head is being parsed
+	err     error       // with which reading ended; the parser replaces some
 }
 
 // Read implements io.Reader.
 func (i *input) Read(p []byte) (int, error) {
 	n, err := i.conn.Read(p)
-	if !i.inBody {
+	if i.inHead {
 		i.head = append(i.head, p[:n]...)
 	}
+	if err != nil && i.aborted.Load() {
+		err = os.ErrDeadlineExceeded
+	}
 	if err != nil {
 		i.err = err
 	}
@@ -186,16 +199,18 @@
 	return err
 }
 
-// readHead reads the status line and the header fields of the response to a request with a
-// method.
-func (e *Exchange) readHead(method string) error {
-	e.response.StreamBody, e.response.SkipBody = true, method == fasthttp.MethodHead
-	reader := bufio.NewReaderSize(&e.input, readBufferBytes)
-	if err := e.response.ReadLimitBody(reader, 0); err != nil {
+// readHead reads the status line and the header fields of the response.
+func (e *Exchange) readHead() error {
+	e.response.StreamBody, e.response.SkipBody = true, e.method == fasthttp.MethodHead
+	buffered, _ := e.reader.Peek(e.reader.Buffered())
+	e.input.head, e.input.inHead = append([]byte(nil), buffered...), true
+	err := e.response.ReadLimitBody(e.reader, 0)
+	e.input.inHead = false
+	if err != nil {
 		return e.input.cause(err)
 	}
-	head := e.input.head[:len(e.input.head)-reader.Buffered()]
-	e.input.head, e.input.inBody = nil, true
+	head := e.input.head[:len(e.input.head)-e.reader.Buffered()]
+	e.input.head = nil
 	if err := checkHead(head, &e.response.Header); err != nil {
 		return err
 	}
@@ -209,6 +224,28 @@
 	return nil
 }
 
+// Next skips the rest of the current response, of at most limit bytes, and reads the head
+// of the next response on the same connection. It fails if the current response ends with
+// the connection.
+func (e *Exchange) Next(limit int64) *errs.Error {
+	if e.Unframed() {
+		return errs.New(errs.WrongAnswer, "the response ends with the connection, so no other can follow").WithRan(errs.RanUnknown)
+	}
+	if n, err := io.CopyN(io.Discard, e, limit+1); err != io.EOF {
+		if n > limit {
+			return errs.New(errs.TooLarge, "the response body of the target is too large").WithRan(errs.RanUnknown)
+		}
+		return typedError(err).WithRan(errs.RanUnknown)
+	}
+	e.complete = false
+	e.Fields = nil
+	e.response.Reset()
+	if err := e.readHead(); err != nil {
+		return typedError(err).WithRan(errs.RanUnknown)
+	}
+	return nil
+}
+
 // Read reads the response body. It returns io.EOF only at the end of a
 // complete body.
 func (e *Exchange) Read(p []byte) (int, error) {
@@ -250,27 +287,14 @@
 	return body, nil
 }
 
-// SetReadTimeout makes reads fail once the timeout has passed, counted from
-// this call. The deadline of the exchange still applies.
-func (e *Exchange) SetReadTimeout(timeout time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.aborted {
-		return
-	}
-	end := time.Now().Add(timeout)
-	if end.After(e.deadline) {
-		end = e.deadline
-	}
-	_ = e.conn.SetReadDeadline(end)
-}
-
-// abort makes all reads and writes of the exchange fail.
+// abort closes the connection, so that the target stops working on the request. All reads
+// and writes of the exchange fail as after its deadline.
 func (e *Exchange) abort() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.aborted = true
-	_ = e.conn.SetDeadline(expiredDeadline)
+	e.input.aborted.Store(true)
+	if tcp, ok := e.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(resetLingerSeconds)
+	}
+	_ = e.conn.Close()
 }
 
 // Close ends the exchange. The connection is reset if the response is
@@ -303,13 +327,3 @@
 	}
 	return errs.Wrap(err, errs.TruncatedAnswer, "the target closed the connection or sent an invalid response")
 }
-
-// SetDeadline replaces the deadline of the whole exchange.
-func (e *Exchange) SetDeadline(deadline time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.deadline = deadline
-	if !e.aborted {
-		_ = e.conn.SetDeadline(deadline)
-	}
-}
--- a/internal/upstream/truncated_test.go
+++ b/internal/upstream/truncated_test.go
@@ -265,3 +265,33 @@
 		}
 	}
 }
+
+// Guards against a second head on a connection that is checked together with what came before
+// it, or not at all.
+func TestSecondHeadsAreChecked(t *testing.T) {
+	const first, second = "HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nno", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	const bare = "HTTP/1.1 200 OK\r\nX: y\r\n\nContent-Length: 2\r\n\r\nok"
+	for text, whole := range map[string]bool{first + second: true, first + bare: false, first + second[:len(second)-3]: false} {
+		for _, byteWise := range []bool{false, true} {
+			client := upstream.Client{Dial: func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					_, _ = far.Read(make([]byte, 256)) // the request
+					truncation{sent: text, end: closed, byteWise: byteWise}.serve(far)
+				}()
+				return near, nil
+			}}
+			e, failure := client.Open(context.Background(), upstream.Request{Address: "t", Method: "GET", URI: "/"}, upstream.Timeouts{
+				Connect: time.Minute, Deadline: time.Now().Add(time.Minute),
+			})
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			failure = e.Next(1 << 10)
+			if (failure == nil) != whole || whole && e.Status != 200 {
+				t.Errorf("%q: status %d, failure %v", text, e.Status, failure)
+			}
+			e.Close()
+		}
+	}
+}
