--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -28,10 +28,6 @@
 	// resetLingerSeconds makes Close reset the connection and discard unsent
 	// bytes.
 	resetLingerSeconds = 0
-	// Range of the statuses of final answers. The parser reads interim answers over, except
-	// for 101, which no request asks for.
-	minStatus = 200
-	maxStatus = 599
 )
 
 // Client opens exchanges with targets. It is safe for concurrent use.
@@ -69,7 +65,8 @@
 	stopAbort    func() bool   // stops abort from running when the context ends
 	bytesWritten atomic.Int64  // of the request, set when writing has ended
 	writeDone    chan struct{} // closed when writing the request has ended
-	hasBody      bool          // the status allows a body
+	method       string        // of the request
+	hasBody      bool          // the method and the status allow a body
 	complete     bool          // the response body was read to its end
 	connectTime  time.Duration
 }
@@ -97,7 +94,7 @@
 		_ = conn.Close()
 		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
 	}
-	e := &Exchange{conn: conn, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
+	e := &Exchange{conn: conn, method: r.Method, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
 	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
@@ -169,17 +166,21 @@
 	return append(b, r.Body...)
 }
 
-// input reads from a connection and keeps the error with which that ended, because the parser
-// replaces some.
+// input reads from a connection and keeps what the parser hides.
 type input struct {
 	conn    net.Conn
 	aborted atomic.Bool // the connection was closed by Exchange.abort
-	err     error
+	head    []byte      // bytes read while a head is parsed
+	inHead  bool        // a head is being parsed
+	err     error       // with which reading ended; the parser replaces some
 }
 
 // Read implements io.Reader.
 func (i *input) Read(p []byte) (int, error) {
 	n, err := i.conn.Read(p)
+	if i.inHead {
+		i.head = append(i.head, p[:n]...)
+	}
 	if err != nil && i.aborted.Load() {
 		err = os.ErrDeadlineExceeded
 	}
@@ -200,11 +201,20 @@
 
 // readHead reads the status line and the header fields of the response.
 func (e *Exchange) readHead() error {
-	e.response.StreamBody = true
-	if err := e.response.ReadLimitBody(e.reader, 0); err != nil {
+	e.response.StreamBody, e.response.SkipBody = true, e.method == fasthttp.MethodHead
+	buffered, _ := e.reader.Peek(e.reader.Buffered())
+	e.input.head, e.input.inHead = append([]byte(nil), buffered...), true
+	err := e.response.ReadLimitBody(e.reader, 0)
+	e.input.inHead = false
+	if err != nil {
 		return e.input.cause(err)
 	}
-	if e.Status = e.response.StatusCode(); e.Status < minStatus || e.Status > maxStatus {
+	head := e.input.head[:len(e.input.head)-e.reader.Buffered()]
+	e.input.head = nil
+	if err := checkHead(head, &e.response.Header); err != nil {
+		return err
+	}
+	if e.Status = e.response.StatusCode(); !httpfields.FinalStatus(e.Status) {
 		return errs.New(errs.WrongAnswer, "the target responded with status "+strconv.Itoa(e.Status)+", which is no final answer")
 	}
 	e.hasBody = e.response.BodyStream() != nil
