gateway, test: The time until a connection ends is measured from before it opens

The time was taken from behind the opening of the connection, 4 ms after the server had accepted it and begun its wait.

The lower bounds hold for the time from before the connection opens, which no wait of the server can precede; the upper bounds now include the opening.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -40,13 +40,12 @@
 	return c
 }
 
-// ended reads the rest of a connection until it ends, and returns it with the time taken.
-func ended(g *gomega.WithT, c net.Conn) (rest string, took time.Duration) {
-	began := time.Now()
-	_ = c.SetReadDeadline(began.Add(10 * time.Second))
+// readToEnd reads the rest of a connection until it ends.
+func readToEnd(g *gomega.WithT, c net.Conn) string {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 	text, err := io.ReadAll(c)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	return string(text), time.Since(began)
+	return string(text)
 }
 
 // Guards against an idle limit of the configuration that does not apply: callers reuse a
@@ -57,7 +56,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			_, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: idle, HeaderTimeout: 50 * time.Millisecond})
-			_, took := ended(g, connect(t, address, 0, texts...))
+			began := time.Now()
+			readToEnd(g, connect(t, address, 0, texts...))
+			took := time.Since(began)
 			g.Expect(took).To(gomega.BeNumerically(">=", idle))
 			g.Expect(took).To(gomega.BeNumerically("<", 5*idle))
 		})
@@ -94,7 +95,7 @@
 func TestConnectionWithoutARequestGetsNoAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: 200 * time.Millisecond, HeaderTimeout: 100 * time.Millisecond})
-	text, _ := ended(g, connect(t, address, 0))
+	text := readToEnd(g, connect(t, address, 0))
 	g.Expect(text).To(gomega.BeEmpty())
 	g.Expect(w.malformed).To(gomega.BeEmpty())
 }
@@ -112,7 +113,9 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			_, address := newLimitedWorld(t, limits)
-			answer, took := ended(g, connect(t, address, 0, strings.Replace(text, "GET /x", "POST /x", 1)))
+			began := time.Now()
+			answer := readToEnd(g, connect(t, address, 0, strings.Replace(text, "GET /x", "POST /x", 1)))
+			took := time.Since(began)
 			g.Expect(answer).To(gomega.HavePrefix("HTTP/1.1 408 "))
 			g.Expect(answer).To(gomega.ContainSubstring("Connection: close"))
 			g.Expect(took).To(gomega.BeNumerically(">=", limits.HeaderTimeout))
