httpstore: A second copy of an answer is not the answer to the next call

What callers saw: nothing directly. The product's client of the object API keeps its connections and took whatever arrived next for the answer. After a second copy of a conflict, a later write that took effect counted as refused.

Evidence: TestSecondCopyOfAnAnswerIsNotTheNextOne failed before: "Expected <errs.Code>: conflict to equal <errs.Code>: store_unavailable": the second create was sent into the copy.

Why this works: a kept connection on which bytes are waiting, or which the peer has closed, sends nothing (internal/keptconn, as for orders and the platform's store). A write that was not sent certainly had no effect; a read is repeated on a new connection.

Not covered: a copy that comes between a call and its answer.

--- a/internal/objectstore/httpstore/client.go
+++ b/internal/objectstore/httpstore/client.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/keptconn"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/objectstore/httpapi"
 )
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, dialError{err}
 	}
-	return conn, nil
+	return keptconn.New(conn), nil
 }
 
 // Close closes the idle connections.
--- a/internal/objectstore/httpstore/httpstore_test.go
+++ b/internal/objectstore/httpstore/httpstore_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -251,3 +254,49 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(listing.Targets).To(gomega.ConsistOf(model.Target{Name: "runner-1", Slots: 4}))
 }
+
+// Guards against a second copy of an answer that is taken for the answer to the next call on
+// the same connection: a write that took effect would count as refused.
+func TestSecondCopyOfAnAnswerIsNotTheNextOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	body, err := json.Marshal(errs.New(errs.Conflict, "the object already exists"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	conflict := fmt.Sprintf("HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	received := make(chan struct{}, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				for buf := make([]byte, 4096); ; {
+					if _, err := conn.Read(buf); err != nil {
+						return
+					}
+					received <- struct{}{}
+					_, _ = io.WriteString(conn, conflict)
+					time.Sleep(20 * time.Millisecond) // the connection is idle again
+					_, _ = io.WriteString(conn, conflict)
+				}
+			}()
+		}
+	}()
+	client := newClient(t, l.Addr().String())
+	_, err = client.Create(ctx, "a", []byte("1"))
+	g.Expect(err).To(haveCode(errs.Conflict))
+	time.Sleep(100 * time.Millisecond)
+	_, err = client.Create(ctx, "b", []byte("1"))
+	g.Expect(err).To(haveCode(errs.StoreUnavailable))
+	g.Expect(received).To(gomega.HaveLen(1), "the second call was sent")
+	_, err = client.Get(ctx, "b", 0) // on a new connection
+	g.Expect(err).To(haveCode(errs.Conflict))
+	time.Sleep(100 * time.Millisecond)
+	_, err = client.Get(ctx, "b", 0) // the kept connection holds a copy, so another one is opened
+	g.Expect(err).To(haveCode(errs.Conflict))
+	g.Expect(received).To(gomega.HaveLen(3))
+}
--- a/internal/objectstore/httpstore/response.go
+++ b/internal/objectstore/httpstore/response.go
@@ -46,10 +46,10 @@
 }
 
 // transportError classifies an error of the HTTP client: if no connection was
-// available, the call certainly had no effect.
+// available, or a write was not sent on a kept one, the call certainly had no effect.
 func transportError(isWrite bool, err error) error {
 	var dialErr dialError
-	if errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns) || isWrite && errs.Is(err, errs.TargetUnavailable) {
 		return errs.Wrap(err, errs.StoreUnavailable, "no connection to the platform")
 	}
 	return unansweredError(isWrite, err)
