target: Only an answer to this request is a refusal of a stream

What callers saw: "not run" (503) for a request that a target runs, if that target wrote a refusal of another request where the answer was due, or before the request was sent.

Cause: a stream's refusal was believed before its X-Request-Id was compared (answers of services are compared, internal/target/service.go), and a request was sent into bytes that were there before it.

Why this works: an answer that names another request leaves open whether this one runs, and a connection that holds bytes before the request is closed without sending it. Targets need not echo the ID: an answer without one is believed as before, since each exchange has a connection of its own.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -12,6 +12,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/socketstate"
 )
 
 // trackedConn is a connection that serves a single request. It records whether
@@ -35,6 +36,10 @@
 	if err != nil {
 		return nil, asNotRun(errs.Wrap(err, errs.TargetUnavailable, "connection to target could not be established"))
 	}
+	if socketstate.Of(netConn) != socketstate.Idle {
+		_ = netConn.Close()
+		return nil, asNotRun(errs.New(errs.TargetUnavailable, "target answered before the request, or closed the connection"))
+	}
 	conn := &trackedConn{Conn: netConn}
 	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	conn.stopAbortOnCancel = context.AfterFunc(ctx, conn.abort)
--- a/internal/target/dispatch.go
+++ b/internal/target/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -66,6 +67,12 @@
 	if err := resp.Read(conn.reader); err != nil {
 		return s.readError(err)
 	}
+	// Targets need not echo the ID of a request.
+	sent, echoed := req.Header.Peek(headerRequestID), resp.Header.Peek(headerRequestID)
+	if len(sent) > 0 && len(echoed) > 0 && !bytes.Equal(sent, echoed) {
+		s.client.stats.Discarded.Add(1)
+		return errs.New(errs.WrongAnswer, "target answered with another request ID").WithRan(errs.RanUnknown)
+	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return s.readRefusal(conn, resp)
 	}
--- a/internal/target/stream_test.go
+++ b/internal/target/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
+	"cicadaslip/internal/socketstate"
 	"cicadaslip/internal/standin/runner"
 	"cicadaslip/internal/target"
 )
@@ -187,3 +189,64 @@
 		}
 	})
 }
+
+// Guards against a refusal of another request that is taken for the answer to this one, which
+// may run, and against an answer that was there before the request.
+func TestOnlyARefusalOfThisRequestIsNotRun(t *testing.T) {
+	body, err := json.Marshal(map[string]any{"error": errs.NotRun(errs.Overloaded, "full")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	for name, c := range map[string]struct {
+		answer string
+		first  bool // the answer is there before the request
+		notRun bool
+		sent   bool
+	}{
+		"own":                {"X-Request-Id: q1\r\n" + refusal, false, true, true},
+		"without an ID":      {refusal, false, true, true},
+		"of another request": {"X-Request-Id: q0\r\n" + refusal, false, false, true},
+		"before the request": {refusal, true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = l.Close() }()
+			received := make(chan bool, 16)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					answer := "HTTP/1.1 503 Full\r\n" + c.answer
+					if c.first {
+						_, _ = io.WriteString(conn, answer)
+					}
+					n, _ := conn.Read(make([]byte, 4096))
+					received <- n > 0
+					if !c.first {
+						_, _ = io.WriteString(conn, answer)
+					}
+					_ = conn.Close()
+				}
+			}()
+			config := shortTimeouts
+			if c.first {
+				config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					for err == nil && socketstate.Of(conn) == socketstate.Idle {
+						time.Sleep(time.Millisecond)
+					}
+					return conn, err
+				}
+			}
+			_, _, err = streamText(target.New(config), model.Target{Address: l.Addr().String()}, "q1", 2)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(errs.As(err).Ran == errs.RanNo).To(gomega.Equal(c.notRun), "%v", err)
+			g.Expect(<-received).To(gomega.Equal(c.sent))
+		})
+	}
+}
