gateway, test: Silence after a refusal of another request

The cases of TestOnlyARefusalOfThisRequestIsBelieved have the true answer follow at once. This one has none follow: a request that may be repeated goes to another target, one that may not is told 504 and not "not run", and both end. Passes on the present code; no fault was found.

--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -159,3 +159,39 @@
 	g.Expect(<-received).To(gomega.Equal(size - 4096))
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 }
+
+// Guards against a request whose answer is given up, or that is told "not run", because a
+// refusal of another request came before and the answer takes its time.
+func TestSilenceAfterARefusalOfAnotherRequest(t *testing.T) {
+	for kindName, k := range requestKinds {
+		t.Run(kindName, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			answer := ownPlainAnswer
+			if k.kind == fleet.Streaming {
+				answer = ownStream
+			}
+			arrivals := make(chan int, 8)
+			w, address := newWorld(t, k.kind, func(conn net.Conn) {
+				arrivals <- 1
+				if len(arrivals) > 1 {
+					_, _ = io.WriteString(conn, answer)
+					return
+				}
+				_, _ = io.WriteString(conn, foreignRefusal)
+				_, _ = conn.Read(make([]byte, 1)) // until the gateway leaves
+			})
+			w.route.Resumable, w.route.MaxAttempts = k.repeatable, 2
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if k.repeatable {
+				g.Expect(status).To(gomega.Equal(http.StatusOK))
+				g.Expect(arrivals).To(gomega.HaveLen(2))
+			} else {
+				g.Expect(status).To(gomega.Equal(http.StatusGatewayTimeout))
+				g.Expect(arrivals).To(gomega.HaveLen(1))
+			}
+			g.Eventually(w.inFlight).Should(gomega.BeZero())
+		})
+	}
+}
