metrics: edge_malformed counts requests that arrive too slowly, too

Since a request that is not whole in time is answered with 408 (limits of the configuration), edge_malformed counts it under that status.

--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -49,7 +49,7 @@
 	{EdgeStreamsResumed, Counter, "streams", "continued at another target"},
 	{EdgeStreamsCut, ByLabel, "streams", "ended after their head without their end, by error code; cancelled: the caller left"},
 	{EdgeAttemptsFailed, ByLabel, "attempts", "requests to a target that failed, by reason"},
-	{EdgeMalformed, ByLabel, "requests", "input that is no request, by status"},
+	{EdgeMalformed, ByLabel, "requests", "input that is no request, or not a whole one in time, by status"},
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
 	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
