frontend: A connection without a request gets no answer

What callers saw, in the product's own mode: a 408 on a new connection on which they had sent nothing yet. A caller that sends its request at that moment takes it for the answer to it.

Cause: the HTTP library answers a first wait that ends.

Evidence: TestConnectionWithoutARequestGetsNoAnswer failed before: "Expected <string>: HTTP/1.1 408 Request Timeout ... to be empty".

Why this works: the front end takes its limits from internal/callerconn, too. A wait without a byte ends the connection without an answer. The limits are the same as before: ReadTimeout for the first byte and for the header, IdleTimeout between requests (Limits.First, Idle, Header). TrackState moves from the gateway to internal/callerconn unchanged.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"cicadaslip/internal/socketstate"
 )
 
@@ -24,9 +26,23 @@
 	closed    atomic.Bool
 	idle      atomic.Bool // no byte of a request has arrived
 	idleSince time.Time   // when the wait for it began
+	used      bool        // a request has begun
 	lateInput bool        // the current time limit has ended while input was there
 }
 
+// TrackState tells a connection of a Listener when a request begins and ends. It is the
+// ConnState function of the HTTP server.
+func TrackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*Conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		conn.BeginRequest()
+	case state == fasthttp.StateIdle:
+		conn.BeginIdle()
+	}
+}
+
 // BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
 func (c *Conn) BeginIdle() {
 	if c.listener.Limits == nil {
@@ -35,7 +51,16 @@
 	c.idle.Store(true)
 	c.lateInput = false
 	c.idleSince = time.Now()
-	_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.listener.Limits().Idle))
+	_ = c.Conn.SetReadDeadline(c.idleEnd())
+}
+
+// idleEnd returns the end of the current wait under the current limits.
+func (c *Conn) idleEnd() time.Time {
+	limits := c.listener.Limits()
+	if c.used {
+		return c.idleSince.Add(limits.Idle)
+	}
+	return c.idleSince.Add(limits.First)
 }
 
 // BeginRequest starts the time limit for the header of a request, whose first byte has
@@ -45,6 +70,7 @@
 		return
 	}
 	c.idle.Store(false)
+	c.used = true
 	c.lateInput = false
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
 }
@@ -77,7 +103,7 @@
 	if !c.idle.Load() {
 		return false
 	}
-	end := c.idleSince.Add(c.listener.Limits().Idle)
+	end := c.idleEnd()
 	return time.Until(end) > 0 && c.Conn.SetReadDeadline(end) == nil
 }
 
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -30,7 +30,7 @@
 // Guards against a request that arrives in time and is dropped, because the process did not
 // run when the time limit ended.
 func TestInputThatArrivedDuringAPauseIsRead(t *testing.T) {
-	limits := callerconn.Limits{Idle: 50 * time.Millisecond, Header: 50 * time.Millisecond}
+	limits := callerconn.Limits{First: 50 * time.Millisecond, Idle: 50 * time.Millisecond, Header: 50 * time.Millisecond}
 	for name, begin := range map[string]func(*callerconn.Conn){"idle": (*callerconn.Conn).BeginIdle, "header": (*callerconn.Conn).BeginRequest} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -22,8 +22,9 @@
 
 // Limits bounds how long a caller may take.
 type Limits struct {
-	Idle   time.Duration // until the first byte of the next request
-	Header time.Duration // from there to the end of its header
+	First  time.Duration // from the opening of a connection to the first byte of a request
+	Idle   time.Duration // from the end of a response to the first byte of the next request
+	Header time.Duration // from the first byte of a request to the end of its header
 }
 
 // Listener limits the number of open connections and the duration of each
@@ -37,8 +38,8 @@
 	// RefusalResponse is the complete HTTP response sent to connections beyond
 	// Limit.
 	RefusalResponse []byte
-	// Limits returns the current time limits of callers. If it is nil, the HTTP server sets
-	// the deadlines of reads.
+	// Limits returns the current time limits of callers. They hold if the HTTP server calls
+	// TrackState and sets no timeouts of its own. If it is nil, there are none.
 	Limits func() Limits
 
 	openConns atomic.Int64
--- a/internal/frontend/caller_fault_test.go
+++ b/internal/frontend/caller_fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -96,3 +97,14 @@
 	}
 	f.Eventually(drained, "10s").Should(gomega.Receive(gomega.BeNil()))
 }
+
+// Guards against an answer on a connection without a request, which would be taken for the
+// answer to the next one.
+func TestConnectionWithoutARequestGetsNoAnswer(t *testing.T) {
+	f := newFixture(t, func(l *serverLimits) { l.ReadTimeout, l.IdleTimeout = 200*time.Millisecond, 300*time.Millisecond })
+	conn := f.dial("")
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	answer, err := io.ReadAll(conn)
+	f.Expect(err).NotTo(gomega.HaveOccurred())
+	f.Expect(string(answer)).To(gomega.BeEmpty())
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -66,8 +66,7 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleParseError, Name: "cicadaslip",
 		Concurrency: limits.MaxConnections + spareConcurrency, ReadBufferSize: limits.MaxHeaderBytes,
-		ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxRequestBodySize: bodyPrefixBytes, StreamRequestBody: true,
+		MaxRequestBodySize: bodyPrefixBytes, StreamRequestBody: true, ConnState: callerconn.TrackState,
 		DisablePreParseMultipartForm: true, NoDefaultContentType: true, CloseOnShutdown: true,
 		Logger: discardLogger{}, LogAllErrors: false,
 	}
@@ -86,6 +85,9 @@
 	status, _, body := renderError(errs.NotRun(errs.Overloaded, "too many connections").WithRetry(time.Second))
 	err := s.http.Serve(&callerconn.Listener{
 		Listener: listener, Limit: int64(s.limits.MaxConnections), WriteTimeout: s.limits.WriteStallTimeout, RefusalResponse: rawErrorResponse(status, body),
+		Limits: func() callerconn.Limits {
+			return callerconn.Limits{First: s.limits.ReadTimeout, Idle: s.limits.IdleTimeout, Header: s.limits.ReadTimeout}
+		},
 	})
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "caller listener failed")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,7 +81,7 @@
 		Handler: s.handle, ErrorHandler: s.handleMalformed, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Concurrency: maxConnections + concurrencyMargin,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: defaultBodyBytes, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: true,
-		HeaderReceived: s.requestConfig, CloseOnShutdown: true, ConnState: trackState, Logger: discardLogger{},
+		HeaderReceived: s.requestConfig, CloseOnShutdown: true, ConnState: callerconn.TrackState, Logger: discardLogger{},
 	}
 	return s
 }
@@ -112,19 +112,7 @@
 // callerLimits returns the time limits for the connections of callers.
 func (s *Server) callerLimits() callerconn.Limits {
 	limits := s.limits()
-	return callerconn.Limits{Idle: limits.IdleTimeout, Header: limits.HeaderTimeout}
-}
-
-// trackState tells the connection of a caller when a request begins and ends.
-func trackState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*callerconn.Conn)
-	switch {
-	case !ok:
-	case state == fasthttp.StateActive:
-		conn.BeginRequest()
-	case state == fasthttp.StateIdle:
-		conn.BeginIdle()
-	}
+	return callerconn.Limits{First: limits.IdleTimeout, Idle: limits.IdleTimeout, Header: limits.HeaderTimeout}
 }
 
 // Serve accepts connections from a listener and handles their requests until
