callerconn: A request that crosses the close of an idle connection stays unread

What callers saw: a request that is sent on a kept connection at the moment at which the server closes it was read and discarded, and the connection ended. The caller may send it again only if it can tell that it was not passed on.

Evidence: TestCloseOfAnIdleConnectionLeavesARequestUnread failed before: "EOF to match error <syscall.Errno>: connection reset by peer".

An idle connection has no answer under way (its caller has read the last one, or had the whole idle limit to read it), so it is closed at once: a request that crosses the close stays in the socket and is answered by a reset.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -116,11 +116,17 @@
 
 // Close implements net.Conn. It returns immediately; linger closes the
 // connection in the background, and the connection counts towards the
-// listener's limit until then.
+// listener's limit until then. An idle connection is closed at once: a request that crosses
+// the close stays unread, which its caller can tell from the reset.
 func (c *Conn) Close() error {
-	if !c.closed.Swap(true) {
-		go c.linger()
+	if c.closed.Swap(true) {
+		return nil
 	}
+	if c.idle.Load() {
+		defer c.listener.openConns.Add(-1)
+		return c.Conn.Close()
+	}
+	go c.linger()
 	return nil
 }
 
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -3,12 +3,14 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/callerconn"
+	"cicadaslip/internal/socketstate"
 )
 
 // accept opens a connection through a listener with the limits.
@@ -48,3 +50,17 @@
 		})
 	}
 }
+
+// Guards against a request that crosses the close of an idle connection and is read without
+// an answer: its caller could not tell that it has not been passed on.
+func TestCloseOfAnIdleConnectionLeavesARequestUnread(t *testing.T) {
+	g := gomega.NewWithT(t)
+	caller, conn := accept(t, callerconn.Limits{First: time.Second, Idle: time.Second, Header: time.Second})
+	_, err := io.WriteString(caller, "request")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() socketstate.State { return socketstate.Of(conn.Conn) }).Should(gomega.Equal(socketstate.Readable))
+	g.Expect(conn.Close()).To(gomega.Succeed())
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = caller.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+}
