callerconn: A request that is read during a shutdown is answered

What callers saw: a request on a kept connection that a VM had read when its shutdown closed the idle connections got no answer. The connection ended, and since the request had been read, the caller could not know that it was not passed on.

Cause: between the read of a request's first bytes and the mark that a request has begun, the HTTP library's shutdown may claim the connection as idle. It then drops what was read (fasthttp, serveConn: "drop it silently"). The window is short on an idle machine and long on one that is suspended or waits for its processor in between. The gateway's shutdown also did not wait for requests of which the header was read in part, or whose handler had not begun.

Evidence: TestRequestThatIsReadDuringAShutdownIsAnswered, which stops a connection behind its read, failed before on a kept connection: "Unexpected error: unexpected EOF" (without its check that the shutdown waits, which failed, too).

Why this works: a connection waits for the next request without reading it (socketstate.Await), and only such a connection is closed. Either the close comes first, and the request stays unread and is answered by a reset; or the request is claimed first, is read and answered, and the shutdown waits for it. Pipelined requests are claimed with the bytes that came before. The library's own shutdown is not used any more. A caller that does not finish its header holds the shutdown up to the header's time limit, and to the end of the grace period at most.

Costs one more system call for each request on a connection.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -24,7 +24,8 @@
 	net.Conn
 	listener  *Listener
 	closed    atomic.Bool
-	idle      atomic.Bool // no byte of a request has arrived
+	idle      atomic.Bool // no byte of the next request has been read
+	unread    atomic.Bool // a Read waits for the next request, of which nothing has arrived
 	idleSince time.Time   // when the wait for it began
 	used      bool        // a request has begun
 	lateInput bool        // the current time limit has ended while input was there
@@ -79,9 +80,18 @@
 // HTTP server closes the connection without a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := 0, error(nil)
+		if c.idle.Load() {
+			err = c.awaitInput()
+		}
+		if err == nil {
+			n, err = c.Conn.Read(p)
+		}
 		switch {
-		case n > 0 || err == nil:
+		case n > 0:
+			c.idle.Store(false)
+			return n, err
+		case err == nil:
 			return n, err
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait():
 			continue
@@ -92,6 +102,27 @@
 	}
 }
 
+// awaitInput waits until there is input, without reading it. Meanwhile the connection may be
+// closed by closeUnread.
+func (c *Conn) awaitInput() error {
+	c.unread.Store(true)
+	err := socketstate.Await(c.Conn)
+	if !c.unread.Swap(false) {
+		return net.ErrClosed
+	}
+	return err
+}
+
+// closeUnread closes the connection if nothing of its next request has been read, and
+// reports whether it has done so. A request that crosses this stays unread.
+func (c *Conn) closeUnread() bool {
+	if !c.unread.Swap(false) {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // extendWait moves the read deadline if the time limit has become longer since the
 // connection is idle, or if input is there that was not read in time. It reports whether it
 // has done so.
@@ -122,6 +153,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
+	c.listener.remove(c)
 	if c.idle.Load() {
 		defer c.listener.openConns.Add(-1)
 		return c.Conn.Close()
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -1,6 +1,7 @@
 package callerconn_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -15,14 +16,23 @@
 
 // accept opens a connection through a listener with the limits.
 func accept(t *testing.T, limits callerconn.Limits) (caller net.Conn, conn *callerconn.Conn) {
-	g := gomega.NewWithT(t)
+	return connect(t, listen(t, limits))
+}
+
+// listen opens a listener with the limits.
+func listen(t *testing.T, limits callerconn.Limits) *callerconn.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
-	caller, err = net.Dial("tcp", l.Addr().String())
+	return &callerconn.Listener{Listener: l, Limit: 2, WriteTimeout: time.Second, Limits: func() callerconn.Limits { return limits }}
+}
+
+// connect opens a connection through a listener.
+func connect(t *testing.T, listener *callerconn.Listener) (caller net.Conn, conn *callerconn.Conn) {
+	g := gomega.NewWithT(t)
+	caller, err := net.Dial("tcp", listener.Addr().String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = caller.Close() })
-	listener := &callerconn.Listener{Listener: l, Limit: 1, WriteTimeout: time.Second, Limits: func() callerconn.Limits { return limits }}
 	accepted, err := listener.Accept()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = accepted.Close() })
@@ -64,3 +74,28 @@
 	_, err = caller.Read(make([]byte, 1))
 	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
 }
+
+// Guards against a shutdown that closes a connection from which a request is being read, or
+// that does not end because of one from which none is.
+func TestShutdownClosesConnectionsWithoutARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limits := callerconn.Limits{First: time.Minute, Idle: time.Minute, Header: time.Minute}
+	listener := listen(t, limits)
+	caller, conn := connect(t, listener)
+	idle, idleConn := connect(t, listener)
+	go func() { _, _ = idleConn.Read(make([]byte, 1)) }()
+	_, err := io.WriteString(caller, "request")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.Read(make([]byte, 1))).To(gomega.Equal(1))
+	stopped := make(chan error, 1)
+	go func() { stopped <- listener.Shutdown(context.Background()) }()
+	_ = idle.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = idle.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+	g.Consistently(stopped).ShouldNot(gomega.Receive())
+	conn.BeginRequest()
+	g.Expect(conn.Read(make([]byte, 9))).To(gomega.Equal(6))
+	conn.BeginIdle()
+	go func() { _, _ = conn.Read(make([]byte, 1)) }()
+	g.Eventually(stopped).WithTimeout(10 * time.Second).Should(gomega.Receive(gomega.BeNil()))
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -4,7 +4,11 @@
 package callerconn
 
 import (
+	"context"
+	"maps"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -43,8 +47,14 @@
 	Limits func() Limits
 
 	openConns atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{} // not closed yet
 }
 
+// closePollInterval is the time between two looks of Shutdown for idle connections.
+const closePollInterval = 10 * time.Millisecond
+
 // Accept returns the next connection within the limit. A connection beyond it
 // is sent RefusalResponse and closed.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -59,6 +69,7 @@
 		if l.openConns.Add(1) <= l.Limit {
 			conn := &Conn{Conn: c, listener: l}
 			conn.BeginIdle()
+			l.add(conn)
 			return conn, nil
 		}
 		l.openConns.Add(-1)
@@ -72,3 +83,48 @@
 	_, _ = c.Write(l.RefusalResponse)
 	_ = c.Close()
 }
+
+func (l *Listener) add(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = map[*Conn]struct{}{}
+	}
+	l.conns[c] = struct{}{}
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// Shutdown closes the listener, and each connection once nothing of a request has been read
+// from it that is not answered. It returns the error of ctx if that ends first.
+//
+// The HTTP library's own shutdown drops a request that it has read but not begun to handle.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	_ = l.Close() // it may be closed already
+	for l.closeIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(closePollInterval):
+		}
+	}
+	return nil
+}
+
+// closeIdle closes the idle connections and returns the number of the others.
+func (l *Listener) closeIdle() int {
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	left := 0
+	for _, c := range conns {
+		if !c.closeUnread() {
+			left++
+		}
+	}
+	return left
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -41,6 +41,7 @@
 	jitter          *jitter
 	lengthPredictor lengthPredictor
 	idCounter       atomic.Uint64 // last number used in a request id or a claim id
+	callers         atomic.Pointer[callerconn.Listener]
 	draining        atomic.Bool
 	inFlight        atomic.Int64    // HTTP requests in progress, including open streams
 	backgroundTasks atomic.Int64    // running functions of runInBackground
@@ -67,7 +68,7 @@
 		Handler: s.handle, ErrorHandler: s.handleParseError, Name: "cicadaslip",
 		Concurrency: limits.MaxConnections + spareConcurrency, ReadBufferSize: limits.MaxHeaderBytes,
 		MaxRequestBodySize: bodyPrefixBytes, StreamRequestBody: true, ConnState: callerconn.TrackState,
-		DisablePreParseMultipartForm: true, NoDefaultContentType: true, CloseOnShutdown: true,
+		DisablePreParseMultipartForm: true, NoDefaultContentType: true,
 		Logger: discardLogger{}, LogAllErrors: false,
 	}
 	return s
@@ -83,13 +84,14 @@
 // Serve accepts connections on a listener until Drain or Close is called.
 func (s *Server) Serve(listener net.Listener) error {
 	status, _, body := renderError(errs.NotRun(errs.Overloaded, "too many connections").WithRetry(time.Second))
-	err := s.http.Serve(&callerconn.Listener{
+	callers := &callerconn.Listener{
 		Listener: listener, Limit: int64(s.limits.MaxConnections), WriteTimeout: s.limits.WriteStallTimeout, RefusalResponse: rawErrorResponse(status, body),
 		Limits: func() callerconn.Limits {
 			return callerconn.Limits{First: s.limits.ReadTimeout, Idle: s.limits.IdleTimeout, Header: s.limits.ReadTimeout}
 		},
-	})
-	if err != nil {
+	}
+	s.callers.Store(callers)
+	if err := s.http.Serve(callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "caller listener failed")
 	}
 	return nil
@@ -109,8 +111,10 @@
 		}
 	}
 	s.recordEvent(timeline.Event{Kind: timeline.DrainFinished})
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return errs.Wrap(err, errs.Timeout, "connections are still open")
+	if callers := s.callers.Load(); callers != nil {
+		if err := callers.Shutdown(ctx); err != nil {
+			return errs.Wrap(err, errs.Timeout, "connections are still open")
+		}
 	}
 	return nil
 }
@@ -124,7 +128,9 @@
 	s.cancelBase()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = s.http.ShutdownWithContext(ctx)
+	if callers := s.callers.Load(); callers != nil {
+		_ = callers.Shutdown(ctx)
+	}
 }
 
 // Hedge requests a second attempt of a running request. The attempt starts only if
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -30,6 +30,7 @@
 	panicIn      string // function that panics
 	panicked     chan string
 	inFlight     func() int
+	shutdown     func(context.Context)
 	placements   int
 	lastEventID  int64                // of the requests
 	resumedAfter atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
@@ -148,6 +149,12 @@
 
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
+	return newWorldBehind(t, kind, respond, func(l net.Listener) net.Listener { return l })
+}
+
+// newWorldBehind is like newWorld. The server accepts connections through the listener that
+// wrap returns.
+func newWorldBehind(t *testing.T, kind fleet.Kind, respond func(net.Conn), wrap func(net.Listener) net.Listener) (*world, string) {
 	g := gomega.NewWithT(t)
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -172,11 +179,11 @@
 	server := gateway.New(gateway.Options{
 		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: w.dialTarget},
 	})
-	w.inFlight = server.InFlight
+	w.inFlight, w.shutdown = server.InFlight, server.Shutdown
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(wrap(l)) }()
 	return w, l.Addr().String()
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -38,9 +38,6 @@
 	// limit, so that connections beyond maxConnections are refused by the
 	// listener.
 	concurrencyMargin = 64
-	// drainPollInterval is the time between checks whether requests are in flight
-	// during a shutdown.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // Options configures a Server. All fields but Observer and Quarantine are required.
@@ -58,6 +55,7 @@
 type Server struct {
 	opt             Options
 	http            *fasthttp.Server
+	callers         atomic.Pointer[callerconn.Listener]
 	draining        atomic.Bool
 	refuseStreamsAt atomic.Int64 // Unix time in nanoseconds from which a draining server refuses streams
 	inFlight        atomic.Int64
@@ -81,7 +79,7 @@
 		Handler: s.handle, ErrorHandler: s.handleMalformed, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Concurrency: maxConnections + concurrencyMargin,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: defaultBodyBytes, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: true,
-		HeaderReceived: s.requestConfig, CloseOnShutdown: true, ConnState: callerconn.TrackState, Logger: discardLogger{},
+		HeaderReceived: s.requestConfig, ConnState: callerconn.TrackState, Logger: discardLogger{},
 	}
 	return s
 }
@@ -118,11 +116,12 @@
 // Serve accepts connections from a listener and handles their requests until
 // the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(&callerconn.Listener{
+	callers := &callerconn.Listener{
 		Listener: l, Limit: maxConnections, WriteTimeout: callerWriteTimeout, Limits: s.callerLimits,
 		RefusalResponse: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
-	})
-	if err != nil {
+	}
+	s.callers.Store(callers)
+	if err := s.http.Serve(callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "serving callers on the listener failed")
 	}
 	return nil
@@ -144,12 +143,11 @@
 	return s.draining.Load() && time.Now().UnixNano() > s.refuseStreamsAt.Load()
 }
 
-// Shutdown closes the listener and the idle connections, and waits until no
-// request is in flight or ctx ends.
+// Shutdown closes the listener and the idle connections, and waits until all requests that
+// were read, in part or whole, are answered, or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
-	go func() { _ = s.http.ShutdownWithContext(ctx) }() // connections still open when ctx ends are cut when the process exits
-	for s.inFlight.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
+	if callers := s.callers.Load(); callers != nil {
+		_ = callers.Shutdown(ctx) // connections still open when ctx ends are cut when the process exits
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/fleet"
+)
+
+// pausedListener accepts connections that stop behind a read: after they have read the given
+// request of a connection, they wait until resume is closed.
+type pausedListener struct {
+	net.Listener
+	request int64
+	read    chan struct{}
+	resume  chan struct{}
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
+}
+
+type pausedConn struct {
+	*net.TCPConn
+	listener *pausedListener
+	reads    atomic.Int64
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.reads.Add(1) == c.listener.request {
+		close(c.listener.read)
+		<-c.listener.resume
+	}
+	return n, err
+}
+
+// Guards against a request that is read when the shutdown closes the idle connections, and
+// that gets no answer: its caller cannot send it again.
+func TestRequestThatIsReadDuringAShutdownIsAnswered(t *testing.T) {
+	for name, requests := range map[string]int{"first of its connection": 1, "on a kept connection": 2} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			paused := &pausedListener{request: int64(requests), read: make(chan struct{}), resume: make(chan struct{})}
+			w, address := newWorldBehind(t, fleet.NonIdempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) },
+				func(l net.Listener) net.Listener { paused.Listener = l; return paused })
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			input := bufio.NewReader(conn)
+			stopped := make(chan struct{})
+			for i := range requests {
+				_, err := io.WriteString(conn, callerRequest+"\r\n")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				if i == requests-1 {
+					<-paused.read
+					go func() {
+						defer close(stopped)
+						w.shutdown(context.Background())
+					}()
+					g.Eventually(func() error {
+						c, err := net.Dial("tcp", address)
+						if err == nil {
+							_ = c.Close()
+						}
+						return err
+					}).Should(gomega.HaveOccurred(), "the listener is open")
+					g.Consistently(stopped).WithTimeout(time.Second).ShouldNot(gomega.BeClosed(), "the shutdown does not wait for the request")
+					close(paused.resume)
+				}
+				resp, err := http.ReadResponse(input, nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = io.Copy(io.Discard, resp.Body)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+			}
+			g.Eventually(stopped).WithTimeout(20 * time.Second).Should(gomega.BeClosed())
+		})
+	}
+}
--- a/internal/socketstate/socketstate.go
+++ b/internal/socketstate/socketstate.go
@@ -42,3 +42,21 @@
 	}
 	return state
 }
+
+// Await waits until a read from the connection would not wait, or its read deadline ends. It
+// returns at once if the connection is not a socket.
+func Await(c net.Conn) error {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN && err != syscall.EINTR
+	})
+}
