edgetest: The idle limit of the configuration in force applies

The gateway's own tests set its limits directly. This one goes through the store and the configuration in force, for new connections and for one that is open when a longer limit comes into force.

Evidence: with the built-in limit in place of that of the configuration it fails ("poll.DeadlineExceededError ... to match error EOF"); it passes on the present code. No fault was found.

--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -50,6 +50,7 @@
 	vms     []*vm
 	version uint64
 	dropped map[string]bool // routes that are not in force
+	idleMs  int             // idle limit of callers
 	logs    logBuffer
 }
 
@@ -89,14 +90,14 @@
 			}},
 			map[string]any{"name": app, "max_connections": 100},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": c.idleMs},
 	})).To(gomega.Succeed())
 }
 
 // start starts VMs, and as many engines and plain targets, one of each in each
 // data centre.
 func start(t *testing.T, n int) *cluster {
-	c := &cluster{t: t, g: gomega.NewWithT(t), dropped: map[string]bool{}}
+	c := &cluster{t: t, g: gomega.NewWithT(t), dropped: map[string]bool{}, idleMs: 15000}
 	var err error
 	c.store, err = metastore.Start("127.0.0.1:0")
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/edgetest/serving_test.go
+++ b/internal/edgetest/serving_test.go
@@ -1,9 +1,13 @@
 package edgetest
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -243,3 +247,40 @@
 		c.g.Expect(target.Overfull()).To(gomega.BeFalse())
 	}
 }
+
+// Guards against an idle limit of the configuration that does not apply, also to connections
+// that are open when it changes: callers reuse them shortly before its end.
+func TestIdleLimitOfTheConfigurationInForceApplies(t *testing.T) {
+	const short, long = 1500, 15000
+	c := start(t, 1)
+	changeTo := func(idleMs int) {
+		c.idleMs = idleMs
+		c.configure()
+		c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.ContainSubstring(fmt.Sprintf("\"event\":\"config_in_force\",\"config\":%d,", c.version)))
+	}
+	changeTo(short)
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", c.vms[0].daemon.CallerAddress())
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	began := time.Now()
+	conn := open()
+	_ = conn.SetReadDeadline(began.Add(long * time.Millisecond / 2))
+	_, err := conn.Read(make([]byte, 1))
+	c.g.Expect(err).To(gomega.MatchError(io.EOF), "the connection is not closed at the idle limit")
+	c.g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", short*time.Millisecond))
+
+	conn = open()
+	changeTo(long)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * short * time.Millisecond))
+	_, err = conn.Read(make([]byte, 1))
+	c.g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded), "the connection is closed at the earlier limit")
+	_ = conn.SetReadDeadline(time.Time{})
+	_, err = fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Request-Id: reuse\r\nContent-Length: 0\r\n\r\n", booking, host)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c.g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+}
