standin/engine: Turn requests away with Retry-After

PauseCallers turns all requests away for a time, TurnAway a number of them with any value of the header; Arrivals tells what has reached the target, for the rule on pauses.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -83,6 +83,8 @@
 	leaving  bool
 	overfull bool
 	said     []string // values of Server-Leaving in each answer
+	turned   turnedAway
+	arrivals []Arrival
 	newest   map[string]int64
 	loseNext int // orders that get no answer
 }
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -50,6 +50,9 @@
 	if limit := t.Settings.RateLimit; limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
 	}
+	if t.turnAway(w, r) {
+		return
+	}
 	fault := t.take()
 	id := r.Header.Get("X-Request-Id")
 	run := &Run{ID: id, At: time.Now(), Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
--- /dev/null
+++ b/internal/standin/engine/turnaway.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Arrival is a request of a caller that has reached the target.
+type Arrival struct {
+	ID         string
+	At         time.Time
+	TurnedAway bool
+	AnsweredAt time.Time     // if it was turned away
+	Pause      time.Duration // stated in Retry-After, 0 if none
+}
+
+// turnedAway tells which requests the target turns away as not run.
+type turnedAway struct {
+	until  time.Time // all requests before, with the time that is left as Retry-After
+	left   int       // further ones, negative for all
+	values []string  // of their Retry-After
+}
+
+// PauseCallers makes the target turn away all requests for a time: 503 with the rest of that
+// time as Retry-After. A later call replaces it; 0 ends it.
+func (t *Target) PauseCallers(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turned = turnedAway{until: time.Now().Add(d)}
+}
+
+// TurnAway makes the target turn away a number of requests, all if it is negative: 503 with
+// the given values of Retry-After.
+func (t *Target) TurnAway(requests int, retryAfter ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turned = turnedAway{left: requests, values: retryAfter}
+}
+
+// Arrivals returns all requests of callers that have reached the target, in order.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
+// take returns the values of Retry-After with which the target turns a request away.
+func (w *turnedAway) take(now time.Time) (values []string, turned bool) {
+	if left := w.until.Sub(now); left > 0 {
+		return []string{strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}, true
+	}
+	if w.left == 0 {
+		return nil, false
+	}
+	if w.left > 0 {
+		w.left--
+	}
+	return w.values, true
+}
+
+// turnAway records the arrival of a request. It reports whether it has turned the request away.
+func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) bool {
+	t.mu.Lock()
+	arrival := Arrival{ID: r.Header.Get("X-Request-Id"), At: time.Now()}
+	values, turned := t.turned.take(arrival.At)
+	if turned {
+		arrival.TurnedAway, arrival.AnsweredAt = true, time.Now()
+		if len(values) == 1 {
+			if seconds, err := strconv.ParseFloat(values[0], 64); err == nil {
+				arrival.Pause = time.Duration(seconds * float64(time.Second))
+			}
+		}
+	}
+	t.arrivals = append(t.arrivals, arrival)
+	t.mu.Unlock()
+	if !turned {
+		return false
+	}
+	for _, value := range values {
+		w.Header().Add("Retry-After", value)
+	}
+	notRun(w, r, http.StatusServiceUnavailable)
+	return true
+}
