advisory, placer, edge, gateway: Leave targets alone while they want a pause

What callers saw: a target that turned a request away with 503 and Retry-After got the next request of the same VM at once, and every later one.

Cause: the header was not read. A refusal excluded its target for that one request only.

Now the platform decodes it (503 only, decimal seconds up to 5 minutes; all other values are ignored and counted), and the table of statements keeps the end of the pause by incarnation. It binds the VM that was told: - choices without an owner (plain services, hedges, requests while a group has no owner) leave the target out; - calls to owners carry the targets that pause for the VM (a field that was added); the owner's estimate counts the rest of the pause like the wait for a limit, so a request waits, goes to another target, or gets a load there; - a grant given before is checked right before the send, like for leaving: no refusal, no retry from the budget; - the owner's own orders and reports wait for the end of the pause; - if all targets pause beyond the time at which the first event is late, requests are refused at once with the shortest pause as Retry-After. An answer without Retry-After, another VM's word or a repeat do not change the end; a new incarnation or another target at the address begins without one.

Existing test code: the gateway's fake learns pauses, the simulation of the placer records the time of each grant, and the model of TestStatementsOfAnyOrder has pauses in addition; no check was changed.

--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -48,6 +48,7 @@
 	stayedAt      time.Duration // newest request of this VM whose answer did not state it
 	leavingSince  time.Duration // of the statement that made the target leave
 	changed       uint64        // version of the table in which the target began to leave
+	pausedSince   time.Duration // first statement of the current or last pause
 	pausedUntil   time.Duration
 	unlistedSince time.Duration // never if the target is listed
 }
@@ -75,11 +76,12 @@
 	// first answer to tell.
 	limits  *ratelimit.Table
 	version uint64 // number of the targets that have begun to leave
+	pauses  pauses
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[string]*record{}, limits: ratelimit.NewTable()}
+	return &Table{records: map[string]*record{}, limits: ratelimit.NewTable(), pauses: newPauses()}
 }
 
 // Observe records the statement of an answer to this VM. It reports whether the target
@@ -98,7 +100,11 @@
 		r.stayedAt = max(r.stayedAt, s.SentAt)
 	}
 	if s.Pause > 0 {
+		if s.HeardAt >= r.pausedUntil {
+			r.pausedSince = s.HeardAt
+		}
 		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
+		t.pauses.lastEnd = max(t.pauses.lastEnd, r.pausedUntil)
 	}
 	return t.noteChange(r, before, s.HeardAt)
 }
@@ -108,7 +114,7 @@
 func (t *Table) record(i Incarnation) *record {
 	r := t.records[i.Target]
 	if r == nil || r.born < i.Born {
-		r = &record{born: i.Born, heardAt: never, toldAt: never, stayedAt: never, unlistedSince: never}
+		r = &record{born: i.Born, heardAt: never, toldAt: never, stayedAt: never, pausedUntil: never, unlistedSince: never}
 		t.records[i.Target] = r
 	}
 	return r
@@ -139,16 +145,6 @@
 	return "", 0
 }
 
-// PausedFor returns the time for which a target wants no request from this VM, 0 if it takes
-// requests.
-func (t *Table) PausedFor(now time.Duration, i Incarnation) time.Duration {
-	r := t.records[i.Target]
-	if r == nil || r.born < i.Born {
-		return 0
-	}
-	return max(0, r.pausedUntil-now)
-}
-
 // Retain drops the statements of former incarnations, and of targets that are no longer
 // listed. listed returns the start time of a target that is listed.
 func (t *Table) Retain(now time.Duration, listed func(target string) (born int64, found bool)) {
--- a/internal/advisory/table_test.go
+++ b/internal/advisory/table_test.go
@@ -19,6 +19,7 @@
 	sent, heard time.Duration // at the VM
 	leaving     bool
 	unclear     bool
+	pause       time.Duration
 }
 
 // message is a delta on its way to another VM.
@@ -39,7 +40,8 @@
 	answers  []*answer // of all incarnations, not yet recorded
 	recorded []*answer
 	messages []message
-	told     bool // a message has arrived
+	told     bool    // a message has arrived
+	noted    []int64 // by VM: incarnation whose pause has begun and not ended, 0 for none
 }
 
 // step advances the clock. Times are distinct, so that the order of events is defined.
@@ -75,9 +77,24 @@
 	return false
 }
 
+// pausedFor returns the rest of the pause that the newest incarnation wants from a VM.
+func (w *world) pausedFor(vm int) time.Duration {
+	left := time.Duration(0)
+	for _, a := range w.recorded {
+		if a.vm == vm && a.born == w.born && a.pause > 0 {
+			left = max(left, a.heard+a.pause-w.now)
+		}
+	}
+	return left
+}
+
 func (w *world) check(t *rapid.T) {
 	i := advisory.Incarnation{Target: "t", Born: w.born}
 	for vm, table := range w.vms {
+		if got, want := table.PausedFor(w.now, i), w.pausedFor(vm); got != want {
+			t.Fatalf("VM %d keeps requests from incarnation %d for %v, which wants %v", vm, w.born, got, want)
+		}
+		w.checkChanges(t, vm)
 		leaving := table.Leaving(i)
 		if w.mustLeave(vm) && !leaving {
 			t.Fatalf("VM %d sends requests to incarnation %d although it has said that it leaves", vm, w.born)
@@ -91,9 +108,31 @@
 	}
 }
 
+// checkChanges expects that the pauses of a VM begin and end in turn, and that one which has
+// begun and not ended is the current one.
+func (w *world) checkChanges(t *rapid.T, vm int) {
+	table := w.vms[vm]
+	for _, c := range table.PauseChanges(w.now) {
+		if c.Ended == (w.noted[vm] == 0) || c.Ended && c.Born != w.noted[vm] {
+			t.Fatalf("VM %d: change %+v after the pause of incarnation %d", vm, c, w.noted[vm])
+		}
+		if w.noted[vm] = c.Born; c.Ended {
+			w.noted[vm] = 0
+		}
+	}
+	current := int64(0)
+	for _, p := range table.Pauses(w.now) {
+		current = p.Born
+	}
+	if w.noted[vm] != current {
+		t.Fatalf("VM %d: incarnation %d pauses, not %d", vm, current, w.noted[vm])
+	}
+}
+
 // Guards against a statement that is lost or comes back in any order of answers, messages
 // between VMs, lost messages and restarts of the target at the same ID: an old answer that is
 // recorded after a newer one, an answer of a former incarnation, and a message that is late.
+// A pause binds the VM that was told until the end of the longest one, and no other VM.
 func TestStatementsOfAnyOrder(t *testing.T) {
 	const rounds = 50 // of rapid's number of checks
 	for range rounds {
@@ -106,7 +145,7 @@
 
 func checkAnyOrder(t *rapid.T) {
 	vms := rapid.IntRange(2, 4).Draw(t, "VMs")
-	w := &world{born: 1, seen: make([]uint64, vms), sent: make([]uint64, vms)}
+	w := &world{born: 1, seen: make([]uint64, vms), sent: make([]uint64, vms), noted: make([]int64, vms)}
 	for range vms {
 		w.vms = append(w.vms, advisory.NewTable())
 	}
@@ -127,6 +166,7 @@
 			w.requests = append(w.requests[:n:n], w.requests[n+1:]...)
 			if a.born == w.born { // those to former incarnations have failed
 				a.leaving, a.heard, a.unclear = w.leaving, w.now, rapid.IntRange(0, 9).Draw(t, "unclear") == 0
+				a.pause = max(0, time.Duration(rapid.IntRange(-2, 3).Draw(t, "pause"))*time.Second)
 				w.answers = append(w.answers, a)
 			}
 		},
@@ -141,7 +181,7 @@
 				w.answers = append(w.answers[:n:n], w.answers[n+1:]...)
 			}
 			w.vms[a.vm].Observe(advisory.Incarnation{Target: "t", Born: a.born}, advisory.Statement{
-				Leaving: a.leaving && !a.unclear, Unclear: a.unclear, SentAt: a.sent, HeardAt: a.heard,
+				Leaving: a.leaving && !a.unclear, Unclear: a.unclear, SentAt: a.sent, HeardAt: a.heard, Pause: a.pause,
 			}, ratelimit.Position{VMs: vms})
 			w.recorded = append(w.recorded, a)
 		},
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -115,7 +115,7 @@
 		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Cores: s.Cores, Regions: s.Regions,
 		Store: deps.Store, Engines: deps.Orders, Observer: groupObserver{d},
 		TargetsCheckFences: s.TargetsCheckFences, StoreCalled: func(err error) { d.recordStoreCall(groupserver.Kind, err) },
-		RateLimits: d.rateLimits, Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
+		RateLimits: d.rateLimits, PausedFor: d.pausedFor, Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
 	})
 	d.quarantine = newQuarantineKeeper(d, incarnation)
 	d.placement = groupclient.New(groupclient.Options{
@@ -123,11 +123,12 @@
 		Observer: ownerObserver{d}, Target: d.usableTarget, SeenRevisions: d.newestRevisions, HandlePeerRevisions: d.compareNewestRevisions,
 		KnownRevisions: d.appliedRevisions, UpdateFor: d.updateForOwner, HandleReply: d.handleSyncReply, ConfigVersion: d.configVersion,
 		RequiredVersion: d.versions.required, Quarantine: d.quarantine,
-		LeavingSince: d.leavingSince, MergeLeaving: d.mergeLeaving,
+		LeavingSince: d.leavingSince, MergeLeaving: d.mergeLeaving, Pauses: d.pauses,
 		RateLimits: d.rateLimits, TakeFromLimit: d.takeFromLimit, CountAgainstLimit: d.countAgainstLimit,
 	})
 	d.upstream = &upstream.Client{Dial: deps.Dial}
 	d.deployment = newDeployment(s, d.startedAt, d.placement.Position, d.leavingChanged, d.versions, d.metrics)
+	d.deployment.pausesChanged = d.logPauseChanges
 	d.gateway = gateway.New(gateway.Options{
 		Fleet: d.deployment, Placement: d.placement, Dialect: deps.Dialect,
 		Upstream: d.upstream, Observer: requestObserver{d}, Quarantine: d.quarantine,
@@ -244,6 +245,7 @@
 	d.publishing.Lock() // so that the newest state is published last
 	defer d.publishing.Unlock()
 	d.logTargetChanges(source)
+	d.logPauseChanges()
 	services, targets := d.deployment.servicesAndTargets()
 	d.groups.SetFleet(services, targets)
 	for a, version := range d.versions.all() {
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -23,8 +23,10 @@
 	position  func() ratelimit.Position // of this VM in the deployment
 	// leavingChanged is called after a target has begun or ceased to leave by its own word.
 	leavingChanged func(source string)
-	versions       *versionTable
-	metrics        *metrics.Registry
+	// pausesChanged is called after a pause may have begun or ended.
+	pausesChanged func()
+	versions      *versionTable
+	metrics       *metrics.Registry
 
 	routes atomic.Pointer[fleet.RouteTable]
 
@@ -37,6 +39,7 @@
 	balancers       map[string]*balance.Balancer   // by plain service
 	budgets         map[string]*retrybudget.Budget // by service
 	statements      *advisory.Table
+	pauseTimer      *time.Timer // runs until the end of the next pause, nil before the first one
 }
 
 func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, leavingChanged func(source string), versions *versionTable, m *metrics.Registry) *deployment {
@@ -211,13 +214,13 @@
 	return nil, targets
 }
 
-// usableTarget returns a target. It reports false if the target is unknown or leaving, so
-// that no requests may be sent to it.
+// usableTarget returns a target. It reports false if the target is unknown, leaves or pauses,
+// so that no requests may be sent to it.
 func (d *deployment) usableTarget(id string) (fleet.Target, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t, found := d.targets[id]
-	return t, found && !t.Leaving
+	return t, found && !t.Leaving && d.pausedFor(id, t.Born) == 0
 }
 
 // Usable implements gateway.Fleet. It reports true for a target, or a newer incarnation of
@@ -256,7 +259,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.statements.Exhausted(now)...))
+	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.unpickable(now)...))
 	if found {
 		d.statements.TakeFromLimit(now, target.ID)
 	}
@@ -270,12 +273,15 @@
 		position = d.position()
 	}
 	statement := advisory.Statement{
-		Leaving: s.Leaving, Unclear: len(s.Invalid) > 0, Pause: s.Pause, RateLimit: s.RateLimit,
+		Leaving: s.Leaving, Unclear: s.Unclear, Pause: s.Pause, RateLimit: s.RateLimit,
 		SentAt: s.SentAt.Sub(d.startedAt), HeardAt: s.HeardAt.Sub(d.startedAt),
 	}
 	if d.observe(advisory.Incarnation{Target: target, Born: s.Born}, statement, position) {
 		d.leavingChanged(sourceAnswer)
 	}
+	if s.Pause > 0 {
+		d.pausesChanged()
+	}
 }
 
 // IgnoreStatement implements gateway.Fleet.
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -306,6 +306,9 @@
 	for service, count := range d.deployment.leavingByService() {
 		d.metrics.SetLabel(metrics.EdgeTargetsLeaving, service, count)
 	}
+	for service, count := range d.deployment.pausedByService() {
+		d.metrics.SetLabel(metrics.EdgeTargetsPaused, service, count)
+	}
 	waiting, age := d.groups.QueueStats()
 	d.metrics.Set(metrics.EdgeQueue, int64(waiting))
 	d.metrics.Set(metrics.EdgeQueueAge, age.Milliseconds())
--- /dev/null
+++ b/internal/edgetest/pauses_test.go
@@ -0,0 +1,193 @@
+package edgetest
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/standin/engine"
+)
+
+const (
+	// pauseGrace is the time after its answer from which a target that wants a pause may expect
+	// it, and maxDuringPause the number of requests that may reach it nevertheless.
+	pauseGrace     = 500 * time.Millisecond
+	maxDuringPause = 2
+)
+
+// checkPauses expects that no more requests than allowed reached a target from a VM during a
+// pause that it wanted from that VM. It returns the number of pauses, and of requests that
+// reached the target during the pause of another VM.
+func (w *drainWatch) checkPauses(target *engine.Target) (pauses, ofOthers int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	arrivals, worst := target.Arrivals(), 0
+	for _, turned := range arrivals {
+		if turned.Pause <= pauseGrace {
+			continue
+		}
+		pauses++
+		from, until := turned.AnsweredAt.Add(pauseGrace), turned.AnsweredAt.Add(turned.Pause)
+		during := 0
+		for _, a := range arrivals {
+			switch {
+			case !a.At.After(from) || !a.At.Before(until):
+			case w.asked[a.ID].vm == w.asked[turned.ID].vm:
+				during++
+			default:
+				ofOthers++
+			}
+		}
+		worst = max(worst, during)
+	}
+	w.c.t.Logf("%s: %d pauses, at most %d requests of the VM during one, %d of others", target.Settings.ID, pauses, worst, ofOthers)
+	w.c.g.Expect(worst).To(gomega.BeNumerically("<=", maxDuringPause), "requests to %s from a VM during its pause", target.Settings.ID)
+	return pauses, ofOthers
+}
+
+// Guards against requests to a target from a VM that it has turned away for a while: of
+// streams and plain requests, while other targets are free and while they pause too, with
+// pauses that overlap, and without an owner.
+func TestTargetsGetNoRequestsDuringTheirPauses(t *testing.T) {
+	for name, killOwner := range map[string]bool{"with an owner": false, "the owner is killed": true} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, 3)
+			c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+			w := newDrainWatch(c)
+			former := c.owner()
+			var callers sync.WaitGroup
+			end := time.Now().Add(9 * time.Second)
+			for i, v := range c.vms {
+				if !killOwner || v != former {
+					w.keepAsking(&callers, i, v, end)
+				}
+			}
+			time.Sleep(time.Second)
+			for _, targets := range [][]*engine.Target{c.engines, c.apps} {
+				targets[0].PauseCallers(3 * time.Second)
+				targets[1].TurnAway(1, "3")
+			}
+			if killOwner {
+				former.daemon.Kill()
+			}
+			time.Sleep(2 * time.Second)
+			for _, targets := range [][]*engine.Target{c.engines, c.apps} {
+				targets[2].TurnAway(6, "1") // several answers, each at another time
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for _, targets := range [][]*engine.Target{c.engines, c.apps} {
+				for _, target := range targets {
+					target.PauseCallers(time.Second)
+				}
+			}
+			callers.Wait()
+			for _, targets := range [][]*engine.Target{c.engines, c.apps} {
+				for i, target := range targets {
+					pauses, ofOthers := w.checkPauses(target)
+					c.g.Expect(pauses).To(gomega.BeNumerically(">", 0), target.Settings.ID)
+					if i == 1 {
+						c.g.Expect(ofOthers).To(gomega.BeNumerically(">", 0), "%s has told one VM only", target.Settings.ID)
+					}
+					for _, event := range []string{"target_paused", "target_pause_ended"} {
+						c.g.Expect(c.logs.text()).To(gomega.ContainSubstring(fmt.Sprintf(`"event":%q,"target":%q`, event, target.Settings.ID)))
+					}
+				}
+			}
+			c.g.Expect(c.logs.text()).To(gomega.MatchRegexp(`"event":"target_paused","target":"a0"[^}]*"source":"answer","left_ms":[^}]*"age_ms":`))
+		})
+	}
+}
+
+// Guards against callers that wait for their deadline although all targets of the service
+// pause, that are told to come back too early or late, or that find no target after the end.
+func TestRequestsAreRefusedAtOnceWhileAllTargetsPause(t *testing.T) {
+	const pause = 6 * time.Second
+	c := start(t, 2)
+	c.g.Expect(c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}).status).To(gomega.Equal(http.StatusOK))
+	all := append(append([]*engine.Target{}, c.engines...), c.apps...)
+	ends := time.Now().Add(pause)
+	for _, target := range all {
+		target.PauseCallers(pause)
+	}
+	adapters := map[string]string{quote: "a1", notes: "a1", lookup: "", booking: ""}
+	for path, adapter := range adapters {
+		for _, v := range c.vms {
+			c.ask(v, request{path: path + "x", adapter: adapter}) // is turned away by all targets
+			left := time.Until(ends)
+			a := c.ask(v, request{path: path + "x", adapter: adapter})
+			c.g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable), path)
+			c.g.Expect(a.took).To(gomega.BeNumerically("<", time.Second), path)
+			advice, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			c.g.Expect(err).NotTo(gomega.HaveOccurred())
+			c.g.Expect(advice).To(gomega.And(gomega.BeNumerically(">", min(5, left.Seconds())-2), gomega.BeNumerically("<=", 5)), path)
+			for _, target := range all {
+				for _, arrival := range target.Arrivals() {
+					c.g.Expect(arrival.ID).NotTo(gomega.Equal(a.id))
+				}
+			}
+		}
+	}
+	time.Sleep(time.Until(ends) + 100*time.Millisecond)
+	for path, adapter := range adapters {
+		for _, v := range c.vms {
+			c.g.Expect(c.ask(v, request{path: path + "x", adapter: adapter}).status).To(gomega.Equal(http.StatusOK), path)
+		}
+	}
+}
+
+// Guards against a sound target that is kept out of use: by a value that says nothing, or by
+// the pause of its former incarnation.
+func TestOnlyAPauseThatIsOneTakesATargetOutOfUse(t *testing.T) {
+	c := start(t, 2)
+	only := c.apps[0]
+	for _, other := range c.apps[1:] {
+		c.g.Expect(other.Leave()).To(gomega.Succeed())
+	}
+	served := func() int {
+		status := 0
+		for _, v := range c.vms {
+			if status = c.ask(v, request{path: lookup + "x"}).status; status != http.StatusOK {
+				break
+			}
+		}
+		return status
+	}
+	for _, vm := range []string{"vm0", "vm1"} {
+		for _, other := range c.apps[1:] {
+			c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.ContainSubstring(
+				fmt.Sprintf(`"vm":%q,"event":"target_leaving","target":%q`, vm, other.Settings.ID)))
+		}
+	}
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
+	for _, values := range [][]string{{"0"}, {"-3"}, {"NaN"}, {"Inf"}, {"soon"}, {""}, {"7200"}, {"Fri, 04 Dec 2026 21:00:00 GMT"}, {"3", "3"}} {
+		only.TurnAway(2, values...)
+		for range 2 {
+			c.g.Expect(c.ask(c.vms[0], request{path: booking + "x"}).status).To(gomega.Equal(http.StatusServiceUnavailable))
+		}
+		c.g.Expect(served()).To(gomega.Equal(http.StatusOK), "after %q", values)
+	}
+	only.TurnAway(1, "300")
+	c.ask(c.vms[0], request{path: booking + "x"})
+	arrivals := len(only.Arrivals())
+	c.g.Expect(served()).To(gomega.Equal(http.StatusServiceUnavailable))
+	c.g.Expect(c.ask(c.vms[1], request{path: lookup + "x"}).status).To(gomega.Equal(http.StatusOK), "a VM that was not told")
+	c.g.Expect(only.Arrivals()).To(gomega.HaveLen(arrivals + 1))
+	only.Crash()
+	time.Sleep(2 * time.Millisecond) // the start time of a target counts milliseconds
+	next := c.target(only.Settings)
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK), "started anew at the same address")
+	next.TurnAway(1, "300")
+	c.ask(c.vms[0], request{path: booking + "x"})
+	c.g.Expect(served()).To(gomega.Equal(http.StatusServiceUnavailable))
+	next.Crash()
+	other := next.Settings
+	other.ID = "a9"
+	c.target(other)
+	c.g.Eventually(served).WithTimeout(limit).Should(gomega.Equal(http.StatusOK), "another target at the same address")
+	c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.MatchRegexp(`"event":"target_pause_ended","target":"a0"[^}]*"left_ms":0`))
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -42,6 +42,13 @@
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
 	malformed    chan int                        // status of each answer to malformed input
 	leaving      []string                        // targets that leave and are granted nevertheless
+	grants       []grant                         // of the first placements; all others are of w.target
+	asked        chan placer.Request             // placements, unless it is nil
+	paused       []string                        // targets that want no requests
+	servicePause time.Duration                   // of all targets of the service
+	advised      atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
+	statements   chan gateway.TargetStatement    // that were recorded, unless it is nil
+	ignored      atomic.Int64                    // statements
 	retries      int                             // taken from the budget
 	takeRetry    func() bool                     // decides on retries, unless it is nil
 	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
@@ -49,6 +56,9 @@
 	dial         func()                          // is called after a connection to a target was opened, unless it is nil
 }
 
+// grant is a target of a placement.
+type grant struct{ target, address string }
+
 func (w *world) maybePanic(function string) {
 	if w.panicIn == function {
 		panic("unexpected in " + function)
@@ -65,8 +75,15 @@
 	}
 	return fleet.Limits{}
 }
-func (w *world) Usable(target string, _ int64) bool   { return !slices.Contains(w.leaving, target) }
-func (w *world) RequiredVersion(placer.Adapter) int64 { return 0 }
+func (w *world) Usable(target string, _ int64) bool { return !slices.Contains(w.leaving, target) }
+func (w *world) PausedFor(target string, _ int64) time.Duration {
+	if slices.Contains(w.paused, target) {
+		return time.Second
+	}
+	return 0
+}
+func (w *world) ServicePausedFor(string) time.Duration { return w.servicePause }
+func (w *world) RequiredVersion(placer.Adapter) int64  { return 0 }
 func (w *world) Pick(_ string, exclude []string) (fleet.Target, bool) {
 	w.maybePanic("Pick")
 	if w.pick != nil && !w.pick(exclude) {
@@ -104,24 +121,34 @@
 func (w *world) ParseResponse(status int, fields httpfields.List) gateway.ResponseMeta {
 	w.maybePanic("ParseResponse")
 	misdirected := status == http.StatusMisdirectedRequest
+	stated, _ := time.ParseDuration(fields.Get("X-Pause")) // none: no pause
 	return gateway.ResponseMeta{
 		Signed: fields.Get("X-Unsigned") == "", RequestID: fields.Get("X-Request-Id"),
 		NotRun: fields.Get("X-Not-Executed") != "" || misdirected, Misdirected: misdirected,
+		Statement: gateway.TargetStatement{Pause: stated},
 	}
 }
 
-func (w *world) RetryAfterField(time.Duration) httpfields.Field {
+func (w *world) RetryAfterField(d time.Duration) httpfields.Field {
+	w.advised.Store(int64(d))
 	return httpfields.Field{Name: "Retry-After", Value: "1"}
 }
 
 func (w *world) Acquire(_ context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
+	if w.asked != nil {
+		w.asked <- r
+	}
 	if w.acquire != nil {
 		if failure := w.acquire(w.placements); failure != nil {
 			return gateway.Lease{}, failure
 		}
 	}
+	if n := w.placements; n <= len(w.grants) {
+		g := w.grants[n-1]
+		return gateway.Lease{Grant: placer.Grant{Target: g.target, Address: cmp.Or(g.address, w.target)}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
+	}
 	for _, target := range w.leaving {
 		if !slices.Contains(r.Exclude, target) {
 			return gateway.Lease{Grant: placer.Grant{Target: target, Address: w.target}, Estimate: time.Second}, nil
@@ -129,14 +156,18 @@
 	}
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
-func (w *world) Stated(gateway.Lease, gateway.TargetStatement)   {}
-func (w *world) IgnoreStatement(string)                          {}
-func (w *world) RecordStatement(string, gateway.TargetStatement) {}
-func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
-func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
-func (w *world) Malformed(status int, _ error)                   { w.malformed <- status }
-func (w *world) Panicked(request string, _ *errs.Error)          { w.panicked <- request }
+func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement)  {}
+func (w *world) IgnoreStatement(string)                         { w.ignored.Add(1) }
+func (w *world) RecordStatement(_ string, s gateway.TargetStatement) {
+	if w.statements != nil {
+		w.statements <- s
+	}
+}
+func (w *world) Release(gateway.Lease, placer.Outcome)  { w.maybePanic("Release") }
+func (w *world) Finished(s gateway.Summary)             { w.summaries <- s }
+func (w *world) Malformed(status int, _ error)          { w.malformed <- status }
+func (w *world) Panicked(request string, _ *errs.Error) { w.panicked <- request }
 
 func (w *world) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
--- /dev/null
+++ b/internal/gateway/pauses_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/gateway"
+	"cicadaslip/internal/placer"
+)
+
+// Guards against a request to a target during its pause, under a grant that was given before
+// this VM heard of the pause: on each way by which a stream gets to a target. A target that
+// was skipped is no refusal and takes nothing from the retry budget.
+func TestGrantsOfPausedTargetsAreNotUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		first     func(net.Conn) // answer of the first target, nil if the first grant is skipped
+		second    func(net.Conn)
+		retries   int
+		resumable bool
+	}{
+		"first attempt":                       {second: writes(ownStream)},
+		"after a refusal":                     {first: writes(refusal), second: writes(ownStream), retries: 1},
+		"resume":                              {first: writes(streamHead, chunk1, "5\r\nid"), second: writes(streamHead, chunk2, lastChunk), retries: 1, resumable: true},
+		"handover before the first event":     {first: lateThenWhole, second: writes(ownStream), retries: 1, resumable: true},
+		"handover of a stream that has begun": {first: silentThenWhole, second: writes(streamHead, chunk3, lastChunk), retries: 1, resumable: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			respond := c.second
+			if c.first != nil {
+				respond = targets(c.first, c.second)
+			}
+			w, address := newWorld(t, fleet.Streaming, respond)
+			pausing, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { _ = pausing.Close() })
+			var reached atomic.Int64
+			go func() {
+				for {
+					conn, err := pausing.Accept()
+					if err != nil {
+						return
+					}
+					reached.Add(1)
+					_ = conn.Close()
+				}
+			}()
+			if c.first != nil {
+				w.grants = []grant{{target: "u"}}
+			}
+			paused := grant{"paused", pausing.Addr().String()}
+			w.grants = append(w.grants, paused, paused)
+			w.paused, w.asked = []string{"paused"}, make(chan placer.Request, 16)
+			if c.resumable {
+				w.route.Resumable, w.route.MaxAttempts, w.estimate = true, 2, time.Millisecond
+			}
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(reached.Load()).To(gomega.BeZero(), "requests to the paused target")
+			g.Expect(w.retries).To(gomega.Equal(c.retries))
+			g.Expect(w.placements).To(gomega.Equal(len(w.grants) + 1))
+			var last placer.Request
+			for range w.placements {
+				if w.placements-len(w.asked) == len(w.grants)-1 {
+					g.Expect((<-w.asked).Exclude).NotTo(gomega.ContainElement("paused"), "its pause may end in time")
+					continue
+				}
+				last = <-w.asked
+			}
+			g.Expect(last.Exclude).To(gomega.ContainElement("paused"), "an owner that grants it again does not know pauses")
+		})
+	}
+}
+
+// Guards against a pause that is not heard, and against one that is taken from an answer that
+// is not this target's to this request, or turns nothing away.
+func TestOnlyOwnAnswersStatePauses(t *testing.T) {
+	const pausing = "X-Not-Executed: 1\r\nX-Pause: 3s\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		sent string
+		told bool
+	}{
+		"own":                      {"HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\n" + pausing, true},
+		"own, without a signature": {"HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\nX-Unsigned: 1\r\n" + pausing, true},
+		"of another request":       {"HTTP/1.1 503 Full\r\nX-Request-Id: q0\r\n" + pausing, false},
+		"of no request":            {"HTTP/1.1 503 Full\r\nX-Unsigned: 1\r\n" + pausing, false},
+		"expects another target":   {"HTTP/1.1 421 Other\r\nX-Request-Id: q1\r\nX-Unsigned: 1\r\n" + pausing, false},
+		"no refusal, no signature": {"HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\nX-Unsigned: 1\r\nX-Pause: 3s\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		for _, kind := range []fleet.Kind{fleet.Streaming, fleet.Idempotent, fleet.NonIdempotent} {
+			t.Run(name+", "+string(kind), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				w, address := newWorld(t, kind, writes(c.sent))
+				w.statements = make(chan gateway.TargetStatement, 64)
+				w.acquire = func(placement int) *errs.Error {
+					if placement == 1 {
+						return nil
+					}
+					return errs.NotRun(errs.NoTarget, "no place")
+				}
+				w.pick = func(exclude []string) bool { return len(exclude) == 0 }
+				status, _, err := get(g, address)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).NotTo(gomega.Equal(http.StatusOK))
+				told := time.Duration(0)
+				for len(w.statements) > 0 {
+					told = max(told, (<-w.statements).Pause)
+				}
+				if c.told {
+					g.Expect(told).To(gomega.Equal(3 * time.Second))
+					return
+				}
+				g.Expect(told).To(gomega.BeZero())
+			})
+		}
+	}
+}
+
+// Guards against advice to come back at once, or in vain, while all targets of the service
+// pause, and against a caller that is told to wait for minutes that another VM might not.
+func TestRefusalsTellWhenThePauseEnds(t *testing.T) {
+	for name, respond := range map[string]func(net.Conn){"none can be picked": nil, "turned away": writes(ownRefusal)} {
+		for pause, advice := range map[time.Duration]time.Duration{1300 * time.Millisecond: 1300 * time.Millisecond, 4 * time.Minute: 5 * time.Second} {
+			t.Run(name+", "+pause.String(), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				w, address := newWorld(t, fleet.Idempotent, respond)
+				w.servicePause = pause
+				w.pick = func(exclude []string) bool { return respond != nil && len(exclude) == 0 }
+				status, _, err := get(g, address)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+				g.Expect(time.Duration(w.advised.Load())).To(gomega.Equal(advice))
+			})
+		}
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -56,7 +56,7 @@
 	start := func(retryAt time.Time) *errs.Error {
 		target, found := c.server.opt.Fleet.Pick(c.service, c.excluded)
 		if !found {
-			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(time.Second)
+			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(c.pauseAdvice(time.Second))
 		}
 		c.excluded = append(c.excluded, target.ID)
 		running++
@@ -235,7 +235,7 @@
 	}
 	if c.refuses(a) {
 		r.refused = true
-		r.failure = errs.NotRun(errs.Overloaded, "the target refused the request").WithRetry(refusalRetryAfter)
+		r.failure = errs.NotRun(errs.Overloaded, "the target refused the request").WithRetry(c.pauseAdvice(refusalRetryAfter))
 		return
 	}
 	if r.failure = c.checkAnswer(a); r.failure != nil {
@@ -262,6 +262,19 @@
 // refused by all targets that were tried.
 const refusalRetryAfter = 300 * time.Millisecond
 
+// maxPauseAdvice limits the Retry-After time for callers of a service whose targets all pause,
+// because other VMs may serve them earlier.
+const maxPauseAdvice = 5 * time.Second
+
+// pauseAdvice returns the Retry-After time of a refusal: that of the first target that ends its
+// pause, or usual if a target does not pause.
+func (c *call) pauseAdvice(usual time.Duration) time.Duration {
+	if left := c.server.opt.Fleet.ServicePausedFor(c.service); left > 0 {
+		return min(maxPauseAdvice, left)
+	}
+	return usual
+}
+
 // outcome returns the outcome of an attempt for the load balancer.
 func (c *call) outcome(r *reply) balance.Outcome {
 	switch {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -73,6 +73,7 @@
 	Slowness  float64       // multiple of its usual processing time, 0 if not stated
 	RateLimit float64       // requests per second that it takes from all VMs together, 0 if it names none
 	Leaving   bool          // it is about to stop and takes no new requests
+	Unclear   bool          // neither Leaving nor the opposite
 	Pause     time.Duration // for which it wants no request from this VM, 0 if it names none
 	Born      int64         // its start time according to the grant or this VM's view, in Unix milliseconds, 0 if unknown
 	Invalid   []string      // header fields whose statement is ignored
@@ -114,9 +115,15 @@
 	// Limits returns the limits for callers, with zero values if no configuration has been
 	// loaded.
 	Limits() fleet.Limits
-	// Usable reports whether requests may currently be sent to an incarnation of a target.
-	// born is its start time in Unix milliseconds, 0 if unknown.
+	// Usable reports whether requests may currently be sent to an incarnation of a target,
+	// apart from pauses. born is its start time in Unix milliseconds, 0 if unknown.
 	Usable(target string, born int64) bool
+	// PausedFor returns the time for which an incarnation of a target wants no requests from
+	// this VM, 0 if it takes them.
+	PausedFor(target string, born int64) time.Duration
+	// ServicePausedFor returns the time until the first target of a service takes requests
+	// from this VM, 0 if one takes them now.
+	ServicePausedFor(service string) time.Duration
 	// RequiredVersion returns the oldest version of an adapter that may be used,
 	// or 0 if any version may be used.
 	RequiredVersion(a placer.Adapter) int64
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -182,7 +183,7 @@
 	return errs.New(errs.Timeout, "another target has continued the request").WithRan(errs.RanUnknown)
 }
 
-// acquire waits for a lease of a target that does not leave.
+// acquire waits for a lease of a target that takes requests.
 func (c *call) acquire(o opening) (Lease, *errs.Error) {
 	if failure := c.checkQuarantine(); failure != nil {
 		return Lease{}, failure.WithDetails(placementDetail)
@@ -201,11 +202,12 @@
 	return lease, nil
 }
 
-// acquireUsable waits for a target that does not leave. The owner of a group may learn later
-// than this VM that a target leaves.
+// acquireUsable waits for a target that takes requests. The owner of a group may learn later
+// than this VM that a target leaves or pauses.
 func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
+	var paused []string // targets that were granted during their pause
 	for {
 		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
 		if failure != nil {
@@ -215,12 +217,23 @@
 			return Lease{}, failure
 		}
 		c.trace.addPlacement(lease)
-		if c.server.opt.Fleet.Usable(lease.Grant.Target, lease.Grant.Born) {
+		g := lease.Grant
+		switch {
+		case !c.server.opt.Fleet.Usable(g.Target, g.Born):
+			c.excluded = append(c.excluded, g.Target)
+			c.trace.addStep(StepSkipped, g.Target, "the target leaves")
+		case c.server.opt.Fleet.PausedFor(g.Target, g.Born) > 0:
+			// The next request tells the owner of the pause, after which the target may be of
+			// use again.
+			if slices.Contains(paused, g.Target) {
+				c.excluded = append(c.excluded, g.Target)
+			}
+			paused = append(paused, g.Target)
+			c.trace.addStep(StepSkipped, g.Target, "the target pauses")
+		default:
 			return lease, nil
 		}
 		c.server.opt.Placement.Release(lease, placer.Cancelled)
-		c.excluded = append(c.excluded, lease.Grant.Target)
-		c.trace.addStep(StepSkipped, lease.Grant.Target, "the target leaves")
 	}
 }
 
@@ -366,7 +379,7 @@
 // to this request.
 func (s *targetStream) checkHead(c *call) *errs.Error {
 	if s.refused = c.refuses(s.answer); s.refused {
-		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(refusalRetryAfter)
+		return errs.NotRun(errs.TargetRefused, "the target refused the request").WithRetry(c.pauseAdvice(refusalRetryAfter))
 	}
 	if failure := c.checkContinuation(s.exchange); failure != nil {
 		return failure
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -136,6 +136,9 @@
 // if the owner stops responding.
 func (c *Client) askOwner(ctx context.Context, o candidate, request placer.Request) grouprpc.AcquireReply {
 	args := grouprpc.AcquireRequest{Group: o.name, Epoch: o.epoch, Request: request, RateLimits: o.rateLimits}
+	if c.opt.Pauses != nil {
+		args.Pauses = c.opt.Pauses()
+	}
 	if o.local {
 		return c.opt.Groups.Acquire(ctx, args)
 	}
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -103,6 +103,9 @@
 	// those of an owner.
 	LeavingSince func(version uint64, own bool) advisory.Delta
 	MergeLeaving func(d advisory.Delta)
+	// Pauses returns the targets that want no requests from this VM now. Nil means that there
+	// are none.
+	Pauses func() []advisory.Pause
 	// RateLimits returns the limits that targets have named to this VM, by target.
 	RateLimits func() map[string]float64
 	// TakeFromLimit reports whether this VM may send a request to a target without a grant,
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -34,6 +34,8 @@
 	Request placer.Request
 	// RateLimits is as in SyncRequest, until the owner first responds to such a request.
 	RateLimits map[string]float64
+	// Pauses are the targets that want no requests from the caller now.
+	Pauses []advisory.Pause
 }
 
 // AcquireReply holds a granted target, or Err if the request was refused.
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -73,6 +73,9 @@
 	// RateLimits returns the limits that targets have named to this VM, in requests per second
 	// by target. Nil means that there are none.
 	RateLimits func() map[string]float64
+	// PausedFor returns the time for which a target wants nothing from this VM, 0 if it takes
+	// requests. Nil means that no target pauses.
+	PausedFor func(target string) time.Duration
 	// StoreReachable reports whether the last call to the store succeeded.
 	StoreReachable func() bool
 	// StoreLost reports whether calls to the store have failed for some time.
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/bootclock"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/grouprpc"
@@ -62,6 +63,7 @@
 	g.recordCall(request.Request.Holder)
 	g.waiters[id] = reply
 	g.setRateLimits(request.RateLimits)
+	g.setPauses(request.Request.Holder, request.Pauses)
 	g.core.Enqueue(g.manager.now(), request.Request)
 	g.tick()
 	return true
@@ -190,6 +192,31 @@
 	}
 }
 
+// setPauses takes over which targets want no requests from a VM. The caller holds the lock.
+func (g *group) setPauses(vm string, pauses []advisory.Pause) {
+	for _, p := range pauses {
+		g.core.SetPause(g.manager.now(), vm, p.Target, p.Born, p.Left)
+	}
+}
+
+// holdOrders reports whether a target wants nothing from this VM now. The core's orders and
+// reports of the target then wait.
+func (g *group) holdOrders(core *placer.Core, target string) bool {
+	if g.manager.opt.PausedFor == nil {
+		return false
+	}
+	left := g.manager.opt.PausedFor(target)
+	if left <= 0 {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.core == core {
+		core.HoldOrders(g.manager.now(), target, left)
+	}
+	return true
+}
+
 // rank returns the position of a VM, by name, among this VM and those that called recently.
 // The caller holds the lock.
 func (g *group) rank(vm string) int {
@@ -290,7 +317,10 @@
 	}
 	result := placer.Withheld
 	began := time.Now()
-	number, allowed := g.beginOrder(core)
+	number, allowed := uint64(0), false
+	if !g.holdOrders(core, order.Target) {
+		number, allowed = g.beginOrder(core)
+	}
 	if allowed {
 		result = g.manager.callOrder(order, epoch)
 	}
@@ -308,6 +338,9 @@
 }
 
 func (g *group) fetchReport(core *placer.Core, c placer.FetchReport) {
+	if g.holdOrders(core, c.Target) {
+		return
+	}
 	askedAt := g.manager.now()
 	report, err := g.manager.callReport(c)
 	g.manager.opt.Observer.Reported(g.name, c.Target, err)
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -34,6 +34,7 @@
 	EdgePanics            Name = "edge_panics"
 	EdgeQuarantines       Name = "edge_quarantines"
 	EdgeTargetsLeaving    Name = "edge_targets_leaving"
+	EdgeTargetsPaused     Name = "edge_targets_paused"
 	EdgeStatementsIgnored Name = "edge_statements_ignored"
 )
 
@@ -53,6 +54,7 @@
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
 	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
+	{EdgeTargetsPaused, ByLabel, "targets", "that want no requests from this VM for a while, by service"},
 	{EdgeStatementsIgnored, ByLabel, "statements", "of targets about themselves that were ignored, by header field; foreign: in an answer of another target or to another request"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -43,6 +43,7 @@
 	anyStale          bool   // an adapter may be placed in an outdated version
 	lastRunExpiry     Time   // when expired runs were last removed
 	lastSpareCheck    Time   // when spare slots were last freed
+	lastPauseEnd      Time   // when no target pauses for any VM any more
 }
 
 // New returns a core without targets.
@@ -127,7 +128,7 @@
 	t.acceptedOrders, t.stateKnown, t.plannedOrders, t.inFlight = 0, false, nil, nil
 	t.needsReport, t.reportRequested, t.reportsValidFrom, t.noOrdersUntil = true, false, c.now, 0
 	t.runTokens, t.prefillUntil, t.extraSlowness, t.prefillShare, t.consecutiveFailures, t.avoidUntil = 0, 0, 0, 0, 0, 0
-	t.averageSlowness = 1
+	t.averageSlowness, t.pausedUntil, t.heldUntil = 1, nil, 0
 	t.recentlyUnloaded, t.prefixes = &recentAdapters{}, newPrefixCache(c.params.Engine.CacheTokens)
 }
 
@@ -324,7 +325,7 @@
 			if !t.accepts(p) {
 				continue
 			}
-			next = min(next, max(p.notBefore, t.noOrdersUntil, c.now+time.Millisecond))
+			next = min(next, max(p.notBefore, t.ordersFrom(), c.now+time.Millisecond))
 		}
 	}
 	return next
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -31,6 +31,7 @@
 	target     *targetState
 	backlog    time.Duration
 	limitWait  time.Duration // until the target's limit allows the request
+	pauseWait  time.Duration // until the target wants requests from the request's VM
 	firstEvent time.Duration
 	penalty    time.Duration // further costs of the target, expressed as a delay
 }
@@ -60,7 +61,8 @@
 	penalty += c.interferencePenalty(t, &r.Request)
 	limitWait := c.limitWait(t)
 	penalty += c.limitPenalty(t, &r.Request)
-	return candidate{target: t, backlog: backlog, limitWait: limitWait, penalty: penalty, firstEvent: max(backlog, limitWait) + c.prefillTime(t, &r.Request) + c.firstEventTime(t) + roundTrip}
+	pauseWait := t.pausedFor(c.now, r.Holder)
+	return candidate{target: t, backlog: backlog, limitWait: limitWait, pauseWait: pauseWait, penalty: penalty, firstEvent: max(backlog, limitWait, pauseWait) + c.prefillTime(t, &r.Request) + c.firstEventTime(t) + roundTrip}
 }
 
 // interferencePenalty returns the penalty for the interference between a request
@@ -184,8 +186,11 @@
 }
 
 // grantWithinLimit grants a request, or leaves it in the queue until the target's limit allows
-// it.
+// it and the target wants it.
 func (c *Core) grantWithinLimit(r *queuedRequest, best candidate) {
+	if best.pauseWait > 0 {
+		return
+	}
 	if best.limitWait > 0 {
 		c.reserveLimit(best.target)
 		return
@@ -232,7 +237,7 @@
 		if pl.accepted {
 			since = pl.acceptedAt
 		}
-		expected := max(0, since+c.latencies.loadTime(pl.cold)-c.now) + c.estimate(pl.target, r).firstEvent
+		expected := max(0, since+c.latencies.loadTime(pl.cold)-c.now, pl.target.heldUntil-c.now) + c.estimate(pl.target, r).firstEvent
 		if !found || expected < firstEvent {
 			firstEvent, found = expected, true
 		}
@@ -306,6 +311,9 @@
 	if targets == 0 {
 		return errNoTarget()
 	}
+	if failure := c.checkPauses(r); failure != nil {
+		return failure
+	}
 	if len(c.queue) == 0 {
 		return nil
 	}
@@ -349,6 +357,10 @@
 			c.refuse(r, errNoTarget())
 		case c.now >= r.latestStart:
 			c.refuse(r, errs.NotRun(errs.DeadlineUnreachable, "no target could start the request in time").WithRetry(minRetryAfter))
+		default:
+			if failure := c.checkPauses(r); failure != nil {
+				c.refuse(r, failure)
+			}
 		}
 	}
 }
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -56,7 +56,7 @@
 		return
 	}
 	estimated := c.estimate(t, r)
-	option := loadOption{target: t, victim: t.roomVictim, cold: cold, firstEvent: c.latencies.loadTime(cold) + estimated.firstEvent, penalty: estimated.penalty + t.loadPenalty()}
+	option := loadOption{target: t, victim: t.roomVictim, cold: cold, firstEvent: max(0, t.heldUntil-c.now) + c.latencies.loadTime(cold) + estimated.firstEvent, penalty: estimated.penalty + t.loadPenalty()}
 	if cold {
 		option.penalty += coldLoadPenalty
 	}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -9,12 +9,12 @@
 // that are needed.
 func (c *Core) sendOrders() {
 	for _, t := range c.targets {
-		if t.needsReport && t.inFlight == nil && (!t.reportRequested || c.now-t.reportRequestedAt >= reportRetryInterval) && c.now >= t.noOrdersUntil {
+		if t.needsReport && t.inFlight == nil && (!t.reportRequested || c.now-t.reportRequestedAt >= reportRetryInterval) && c.now >= t.ordersFrom() {
 			t.reportRequested, t.reportRequestedAt = true, c.now
 			t.countOrder(c.now)
 			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address})
 		}
-		if c.ordersAllowed && t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.noOrdersUntil {
+		if c.ordersAllowed && t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.ordersFrom() {
 			c.sendNextOrder(t)
 		}
 	}
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -114,6 +114,7 @@
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
 	lateBy         time.Duration
 	grantTimes     map[string][]time.Duration // by target
+	grantedAt      map[string]time.Duration   // by request
 	rateLimits     map[string]float64         // that the engines name with the first event, by target
 }
 
@@ -127,7 +128,7 @@
 	sim := &simulation{
 		core: placer.New(params), now: time.Second, engines: map[string]*engine{}, leaving: map[string]bool{},
 		random: rand.New(rand.NewPCG(seed, seed)), granted: map[string]placer.Grant{}, refused: map[string]placer.RefuseRequest{},
-		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, rateLimits: map[string]float64{},
+		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, grantedAt: map[string]time.Duration{}, rateLimits: map[string]float64{},
 		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
 	for i := range engines {
@@ -203,7 +204,7 @@
 	sim.grantTimes[c.Grant.Target] = append(sim.grantTimes[c.Grant.Target], sim.now)
 	id := c.Grant.Request
 	sim.checkUnanswered(id)
-	sim.granted[id], sim.waits[id] = c.Grant, c.Waited
+	sim.granted[id], sim.waits[id], sim.grantedAt[id] = c.Grant, c.Waited, sim.now
 	if sim.leaving[c.Grant.Target] {
 		sim.violations = append(sim.violations, id+" was sent to a leaving target")
 	}
