gateway, peer, test: Answers of other exchanges at hedges, resumes and peers

Where else is an answer believed that belongs to an earlier exchange? Hedges and resumed streams: each attempt has a connection of its own and compares the ID by itself; the new cases fail without the comparison (three of three) and pass with it. Calls between VMs: net/rpc numbers them; an answer, or an error, that is written once more is discarded.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -146,6 +146,8 @@
 		"with a length":            answer("200 OK", "text/event-stream; charset=utf-8", eventsAfter(1)),
 		"unframed":                 unframedHead + eventsAfter(1),
 		"after an interim answer":  "HTTP/1.1 100 Continue\r\n\r\n" + streamHead + chunk(eventsAfter(1)) + lastChunk,
+		"after another's refusal":  foreignRefusal + answer("200 OK", "text/event-stream", eventsAfter(1)),
+		"after another's answer":   strings.ReplaceAll(answer("200 OK", "text/event-stream", eventsAfter(0)), "q1", "q0") + answer("200 OK", "text/event-stream", eventsAfter(1)),
 		"after a comment":          streamHead + chunk(": busy\n\n") + chunk(eventsAfter(1)) + lastChunk,
 		"comments between":         streamHead + chunk(event(2)+": busy\n\n"+event(3)+":\n\n") + lastChunk,
 		"with fields of their own": streamHead + chunk("x-weight-versions: 2\n"+event(2)+"event: last\n"+event(3)) + lastChunk,
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -29,6 +29,7 @@
 		"the budget was used up":      {targets: inTurn(mute(), answers), denied: 2},
 		"no target could be picked":   {targets: inTurn(mute(), answers), absent: 2},
 		"a silent target and refusal": {targets: inTurn(mute(), writes(refusal), answers), denied: 1},
+		"another request's refusal":   {targets: inTurn(mute(), writes(foreignRefusal, ownPlainAnswer))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/peer/rpc_test.go
+++ b/internal/peer/rpc_test.go
@@ -363,3 +363,41 @@
 		}
 	}
 }
+
+// copyingCodec writes each answer of a server once more before the next one.
+type copyingCodec struct {
+	*serverCodec
+	last *header
+	body any
+}
+
+func (c *copyingCodec) WriteResponse(r *rpc.Response, body any) error {
+	if c.last != nil {
+		if err := c.write(*c.last, c.body); err != nil {
+			return err
+		}
+	}
+	c.last, c.body = &header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body
+	return c.serverCodec.WriteResponse(r, body)
+}
+
+// Guards against an earlier answer of a peer, or an earlier error, that comes once more and is
+// taken for the answer to the next call on the connection.
+func TestEarlierAnswerOfAPeerIsNotTheNextOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := rpc.NewServer()
+	g.Expect(server.RegisterName("Echo", &echo{})).To(gomega.Succeed())
+	near, far := net.Pipe()
+	go server.ServeCodec(&copyingCodec{serverCodec: &serverCodec{stream: newStream(far, timeline.NewClock(time.Now))}})
+	client := rpc.NewClientWithCodec(clientCodec{stream: newStream(near, timeline.NewClock(time.Now)), onReadError: func() {}})
+	defer func() { _ = client.Close() }()
+	for _, text := range []string{"a", "b", "", "c", ""} {
+		var reply EchoArgs
+		if text == "" {
+			g.Expect(client.Call("Echo.Fail", EchoArgs{}, &reply)).To(gomega.HaveOccurred())
+			continue
+		}
+		g.Expect(client.Call("Echo.Say", EchoArgs{Text: text}, &reply)).To(gomega.Succeed())
+		g.Expect(reply.Text).To(gomega.Equal(text))
+	}
+}
