gateway: A resumed stream leaves a target that falls silent

Callers saw streams cut that had been resumed: the new target sent an event and then nothing, and the stream stayed there until the caller left, although a further target would have taken it.

Cause: the handover that was planned for the broken target was kept as the one of the new target. It was decided, so it never began, and no other was planned until the new target's second event.

Evidence: TestResumedStreamLeavesASilentTarget; without the fix handover_chain_test.go:97: unexpected EOF

Fix: the handover of a target ends with it, so the next read plans one for the new target.

--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -86,3 +86,14 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(body).To(gomega.Equal(wholeStream))
 }
+
+// Guards against a resumed stream that stays at its new target when that one falls silent,
+// although a further target would take it.
+func TestResumedStreamLeavesASilentTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Streaming, inTurn(writes(streamHead, chunk1), mute(streamHead, chunk2), writes(streamHead, chunk3, lastChunk)))
+	w.route.Resumable, w.route.MaxAttempts = true, 3
+	_, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal(wholeStream))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -529,6 +529,7 @@
 	case b.handover.firstFailed():
 		b.move(streamFailure(err))
 	default:
+		b.handover = nil
 		_ = b.source.fail(c, streamFailure(err))
 		b.resume(streamFailure(err))
 	}
