groupclient: A late request without an owner has an estimate above zero

Requests that were placed without an owner after they had missed their objective (a second attempt, or a long wait) were taken from their target at once: the gateway waits 2.5 times the estimate and 0.4 s for the first event, and the estimate, half of the time to the objective, was below zero. A retry was used up, and after 0.3 s the first target's work was ended.

Fix: the estimate is at least that of a new request with an objective of one second.

--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -207,7 +207,7 @@
 	}
 	c.localGrants[best.Target]++
 	grant := placer.Grant{Request: request.ID, Target: best.Target, Address: bestTarget.Address, Version: best.Version, Priority: request.Priority, Born: bestTarget.Born}
-	return gateway.Lease{Grant: grant, Estimate: request.Objective / 2}, true
+	return gateway.Lease{Grant: grant, Estimate: max(minLocalEstimate, request.Objective/2)}, true
 }
 
 // residents returns where an adapter is resident according to this VM's view of a
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -35,6 +35,9 @@
 	// maxLocalPerTarget bounds the concurrent requests that this VM sends to one target
 	// without a grant of an owner, because the other VMs do the same.
 	maxLocalPerTarget = 4
+	// minLocalEstimate is the least estimate of the time until the first event for a request
+	// without a grant of an owner.
+	minLocalEstimate = 500 * time.Millisecond
 	// otherGroupPenalty is how much shorter the backlog of a group must be, for each rank
 	// below another one up to the second, for its owner to be asked first. The penalty
 	// exists because the adapter would have to be loaded in that group.
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -269,3 +269,18 @@
 	g.Expect(r.failure).To(gomega.BeNil())
 	g.Expect(r.lease.Owner).To(gomega.Equal("vm3"))
 }
+
+// Guards against a target that is left at once, before it can have answered, because a late
+// request that was placed without an owner has an estimate below zero.
+func TestLateRequestWithoutAnOwnerHasAnEstimate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	vm2 := &busyOwner{epoch: 1, resident: []placer.ResidentAdapter{{Target: "t", Adapter: resident}}, free: make(chan struct{}), waiting: make(chan string, 8)}
+	c, peers := newClient(t, map[string]owner{"vm2": vm2})
+	defer peers.silence("vm2")()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	lease, failure := c.Acquire(ctx, "s", placer.Request{ID: "q/1", Adapter: resident, Deadline: 8 * time.Second, Objective: -2 * time.Second})
+	g.Expect(failure).To(gomega.BeNil())
+	g.Expect(lease.Owner).To(gomega.BeEmpty())
+	g.Expect(lease.Estimate).To(gomega.BeNumerically(">", 0))
+}
