gateway: An attempt that ends after its request returns its retry

Requests whose target had failed found the retry budget used up by hedges and retries that no target received: those that still connected when their request ended.

Cause: the retry was returned when the request received the attempt's outcome. One that has ended, answered by another target or left by its caller, receives no more outcomes.

Evidence: TestRetryThatIsConnectingAtTheEndIsReturned; without the fix hedge_test.go:193: Expected <int>: 1 to be zero-valued

Fix: the attempt itself returns it, once, unless it has begun to send. The count of the fake in contain_test.go has a lock, as attempts outlive their requests; no check changed.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,6 +43,7 @@
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
 	malformed    chan int                        // status of each answer to malformed input
 	leaving      []string                        // targets that leave and are granted nevertheless
+	mu           sync.Mutex                      // guards retries
 	retries      int                             // taken from the budget
 	takeRetry    func() bool                     // decides on retries, unless it is nil
 	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
@@ -85,11 +87,24 @@
 	if w.takeRetry != nil && !w.takeRetry() {
 		return false
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.retries++
 	return !w.noRetries
 }
 
-func (w *world) ReturnRetry(string, time.Time) { w.retries-- }
+func (w *world) ReturnRetry(string, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+}
+
+// taken returns the number of retries that are taken from the budget.
+func (w *world) taken() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.retries
+}
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -81,7 +81,7 @@
 			w.route.MaxAttempts, w.latency, w.pick = 3, time.Millisecond, c.pick
 			_, _, err := get(g, address)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(w.retries).To(gomega.Equal(c.retries))
+			g.Expect(w.taken()).To(gomega.Equal(c.retries))
 		})
 	}
 }
@@ -98,7 +98,7 @@
 	status, _, err := get(g, address)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
-	g.Expect(w.retries).To(gomega.BeZero())
+	g.Expect(w.taken()).To(gomega.BeZero())
 }
 
 // Guards against an attempt whose connection opens only when the request has been answered:
@@ -160,3 +160,36 @@
 	}
 	g.Expect(received).To(gomega.Equal(map[byte]int{'a': 1, 'b': 1}))
 }
+
+// Guards against a retry that stays taken from the budget because the request ends, with an
+// answer or because its caller leaves, while the attempt still connects.
+func TestRetryThatIsConnectingAtTheEndIsReturned(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		hedging, ended := make(chan struct{}), make(chan struct{})
+		w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) {
+			<-hedging
+			if leaves {
+				_, _ = c.Read(make([]byte, 1)) // until the gateway closes
+				return
+			}
+			writes(plainAnswer)(c)
+		})
+		var dials atomic.Int64
+		w.route.MaxAttempts, w.latency = 2, time.Millisecond
+		w.dial = func() {
+			if dials.Add(1) == 2 {
+				close(hedging)
+				<-ended
+			}
+		}
+		conn := connect(t, address, 0, callerRequest+"\r\n")
+		<-hedging
+		if leaves {
+			g.Expect(conn.Close()).To(gomega.Succeed())
+		}
+		<-w.summaries
+		close(ended)
+		g.Eventually(w.taken).Should(gomega.BeZero(), "caller leaves: %v", leaves)
+	}
+}
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -23,5 +23,5 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 	g.Expect(w.placements).To(gomega.Equal(7))
-	g.Expect(w.retries).To(gomega.BeZero())
+	g.Expect(w.taken()).To(gomega.BeZero())
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,6 +30,7 @@
 	meta     ResponseMeta
 	failure  *errs.Error
 	refused  bool // the target states that it did not run the request
+	sent     bool // the target may have received a part of the request
 	target   fleet.Target
 	request  upstream.Request
 	sentAt   time.Time
@@ -42,9 +43,6 @@
 	return r.failure == nil && r.exchange.Status < minServerErrorStatus
 }
 
-// sent reports whether the target may have received a part of the request.
-func (r *reply) sent() bool { return r.failure == nil || r.failure.Code != errs.TargetUnavailable }
-
 // servePlain serves a request to a service whose responses are not streams. It
 // tries one target after another as long as retries are allowed. If the targets
 // that have the request are slow, a hedge is sent to a further one while they are
@@ -93,12 +91,7 @@
 		select {
 		case r := <-replies:
 			running--
-			switch {
-			case r.sent():
-				sent = true
-			case !r.retryAt.IsZero():
-				c.server.opt.Fleet.ReturnRetry(c.service, r.retryAt)
-			}
+			sent = sent || r.sent
 			if r.failure != nil && r.failure.Ran == errs.RanNo {
 				attempts--
 			} else {
@@ -210,10 +203,14 @@
 // response.
 func (c *call) attemptPlain(r *reply) {
 	defer c.containAttempt(r)
+	defer c.returnUnsent(r)
 	startedAt, target := time.Now(), r.target
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	r.request.Connected = func() bool { return ctx.Err() == nil }
+	r.request.Connected = func() bool {
+		r.sent = ctx.Err() == nil
+		return r.sent
+	}
 	r.sentAt = time.Now()
 	a, failure := c.ask(ctx, r.request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
 	r.failure = failure
@@ -228,6 +225,14 @@
 	c.server.opt.Fleet.RecordOutcome(c.service, target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
 }
 
+// returnUnsent gives back the retry of an attempt that no target has received. The attempt may
+// end after the call.
+func (c *call) returnUnsent(r *reply) {
+	if !r.sent && !r.retryAt.IsZero() {
+		c.server.opt.Fleet.ReturnRetry(c.service, r.retryAt)
+	}
+}
+
 // readPlain checks the head of an answer and reads its body.
 func (c *call) readPlain(r *reply, a answer) {
 	if head, stated := c.statement(r.meta, r.sentAt, r.target.Born); stated {
