gateway: A panic in an attempt at a plain target ends the request there

A target would get fewer and fewer requests: one whose handling failed with a panic counted as open there for ever.

Cause: the panic skipped the record of the outcome, which ends what Fleet.Pick has begun.

Evidence: TestPanicOfAnAttemptEndsItAtItsTarget; without the fix contain_test.go:254: Expected <int64>: 0 to equal <int64>: 1

Fix: a panic of the exchange is contained there, as the failure of the attempt, which is then recorded like any other. The exchange is also closed.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -47,6 +47,7 @@
 	retries      int                             // taken from the budget
 	takeRetry    func() bool                     // decides on retries, unless it is nil
 	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
+	outcomes     atomic.Int64                    // recorded of requests at plain targets
 	latency      time.Duration                   // expected of plain targets, 1 s if 0
 	dial         func()                          // is called after a connection to a target was opened, unless it is nil
 }
@@ -81,6 +82,7 @@
 
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
+	w.outcomes.Add(1)
 }
 func (w *world) CountRequest(string) {}
 func (w *world) TakeRetry(string) bool {
@@ -240,6 +242,18 @@
 	}
 }
 
+// Guards against a target that gets fewer and fewer requests, because those whose handling
+// failed unexpectedly count as open there for ever.
+func TestPanicOfAnAttemptEndsItAtItsTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, writes(plainAnswer))
+	w.panicIn = "ParseResponse"
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(w.outcomes.Load()).To(gomega.Equal(int64(1)))
+}
+
 // Guards against a stalled stream that sends lines without events now and then, and so
 // keeps its request, its connection and its lease until the caller's deadline although
 // another target could continue it.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -199,12 +199,21 @@
 	c.trace.setResponse(r.exchange.Status, r.target.ID)
 }
 
-// attemptPlain sends the request to one target and reads the complete
-// response.
+// attemptPlain sends the request to one target, reads the complete response and records the
+// outcome.
 func (c *call) attemptPlain(r *reply) {
 	defer c.containAttempt(r)
-	defer c.returnUnsent(r)
-	startedAt, target := time.Now(), r.target
+	startedAt := time.Now()
+	connectTime := c.exchangePlain(r)
+	c.returnUnsent(r)
+	c.judgePlain(r)
+	c.server.opt.Fleet.RecordOutcome(c.service, r.target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
+}
+
+// exchangePlain sends the request to one target and reads the complete response. It returns
+// the time that it took to connect, 0 if there is no response.
+func (c *call) exchangePlain(r *reply) (connectTime time.Duration) {
+	defer c.containAttempt(r)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	r.request.Connected = func() bool {
@@ -213,16 +222,13 @@
 	}
 	r.sentAt = time.Now()
 	a, failure := c.ask(ctx, r.request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
-	r.failure = failure
-	connectTime := time.Duration(0)
-	if r.failure == nil {
-		r.exchange, r.meta = a.exchange, a.meta
-		connectTime = r.exchange.ConnectTime()
-		c.readPlain(r, a)
-		r.exchange.Close()
+	if r.failure = failure; failure != nil {
+		return 0
 	}
-	c.judgePlain(r)
-	c.server.opt.Fleet.RecordOutcome(c.service, target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
+	defer a.exchange.Close()
+	r.exchange, r.meta = a.exchange, a.meta
+	c.readPlain(r, a)
+	return r.exchange.ConnectTime()
 }
 
 // returnUnsent gives back the retry of an attempt that no target has received. The attempt may
