upstream: A head with an invalid field name is no answer

A faulty target's answer with "Content-Length : 1" was passed on as whole with one byte of its body; other readers ignore the field and read until the connection ends (MIXED). A name with a space was passed on to callers.

Fix: the head is rejected, as one that the parser reads in its own way, with the rule that holds for requests (httpfields.ValidName).

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,13 +7,14 @@
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/httpfields"
 )
 
 var headEnd = []byte("\r\n\r\n")
 
 // checkHead rejects a head, with the interim answers before it, that the parser reads in its
 // own way: it ends a head at a bare line feed if a blank line follows in the body, reads
-// status 000 as 200, and ignores the transfer coding of HTTP/1.0.
+// status 000 as 200, ignores the transfer coding of HTTP/1.0, and white space before a colon.
 func checkHead(head []byte, parsed *fasthttp.ResponseHeader) error {
 	before, ended := bytes.CutSuffix(head, headEnd)
 	final := before[bytes.LastIndex(before, headEnd)+1:]
@@ -25,6 +26,20 @@
 		return errs.New(errs.WrongAnswer, "the response has an invalid status")
 	case !parsed.IsHTTP11() && bytes.Contains(bytes.ToLower(fields), []byte("transfer-encoding")):
 		return errs.New(errs.WrongAnswer, "the response has a transfer coding that its HTTP version does not know")
+	case !validNames(fields):
+		return errs.New(errs.WrongAnswer, "the name of a header field of the response is invalid")
 	}
 	return nil
 }
+
+// validNames reports whether the names of all header fields are valid. Lines that begin with
+// white space continue the field before them.
+func validNames(fields []byte) bool {
+	for line := range bytes.Lines(fields) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if !httpfields.ValidName(name) && line[0] != ' ' && line[0] != '\t' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/upstream/status_test.go
+++ b/internal/upstream/status_test.go
@@ -43,3 +43,14 @@
 		g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
 	}
 }
+
+// Guards against an answer whose length depends on the reader: one takes "Content-Length :" for
+// the length of the body, another one ignores it and reads until the connection ends.
+func TestHeadWithAnInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, field := range []string{"Content-Length : 1", "Content-Length\t: 1", "Transfer-Encoding : chunked", "X Y: 1", ": 1", "X(Y): 1"} {
+		g := gomega.NewWithT(t)
+		_, _, failure := overPipe(truncation{name: field, sent: "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n0\r\n\r\n", end: closed})
+		g.Expect(failure).NotTo(gomega.BeNil(), "%q", field)
+		g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+	}
+}
