gateway: Every refusal states when to come again

Callers got 503 without Retry-After for requests whose targets could not be connected to, or whose deadline had passed before a target was found.

Cause: the header was left out for errors that state no time.

Evidence: TestRefusalWithoutAConnectionStatesARetryDelay; without the fix refusal_test.go:172: ... to contain substring "Retry-After: "

Fix: such a refusal states the time that holds for requests refused by all targets.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strings"
@@ -176,8 +177,8 @@
 	ctx := c.http
 	ctx.Response.Reset()
 	ctx.SetStatusCode(httpStatus(e))
-	if e.Retry > 0 && e.Ran == errs.RanNo {
-		f := c.server.opt.Dialect.RetryAfterField(e.Retry)
+	if e.Ran == errs.RanNo {
+		f := c.server.opt.Dialect.RetryAfterField(cmp.Or(e.Retry, refusalRetryAfter))
 		ctx.Response.Header.Set(f.Name, f.Value)
 	}
 	if c.server.draining.Load() || ctx.Request.Header.ConnectionClose() || e.Code == errs.InvalidRequest {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -270,7 +270,7 @@
 }
 
 // refusalRetryAfter is the Retry-After time for callers whose request was
-// refused by all targets that were tried.
+// refused by all targets that were tried, or for another reason that states no time.
 const refusalRetryAfter = 300 * time.Millisecond
 
 // outcome returns the outcome of an attempt for the load balancer.
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -159,3 +159,16 @@
 	g.Expect(<-received).To(gomega.Equal(size - 4096))
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 }
+
+// Guards against a refusal that does not say when to come again, because no target could be
+// connected to.
+func TestRefusalWithoutAConnectionStatesARetryDelay(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.Streaming, fleet.Idempotent, fleet.NonIdempotent} {
+		g := gomega.NewWithT(t)
+		w, address := newWorld(t, kind, nil)
+		w.stopTarget()
+		text, _ := ended(g, connect(t, address, 0, strings.Replace(callerRequest, "GET", "POST", 1)+"Connection: close\r\n\r\n"))
+		g.Expect(text).To(gomega.HavePrefix("HTTP/1.1 503 "), "%s", kind)
+		g.Expect(text).To(gomega.ContainSubstring("Retry-After: "), "%s", kind)
+	}
+}
