gateway: A stream's server error is passed on if no further target serves it

Callers got 502 of this system for streams whose target had answered with a whole error, when a further target was sought and the placement, the retry budget or that target refused, or failed.

Evidence: TestServerErrorIsPassedOnIfNoFurtherTargetTakesTheStream; without the fix 4 of 4 cases fail refusal_test.go:197: Expected <int>: 502 to equal <int>: 500

Fix: the call keeps the last such response and gives it to a caller that has nothing yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,6 +50,7 @@
 	sharedParts    []string        // IDs of the parts of the prompt that other requests may have, too
 	ownPart        string          // ID of the last part, which belongs to the request or its session
 	forwardFields  httpfields.List // header fields to forward to the target
+	serverError    *targetStream   // last whole response with a server error, passed on if no further target serves the request
 	route          *fleet.Route
 	configVersion  uint64 // version of the configuration that the route belongs to
 	service        string
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 )
 
@@ -172,3 +173,30 @@
 		g.Expect(text).To(gomega.ContainSubstring("Retry-After: "), "%s", kind)
 	}
 }
+
+// Guards against a target's own error that is replaced by one of this system, because a further
+// target was sought and none took the request.
+func TestServerErrorIsPassedOnIfNoFurtherTargetTakesTheStream(t *testing.T) {
+	failed := writes(answer("500 Internal Server Error", "text/plain", "out of memory"))
+	for name, c := range map[string]struct {
+		acquire   func(int) *errs.Error
+		noRetries bool
+		second    func(net.Conn)
+	}{
+		"the placement refuses":    {acquire: refuseAfterFirst, second: failed},
+		"no retry is left":         {noRetries: true, second: failed},
+		"the other target refuses": {second: writes(refusal)},
+		"the other target closes":  {second: func(net.Conn) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, targets(failed, c.second))
+			w.route.Resumable, w.route.MaxAttempts, w.acquire, w.noRetries = true, 2, c.acquire, c.noRetries
+			status, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
+			g.Expect(body).To(gomega.Equal("out of memory"))
+			g.Eventually(w.inFlight).Should(gomega.BeZero())
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,9 @@
 // serveStream serves a request whose response is a stream of events.
 func (c *call) serveStream() {
 	stream, first, failure := c.openStream(opening{ctx: c.ctx, after: c.meta.LastEventID, waitingSince: c.arrived})
+	if failure != nil && c.serverError != nil {
+		stream, failure = c.serverError, nil
+	}
 	if failure != nil {
 		c.respondError(failure)
 		c.finish()
@@ -168,6 +171,7 @@
 		return s, event, nil
 	}
 	if serverError {
+		c.serverError = s
 		failure = errs.New(errs.TargetRefused, "the target responded with a server error").WithRan(errs.RanYes)
 	}
 	return nil, event, s.fail(c, failure)
