gateway: A stream that waits for a place holds no retry

Streams whose targets had ended found the retry budget used up by others that were refused a place and waited, for up to a second or more, until they might ask again.

Cause: a retry that was taken and not sent was kept until the end of the handover or call.

Evidence: TestWaitForAPlaceHoldsNoRetry; without the fix handover_test.go:196: Expected <int>: 1 to be zero-valued

Fix: it goes back to the budget during the pause and is taken again after it.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -169,3 +169,30 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(body).To(gomega.Equal(wholeStream))
 }
+
+// Guards against a retry that is kept from other requests by one that is refused a place and
+// waits until it may ask again.
+func TestWaitForAPlaceHoldsNoRetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Streaming, targets(writes(streamHead, chunk1, chunk2), writes(streamHead, chunk3, lastChunk)))
+	w.route.Resumable, w.route.MaxAttempts = true, 2
+	waiting := make(chan struct{})
+	w.acquire = func(placement int) *errs.Error {
+		if placement == 2 {
+			close(waiting)
+			return errs.NotRun(errs.Overloaded, "no place").WithRetry(time.Second)
+		}
+		return nil
+	}
+	taken := make(chan int, 1)
+	go func() {
+		<-waiting
+		time.Sleep(500 * time.Millisecond)
+		taken <- w.taken()
+	}()
+	_, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal(wholeStream))
+	g.Expect(<-taken).To(gomega.BeZero())
+	g.Expect(w.taken()).To(gomega.Equal(1))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,14 +111,16 @@
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts
 }
 
-// awaitPlacement waits after refusals until the placement may be asked again. It
-// returns false at once if the request is refused for good: one of which the caller has
-// nothing yet, and that is not at work at another target, is better sent again by the caller.
+// awaitPlacement waits after refusals until the placement may be asked again. Meanwhile other
+// requests may use the retry that was taken for the attempt. It returns false at once if the
+// request is refused for good: one of which the caller has nothing yet, and that is not at
+// work at another target, is better sent again by the caller.
 func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
 	if failure.Ran != errs.RanNo || o.handover == nil && o.after <= c.meta.LastEventID {
 		return false
 	}
 	delay := max(minPlacementDelay, failure.Retry)
+	c.returnRetry()
 	return time.Now().Add(delay).Before(c.placementDeadline(o)) && pause.For(o.ctx, delay)
 }
 
