gateway: A stream of comments only can go on at another target

Callers saw streams cut, or silent until they left, whose target had sent a comment and then fell silent or ended, although another target would have served the whole stream.

Cause: the comment counted as the first event, which ends the handover, and none was planned since there was no event to go on after.

Fix: a stream without events goes on at another target from its beginning. Any event but a comment ends a handover, also one without an ID, after which the stream cannot move (TestEventWithoutAnIDEndsTheHandover).

--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -97,3 +97,42 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(body).To(gomega.Equal(wholeStream))
 }
+
+// Guards against a stream that cannot go on at another target, because all that its own target
+// sent before it fell silent or ended was a comment.
+func TestStreamOfCommentsMovesToAnotherTarget(t *testing.T) {
+	const comment = ":\n\n"
+	for name, first := range map[string]func(net.Conn){"silent": mute(streamHead, chunk(comment)), "ended": writes(streamHead, chunk(comment))} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, inTurn(first, writes(streamHead, chunk1, chunk2, chunk3, lastChunk)))
+			w.route.Resumable, w.route.MaxAttempts = true, 2
+			_, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(comment + wholeStream))
+			g.Expect(w.resumedAfter.Load()).To(gomega.BeZero())
+		})
+	}
+}
+
+// Guards against a stream whose first event, without an ID, arrives late and again from another
+// target.
+func TestEventWithoutAnIDEndsTheHandover(t *testing.T) {
+	g := gomega.NewWithT(t)
+	opened := make(chan struct{}, 1)
+	w, address := newWorld(t, fleet.Streaming, inTurn(func(c net.Conn) {
+		writes(streamHead, chunk(":\n\n"))(c)
+		<-opened
+		writes(chunk("data: a\n\n"))(c)
+		time.Sleep(overlapBound)
+		writes(chunk("data: b\n\n"), lastChunk)(c)
+	}, func(c net.Conn) {
+		opened <- struct{}{}
+		mute()(c)
+	}))
+	w.route.Resumable, w.route.MaxAttempts = true, 2
+	_, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal(":\n\ndata: a\n\ndata: b\n\n"))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 // request is refused for good: one of which the caller has nothing yet, and that is not at
 // work at another target, is better sent again by the caller.
 func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
-	if failure.Ran != errs.RanNo || o.handover == nil && o.after <= c.meta.LastEventID {
+	if failure.Ran != errs.RanNo || o.handover == nil && !c.streamBegun {
 		return false
 	}
 	delay := max(minPlacementDelay, failure.Retry)
@@ -478,6 +478,7 @@
 	handover    *handover // planned if the source is late with the next event, nil if none
 	pending     []byte    // bytes of the current event that have not been read yet
 	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
+	hasEvents   bool      // an event other than a comment was enqueued
 	endErr      error     // result of Read after the last event, nil while the stream goes on
 	closed      bool
 }
@@ -489,9 +490,13 @@
 	if e.ID > 0 {
 		b.lastEventID = e.ID
 	}
+	b.hasEvents = b.hasEvents || !e.Comment
 	b.call.trace.addEvent(time.Now())
 }
 
+// mayMove reports whether another target can continue the stream.
+func (b *streamBody) mayMove() bool { return b.lastEventID > 0 || !b.hasEvents }
+
 // Read implements io.Reader. An error other than io.EOF makes the HTTP server
 // cut the connection, so that the stream does not look complete.
 func (b *streamBody) Read(p []byte) (int, error) {
@@ -511,12 +516,12 @@
 func (b *streamBody) readNext() {
 	defer b.contain()
 	c := b.call
-	if b.handover == nil && b.lastEventID > 0 {
+	if b.handover == nil && b.mayMove() {
 		next := opening{after: b.lastEventID, waitingSince: c.waitingSince()}
 		b.handover = c.planHandover(b.source, next, c.eventGapDelay())
 	}
 	event, err := b.source.next(c)
-	progress := err == nil && event.ID > 0 || err == io.EOF
+	progress := err == nil && !event.Comment || err == io.EOF
 	switch {
 	case b.handover.hasMoved(), progress && !b.handover.keep():
 		b.move(lateFailure(nil))
@@ -563,7 +568,7 @@
 func (b *streamBody) resume(failure *errs.Error) {
 	c := b.call
 	suspect := b.source.eventCount < progressEvents && c.mayCrashTargets()
-	if c.ended() || b.lastEventID == 0 || suspect || !c.mayStartAnother() {
+	if c.ended() || !b.mayMove() || suspect || !c.mayStartAnother() {
 		b.cut(failure)
 		return
 	}
