--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,9 +51,11 @@
 	advised      atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
 	statements   chan gateway.TargetStatement    // that were recorded, unless it is nil
 	ignored      atomic.Int64                    // statements
+	mu           sync.Mutex                      // guards retries
 	retries      int                             // taken from the budget
 	takeRetry    func() bool                     // decides on retries, unless it is nil
 	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
+	outcomes     atomic.Int64                    // recorded of requests at plain targets
 	latency      time.Duration                   // expected of plain targets, 1 s if 0
 	dial         func()                          // is called after a connection to a target was opened, unless it is nil
 }
@@ -97,17 +100,31 @@
 
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
+	w.outcomes.Add(1)
 }
 func (w *world) CountRequest(string) {}
 func (w *world) TakeRetry(string) bool {
 	if w.takeRetry != nil && !w.takeRetry() {
 		return false
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.retries++
 	return !w.noRetries
 }
 
-func (w *world) ReturnRetry(string, time.Time) { w.retries-- }
+func (w *world) ReturnRetry(string, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+}
+
+// taken returns the number of retries that are taken from the budget.
+func (w *world) taken() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.retries
+}
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
@@ -263,6 +280,18 @@
 	}
 }
 
+// Guards against a target that gets fewer and fewer requests, because those whose handling
+// failed unexpectedly count as open there for ever.
+func TestPanicOfAnAttemptEndsItAtItsTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, writes(plainAnswer))
+	w.panicIn = "ParseResponse"
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(w.outcomes.Load()).To(gomega.Equal(int64(1)))
+}
+
 // Guards against a stalled stream that sends lines without events now and then, and so
 // keeps its request, its connection and its lease until the caller's deadline although
 // another target could continue it.
