advisory: A choice looks at the targets that pause, not at all targets

With 950 targets of which 10 pause, the list of pauses took 30 us, on each choice of a target and each request to an owner: the whole table was searched while any target paused.

--- a/internal/advisory/pause.go
+++ b/internal/advisory/pause.go
@@ -1,9 +1,6 @@
 package advisory
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Pause is a target that wants no request from this VM for a time. VMs send it to owners with
 // gob, so its field names are part of the protocol.
@@ -29,11 +26,13 @@
 
 // pauses is what the table knows of pauses, apart from their ends.
 type pauses struct {
-	lastEnd time.Duration         // when no target pauses any more
+	targets map[string]struct{}   // all that pause, and some whose pauses have ended
 	noted   map[string]notedPause // by target
 }
 
-func newPauses() pauses { return pauses{lastEnd: math.MinInt64, noted: map[string]notedPause{}} }
+func newPauses() pauses {
+	return pauses{targets: map[string]struct{}{}, noted: map[string]notedPause{}}
+}
 
 // PausedFor returns the time for which a target wants no request from this VM, 0 if it takes
 // requests.
@@ -47,14 +46,14 @@
 
 // Pauses returns the targets that want no request from this VM now.
 func (t *Table) Pauses(now time.Duration) []Pause {
-	if t.pauses.lastEnd <= now {
-		return nil
-	}
 	var all []Pause
-	for target, r := range t.records {
-		if r.pausedUntil > now {
-			all = append(all, Pause{Target: target, Born: r.born, Left: r.pausedUntil - now})
+	for target := range t.pauses.targets {
+		r := t.records[target]
+		if r == nil || r.pausedUntil <= now {
+			delete(t.pauses.targets, target)
+			continue
 		}
+		all = append(all, Pause{Target: target, Born: r.born, Left: r.pausedUntil - now})
 	}
 	return all
 }
--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -104,7 +104,7 @@
 			r.pausedSince = s.HeardAt
 		}
 		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
-		t.pauses.lastEnd = max(t.pauses.lastEnd, r.pausedUntil)
+		t.pauses.targets[i.Target] = struct{}{}
 	}
 	return t.noteChange(r, before, s.HeardAt)
 }
