gateway, advisory: Streams do not wait past their deadline for an owner during pauses

What callers saw: while no owner of a group responds and all targets pause for minutes, a stream waited up to 2.5 s for the next owner, which could not help. A pause of more than a minute was forgotten if the entry of its target was missing for a minute.

Cause: only owners looked at the pauses of a whole service; the statements of a target that is not listed end after a minute.

Now a stream is refused at once if all targets pause beyond its deadline, with the shortest pause (at most 5 s) as Retry-After, and statements are kept until the end of a pause, at most 5 minutes.

Before: TestStreamIsRefusedAtOnceIfAllTargetsPauseBeyondItsDeadline got 200 instead of 503, and TestStatementsEndWithTheirTarget, with the pause added to it, found none after half of it.

--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -157,7 +157,7 @@
 			r.unlistedSince = never
 		case r.unlistedSince == never:
 			r.unlistedSince = now
-		case now-r.unlistedSince > unlistedRetention:
+		case now-r.unlistedSince > unlistedRetention && r.pausedUntil <= now:
 			delete(t.records, target)
 		}
 	}
--- a/internal/advisory/table_test.go
+++ b/internal/advisory/table_test.go
@@ -286,4 +286,11 @@
 	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: 120 * time.Second}, ratelimit.Position{})
 	table.Retain(121*time.Second, func(string) (int64, bool) { return 8, true })
 	g.Expect(table.Since(121*time.Second, 0, false).Leaving).To(gomega.BeEmpty())
+	const pause = 5 * time.Minute
+	table.Observe(i, advisory.Statement{Pause: pause, HeardAt: 130 * time.Second}, ratelimit.Position{})
+	table.Retain(131*time.Second, unlisted)
+	table.Retain(131*time.Second+pause/2, unlisted)
+	g.Expect(table.PausedFor(131*time.Second+pause/2, i)).To(gomega.Equal(pause/2 - time.Second))
+	table.Retain(131*time.Second+pause, unlisted)
+	g.Expect(table.PausedFor(131*time.Second, i)).To(gomega.BeZero())
 }
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// Guards against a stream that waits for an owner, or for the end of a pause, until its deadline.
+func TestStreamIsRefusedAtOnceIfAllTargetsPauseBeyondItsDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Streaming, writes(ownStream))
+	w.servicePause = time.Minute
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(w.placements).To(gomega.BeZero())
+	g.Expect(time.Duration(w.advised.Load())).To(gomega.Equal(5 * time.Second))
+}
+
 // Guards against advice to come back at once, or in vain, while all targets of the service
 // pause, and against a caller that is told to wait for minutes that another VM might not.
 func TestRefusalsTellWhenThePauseEnds(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -205,6 +205,9 @@
 // acquireUsable waits for a target that takes requests. The owner of a group may learn later
 // than this VM that a target leaves or pauses.
 func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
+	if left := c.server.opt.Fleet.ServicePausedFor(c.service); left > time.Until(c.placementDeadline(o)) {
+		return Lease{}, errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(min(maxPauseAdvice, left))
+	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
 	var paused []string // targets that were granted during their pause
