gateway: Statements of answers to other requests are counted as ignored

What operators saw: an answer to another request that comes first, with a pause or any other statement, was skipped and its statement ignored without a count; only that of the answer itself was counted.

Cause: answers with the ID of another request are skipped before their statement is looked at.

TestOnlyOwnAnswersStatePauses, which now expects a count of one for each answer that states nothing for this target, failed without the change for the three kinds of requests.

--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -32,14 +32,14 @@
 
 	mu              sync.Mutex
 	registry        *fleet.Registry
-	expiryCheckedAt time.Time // when expireMissingTargets was last called
-	targetsListed   bool      // the whole list of targets has been received
+	pauseTimer      *time.Timer // runs until the end of the next pause, nil before the first one
+	expiryCheckedAt time.Time   // when expireMissingTargets was last called
+	targetsListed   bool        // the whole list of targets has been received
 	targets         map[string]fleet.Target
 	changes         []targetChange                 // since the last call of takeChanges
 	balancers       map[string]*balance.Balancer   // by plain service
 	budgets         map[string]*retrybudget.Budget // by service
 	statements      *advisory.Table
-	pauseTimer      *time.Timer // runs until the end of the next pause, nil before the first one
 }
 
 func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, leavingChanged func(source string), versions *versionTable, m *metrics.Registry) *deployment {
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -303,12 +303,12 @@
 	d.metrics.Set(metrics.EdgeConfigVersion, int64(d.configVersion()))
 	d.metrics.Set(metrics.EdgeVMs, int64(d.placement.VMs()))
 	d.metrics.Set(metrics.EdgeTargetConnections, d.upstream.OpenedConnections())
-	for service, count := range d.deployment.leavingByService() {
-		d.metrics.SetLabel(metrics.EdgeTargetsLeaving, service, count)
-	}
 	for service, count := range d.deployment.pausedByService() {
 		d.metrics.SetLabel(metrics.EdgeTargetsPaused, service, count)
 	}
+	for service, count := range d.deployment.leavingByService() {
+		d.metrics.SetLabel(metrics.EdgeTargetsLeaving, service, count)
+	}
 	waiting, age := d.groups.QueueStats()
 	d.metrics.Set(metrics.EdgeQueue, int64(waiting))
 	d.metrics.Set(metrics.EdgeQueueAge, age.Milliseconds())
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -44,6 +44,9 @@
 			returned = true
 			return a, nil
 		}
+		if a.meta.Statement.states() {
+			c.server.opt.Fleet.IgnoreStatement(ForeignStatement)
+		}
 		if a.skipped++; a.skipped > maxForeignAnswers {
 			return answer{}, wrongAnswer("the target answered other requests only")
 		}
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -121,6 +121,7 @@
 					return
 				}
 				g.Expect(told).To(gomega.BeZero())
+				g.Expect(w.ignored.Load()).To(gomega.Equal(int64(1)), "counted")
 			})
 		}
 	}
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -128,9 +128,10 @@
 	sim := &simulation{
 		core: placer.New(params), now: time.Second, engines: map[string]*engine{}, leaving: map[string]bool{},
 		random: rand.New(rand.NewPCG(seed, seed)), granted: map[string]placer.Grant{}, refused: map[string]placer.RefuseRequest{},
-		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, grantedAt: map[string]time.Duration{}, rateLimits: map[string]float64{},
+		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, rateLimits: map[string]float64{},
 		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
+	sim.grantedAt = map[string]time.Duration{}
 	for i := range engines {
 		id := fmt.Sprintf("t%d", i)
 		sim.engines[id] = newEngine(id, 1)
@@ -203,8 +204,9 @@
 func (sim *simulation) grant(c placer.GrantRequest) {
 	sim.grantTimes[c.Grant.Target] = append(sim.grantTimes[c.Grant.Target], sim.now)
 	id := c.Grant.Request
+	sim.grantedAt[id] = sim.now
 	sim.checkUnanswered(id)
-	sim.granted[id], sim.waits[id], sim.grantedAt[id] = c.Grant, c.Waited, sim.now
+	sim.granted[id], sim.waits[id] = c.Grant, c.Waited
 	if sim.leaving[c.Grant.Target] {
 		sim.violations = append(sim.violations, id+" was sent to a leaving target")
 	}
