edge: Log and metrics tell the limits of targets, and who decides on requests

Neither log nor metrics told which targets limit their requests, or that a request waited or was refused for it.

target_limited, target_limit_changed, target_limit_used and target_unlimited have target, incarnation, limit, source and age, and count what the VM has sent since the line before by who decided: owner's grants, own choice, repeats, orders. The owner tells with a grant or a refusal which limit held the request up; front ends log it as a step, and explain names it.

The fakes of gateway and groupclient tests get the new method and parameter; no check is changed.

--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -30,6 +30,7 @@
 const (
 	Answer Source = "answer" // this VM, from the target
 	Owner  Source = "owner"  // another VM, and the owner of a target group passed it on
+	Told   Source = "vm"     // another VM, which told this VM as the owner of a target group
 )
 
 const (
@@ -180,5 +181,9 @@
 // Exhausted returns the targets whose limit allows no request of this VM now.
 func (t *Table) Exhausted(now time.Duration) []string { return t.limits.Exhausted(now) }
 
+// StatedLimits returns the limits of the targets, with the times since which they have been in
+// force.
+func (t *Table) StatedLimits() map[string]ratelimit.Stated { return t.limits.Stated() }
+
 // RateLimits returns the limits of the targets.
 func (t *Table) RateLimits() map[string]float64 { return t.limits.Limits() }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -175,6 +175,7 @@
 	d.runInBackground(ctx, "placement", d.placement.Run)
 	d.runInBackground(ctx, "quarantine", d.quarantine.run)
 	d.runInBackground(ctx, "target_expiry", d.expireMissingTargets)
+	d.runInBackground(ctx, "limit_log", d.logLimits)
 	served := make(chan error, 1)
 	go func() { served <- d.gateway.Serve(d.callerListener) }()
 	d.log.Info().Str(fieldEvent, "started").Str(fieldAddress, d.settings.CallerAddress).
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -37,13 +37,14 @@
 	balancers       map[string]*balance.Balancer   // by plain service
 	budgets         map[string]*retrybudget.Budget // by service
 	statements      *advisory.Table
+	limits          *limitKeeper
 }
 
 func newDeployment(s *Settings, startedAt time.Time, position func() ratelimit.Position, leavingChanged func(source string), versions *versionTable, m *metrics.Registry) *deployment {
 	return &deployment{
 		settings: s, startedAt: startedAt, position: position, leavingChanged: leavingChanged, versions: versions, metrics: m, registry: fleet.NewRegistry(), targets: map[string]fleet.Target{},
 		balancers: map[string]*balance.Balancer{}, budgets: map[string]*retrybudget.Budget{},
-		statements: advisory.NewTable(),
+		statements: advisory.NewTable(), limits: newLimitKeeper(m),
 	}
 }
 
@@ -259,10 +260,21 @@
 	target, found := d.balancer(service).Pick(now, append(slices.Clone(exclude), d.statements.Exhausted(now)...))
 	if found {
 		d.statements.TakeFromLimit(now, target.ID)
+		d.limits.countSent(target.ID, chosenBy(len(exclude) > 0))
 	}
 	return target, found
 }
 
+// Limited implements gateway.Fleet.
+func (d *deployment) Limited(service string, exclude []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.statements.Exhausted(d.now()), func(id string) bool {
+		t := d.targets[id]
+		return t.Service == service && !t.Leaving && !slices.Contains(exclude, id)
+	})
+}
+
 // RecordStatement implements gateway.Fleet.
 func (d *deployment) RecordStatement(target string, s gateway.TargetStatement) {
 	var position ratelimit.Position // of no use without a limit
@@ -337,11 +349,15 @@
 }
 
 // takeFromLimit reports whether this VM may send a request to a target by its own choice, and
-// counts it.
-func (d *deployment) takeFromLimit(target string) bool {
+// counts it. repeat tells that another target has had the request before.
+func (d *deployment) takeFromLimit(target string, repeat bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.statements.TakeFromLimit(d.now(), target)
+	taken := d.statements.TakeFromLimit(d.now(), target)
+	if taken {
+		d.limits.countSent(target, chosenBy(repeat))
+	}
+	return taken
 }
 
 // ExpectedLatency implements gateway.Fleet.
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -40,4 +40,8 @@
 	fieldParts        = "parts"
 	fieldCrashed      = "crashed"
 	fieldCut          = "cut"
+	fieldLimit        = "limit"
+	fieldLimitBefore  = "limit_before"
+	fieldLimitedBy    = "limited_by"
+	fieldLimitWait    = "limit_wait_ms"
 )
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -60,7 +60,9 @@
 
 func (d *Daemon) countAgainstLimit(target string) { d.deployment.countAgainstLimit(target) }
 
-func (d *Daemon) takeFromLimit(target string) bool { return d.deployment.takeFromLimit(target) }
+func (d *Daemon) takeFromLimit(target string, repeat bool) bool {
+	return d.deployment.takeFromLimit(target, repeat)
+}
 
 // storeHealthChanged logs that calls to the store have begun to fail or to succeed again.
 // When they begin to fail, it also repeats all watches.
@@ -95,6 +97,9 @@
 func (o groupObserver) Ordered(group string, epoch int64, order placer.Order, result placer.OrderResult, took time.Duration) {
 	o.d.metrics.Count(metrics.EdgeOrders, string(order.Operation)+" "+string(result))
 	o.d.metrics.Observe(metrics.EdgeOrderTime, took)
+	if result != placer.Withheld && result != placer.NotSent {
+		o.d.deployment.limits.countSent(order.Target, advisory.ByOrder)
+	}
 	line := o.d.log.Info()
 	expected := result == placer.Accepted || result == placer.AlreadyApplied
 	if expected && (order.Poll || order.Operation == placer.Unload) {
@@ -107,6 +112,7 @@
 
 // Reported implements groupserver.Observer.
 func (o groupObserver) Reported(group, target string, err error) {
+	o.d.deployment.limits.countSent(target, advisory.ByOrder)
 	o.d.log.Info().Str(fieldEvent, "report").Str(fieldGroup, group).Str(fieldTarget, target).Err(err).Send()
 }
 
@@ -114,11 +120,13 @@
 func (o groupObserver) Granted(group string, epoch int64, command placer.GrantRequest) {
 	o.d.metrics.Add(metrics.EdgeGrants, 1)
 	o.d.metrics.Observe(metrics.EdgeGrantWait, command.Waited)
+	o.d.deployment.limits.countSent(command.Grant.Target, grantedBy(command.Repeat))
+	o.d.deployment.limits.countHold(command.Hold, heldGranted)
 	line := o.d.log.Debug()
 	if command.Waited > longGrantWait || o.d.grantLogSampler.allow(successesPerSecond) {
 		line = o.d.log.Info()
 	}
-	line.Str(fieldEvent, "granted").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.Grant.Request).
+	logHold(line, command.Hold).Str(fieldEvent, "granted").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.Grant.Request).
 		Str(fieldTarget, command.Grant.Target).Int64(fieldVersion, command.Grant.Version).
 		Dur(fieldEstimate, command.Estimate).Dur(fieldBacklog, command.Backlog).Dur(fieldWaited, command.Waited).Send()
 }
@@ -126,7 +134,8 @@
 // Refused implements groupserver.Observer.
 func (o groupObserver) Refused(group string, epoch int64, command placer.RefuseRequest) {
 	o.d.metrics.Count(metrics.EdgeRefusals, string(command.Err.Code))
-	o.d.log.Info().Str(fieldEvent, "refused").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.ID).
+	o.d.deployment.limits.countHold(command.Hold, heldRefused)
+	logHold(o.d.log.Info(), command.Hold).Str(fieldEvent, "refused").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.ID).
 		Str(fieldReason, command.Err.Error()).Dur(fieldRetry, command.Err.Retry).Dur(fieldWaited, command.Waited).Send()
 }
 
@@ -218,6 +227,7 @@
 	if step.Estimate > 0 {
 		line.Dur(fieldEstimate, step.Estimate).Str(fieldOwner, step.Owner).Int64(fieldVersion, step.Version)
 	}
+	logHold(line, step.Hold)
 	if b := step.Break; b != nil {
 		line.Strs(fieldParts, b.Parts).Int(fieldCount, b.EventCount).Bool(fieldCrashed, b.Crashed)
 	}
@@ -249,6 +259,14 @@
 		switch step.Name {
 		case gateway.StepFailed:
 			m.Count(metrics.EdgeAttemptsFailed, step.Detail)
+		case gateway.StepLimited:
+			if step.Hold == nil {
+				m.Count(metrics.EdgeLimitHeld, heldNoShare)
+			}
+		case gateway.StepPlaced:
+			if step.Owner == "" {
+				m.Add(metrics.EdgeUngranted, 1)
+			}
 		case gateway.StepResumed:
 			m.Add(metrics.EdgeStreamsResumed, 1)
 		}
@@ -306,6 +324,7 @@
 	for service, count := range d.deployment.leavingByService() {
 		d.metrics.SetLabel(metrics.EdgeTargetsLeaving, service, count)
 	}
+	d.updateLimitGauges()
 	waiting, age := d.groups.QueueStats()
 	d.metrics.Set(metrics.EdgeQueue, int64(waiting))
 	d.metrics.Set(metrics.EdgeQueueAge, age.Milliseconds())
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -35,6 +35,7 @@
 	Request      string   `json:"request"`
 	Lines        []Line   `json:"lines"`   // lines about the request, in causal order
 	StateChanges []Line   `json:"around"`  // state changes of the VMs involved, from stateChangeLookback before the first of Lines to the last
+	Limits       []string `json:"limits"`  // how rate limits of targets held the request up
 	Missing      []string `json:"missing"` // descriptions of the lines and logs that are missing
 }
 
@@ -139,13 +140,15 @@
 	}
 	slices.SortStableFunc(report.Lines, compareStamps)
 	first, last := report.Lines[0].Time, report.Lines[len(report.Lines)-1].Time
-	involved := involvedVMs(report.Lines)
+	involved, targets := involvedVMs(report.Lines), involvedTargets(report.Lines)
 	for _, l := range lines {
-		if stateChangeEvents[l.Event] && involved[l.VM] && l.Time.After(first.Add(-stateChangeLookback)) && !l.Time.After(last) {
+		changed := stateChangeEvents[l.Event] || limitEvents[l.Event] && targets[stringField(l.Fields, "target")]
+		if changed && involved[l.VM] && l.Time.After(first.Add(-stateChangeLookback)) && !l.Time.After(last) {
 			report.StateChanges = append(report.StateChanges, l)
 		}
 	}
 	slices.SortStableFunc(report.StateChanges, compareStamps)
+	report.Limits = describeLimits(report.Lines)
 	report.Missing = describeGaps(report.Lines, lines)
 	return report, nil
 }
@@ -205,6 +208,9 @@
 			writeLine(&b, start, l)
 		}
 	}
+	for _, limit := range report.Limits {
+		fmt.Fprintf(&b, "limit: %s\n", limit)
+	}
 	for _, gap := range report.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", gap)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -53,3 +53,36 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(outside).To(gomega.BeEmpty())
 }
+
+const limitLogs = `{"vm":"vm1","event":"target_limited","target":"t1","limit":1.5,"source":"answer","stamp":"1000000000.0"}
+{"vm":"vm1","event":"target_limited","target":"t2","limit":1.5,"source":"answer","stamp":"1000000000.0"}
+{"vm":"vm1","event":"granted","request":"q1/1","target":"t3","limited_by":"t1","limit":1.5,"limit_wait_ms":412,"stamp":"2000000000.0"}
+{"vm":"vm1","event":"limited","request":"q1","limited_by":"t1","limit":1.5,"limit_wait_ms":412,"stamp":"2100000000.0"}
+{"vm":"vm1","event":"finished","request":"q1","status":200,"stamp":"2100000000.1"}
+{"vm":"vm1","event":"refused","request":"q2/1","limited_by":"","limit":12,"limit_wait_ms":0,"reason":"overloaded","stamp":"2000000000.0"}
+{"vm":"vm1","event":"limited","request":"q3","reason":"no share of a rate limit left","stamp":"2000000000.0"}
+{"vm":"vm1","event":"finished","request":"q3","status":503,"stamp":"2000000000.1"}
+`
+
+// Guards against a report that does not tell that a request waited, or was refused, because of
+// the rate limit of a target.
+func TestReportNamesTheLimitThatHeldARequestUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := explain.Read(strings.NewReader(limitLogs), explain.Window{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for id, want := range map[string]string{
+		"q1": "limit: held up for 412 ms by the limit of t1, 1.5 requests a second, then granted\n",
+		"q2": "limit: all targets are limited, to 12 requests a second together, then refused\n",
+		"q3": "limit: no share of a rate limit left\n",
+	} {
+		report, err := explain.BuildReport(id, lines)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Limits).To(gomega.HaveLen(1), id)
+		var b strings.Builder
+		g.Expect(explain.Write(&b, report)).To(gomega.Succeed())
+		g.Expect(b.String()).To(gomega.ContainSubstring(want))
+		if id == "q1" {
+			g.Expect(report.StateChanges).To(gomega.HaveLen(1), "the limit of a target that the request had nothing to do with")
+		}
+	}
+}
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -129,9 +129,11 @@
 	}
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement)  { w.maybePanic("Started") }
-func (w *world) Stated(gateway.Lease, gateway.TargetStatement)   {}
-func (w *world) IgnoreStatement(string)                          {}
+func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement)  {}
+func (w *world) IgnoreStatement(string)                         {}
+func (w *world) Limited(string, []string) bool                  { return false }
+
 func (w *world) RecordStatement(string, gateway.TargetStatement) {}
 func (w *world) Release(gateway.Lease, placer.Outcome)           { w.maybePanic("Release") }
 func (w *world) Finished(s gateway.Summary)                      { w.summaries <- s }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -55,6 +55,10 @@
 	var last *reply
 	start := func(retryAt time.Time) *errs.Error {
 		target, found := c.server.opt.Fleet.Pick(c.service, c.excluded)
+		if !found && c.server.opt.Fleet.Limited(c.service, c.excluded) {
+			c.trace.addStep(StepLimited, "", "no share of a rate limit left")
+			return errs.NotRun(errs.NoTarget, "the rate limits of the service's targets leave this VM no request now").WithRetry(time.Second)
+		}
 		if !found {
 			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(time.Second)
 		}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -63,9 +63,10 @@
 // Placement.Release.
 type Lease struct {
 	Grant    placer.Grant
-	Estimate time.Duration // estimated time until the first event
-	Owner    string        // VM that granted the lease, empty if this VM chose the target from its own view
-	Group    string        // group of targets that the owner manages, empty if Owner is
+	Estimate time.Duration     // estimated time until the first event
+	Owner    string            // VM that granted the lease, empty if this VM chose the target from its own view
+	Group    string            // group of targets that the owner manages, empty if Owner is
+	Hold     *placer.LimitHold // nil if no rate limit of a target has held the request up
 }
 
 // TargetStatement is what a target stated about itself in the head of an answer.
@@ -123,6 +124,9 @@
 	// Pick selects a target of a plain service and counts a request as open there.
 	// It returns false if there is none outside exclude.
 	Pick(service string, exclude []string) (fleet.Target, bool)
+	// Limited reports whether targets of a plain service outside exclude take requests, but
+	// their rate limits leave this VM none now.
+	Limited(service string, exclude []string) bool
 	// ExpectedLatency returns the usual response time of a target of a plain
 	// service.
 	ExpectedLatency(service, target string) time.Duration
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -5,6 +5,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/placer"
 )
 
 // Names of the steps of a request.
@@ -14,7 +15,8 @@
 	StepSent    = "sent"
 	StepFailed  = "attempt_failed"
 	StepResumed = "resumed"
-	StepLate    = "late" // the target is late with its next event, so that another one is sought
+	StepLimited = "limited" // the rate limits of targets have held the request up, or leave no target
+	StepLate    = "late"    // the target is late with its next event, so that another one is sought
 )
 
 // Step is one event in the handling of a request, such as a placement or a
@@ -23,11 +25,12 @@
 	At       time.Duration // time since the request arrived
 	Name     string
 	Target   string
-	Detail   string        // reason of a failed attempt
-	Owner    string        // VM that granted the lease, empty if this VM chose the target
-	Estimate time.Duration // estimated time until the first event
-	Version  int64         // version of the adapter, 0 if unknown
-	Break    *StreamBreak  // of a failed attempt at a stream, nil otherwise
+	Detail   string            // reason of a failed attempt
+	Owner    string            // VM that granted the lease, empty if this VM chose the target
+	Estimate time.Duration     // estimated time until the first event
+	Version  int64             // version of the adapter, 0 if unknown
+	Break    *StreamBreak      // of a failed attempt at a stream, nil otherwise
+	Hold     *placer.LimitHold // of a request that rate limits have held up, nil otherwise
 }
 
 // StreamBreak describes the state in which an attempt at a stream failed.
@@ -73,6 +76,9 @@
 
 // addPlacement records the lease that the placement granted.
 func (t *Trace) addPlacement(l Lease) {
+	if l.Hold != nil {
+		t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: StepLimited, Target: l.Hold.Target, Hold: l.Hold})
+	}
 	t.Steps = append(t.Steps, Step{
 		At: time.Since(t.arrivedAt), Name: StepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
 	})
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -75,14 +75,15 @@
 		if !isOwnerUnavailable(failure) {
 			return gateway.Lease{}, failure
 		}
-		if lease, found := c.chooseLocally(names, request); found {
+		lease, limited := c.chooseLocally(names, request)
+		if lease.Grant.Target != "" {
 			return lease, nil
 		}
 		if time.Since(askedAt) > suspectAfter {
 			ownerHeardAt = time.Now() // the request has waited at an owner that responded
 		}
 		if time.Since(ownerHeardAt) > maxOwnerWait || ctx.Err() != nil {
-			return gateway.Lease{}, errs.NotRun(errs.NotOwner, "no owner of a target group of the service responds").WithRetry(noOwnerRetryAfter)
+			return gateway.Lease{}, noOwner(limited)
 		}
 		pause.For(ctx, ownerPollInterval)
 		// An owner takes a request whose ID was cancelled for one that has ended.
@@ -90,6 +91,16 @@
 	}
 }
 
+// noOwner returns the error for requests of a service none of whose owners responds. limited
+// tells that a target has the adapter, and that its rate limit left this VM no request.
+func noOwner(limited bool) *errs.Error {
+	message := "no owner of a target group of the service responds"
+	if limited {
+		message += ", and this VM has used up its share of the rate limit of the target that has the adapter"
+	}
+	return errs.NotRun(errs.NotOwner, message).WithRetry(noOwnerRetryAfter)
+}
+
 // maxOwners is the number of owners whose refusals for overload end a request.
 const maxOwners = 2
 
@@ -108,7 +119,7 @@
 		reply := c.askOwner(ctx, o, r)
 		if reply.Err == nil {
 			c.trackRunning(o.name, r, reply.Grant)
-			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name}, nil
+			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name, Hold: reply.Hold}, nil
 		}
 		if isOwnerUnavailable(reply.Err) && refused > 0 {
 			continue
@@ -176,8 +187,9 @@
 }
 
 // chooseLocally chooses a target from this VM's view of the groups, for use while no
-// owner responds.
-func (c *Client) chooseLocally(names []string, request placer.Request) (gateway.Lease, bool) {
+// owner responds. The lease has no target if there is none; limited tells that this is for the
+// rate limit of one.
+func (c *Client) chooseLocally(names []string, request placer.Request) (lease gateway.Lease, limited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best placer.ResidentAdapter
@@ -202,12 +214,12 @@
 	if !found {
 		return gateway.Lease{}, false
 	}
-	if !c.opt.TakeFromLimit(best.Target) {
-		return gateway.Lease{}, false
+	if !c.opt.TakeFromLimit(best.Target, len(request.Exclude) > 0) {
+		return gateway.Lease{}, true
 	}
 	c.localGrants[best.Target]++
 	grant := placer.Grant{Request: request.ID, Target: best.Target, Address: bestTarget.Address, Version: best.Version, Priority: request.Priority, Born: bestTarget.Born}
-	return gateway.Lease{Grant: grant, Estimate: request.Objective / 2}, true
+	return gateway.Lease{Grant: grant, Estimate: request.Objective / 2}, false
 }
 
 // residents returns where an adapter is resident according to this VM's view of a
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -106,8 +106,8 @@
 	// RateLimits returns the limits that targets have named to this VM, by target.
 	RateLimits func() map[string]float64
 	// TakeFromLimit reports whether this VM may send a request to a target without a grant,
-	// and counts it.
-	TakeFromLimit func(target string) bool
+	// and counts it. repeat tells that another target has had the request before.
+	TakeFromLimit func(target string, repeat bool) bool
 	// CountAgainstLimit counts a request that is sent to a target under a grant.
 	CountAgainstLimit func(target string)
 	// Quarantine is the table of parts that crash targets. VMs exchange it with their calls.
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -160,7 +160,7 @@
 		RequiredVersion: func(placer.Adapter) int64 { return 0 }, SeenRevisions: func() map[string]int64 { return nil },
 		HandlePeerRevisions: func(map[string]int64) {}, KnownRevisions: func() grouprpc.StoreRevisions { return grouprpc.StoreRevisions{} },
 		UpdateFor: func(string) *grouprpc.DeploymentUpdate { return nil }, HandleReply: func(string, string, *grouprpc.SyncReply) {},
-		RateLimits: func() map[string]float64 { return nil }, TakeFromLimit: func(string) bool { return true },
+		RateLimits: func() map[string]float64 { return nil }, TakeFromLimit: func(string, bool) bool { return true },
 		LeavingSince: func(uint64, bool) advisory.Delta { return advisory.Delta{} }, MergeLeaving: func(advisory.Delta) {},
 		CountAgainstLimit: func(string) {}, ConfigVersion: func() uint64 { return 1 },
 	})
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -40,6 +40,7 @@
 type AcquireReply struct {
 	Grant    placer.Grant
 	Estimate time.Duration // expected time until the first event of the response
+	Hold     *placer.LimitHold
 	Err      *errs.Error
 }
 
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -311,6 +311,15 @@
 	}
 }
 
+func (g *group) limitedTargets() map[string]placer.LimitedTarget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.core == nil || g.halted {
+		return nil
+	}
+	return g.core.RateLimits(g.manager.now())
+}
+
 func (g *group) queueStats() (int, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -466,6 +467,15 @@
 	return len(m.groups)
 }
 
+// LimitedTargets returns the rate limits of the targets of the owned groups, by target.
+func (m *Manager) LimitedTargets() map[string]placer.LimitedTarget {
+	all := map[string]placer.LimitedTarget{}
+	for _, g := range m.allGroups() {
+		maps.Copy(all, g.limitedTargets())
+	}
+	return all
+}
+
 // QueueStats returns the number of requests that wait in the owned groups, and the age
 // of the oldest one.
 func (m *Manager) QueueStats() (waiting int, oldest time.Duration) {
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -35,6 +35,11 @@
 	EdgeQuarantines       Name = "edge_quarantines"
 	EdgeTargetsLeaving    Name = "edge_targets_leaving"
 	EdgeStatementsIgnored Name = "edge_statements_ignored"
+	EdgeTargetsLimited    Name = "edge_targets_limited"
+	EdgeLimits            Name = "edge_limits"
+	EdgeLimitHeld         Name = "edge_limit_held"
+	EdgeLimitSent         Name = "edge_limit_sent"
+	EdgeUngranted         Name = "edge_ungranted"
 )
 
 // EdgeDefinitions lists the metrics of an entry VM on the users' platform.
@@ -54,6 +59,11 @@
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
 	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
 	{EdgeStatementsIgnored, ByLabel, "statements", "of targets about themselves that were ignored, by header field; foreign: in an answer of another target or to another request"},
+	{EdgeTargetsLimited, ByLabel, "targets", "that limit their requests, by service, as far as this VM knows"},
+	{EdgeLimits, ByLabel, "requests a minute", "sum of these limits, by service"},
+	{EdgeLimitHeld, ByLabel, "requests", "held up by limits of targets, as owner: granted or refused after it; no_share: this VM's shares of the limits left none, plain services"},
+	{EdgeLimitSent, ByLabel, "requests and orders", "to targets known to be limited: granted by this VM as owner, chosen by it without an owner, likewise _repeat after another target; order"},
+	{EdgeUngranted, Counter, "requests", "placed at engines without an owner's grant"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
 	{EdgeGroupChanges, ByLabel, "actions", "of this VM on the objects of groups, with the error code"},
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -249,8 +249,8 @@
 		r.latestStart = min(r.latestStart, c.now+request.Abandon-abandonMargin)
 	}
 	r.adapter.countRequest(c.now)
-	if err := c.admit(r); err != nil {
-		c.refuseOnArrival(request, err)
+	if err, hold := c.admit(r); err != nil {
+		c.emit(RefuseRequest{ID: request.ID, Err: err, Hold: hold})
 		return
 	}
 	r.adapter.queued++
@@ -285,7 +285,7 @@
 
 func (c *Core) refuse(r *queuedRequest, err *errs.Error) {
 	c.dequeue(r)
-	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt})
+	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r)})
 }
 
 func (c *Core) emit(command Command) { c.commands = append(c.commands, command) }
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -188,6 +188,7 @@
 func (c *Core) grantWithinLimit(r *queuedRequest, best candidate) {
 	if best.limitWait > 0 {
 		c.reserveLimit(best.target)
+		c.holdUp(r, best.target)
 		return
 	}
 	c.grant(r, best)
@@ -279,6 +280,7 @@
 			Priority: enginePriority(r.Priority, late), Born: t.description.Born,
 		},
 		Estimate: best.firstEvent, Backlog: best.backlog, Waited: c.now - r.queuedAt,
+		Hold: c.limitHold(r), Repeat: len(r.Exclude) > 0,
 	})
 }
 
@@ -294,8 +296,8 @@
 	return min(4, priority)
 }
 
-// admit returns an error if a new request cannot be expected to start in time.
-func (c *Core) admit(r *queuedRequest) *errs.Error {
+// admit returns an error, and the limits that cause it if they do, if a new request cannot be expected to start in time.
+func (c *Core) admit(r *queuedRequest) (*errs.Error, *LimitHold) {
 	targets, backlog, queued := 0, time.Duration(0), time.Duration(0)
 	for _, t := range c.targets {
 		if t.acceptsWork() {
@@ -304,13 +306,13 @@
 		}
 	}
 	if targets == 0 {
-		return errNoTarget()
+		return errNoTarget(), nil
 	}
 	if len(c.queue) == 0 {
-		return nil
+		return nil, nil
 	}
-	if failure := c.checkLimits(r); failure != nil {
-		return failure
+	if failure, hold := c.checkLimits(r); failure != nil {
+		return failure, hold
 	}
 	for _, other := range c.queue {
 		if other.Priority <= r.Priority {
@@ -319,9 +321,9 @@
 	}
 	wait := (backlog + queued) / time.Duration(targets)
 	if float64(wait) > maxWaitFraction*float64(r.latestStart-c.now) {
-		return errs.NotRun(errs.Overloaded, "the request would wait beyond its deadline").WithRetry(retryAfter(wait))
+		return errs.NotRun(errs.Overloaded, "the request would wait beyond its deadline").WithRetry(retryAfter(wait)), nil
 	}
-	return nil
+	return nil, nil
 }
 
 // errNoTarget returns the error for requests to a group whose targets all leave.
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -18,6 +18,9 @@
 			perSecond = max(ratelimit.MinPerSecond, perSecond)
 		}
 		known := t.limit.Limited()
+		if t.limit.PerSecond() != perSecond {
+			t.limitSince = t.limitStatedAt
+		}
 		t.limit.SetRate(c.now, perSecond)
 		if !known {
 			t.limit.Take(c.now) // requests are on their way that were sent before
@@ -51,24 +54,67 @@
 	t.limitReserved++
 }
 
-// checkLimits returns an error if all targets are limited, and a new request would have to
+// checkLimits returns an error, and the limits that cause it, if all targets are limited, and a new request would have to
 // wait too long behind the queued ones.
-func (c *Core) checkLimits(r *queuedRequest) *errs.Error {
+func (c *Core) checkLimits(r *queuedRequest) (*errs.Error, *LimitHold) {
 	rate := 0.0
 	for _, t := range c.targets {
 		switch {
 		case !t.acceptsWork():
 		case !t.limit.Limited():
-			return nil
+			return nil, nil
 		default:
 			rate += 1 / t.limit.Interval().Seconds()
 		}
 	}
 	wait := time.Duration(float64(len(c.queue)) / rate * float64(time.Second))
 	if float64(wait) > maxWaitFraction*float64(r.latestStart-c.now) {
-		return errs.NotRun(errs.Overloaded, "the targets limit their requests, and the request would wait beyond its deadline").WithRetry(retryAfter(wait))
+		return errs.NotRun(errs.Overloaded, "the targets limit their requests, and the request would wait beyond its deadline").WithRetry(retryAfter(wait)), &LimitHold{PerSecond: rate}
+	}
+	return nil, nil
+}
+
+// limitHold is the time for which the limits of targets have held a queued request up.
+type limitHold struct {
+	since     Time
+	target    *targetState // nil if no limit has held the request up
+	perSecond float64      // the limit of target when it last did
+}
+
+// holdUp records that the limit of a target holds a queued request up.
+func (c *Core) holdUp(r *queuedRequest, t *targetState) {
+	if r.hold.target == nil {
+		r.hold.since = c.now
+	}
+	r.hold.target, r.hold.perSecond = t, t.limit.PerSecond()
+}
+
+// limitHold returns how the limits of targets have held a request up, nil if they have not.
+func (c *Core) limitHold(r *queuedRequest) *LimitHold {
+	if r.hold.target == nil {
+		return nil
+	}
+	return &LimitHold{Target: r.hold.target.description.ID, PerSecond: r.hold.perSecond, Waited: c.now - r.hold.since}
+}
+
+// LimitedTarget is the rate limit of a target.
+type LimitedTarget struct {
+	Born      int64
+	PerSecond float64
+	Age       time.Duration // since the target first stated the limit
+}
+
+// RateLimits returns the rate limits of the targets that have one, by ID.
+func (c *Core) RateLimits(now Time) map[string]LimitedTarget {
+	c.advance(now)
+	all := map[string]LimitedTarget{}
+	for id, t := range c.targetsByID {
+		if !t.limit.Limited() {
+			continue
+		}
+		all[id] = LimitedTarget{Born: t.description.Born, PerSecond: t.limit.PerSecond(), Age: c.now - t.limitSince}
 	}
-	return nil
+	return all
 }
 
 const (
--- a/internal/placer/limits_test.go
+++ b/internal/placer/limits_test.go
@@ -106,3 +106,40 @@
 	t.Logf("%d of %d refused at once", atOnce, len(ids))
 	g.Expect(atOnce).To(gomega.BeNumerically(">=", 80))
 }
+
+// Guards against owners that do not tell that the limit of a target has held a request up.
+func TestHoldsByLimitsAreTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 1, placer.Params{})
+	sim.enqueue(adapter(0), nil)
+	sim.advance(2 * time.Second)
+	sim.rateLimits["t0"] = 1
+	sim.core.SetRateLimit(sim.now, "t0", 1, 300*time.Millisecond)
+	g.Expect(sim.core.RateLimits(sim.now)).To(gomega.Equal(map[string]placer.LimitedTarget{
+		"t0": {Born: 1, PerSecond: 1, Age: 300 * time.Millisecond},
+	}))
+	var ids []string
+	for range 12 {
+		ids = append(ids, sim.enqueue(adapter(0), nil))
+	}
+	sim.advance(8 * time.Second)
+	granted, late, atOnce := 0, 0, 0
+	for _, id := range ids {
+		if hold := sim.holds[id]; hold != nil {
+			g.Expect(*hold).To(gomega.Equal(placer.LimitHold{Target: "t0", PerSecond: 1, Waited: sim.waits[id]}))
+			granted++
+		}
+		if r, found := sim.refused[id]; found {
+			g.Expect(r.Hold).NotTo(gomega.BeNil())
+			g.Expect(r.Hold.PerSecond).To(gomega.Equal(1.0))
+			if r.Hold.Target == "" {
+				atOnce++
+			} else {
+				late++
+			}
+		}
+	}
+	t.Logf("%d granted after a wait, %d refused after one, %d at once", granted, late, atOnce)
+	g.Expect(granted).To(gomega.BeNumerically(">=", 2))
+	g.Expect(atOnce).To(gomega.BeNumerically(">=", 2))
+}
--- a/internal/placer/loads.go
+++ b/internal/placer/loads.go
@@ -13,6 +13,7 @@
 	cold       bool
 	firstEvent time.Duration // expected time until the first event of the request
 	penalty    time.Duration // further costs of the load and the target, expressed as a delay
+	withheld   *targetState  // a target whose limit leaves no room for the load, nil if there is none
 }
 
 // startLoad plans a load of a request's adapter on the target with the earliest first
@@ -37,6 +38,9 @@
 			break
 		}
 	}
+	if best.target == nil && best.withheld != nil && limit == 0 {
+		c.holdUp(r, best.withheld)
+	}
 	if best.target == nil || limit > 0 && best.firstEvent > limit {
 		return false
 	}
@@ -52,7 +56,11 @@
 		return
 	}
 	cold := !t.recentlyUnloaded.has(a)
-	if cold && !c.transit.allows(c.coldLoads) || !c.allowsLoad(t) {
+	if cold && !c.transit.allows(c.coldLoads) {
+		return
+	}
+	if !c.allowsLoad(t) {
+		best.withheld = t
 		return
 	}
 	estimated := c.estimate(t, r)
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -107,9 +107,10 @@
 	streamTime     time.Duration            // time from the first event of a granted request to its end
 	prefillUntil   map[string]time.Duration // end of the prefill of all granted prompts, by target
 	promptTokens   map[string]int
-	waits          map[string]time.Duration // queueing time of granted requests
-	loadTime       time.Duration            // time to load an adapter
-	oneWayDelay    time.Duration            // network delay of an order or its answer
+	waits          map[string]time.Duration     // queueing time of granted requests
+	holds          map[string]*placer.LimitHold // of granted requests
+	loadTime       time.Duration                // time to load an adapter
+	oneWayDelay    time.Duration                // network delay of an order or its answer
 	trace          bool
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
 	lateBy         time.Duration
@@ -128,7 +129,7 @@
 		core: placer.New(params), now: time.Second, engines: map[string]*engine{}, leaving: map[string]bool{},
 		random: rand.New(rand.NewPCG(seed, seed)), granted: map[string]placer.Grant{}, refused: map[string]placer.RefuseRequest{},
 		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, rateLimits: map[string]float64{},
-		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
+		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, holds: map[string]*placer.LimitHold{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
 	for i := range engines {
 		id := fmt.Sprintf("t%d", i)
@@ -203,7 +204,7 @@
 	sim.grantTimes[c.Grant.Target] = append(sim.grantTimes[c.Grant.Target], sim.now)
 	id := c.Grant.Request
 	sim.checkUnanswered(id)
-	sim.granted[id], sim.waits[id] = c.Grant, c.Waited
+	sim.granted[id], sim.waits[id], sim.holds[id] = c.Grant, c.Waited, c.Hold
 	if sim.leaving[c.Grant.Target] {
 		sim.violations = append(sim.violations, id+" was sent to a leaving target")
 	}
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -69,6 +69,7 @@
 
 	limit         ratelimit.Bucket // requests that the target takes
 	limitStatedAt Time             // when the target stated its limit, or that it has none
+	limitSince    Time             // when the target first stated the limit in force
 	limitPass     uint64           // dispatch pass to which limitReserved belongs
 	limitReserved int              // queued requests that wait for the limit of the target
 
@@ -130,6 +131,7 @@
 	latestStart   Time // a later start is too late for a useful answer
 	deadline      Time
 	adapter       *adapterState
+	hold          limitHold
 }
 
 // activeRun is a granted request that has not ended.
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -116,12 +116,21 @@
 // Command is an instruction of the core to its caller.
 type Command interface{ command() }
 
+// LimitHold tells that the rate limits of targets have held a request up.
+type LimitHold struct {
+	Target    string        // the last target whose limit the request waited for, empty if it was refused on arrival
+	PerSecond float64       // the limit of Target, or the sum of all limits if there is no Target
+	Waited    time.Duration // since the limit first held the request up
+}
+
 // GrantRequest answers a request with a target.
 type GrantRequest struct {
 	Grant    Grant
 	Estimate time.Duration // expected time until the first event
 	Backlog  time.Duration // time that the target needs for the prompts granted before
 	Waited   time.Duration // time that the request was queued
+	Hold     *LimitHold    // nil if no limit held the request up
+	Repeat   bool          // the request has been sent to another target before
 }
 
 // RefuseRequest answers a request with an error. The request did not run.
@@ -129,6 +138,7 @@
 	ID     string
 	Err    *errs.Error
 	Waited time.Duration // time that the request was queued
+	Hold   *LimitHold    // nil if no limit held the request up
 }
 
 // SendOrder instructs the caller to send an order to a target.
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -43,6 +43,9 @@
 // Limited reports whether there is a limit.
 func (b *Bucket) Limited() bool { return b.perSecond > 0 }
 
+// PerSecond returns the limit in requests per second, 0 if there is none.
+func (b *Bucket) PerSecond() float64 { return b.perSecond }
+
 // Interval returns the time between two requests at the limit, 0 if there is none.
 func (b *Bucket) Interval() time.Duration {
 	if b.perSecond == 0 {
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -28,10 +28,17 @@
 }
 
 type limit struct {
-	perSecond float64 // of all VMs
+	perSecond float64       // of all VMs
+	since     time.Duration // when the target first named perSecond
 	share     Bucket
 }
 
+// Stated is the limit that a target has named.
+type Stated struct {
+	PerSecond float64
+	Since     time.Duration // when the target first named it
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{limits: map[string]*limit{}} }
 
@@ -52,7 +59,9 @@
 			l.share.Take(now) // no request at once
 		}
 	}
-	l.perSecond = perSecond
+	if l.perSecond != perSecond {
+		l.perSecond, l.since = perSecond, now
+	}
 	l.share.SetRate(now, rate)
 }
 
@@ -114,6 +123,15 @@
 	return all
 }
 
+// Stated returns the limits by target, with the times since which they have been in force.
+func (t *Table) Stated() map[string]Stated {
+	all := make(map[string]Stated, len(t.limits))
+	for target, l := range t.limits {
+		all[target] = Stated{PerSecond: l.perSecond, Since: l.since}
+	}
+	return all
+}
+
 // Retain removes the limits of targets that no longer exist.
 func (t *Table) Retain(exists func(target string) bool) {
 	for target := range t.limits {
