--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -177,6 +177,7 @@
 func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
 func (w *world) Stated(gateway.Lease, gateway.TargetStatement)  {}
 func (w *world) IgnoreStatement(string)                         { w.ignored.Add(1) }
+func (w *world) Limited(string, []string) bool                  { return false }
 func (w *world) RecordStatement(_ string, s gateway.TargetStatement) {
 	if w.statements != nil {
 		w.statements <- s
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -102,14 +102,16 @@
 	running        map[string]placer.Grant
 	newestVersions map[placer.Adapter]int64
 	loadOrders     int
+	loads          map[string]int // by target, without polls
 	violations     []string
 	requestCount   int
 	streamTime     time.Duration            // time from the first event of a granted request to its end
 	prefillUntil   map[string]time.Duration // end of the prefill of all granted prompts, by target
 	promptTokens   map[string]int
-	waits          map[string]time.Duration // queueing time of granted requests
-	loadTime       time.Duration            // time to load an adapter
-	oneWayDelay    time.Duration            // network delay of an order or its answer
+	waits          map[string]time.Duration     // queueing time of granted requests
+	holds          map[string]*placer.LimitHold // of granted requests
+	loadTime       time.Duration                // time to load an adapter
+	oneWayDelay    time.Duration                // network delay of an order or its answer
 	trace          bool
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
 	lateBy         time.Duration
@@ -128,8 +130,8 @@
 	sim := &simulation{
 		core: placer.New(params), now: time.Second, engines: map[string]*engine{}, leaving: map[string]bool{},
 		random: rand.New(rand.NewPCG(seed, seed)), granted: map[string]placer.Grant{}, refused: map[string]placer.RefuseRequest{},
-		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, rateLimits: map[string]float64{},
-		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
+		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, loads: map[string]int{}, rateLimits: map[string]float64{},
+		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, holds: map[string]*placer.LimitHold{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
 	sim.grantedAt = map[string]time.Duration{}
 	for i := range engines {
@@ -206,7 +208,7 @@
 	id := c.Grant.Request
 	sim.grantedAt[id] = sim.now
 	sim.checkUnanswered(id)
-	sim.granted[id], sim.waits[id] = c.Grant, c.Waited
+	sim.granted[id], sim.waits[id], sim.holds[id] = c.Grant, c.Waited, c.Hold
 	if sim.leaving[c.Grant.Target] {
 		sim.violations = append(sim.violations, id+" was sent to a leaving target")
 	}
@@ -236,6 +238,9 @@
 func (sim *simulation) deliverOrder(order placer.Order) {
 	if order.Operation == placer.Load {
 		sim.loadOrders++
+		if !order.Poll {
+			sim.loads[order.Target]++
+		}
 		if sim.leaving[order.Target] {
 			sim.violations = append(sim.violations, fmt.Sprintf("a load of %s was ordered from a leaving target", order.Adapter.Name))
 		}
