standin/engine: Fall silent for a time and go on

FallSilent holds back heads, events and answers to orders and reports. Nothing is lost and no connection ends. With HeadFirst the head of a stream comes before its first event, so that a silence can fall between them. A run records the fault that spoilt its answer.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,6 +39,7 @@
 	Adapter  string
 	Version  int64
 	After    int64 // event after which a stream was resumed
+	Fault    Fault // that spoilt the answer
 	Finished bool
 	Dropped  bool // the connection ended before
 }
@@ -55,7 +56,9 @@
 	Pause    time.Duration // between events, and the work of a plain request
 	Load     time.Duration // of an adapter
 	NoFences bool          // orders with an older fencing token are carried out
-	Address  string        // default: a free port of loopback
+	// HeadFirst sends the heads of streams before the first event.
+	HeadFirst bool
+	Address   string // default: a free port of loopback
 	// RateLimit is named in each answer, in requests per second, 0 for none.
 	RateLimit float64
 	// DeadlyPart crashes the target when it begins to answer a prompt with this part.
@@ -69,6 +72,7 @@
 	listener net.Listener
 	server   *http.Server
 	born     int64
+	quiet    silence
 
 	mu       sync.Mutex
 	fault    Fault
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -29,7 +29,9 @@
 	case "/cicadaslip/order":
 		t.order(w, r)
 	case "/cicadaslip/report":
-		t.report(w)
+		if t.quiet.wait(r) {
+			t.report(w)
+		}
 	default:
 		t.request(w, r)
 	}
@@ -55,13 +57,12 @@
 	}
 	fault := t.take()
 	id := r.Header.Get("X-Request-Id")
-	run := &Run{ID: id, At: time.Now(), Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
+	run := &Run{ID: id, At: time.Now(), Fault: fault, Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
 	run.After, _ = strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // none: from the first
-	if fault == Full {
-		notRun(w, r, http.StatusServiceUnavailable)
-		return
-	}
-	if t.Settings.Model != "" && !t.holds(w, r, run) {
+	if status := t.refusal(r, run); status != 0 {
+		if t.quiet.wait(r) {
+			notRun(w, r, status)
+		}
 		return
 	}
 	t.mu.Lock()
@@ -80,7 +81,7 @@
 		t.Crash()
 		return
 	}
-	if !t.spoil(w, r, run, fault) {
+	if !t.quiet.wait(r) || !t.spoil(w, r, run, fault) {
 		return
 	}
 	head := w.Header()
@@ -102,11 +103,14 @@
 	}
 }
 
-// holds checks that the adapter of a request is here, in the expected version.
-func (t *Target) holds(w http.ResponseWriter, r *http.Request, run *Run) bool {
+// refusal returns the status with which a request is refused as not run, 0 if it runs.
+func (t *Target) refusal(r *http.Request, run *Run) int {
+	if run.Fault == Full {
+		return http.StatusServiceUnavailable
+	}
 	_, name, adapted := strings.Cut(r.Header.Get("X-Model"), "/")
-	if !adapted {
-		return true
+	if t.Settings.Model == "" || !adapted {
+		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,14 +118,12 @@
 	expected, _ := strconv.ParseInt(r.Header.Get("X-Expect-Version"), 10, 64) // none: any
 	switch {
 	case h == nil || expected > 0 && h.version != expected:
-		notRun(w, r, statusElsewhere)
-		return false
+		return statusElsewhere
 	case h.ready.After(time.Now()):
-		notRun(w, r, http.StatusServiceUnavailable)
-		return false
+		return http.StatusServiceUnavailable
 	}
 	run.Adapter, run.Version = name, h.version
-	return true
+	return 0
 }
 
 // spoil carries out the faults that replace the answer. It reports whether the
@@ -187,7 +189,7 @@
 }
 
 func (t *Target) plain(w http.ResponseWriter, r *http.Request, run *Run, fault Fault) {
-	if !pause(r, t.Settings.Pause) {
+	if !pause(r, t.Settings.Pause) || !t.quiet.wait(r) {
 		return
 	}
 	body := Answer(run.ID)
@@ -207,8 +209,11 @@
 
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, run *Run, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if t.Settings.HeadFirst {
+		w.(http.Flusher).Flush()
+	}
 	for n := int(run.After) + 1; n <= t.Settings.Events; n++ {
-		if !pause(r, t.Settings.Pause) {
+		if !pause(r, t.Settings.Pause) || !t.quiet.wait(r) {
 			return
 		}
 		if fault == Cut && n > t.Settings.Events/2 {
@@ -261,7 +266,9 @@
 		<-r.Context().Done()
 		return
 	}
-	w.WriteHeader(status)
+	if t.quiet.wait(r) {
+		w.WriteHeader(status)
+	}
 }
 
 // apply carries an order out. The caller holds the lock.
