soak: Silent targets beside planned work, and requests that are lost

The incident of silent targets was not found by the soak: its stand-ins fell silent only for good (mute, one request at a time), and its checker did not count requests whose connection ends without a complete answer.

VMs are killed 8 s after SIGTERM, the grace of their settings, rather than 10 s. A second restart of a VM that is being restarted signals the old process; before, it started another process on the same ports.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	Seed        uint64 `long:"seed" default:"1" description:"first seed"`
 	Seeds       int    `long:"seeds" default:"1" description:"number of seeds"`
 	Seconds     int    `long:"seconds" default:"12" description:"duration of the fault injection in a run, in seconds"`
+	Planned     bool   `long:"planned" description:"no other faults than silent targets, changed configurations, SIGHUP and SIGTERM"`
 	VMs         int    `long:"processes" default:"4" description:"number of entry VMs in a run"`
 	Concurrency int    `long:"at-once" default:"2" description:"number of concurrent runs"`
 	LogDir      string `long:"keep" default:"soak-logs" description:"directory for the logs of runs with violations"`
@@ -63,7 +64,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	result, err := soak.Run(soak.Options{Seed: seed, Seconds: o.Seconds, VMs: o.VMs, Program: o.Program, Dir: dir})
+	result, err := soak.Run(soak.Options{Seed: seed, Seconds: o.Seconds, VMs: o.VMs, Planned: o.Planned, Program: o.Program, Dir: dir})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "seed", seed, err)
 		return false
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -18,11 +18,23 @@
 	body     string
 	named    string // the request that the answer says it belongs to
 	whole    bool   // the answer ended as it should
+	kept     bool   // it was sent on a connection that had carried another request
 	sent     time.Time
+	written  time.Time // the last byte of the request, zero if it was not sent whole
+	head     time.Time // of the answer, zero if there was none
 	done     time.Time
 	config   int // of a probe: the version whose route was asked for
 }
 
+func (a answer) String() string {
+	what := "closed without an answer"
+	if a.status != 0 {
+		what = fmt.Sprintf("cut after status %d and %d bytes", a.status, len(a.body))
+	}
+	return fmt.Sprintf("%s %s at %s, sent at %s, %s after %v, kept connection %t",
+		a.kind, a.id, a.vm.name, a.sent.Format("15:04:05.000"), what, a.done.Sub(a.sent).Round(time.Millisecond), a.kept)
+}
+
 // checker compares what callers saw with what targets ran.
 type checker struct {
 	mu         sync.Mutex
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -14,69 +15,76 @@
 // fault is one kind of disturbance. It returns how it is undone, nil if it need not be.
 type fault struct {
 	name string
-	do   func(*run) (undo func())
+	do   func(*run, *rand.Rand) (undo func())
 }
 
-func (r *run) anyVM() *vm { return r.vms[r.rng.IntN(len(r.vms))] }
-
-func (r *run) anyEngine() *engine.Target { return r.engines[r.rng.IntN(len(r.engines))] }
+func (r *run) anyVM(rng *rand.Rand) *vm { return r.vms[rng.IntN(len(r.vms))] }
 
 // restart ends a process with a signal and starts it again, beside the other faults.
 func restart(name string, s syscall.Signal) fault {
-	return fault{name, func(r *run) func() {
-		v := r.anyVM()
+	return fault{name, func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
 		go func() { _ = v.restart(s) }()
 		return nil
 	}}
 }
 
 func storeFault(name string, f metastore.Fault) fault {
-	return fault{name, func(r *run) func() {
+	return fault{name, func(r *run, rng *rand.Rand) func() {
+		end := r.storeTimeline.begin(disrupted)
 		r.store.SetFault(f)
-		return func() { r.store.SetFault(metastore.None) }
+		return func() { r.store.SetFault(metastore.None); end() }
 	}}
 }
 
 func linkFault(name string, silent, oneWay bool, delay time.Duration) fault {
-	return fault{name, func(r *run) func() {
-		p := r.anyVM().store
-		p.Set(silent, oneWay, delay)
-		return func() { p.Set(false, false, 0) }
+	return fault{name, func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
+		end := v.timeline.begin(cut)
+		v.store.Set(silent, oneWay, delay)
+		return func() { v.store.Set(false, false, 0); end() }
 	}}
 }
 
 func answerFault(name string, f engine.Fault) fault {
-	return fault{name, func(r *run) func() {
-		t := r.targets[r.rng.IntN(len(r.targets))]
-		t.SetFault(f, 3+r.rng.IntN(10))
+	return fault{name, func(r *run, rng *rand.Rand) func() {
+		t := r.targets[rng.IntN(len(r.targets))]
+		t.SetFault(f, 3+rng.IntN(10))
 		return nil
 	}}
 }
 
 var faults = []fault{
 	restart("kill", syscall.SIGKILL), restart("kill", syscall.SIGKILL), restart("term", syscall.SIGTERM),
-	{"pause", func(r *run) func() {
-		v := r.anyVM()
+	{"pause", func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
 		v.signal(syscall.SIGSTOP)
 		return func() { v.signal(syscall.SIGCONT) }
 	}},
-	{"hup", func(r *run) func() { r.anyVM().signal(syscall.SIGHUP); return nil }},
-	{"kill_all", func(r *run) func() {
+	{"hup", func(r *run, rng *rand.Rand) func() { r.anyVM(rng).signal(syscall.SIGHUP); return nil }},
+	{"kill_all", func(r *run, rng *rand.Rand) func() {
 		for _, v := range r.vms {
 			go func() { _ = v.restart(syscall.SIGKILL) }()
 		}
 		return nil
 	}},
 	storeFault("store_refuses", metastore.Refuse), storeFault("store_silent", metastore.Silent), storeFault("store_loses", metastore.Lost),
-	{"store_compacts", func(r *run) func() { r.store.Compact(); return nil }},
+	{"store_compacts", func(r *run, _ *rand.Rand) func() {
+		r.storeTimeline.begin(disrupted)()
+		r.store.Compact()
+		return nil
+	}},
 	linkFault("link_silent", true, false, 0), linkFault("link_one_way", false, true, 0), linkFault("link_slow", false, false, 150*time.Millisecond),
-	{"link_reset", func(r *run) func() { r.anyVM().store.Reset(); return nil }},
+	{"link_reset", func(r *run, rng *rand.Rand) func() { r.anyVM(rng).resetLink(); return nil }},
 	answerFault("reset", engine.Reset), answerFault("cut", engine.Cut), answerFault("mute", engine.Mute), answerFault("failing", engine.Failing),
 	answerFault("full", engine.Full), answerFault("foreign", engine.Foreign), answerFault("garbage", engine.Garbage), answerFault("extra", engine.Extra),
-	{"orders_lost", func(r *run) func() { r.anyEngine().LoseOrders(1 + r.rng.IntN(4)); return nil }},
+	{"orders_lost", func(r *run, rng *rand.Rand) func() {
+		r.engines[rng.IntN(len(r.engines))].LoseOrders(1 + rng.IntN(4))
+		return nil
+	}},
 	{"engine_crash", (*run).crashEngine},
 	{"engine_leaves", (*run).retireEngine},
-	{"config", func(r *run) func() {
+	{"config", func(r *run, rng *rand.Rand) func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		_ = r.configure() // cannot fail on a value of this package
@@ -86,8 +94,8 @@
 }
 
 // crashEngine ends an engine; another one comes in its place.
-func (r *run) crashEngine() func() {
-	i := r.rng.IntN(len(r.engines))
+func (r *run) crashEngine(rng *rand.Rand) func() {
+	i := rng.IntN(len(r.engines))
 	t := r.engines[i]
 	t.Crash()
 	r.engines = append(r.engines[:i], r.engines[i+1:]...)
@@ -98,8 +106,8 @@
 }
 
 // retireEngine lets an engine leave as planned.
-func (r *run) retireEngine() func() {
-	i := r.rng.IntN(len(r.engines))
+func (r *run) retireEngine(rng *rand.Rand) func() {
+	i := rng.IntN(len(r.engines))
 	t := r.engines[i]
 	_ = r.addEngine(i)
 	_ = t.Leave()
@@ -111,8 +119,8 @@
 	return nil
 }
 
-func (r *run) announce() func() {
-	name := fmt.Sprintf("a%d", r.rng.IntN(adapters))
+func (r *run) announce(rng *rand.Rand) func() {
+	name := fmt.Sprintf("a%d", rng.IntN(adapters))
 	r.versions[name] = max(1, r.versions[name]) + 1
 	for _, t := range r.engines {
 		t.Announce(name, r.versions[name])
@@ -121,22 +129,53 @@
 	return nil
 }
 
+// series is a sequence of faults, with a schedule of its own.
+type series struct {
+	kinds []fault
+	rng   *rand.Rand
+	next  time.Time
+}
+
+type pending struct {
+	at   time.Time
+	undo func()
+}
+
+// inject begins the next fault of the series.
+func (s *series) inject(r *run) (undos []pending) {
+	f := s.kinds[s.rng.IntN(len(s.kinds))]
+	if len(r.engines) > 1 || f.name != "engine_crash" {
+		r.faults[f.name]++
+		if undo := f.do(r, s.rng); undo != nil {
+			undos = append(undos, pending{time.Now().Add(time.Duration(300+s.rng.IntN(4000)) * time.Millisecond), undo})
+		}
+	}
+	s.next = time.Now().Add(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
+	return undos
+}
+
+// schedule returns the series of this run.
+func (r *run) schedule() []*series {
+	seed := r.options.Seed
+	plan := &series{kinds: plannedFaults, rng: rand.New(rand.NewPCG(seed, seed+1))}
+	if r.options.Planned {
+		return []*series{plan}
+	}
+	return []*series{{kinds: faults, rng: r.rng}, plan}
+}
+
 // disturb injects faults for a time. They come in series and overlap.
 func (r *run) disturb(d time.Duration) {
-	type pending struct {
-		at   time.Time
-		undo func()
-	}
+	schedule := r.schedule()
 	var undos []pending
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		f := faults[r.rng.IntN(len(faults))]
-		if len(r.engines) > 1 || f.name != "engine_crash" {
-			r.faults[f.name]++
-			if undo := f.do(r); undo != nil {
-				undos = append(undos, pending{time.Now().Add(time.Duration(300+r.rng.IntN(4000)) * time.Millisecond), undo})
+		s := schedule[0]
+		for _, other := range schedule[1:] {
+			if other.next.Before(s.next) {
+				s = other
 			}
 		}
-		time.Sleep(time.Duration(r.rng.IntN(1200)) * time.Millisecond)
+		time.Sleep(time.Until(s.next))
 		rest := undos[:0]
 		for _, p := range undos {
 			if time.Now().After(p.at) {
@@ -145,7 +184,7 @@
 				rest = append(rest, p)
 			}
 		}
-		undos = rest
+		undos = append(rest, s.inject(r)...)
 	}
 	for _, p := range undos {
 		p.undo()
@@ -157,10 +196,11 @@
 	r.store.SetFault(metastore.None)
 	for _, v := range r.vms {
 		v.store.Set(false, false, 0)
-		v.store.Reset()
+		v.resetLink()
 		v.signal(syscall.SIGCONT)
 	}
-	for _, t := range r.targets {
+	for _, t := range r.allTargets() {
+		t.FallSilent(0)
 		t.SetFault(engine.None, 0)
 		t.LoseOrders(0)
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,12 +26,18 @@
 	dir     string
 	program string
 
+	timeline   timeline
+	restarting sync.Mutex
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	starts int
-	paused bool
+	thaw   func() // records the end of a pause, nil if the process is not paused
 }
 
+// grace is the time from SIGTERM until the process is killed.
+const grace = 8 * time.Second
+
 const settingsText = `node_name = %q
 role = "entry"
 ip = "127.0.0.1"
@@ -52,7 +58,7 @@
 grace_s = 8
 retry_budget_ratio = 0.2
 budget_window_s = 10
-retry_budget_extra = 54
+retry_budget_extra = %d
 lease_ms = 3000
 fencing_enforced = %t
 [platform]
@@ -61,24 +67,30 @@
 
 var zones = []string{"riga-a", "liepaja-a", "daugavpils-a"}
 
+// vmAddress returns an address of loopback for a VM of a run.
+func vmAddress(seed uint64, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 77+seed/250%100, 1+seed%250, i)
+}
+
 // Ports of a VM, on an address of loopback of its own, so that restarts find them
 // free.
 const (
+	lockPort   = 7000 // of the first address, held while a run lasts
 	callerPort = 7001
 	readyPort  = 7002
 	peerPort   = 7003
 )
 
-func newVM(seed uint64, i int, checkFences bool, program, dir, store string) (*vm, error) {
+func newVM(seed uint64, i int, checkFences bool, extraRetries int, program, dir, store string) (*vm, error) {
 	p, err := linkproxy.New(store)
 	if err != nil {
 		return nil, err
 	}
 	v := &vm{name: fmt.Sprintf("vm%d", i), program: program, dir: dir, store: p}
-	ip := fmt.Sprintf("127.77.%d.%d", 1+seed%250, 1+i)
+	ip := vmAddress(seed, 1+i)
 	v.caller, v.ready, v.peer = address(ip, callerPort), address(ip, readyPort), address(ip, peerPort)
 	zone := zones[i%len(zones)]
-	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, checkFences, p.Address())
+	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, extraRetries, checkFences, p.Address())
 	return v, os.WriteFile(v.path("toml"), []byte(text), 0o600)
 }
 
@@ -101,7 +113,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	v.cmd, v.paused = cmd, false
+	v.cmd, v.thaw = cmd, nil
 	v.starts++
 	return nil
 }
@@ -113,17 +125,25 @@
 	if v.cmd == nil {
 		return
 	}
-	switch s {
-	case syscall.SIGSTOP:
-		v.paused = true
-	case syscall.SIGCONT:
-		v.paused = false
+	switch {
+	case s == syscall.SIGSTOP && v.thaw == nil:
+		v.thaw = v.timeline.begin(frozen)
+	case s == syscall.SIGCONT && v.thaw != nil:
+		v.thaw()
+		v.thaw = nil
 	}
 	_ = v.cmd.Process.Signal(s) // it may have ended meanwhile
 }
 
-// restart signals the process, waits for its end and starts it again.
+// restart signals the process, waits for its end and starts it again, unless another restart
+// is under way.
 func (v *vm) restart(s syscall.Signal) error {
+	if !v.restarting.TryLock() {
+		v.signal(s)
+		return nil
+	}
+	defer v.restarting.Unlock()
+	defer v.timeline.begin(restarted)()
 	v.stop(s)
 	return v.start()
 }
@@ -134,14 +154,29 @@
 	v.signal(s)
 	v.mu.Lock()
 	cmd := v.cmd
-	v.cmd = nil
 	v.mu.Unlock()
 	if cmd == nil {
 		return
 	}
-	kill := time.AfterFunc(10*time.Second, func() { _ = cmd.Process.Kill() })
+	kill := time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
 	defer kill.Stop()
 	_ = cmd.Wait() // the exit code of a killed process says nothing
+	v.mu.Lock()
+	v.cmd = nil
+	v.mu.Unlock()
+}
+
+// end kills the process for good, after a restart that is under way.
+func (v *vm) end() {
+	v.restarting.Lock()
+	v.stop(killSignal)
+	v.store.Close()
+}
+
+// resetLink resets the connections to the store.
+func (v *vm) resetLink() {
+	v.timeline.begin(cut)()
+	v.store.Reset()
 }
 
 // incarnation numbers the starts of the process.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,9 @@
 
 const (
 	host         = "counter.example"
+	plainService = "app"
+	otherService = "other"
+	gapAim       = 800 * time.Millisecond // longest pause between events that callers find good
 	model        = "base"
 	streamEvents = 12
 	adapters     = 14
@@ -43,6 +48,7 @@
 	VMs     int    // processes
 	Program string // cicadaslipd
 	Dir     string // for settings and logs
+	Planned bool   // no other faults than silences, changes of the configuration, SIGHUP and SIGTERM
 }
 
 // Result is the report of a run.
@@ -58,25 +64,32 @@
 type run struct {
 	options Options
 	rng     *rand.Rand
+	lock    net.Listener // kept from other runs of the seed
 	store   *metastore.Store
 	vms     []*vm
 	checker *checker
 	number  atomic.Int64
 
+	storeTimeline timeline
+
 	mu       sync.Mutex
-	targets  []*engine.Target // all that ever were
+	targets  []*engine.Target // all that ever were, but those of the second plain service
 	engines  []*engine.Target // that live
 	apps     []*engine.Target
+	others   []*engine.Target // of the second plain service
 	config   int
+	terms    terms
 	versions map[string]int64
 	faults   map[string]int
 	started  int
 }
 
 func newRun(o Options) *run {
-	return &run{
+	r := &run{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), checker: newChecker(), versions: map[string]int64{}, faults: map[string]int{},
 	}
+	r.terms = firstTerms(r)
+	return r
 }
 
 // Run runs one seed.
@@ -88,7 +101,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
-	for i := range callers {
+	for i := range r.callers() {
 		wait.Go(func() { r.call(ctx, rand.New(rand.NewPCG(o.Seed, uint64(i)+1))) })
 	}
 	r.disturb(time.Duration(o.Seconds) * time.Second)
@@ -96,12 +109,16 @@
 	r.awaitService()
 	cancel()
 	wait.Wait()
-	r.checker.finish(r.targets)
+	r.checker.finish(r.allTargets())
+	r.checkLost()
 	return r.result(), nil
 }
 
 func (r *run) start() error {
 	var err error
+	if r.lock, err = net.Listen("tcp", address(vmAddress(r.options.Seed, 1), lockPort)); err != nil {
+		return errs.Wrap(err, errs.Internal, "another run of this seed uses its addresses")
+	}
 	if r.store, err = metastore.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
@@ -115,9 +132,12 @@
 		if err := r.addApp(i); err != nil {
 			return err
 		}
+		if err := r.addOther(i); err != nil {
+			return err
+		}
 	}
 	for i := range r.options.VMs {
-		v, err := newVM(r.options.Seed, i, r.checkFences(), r.options.Program, r.options.Dir, r.store.Address())
+		v, err := newVM(r.options.Seed, i, r.checkFences(), r.extraRetries(), r.options.Program, r.options.Dir, r.store.Address())
 		if err != nil {
 			return err
 		}
@@ -149,22 +169,25 @@
 
 func (r *run) close() {
 	for _, v := range r.vms {
-		v.stop(killSignal)
-		v.store.Close()
+		v.end()
 	}
-	for _, t := range r.targets {
+	for _, t := range r.allTargets() {
 		t.Crash()
 	}
 	if r.store != nil {
 		r.store.Close()
 	}
+	if r.lock != nil {
+		_ = r.lock.Close()
+	}
 }
 
 func (r *run) addEngine(i int) error {
 	r.started++
 	t, err := engine.Start(engine.Settings{
-		ID: fmt.Sprintf("e%d-%d", i, r.started), Service: "llm", Zone: zones[i%3], Model: model, Slots: 32, Adapters: places,
-		Events: streamEvents, Pause: 10 * time.Millisecond, Load: 50 * time.Millisecond, NoFences: !r.checkFences(),
+		ID: fmt.Sprintf("e%d-%d", i, r.started), Service: "llm", Zone: zones[i%3], Model: model, Slots: r.slots(), Adapters: places,
+		Events: streamEvents, Pause: r.eventPause(), Load: 50 * time.Millisecond, NoFences: !r.checkFences(),
+		HeadFirst: i%2 == 1,
 	}, r.store)
 	if err != nil {
 		return err
@@ -179,7 +202,7 @@
 func (r *run) addApp(i int) error {
 	r.started++
 	t, err := engine.Start(engine.Settings{
-		ID: fmt.Sprintf("a%d-%d", i, r.started), Service: "app", Zone: zones[i%3], Slots: 6, Pause: 10 * time.Millisecond,
+		ID: fmt.Sprintf("a%d-%d", i, r.started), Service: plainService, Zone: zones[i%3], Slots: 6, Pause: 10 * time.Millisecond,
 	}, r.store)
 	if err != nil {
 		return err
@@ -188,33 +211,44 @@
 	return nil
 }
 
-func route(name, kind, service string, attempts int, resumable bool) map[string]any {
-	return map[string]any{
-		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000, "target_latency_ms": 1000,
-		"priority": 1, "service": service, "max_attempts": attempts, "resumable": resumable, "gap_aim_ms": 600,
+func (r *run) route(name, kind, service string, resumable bool) map[string]any {
+	attempts := 1
+	if kind == "idempotent" || resumable {
+		attempts = 2
+	}
+	spec := map[string]any{
+		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": r.terms.timeout.Milliseconds(), "target_latency_ms": 1000,
+		"priority": 1, "service": service, "max_attempts": attempts, "resumable": resumable, "gap_aim_ms": gapAim.Milliseconds(),
 	}
+	if share := r.terms.otherWeight; service == plainService && share > 0 {
+		spec["traffic_split"] = []any{
+			map[string]any{"service": plainService, "weight": 100 - share}, map[string]any{"service": otherService, "weight": share},
+		}
+	}
+	return spec
 }
 
 // configure writes the next configuration, with one more route.
 func (r *run) configure() error {
 	r.config++
 	routes := []any{
-		route(kindQuote, "streaming", "llm", 2, true), route(kindNotes, "streaming", "llm", 1, false),
-		route(kindBooking, "non_idempotent", "app", 1, false), route(kindLookup, "idempotent", "app", 2, false),
+		r.route(kindQuote, "streaming", "llm", true), r.route(kindNotes, "streaming", "llm", false),
+		r.route(kindBooking, "non_idempotent", plainService, false), r.route(kindLookup, "idempotent", plainService, false),
 	}
 	for n := 1; n <= r.config; n++ {
-		routes = append(routes, route(fmt.Sprintf("probe%d", n), "idempotent", "app", 2, false))
+		routes = append(routes, r.route(fmt.Sprintf("probe%d", n), "idempotent", plainService, false))
 	}
 	return r.store.Put("config", "main", map[string]any{
 		"version": r.config, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{
-				"slots": 32, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": places, "loads_per_s": 2.0,
+				"slots": r.slots(), "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": places, "loads_per_s": 2.0,
 				"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
 			}},
-			map[string]any{"name": "app", "max_connections": 200},
+			map[string]any{"name": plainService, "max_connections": 200},
+			map[string]any{"name": otherService, "max_connections": 200},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": r.terms.idle.Milliseconds()},
 	})
 }
 
@@ -244,8 +278,45 @@
 	return r.send(client, v, kind, 0, id)
 }
 
-// callerPatience is the time that callers wait for an answer.
-const callerPatience = 4 * time.Second
+// patience is the time that callers give their requests.
+func (r *run) patience() time.Duration {
+	if r.options.Planned {
+		return 8 * time.Second
+	}
+	return 4 * time.Second
+}
+
+// callers returns the number of callers. Silences hit more requests if more are under way.
+func (r *run) callers() int {
+	if r.options.Planned {
+		return max(5*callers, r.options.VMs)
+	}
+	return callers
+}
+
+// extraRetries is the retry budget beside the share of requests. Where it is small, silences
+// use it up.
+func (r *run) extraRetries() int {
+	if r.options.Planned {
+		return 4
+	}
+	return 54
+}
+
+// slots is the number of requests that an engine serves at a time.
+func (r *run) slots() int {
+	if r.options.Planned {
+		return 8
+	}
+	return 32
+}
+
+func (r *run) eventPause() time.Duration {
+	if r.options.Planned {
+		return 40 * time.Millisecond
+	}
+	return 10 * time.Millisecond
+}
 
 func (r *run) send(client *http.Client, v *vm, kind string, adapter int, id string) answer {
 	a := answer{id: id, kind: kind, vm: v, start: v.incarnation(), sent: time.Now()}
@@ -256,26 +327,40 @@
 		r.mu.Unlock()
 		path = fmt.Sprintf("/probe%d/x", a.config)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), r.patience()+time.Second)
 	defer cancel()
+	var kept atomic.Bool
+	var written atomic.Pointer[time.Time]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { kept.Store(c.Reused) },
+		WroteRequest: func(w httptrace.WroteRequestInfo) {
+			if now := time.Now(); w.Err == nil {
+				written.Store(&now)
+			}
+		},
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.caller+path, bytes.NewBufferString("body of "+a.id))
 	if err != nil {
 		return a
 	}
 	req.Host = host
-	call := engine.Call{ID: a.id, Deadline: callerPatience}
+	call := engine.Call{ID: a.id, Deadline: r.patience()}
 	if kind == kindQuote || kind == kindNotes {
 		call.Model, call.Prompt, call.Answer = fmt.Sprintf("%s/a%d", model, adapter), 900, 48
 	}
 	call.Describe(req.Header)
 	resp, err := client.Do(req)
 	if err == nil {
+		a.head = time.Now()
 		body, failed := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		a.status, a.body, a.whole = resp.StatusCode, string(body), failed == nil
 		a.named = engine.AnswerOf(resp.Header)
 	}
-	a.done = time.Now()
+	a.done, a.kept = time.Now(), kept.Load()
+	if at := written.Load(); at != nil {
+		a.written = *at
+	}
 	return a
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,12 +21,14 @@
 	seconds int // of faults
 	vms     int
 	cause   string
+	planned bool
 }{
-	{1, 4, 3, "none: a first seed"},
-	{2, 4, 3, "none: a second seed"},
-	{107, 12, 4, "the stand-in sent its extra answer before the right one"},
-	{246, 12, 4, "a continuation that failed looked like the end of the stream"},
-	{501, 12, 4, "none: targets that check no fences"},
+	{1, 4, 3, "none: a first seed", false},
+	{2, 4, 3, "none: a second seed", false},
+	{107, 12, 4, "the stand-in sent its extra answer before the right one", false},
+	{246, 12, 4, "a continuation that failed looked like the end of the stream", false},
+	{501, 12, 4, "none: targets that check no fences", false},
+	{335, 10, 4, "begun streams were cut beside silent targets", true},
 }
 
 // buildDaemon builds the program of the VMs.
@@ -42,7 +44,7 @@
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			result, err := Run(Options{Seed: r.seed, Seconds: r.seconds, VMs: r.vms, Program: program, Dir: t.TempDir()})
+			result, err := Run(Options{Seed: r.seed, Seconds: r.seconds, VMs: r.vms, Planned: r.planned, Program: program, Dir: t.TempDir()})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			t.Logf("%+v", result)
 			g.Expect(result.Violations).To(gomega.BeEmpty())
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -85,6 +85,7 @@
 	received []ReceivedOrder
 	beats    int64
 	leaving  bool
+	ended    time.Time
 	overfull bool
 	said     []string // values of Server-Leaving in each answer
 	turned   turnedAway
@@ -169,7 +170,21 @@
 }
 
 // Crash ends the target and all its connections.
-func (t *Target) Crash() { _ = t.server.Close() }
+func (t *Target) Crash() {
+	t.mu.Lock()
+	if t.ended.IsZero() {
+		t.ended = time.Now()
+	}
+	t.mu.Unlock()
+	_ = t.server.Close()
+}
+
+// EndedAt returns the time of the crash, zero if the target has not crashed.
+func (t *Target) EndedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
 
 // SetFault spoils a number of answers, all if it is negative.
 func (t *Target) SetFault(f Fault, answers int) {
