soak: Targets that say in answers that they leave

The checker attributes a request to the VM that its caller sent it to, and an answer that was passed on to the target that signed it. A request that was sent later than drain_ms after its VM had passed on an answer of a leaving target must not reach that target from that VM; a restart or pause of the VM since excuses it, a cut does not.

TestTheCheckerFindsRequestsAtLeavingTargets covers the excuses.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -9,6 +9,9 @@
 	"cicadaslip/internal/standin/engine"
 )
 
+// clock is the format of times in reports.
+const clock = "15:04:05.000"
+
 // answer is what a caller saw of one request.
 type answer struct {
 	id, kind string
@@ -17,6 +20,7 @@
 	status   int
 	body     string
 	named    string // the request that the answer says it belongs to
+	server   string // the target that signed the answer
 	whole    bool   // the answer ended as it should
 	kept     bool   // it was sent on a connection that had carried another request
 	sent     time.Time
@@ -32,7 +36,7 @@
 		what = fmt.Sprintf("cut after status %d and %d bytes", a.status, len(a.body))
 	}
 	return fmt.Sprintf("%s %s at %s, sent at %s, %s after %v, kept connection %t",
-		a.kind, a.id, a.vm.name, a.sent.Format("15:04:05.000"), what, a.done.Sub(a.sent).Round(time.Millisecond), a.kept)
+		a.kind, a.id, a.vm.name, a.sent.Format(clock), what, a.done.Sub(a.sent).Round(time.Millisecond), a.kept)
 }
 
 // checker compares what callers saw with what targets ran.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -133,9 +133,13 @@
 type series struct {
 	kinds []fault
 	rng   *rand.Rand
+	pause time.Duration // longest time between two faults
 	next  time.Time
 }
 
+// maxPause is the longest time between two faults of a series.
+const maxPause = 1200 * time.Millisecond
+
 type pending struct {
 	at   time.Time
 	undo func()
@@ -150,18 +154,21 @@
 			undos = append(undos, pending{time.Now().Add(time.Duration(300+s.rng.IntN(4000)) * time.Millisecond), undo})
 		}
 	}
-	s.next = time.Now().Add(time.Duration(s.rng.IntN(1200)) * time.Millisecond)
+	s.next = time.Now().Add(time.Duration(s.rng.Int64N(int64(s.pause/time.Millisecond))) * time.Millisecond)
 	return undos
 }
 
 // schedule returns the series of this run.
 func (r *run) schedule() []*series {
 	seed := r.options.Seed
-	plan := &series{kinds: plannedFaults, rng: rand.New(rand.NewPCG(seed, seed+1))}
+	calm := []*series{
+		{kinds: plannedFaults, rng: rand.New(rand.NewPCG(seed, seed+1)), pause: maxPause},
+		{kinds: statementFaults, rng: rand.New(rand.NewPCG(seed, seed+2)), pause: 4 * maxPause},
+	}
 	if r.options.Planned {
-		return []*series{plan}
+		return calm
 	}
-	return []*series{{kinds: faults, rng: r.rng}, plan}
+	return append(calm, &series{kinds: faults, rng: r.rng, pause: maxPause})
 }
 
 // disturb injects faults for a time. They come in series and overlap.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -54,7 +54,7 @@
 ready = %q
 control = %q
 [bounds]
-drain_ms = 2500
+drain_ms = %d
 grace_s = 8
 retry_budget_ratio = 0.2
 budget_window_s = 10
@@ -90,7 +90,7 @@
 	ip := vmAddress(seed, 1+i)
 	v.caller, v.ready, v.peer = address(ip, callerPort), address(ip, readyPort), address(ip, peerPort)
 	zone := zones[i%len(zones)]
-	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, extraRetries, checkFences, p.Address())
+	text := fmt.Sprintf(settingsText, v.name, zone, zone, v.caller, v.ready, v.peer, drain.Milliseconds(), extraRetries, checkFences, p.Address())
 	return v, os.WriteFile(v.path("toml"), []byte(text), 0o600)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -111,6 +111,7 @@
 	wait.Wait()
 	r.checker.finish(r.allTargets())
 	r.checkLost()
+	r.checkLeaving()
 	return r.result(), nil
 }
 
@@ -355,7 +356,7 @@
 		body, failed := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		a.status, a.body, a.whole = resp.StatusCode, string(body), failed == nil
-		a.named = engine.AnswerOf(resp.Header)
+		a.named, a.server = engine.AnswerOf(resp.Header), engine.TargetOf(resp.Header)
 	}
 	a.done, a.kept = time.Now(), kept.Load()
 	if at := written.Load(); at != nil {
--- /dev/null
+++ b/internal/soak/statements_test.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/standin/engine"
+	"cicadaslip/internal/standin/metastore"
+)
+
+// startApp starts a plain target, without a process in front of it.
+func startApp(t *testing.T) *engine.Target {
+	g := gomega.NewWithT(t)
+	store, err := metastore.Start("127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(store.Close)
+	target, err := engine.Start(engine.Settings{ID: "a", Service: plainService, Slots: 6}, store)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(target.Crash)
+	return target
+}
+
+// Guards against a checker that does not see requests that reach a leaving target, or that
+// blames a VM that has forgotten what it was told.
+func TestTheCheckerFindsRequestsAtLeavingTargets(t *testing.T) {
+	for name, c := range map[string]struct {
+		after   time.Duration // between the two requests
+		trouble trouble       // between them
+		other   bool          // the second one goes through another VM
+		silent  bool          // the first answer says nothing
+		broken  int
+	}{
+		"later than the drain time": {after: drain + time.Second, broken: 1},
+		"within the drain time":     {after: drain - time.Second},
+		"after a restart":           {after: drain + time.Second, trouble: restarted},
+		"after a pause":             {after: drain + time.Second, trouble: frozen},
+		"after a cut":               {after: drain + time.Second, trouble: cut, broken: 1},
+		"from another VM":           {after: drain + time.Second, other: true},
+		"of a target that goes on":  {after: drain + time.Second, silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			target := startApp(t)
+			if !c.silent {
+				target.SayLeaving("1")
+			}
+			v := &vm{name: "vm0", caller: target.Settings.Address}
+			r := newRun(Options{})
+			r.targets = []*engine.Target{target}
+			first := r.askAs(newClient(), v, kindLookup, "q1")
+			second := r.askAs(newClient(), v, kindLookup, "q2")
+			g.Expect(second.status).To(gomega.Equal(200))
+			first.head = second.sent.Add(-c.after)
+			first.sent = first.head
+			if c.trouble != "" {
+				at := second.sent.Add(-c.after / 2)
+				v.timeline.spans = []*span{{kind: c.trouble, from: at, to: at.Add(time.Millisecond)}}
+			}
+			if c.other {
+				second.vm = &vm{name: "vm1"}
+			}
+			r.checker.answers = []answer{first, second}
+			r.checkLeaving()
+			g.Expect(r.checker.violations).To(gomega.HaveLen(c.broken))
+		})
+	}
+}
--- a/internal/standin/engine/caller.go
+++ b/internal/standin/engine/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -30,3 +31,9 @@
 
 // AnswerOf returns the id of the request that an answer belongs to.
 func AnswerOf(h http.Header) string { return h.Get("X-Request-Id") }
+
+// TargetOf returns the ID of the target that signed an answer, empty if none did.
+func TargetOf(h http.Header) string {
+	id, _, _ := strings.Cut(h.Get("X-Server-Stamp"), ".")
+	return id
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,6 +41,7 @@
 	Version  int64
 	After    int64 // event after which a stream was resumed
 	Fault    Fault // that spoilt the answer
+	Leaving  bool  // the answer says that the target leaves
 	Finished bool
 	Dropped  bool // the connection ended before
 }
@@ -179,7 +181,15 @@
 	_ = t.server.Close()
 }
 
-// EndedAt returns the time of the crash, zero if the target has not crashed.
+// End ends the target once it has answered what it has, at the latest after a time.
+func (t *Target) End(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_ = t.server.Shutdown(ctx) // what is left then is broken off
+	t.Crash()
+}
+
+// EndedAt returns the time at which the target broke its connections off, zero if it has not.
 func (t *Target) EndedAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -6,17 +6,21 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 )
 
-const statusElsewhere = 421
+const (
+	statusElsewhere = 421
+	leavingHeader   = "Server-Leaving"
+)
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
 	for _, value := range t.said {
-		w.Header().Add("Server-Leaving", value)
+		w.Header().Add(leavingHeader, value)
 	}
 	t.mu.Unlock()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.Settings.ID {
@@ -66,6 +70,7 @@
 		return
 	}
 	t.mu.Lock()
+	run.Leaving = slices.Equal(w.Header().Values(leavingHeader), []string{"1"})
 	t.runs = append(t.runs, run)
 	t.mu.Unlock()
 	defer func() {
