soak: Targets that ask for pauses

Some targets refuse all requests for one to three seconds with the rest of that time as Retry-After, others a few requests with 1, 2 or 3 s while they serve the next; pauses of targets overlap. At most two requests may reach a target from a VM between half a second after such a refusal and the end of its time; a restart, pause or cut of the VM excuses it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -208,6 +208,7 @@
 	}
 	for _, t := range r.allTargets() {
 		t.FallSilent(0)
+		t.PauseCallers(0)
 		t.SetFault(engine.None, 0)
 		t.LoseOrders(0)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,7 +63,7 @@
 
 // silenceTargets lets some targets fall silent, one in four times all of them.
 func (r *run) silenceTargets(rng *rand.Rand) func() {
-	all := append(append(append([]*engine.Target(nil), r.engines...), r.apps...), r.others...)
+	all := r.living()
 	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	n := 1 + rng.IntN(len(all))
 	if rng.IntN(4) == 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -112,6 +112,7 @@
 	r.checker.finish(r.allTargets())
 	r.checkLost()
 	r.checkLeaving()
+	r.checkPauses()
 	return r.result(), nil
 }
 
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"cicadaslip/internal/standin/engine"
@@ -16,12 +18,42 @@
 	maxReportDelay = 4 * time.Second
 	// lastRuns is the time that a leaving target gives the requests that it still has.
 	lastRuns = 10 * time.Second
+	// pauseNotice is the time after a refusal with Retry-After until the pause binds the VM,
+	// and pauseRequests what may reach the target from that VM until the end of the pause.
+	minPause       = time.Second
+	maxCallerPause = 3 * time.Second
+	pauseNotice    = 500 * time.Millisecond
+	pauseRequests  = 2
 )
 
 // statementFaults are what targets say of themselves in answers.
 var statementFaults = []fault{
 	{"leaving_engine", func(r *run, rng *rand.Rand) func() { return r.leaveByAnswers(rng, &r.engines, r.addEngine) }},
 	{"leaving_app", func(r *run, rng *rand.Rand) func() { return r.leaveByAnswers(rng, &r.apps, r.addApp) }},
+	{"paused", (*run).pauseTargets},
+	{"paused", (*run).pauseTargets},
+}
+
+// pauseTargets lets some targets refuse with Retry-After: all requests for one to three
+// seconds, or a few requests only.
+func (r *run) pauseTargets(rng *rand.Rand) func() {
+	all := r.living()
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	d := minPause + time.Duration(rng.Int64N(int64(maxCallerPause-minPause)))
+	few := rng.IntN(3) == 0
+	for _, t := range all[:1+rng.IntN(len(all)/2)] {
+		if few {
+			t.TurnAway(1+rng.IntN(3), strconv.Itoa(1+rng.IntN(3)))
+		} else {
+			t.PauseCallers(d)
+		}
+	}
+	return nil
+}
+
+// living returns the targets that run.
+func (r *run) living() []*engine.Target {
+	return append(append(append([]*engine.Target(nil), r.engines...), r.apps...), r.others...)
 }
 
 // leaveByAnswers lets a target say in its answers that it leaves; the store hears of it
@@ -84,3 +116,45 @@
 		}
 	}
 }
+
+// checkPauses checks that targets get no more than pauseRequests from a VM between the notice
+// after a refusal with Retry-After and the end of that time.
+func (r *run) checkPauses() {
+	r.checker.mu.Lock()
+	defer r.checker.mu.Unlock()
+	senders := map[string]*vm{}
+	for _, a := range r.checker.answers {
+		senders[a.id] = a.vm
+	}
+	for _, t := range r.allTargets() {
+		from := map[*vm][]engine.Arrival{}
+		for _, a := range t.Arrivals() {
+			if v := senders[a.ID]; v != nil {
+				from[v] = append(from[v], a)
+			}
+		}
+		for v, arrivals := range from {
+			for _, refused := range arrivals {
+				if ids, last := duringPause(refused, arrivals); len(ids) > pauseRequests &&
+					len(v.timeline.between(refused.AnsweredAt, last, restarted, frozen, cut)) == 0 {
+					r.checker.fail("BUDGET: %s got %d requests from %s between %v after it had refused %s at %s and the end of Retry-After %v: %s",
+						t.Settings.ID, len(ids), v.name, pauseNotice, refused.ID, refused.AnsweredAt.Format(clock), refused.Pause, strings.Join(ids, " "))
+					break // the refusals of one pause tell the same
+				}
+			}
+		}
+	}
+}
+
+// duringPause returns the requests that arrived while a pause bound their VM, and the time of
+// the first one too many.
+func duringPause(refused engine.Arrival, arrivals []engine.Arrival) (ids []string, tooMany time.Time) {
+	for _, a := range arrivals {
+		if refused.TurnedAway && a.At.After(refused.AnsweredAt.Add(pauseNotice)) && a.At.Before(refused.AnsweredAt.Add(refused.Pause)) {
+			if ids = append(ids, a.ID); len(ids) == pauseRequests+1 {
+				tooMany = a.At
+			}
+		}
+	}
+	return ids, tooMany
+}
--- a/internal/soak/statements_test.go
+++ b/internal/soak/statements_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,52 @@
 		})
 	}
 }
+
+// Guards against a checker that does not see requests in the pauses that targets ask for, or
+// that counts what was on its way.
+func TestTheCheckerFindsRequestsInPauses(t *testing.T) {
+	for name, c := range map[string]struct {
+		retryAfter string
+		requests   int
+		trouble    trouble
+		other      bool // they go through another VM
+		early      bool // they arrive before the pause binds
+		broken     int
+	}{
+		"three":           {retryAfter: "3", requests: 3, broken: 1},
+		"two":             {retryAfter: "3", requests: 2},
+		"before it binds": {retryAfter: "3", requests: 3, early: true},
+		"after its end":   {retryAfter: "0.2", requests: 3},
+		"from another VM": {retryAfter: "3", requests: 3, other: true},
+		"after a restart": {retryAfter: "3", requests: 3, trouble: restarted},
+		"after a cut":     {retryAfter: "3", requests: 3, trouble: cut},
+		"without a time":  {retryAfter: "soon", requests: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			target := startApp(t)
+			target.TurnAway(1, c.retryAfter)
+			v := &vm{name: "vm0", caller: target.Settings.Address}
+			r := newRun(Options{})
+			r.targets = []*engine.Target{target}
+			refused := r.askAs(newClient(), v, kindLookup, "q0")
+			g.Expect(refused.status).To(gomega.Equal(503))
+			r.checker.answers = []answer{refused}
+			if c.trouble != "" {
+				v.timeline.begin(c.trouble)()
+			}
+			if !c.early {
+				time.Sleep(pauseNotice + 10*time.Millisecond)
+			}
+			for i := range c.requests {
+				a := r.askAs(newClient(), v, kindLookup, fmt.Sprintf("q%d", 1+i))
+				if c.other {
+					a.vm = &vm{name: "vm1"}
+				}
+				r.checker.answers = append(r.checker.answers, a)
+			}
+			r.checkPauses()
+			g.Expect(r.checker.violations).To(gomega.HaveLen(c.broken))
+		})
+	}
+}
