gateway: A shutdown waits for requests that are being read

Cause: the shutdown returned as soon as no request was in flight. A request counts from the moment it has been read whole until its handler ends; its response is written after that. The listener was closed in another goroutine, so that at that moment connections were still being accepted, requests read and responses written, which the end of the process cut.

Shutdown now waits until the HTTP server has closed the listener and no connection is open, or the grace ends.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -25,35 +25,37 @@
 
 // world is a deployment of one route and one target.
 type world struct {
-	route        fleet.Route
-	target       string // address
-	panicIn      string // function that panics
-	panicked     chan string
-	inFlight     func() int
-	placements   int
-	lastEventID  int64                // of the requests
-	resumedAfter atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
-	stopTarget   func()               // makes the target refuse connections
-	summaries    chan gateway.Summary // of finished requests
-	quarantine   fakeQuarantine
-	acquire      func(placement int) *errs.Error // refuses placements, none if nil
-	noRetries    bool                            // the retry budget is used up
-	estimate     time.Duration                   // of the time until the first event, 1 s if 0
-	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
-	malformed    chan int                        // status of each answer to malformed input
-	leaving      []string                        // targets that leave and are granted nevertheless
-	grants       []grant                         // of the first placements; all others are of w.target
-	asked        chan placer.Request             // placements, unless it is nil
-	paused       []string                        // targets that want no requests
-	servicePause time.Duration                   // of all targets of the service
-	advised      atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
-	statements   chan gateway.TargetStatement    // that were recorded, unless it is nil
-	ignored      atomic.Int64                    // statements
-	retries      int                             // taken from the budget
-	takeRetry    func() bool                     // decides on retries, unless it is nil
-	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
-	latency      time.Duration                   // expected of plain targets, 1 s if 0
-	dial         func()                          // is called after a connection to a target was opened, unless it is nil
+	route           fleet.Route
+	target          string // address
+	panicIn         string // function that panics
+	panicked        chan string
+	inFlight        func() int
+	shutdown        func(context.Context)
+	openConnections func() int
+	placements      int
+	lastEventID     int64                // of the requests
+	resumedAfter    atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
+	stopTarget      func()               // makes the target refuse connections
+	summaries       chan gateway.Summary // of finished requests
+	quarantine      fakeQuarantine
+	acquire         func(placement int) *errs.Error // refuses placements, none if nil
+	noRetries       bool                            // the retry budget is used up
+	estimate        time.Duration                   // of the time until the first event, 1 s if 0
+	limits          atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
+	malformed       chan int                        // status of each answer to malformed input
+	leaving         []string                        // targets that leave and are granted nevertheless
+	grants          []grant                         // of the first placements; all others are of w.target
+	asked           chan placer.Request             // placements, unless it is nil
+	paused          []string                        // targets that want no requests
+	servicePause    time.Duration                   // of all targets of the service
+	advised         atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
+	statements      chan gateway.TargetStatement    // that were recorded, unless it is nil
+	ignored         atomic.Int64                    // statements
+	retries         int                             // taken from the budget
+	takeRetry       func() bool                     // decides on retries, unless it is nil
+	pick            func(exclude []string) bool     // reports whether a target can be picked, nil if always
+	latency         time.Duration                   // expected of plain targets, 1 s if 0
+	dial            func()                          // is called after a connection to a target was opened, unless it is nil
 }
 
 // grant is a target of a placement.
@@ -203,7 +205,7 @@
 	server := gateway.New(gateway.Options{
 		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: w.dialTarget},
 	})
-	w.inFlight = server.InFlight
+	w.inFlight, w.shutdown, w.openConnections = server.InFlight, server.Shutdown, server.OpenConnections
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -38,9 +38,6 @@
 	// limit, so that connections beyond maxConnections are refused by the
 	// listener.
 	concurrencyMargin = 64
-	// drainPollInterval is the time between checks whether requests are in flight
-	// during a shutdown.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // Options configures a Server. All fields but Observer and Quarantine are required.
@@ -143,6 +140,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// OpenConnections returns the number of callers' connections that are served.
+func (s *Server) OpenConnections() int { return int(s.http.GetOpenConnectionsCount()) }
+
 // Drain makes the server close each connection after its next response.
 // Streams that would begin later than acceptStreams from now are refused,
 // because the end of the process could cut them.
@@ -156,13 +156,11 @@
 	return s.draining.Load() && time.Now().UnixNano() > s.refuseStreamsAt.Load()
 }
 
-// Shutdown closes the listener and the idle connections, and waits until no
-// request is in flight or ctx ends.
+// Shutdown closes the listener and the idle connections, and waits until no connection is
+// open or ctx ends. The number of requests in flight does not tell when to stop: it counts
+// neither requests that are being read nor responses that are being written.
 func (s *Server) Shutdown(ctx context.Context) {
-	go func() { _ = s.http.ShutdownWithContext(ctx) }() // connections still open when ctx ends are cut when the process exits
-	for s.inFlight.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
-	}
+	_ = s.http.ShutdownWithContext(ctx) // connections still open when ctx ends are cut when the process exits
 }
 
 // handleMalformed responds to input that is not a valid HTTP request, or not a whole one
