--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -91,3 +91,41 @@
 		})
 	}
 }
+
+// Guards against a shutdown that cuts a request whose header has arrived in part.
+func TestShutdownWaitsForARequestThatArrivesInParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paused := &pausedListener{request: 1, read: make(chan struct{}), resume: make(chan struct{})}
+	w, address := newWorldBehind(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) },
+		func(l net.Listener) net.Listener { paused.Listener = l; return paused })
+	const sent = 20
+	conn := connect(t, address, 0, callerRequest[:sent])
+	<-paused.read
+	close(paused.resume)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.shutdown(context.Background())
+	}()
+	g.Consistently(ended).WithTimeout(time.Second).ShouldNot(gomega.BeClosed())
+	_, err := io.WriteString(conn, callerRequest[sent:]+"Connection: close\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(readToEnd(g, conn)).To(gomega.HavePrefix("HTTP/1.1 200 "))
+	g.Eventually(ended).WithTimeout(20 * time.Second).Should(gomega.BeClosed())
+}
+
+// Guards against a shutdown that waits for connections that carry no request.
+func TestShutdownDoesNotWaitForIdleConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) })
+	connect(t, address, 0)
+	used := connect(t, address, 0, callerRequest+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(used), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.Copy(io.Discard, resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	w.shutdown(ctx)
+	g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -9,6 +9,9 @@
 	"cicadaslip/internal/standin/engine"
 )
 
+// clock is the format of times in reports.
+const clock = "15:04:05.000"
+
 // answer is what a caller saw of one request.
 type answer struct {
 	id, kind string
@@ -17,12 +20,25 @@
 	status   int
 	body     string
 	named    string // the request that the answer says it belongs to
+	server   string // the target that signed the answer
 	whole    bool   // the answer ended as it should
+	kept     bool   // it was sent on a connection that had carried another request
 	sent     time.Time
+	written  time.Time // the last byte of the request, zero if it was not sent whole
+	head     time.Time // of the answer, zero if there was none
 	done     time.Time
 	config   int // of a probe: the version whose route was asked for
 }
 
+func (a answer) String() string {
+	what := "closed without an answer"
+	if a.status != 0 {
+		what = fmt.Sprintf("cut after status %d and %d bytes", a.status, len(a.body))
+	}
+	return fmt.Sprintf("%s %s at %s, sent at %s, %s after %v, kept connection %t",
+		a.kind, a.id, a.vm.name, a.sent.Format(clock), what, a.done.Sub(a.sent).Round(time.Millisecond), a.kept)
+}
+
 // checker compares what callers saw with what targets ran.
 type checker struct {
 	mu         sync.Mutex
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -39,6 +40,8 @@
 	Adapter  string
 	Version  int64
 	After    int64 // event after which a stream was resumed
+	Fault    Fault // that spoilt the answer
+	Leaving  bool  // the answer says that the target leaves
 	Finished bool
 	Dropped  bool // the connection ended before
 }
@@ -55,7 +58,9 @@
 	Pause    time.Duration // between events, and the work of a plain request
 	Load     time.Duration // of an adapter
 	NoFences bool          // orders with an older fencing token are carried out
-	Address  string        // default: a free port of loopback
+	// HeadFirst sends the heads of streams before the first event.
+	HeadFirst bool
+	Address   string // default: a free port of loopback
 	// RateLimit is named in each answer, in requests per second, 0 for none.
 	RateLimit float64
 	// DeadlyPart crashes the target when it begins to answer a prompt with this part.
@@ -69,6 +74,7 @@
 	listener net.Listener
 	server   *http.Server
 	born     int64
+	quiet    silence
 
 	mu       sync.Mutex
 	fault    Fault
@@ -81,6 +87,7 @@
 	received []ReceivedOrder
 	beats    int64
 	leaving  bool
+	ended    time.Time
 	overfull bool
 	said     []string // values of Server-Leaving in each answer
 	turned   turnedAway
@@ -165,7 +172,29 @@
 }
 
 // Crash ends the target and all its connections.
-func (t *Target) Crash() { _ = t.server.Close() }
+func (t *Target) Crash() {
+	t.mu.Lock()
+	if t.ended.IsZero() {
+		t.ended = time.Now()
+	}
+	t.mu.Unlock()
+	_ = t.server.Close()
+}
+
+// End ends the target once it has answered what it has, at the latest after a time.
+func (t *Target) End(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_ = t.server.Shutdown(ctx) // what is left then is broken off
+	t.Crash()
+}
+
+// EndedAt returns the time at which the target broke its connections off, zero if it has not.
+func (t *Target) EndedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
 
 // SetFault spoils a number of answers, all if it is negative.
 func (t *Target) SetFault(f Fault, answers int) {
