placer: Rare adapters are loaded while all targets are limited

The rule that limited targets load nothing while queued requests depend on them starves adapters that no target has where all targets are limited: then requests for the common ones always wait.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -38,6 +38,7 @@
 	dispatchPass      uint64 // number of the current pass over the queue
 	lastFullPass      Time   // when the whole queue was last dispatched
 	limitBoundPass    uint64 // pass over the queue in which the limited targets were marked that requests depend on
+	allLimited        bool   // no target without a limit takes work, as of limitBoundPass
 	hasNewRequest     bool   // a request arrived since the last pass
 	coldLoads         int    // adapters being loaded from the weights store, as of coldLoadsPass
 	coldLoadsPass     uint64 // pass over the queue in which coldLoads was counted
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -134,7 +134,8 @@
 
 // allowsLoad reports whether the limit of a target leaves room for the orders of a load. Queued
 // requests that only limited targets can serve come first: they have nowhere else to go, and a
-// load is in vain if its request then finds the limit used up.
+// load is in vain if its request then finds the limit used up. Where all targets are limited, no
+// other target would ever load an adapter for which less is asked.
 func (c *Core) allowsLoad(t *targetState) bool {
 	if !t.limit.Limited() {
 		return true
@@ -143,12 +144,13 @@
 		c.limitBoundPass = c.dispatchPass
 		c.markLimitBound()
 	}
-	return t.limitBoundPass != c.dispatchPass && c.limitWait(t) == 0
+	return (c.allLimited || t.limitBoundPass != c.dispatchPass) && c.limitWait(t) == 0
 }
 
 // markLimitBound marks the limited targets that have or load the adapter of a queued request,
-// unless a target without a limit does.
+// unless a target without a limit does, and sets allLimited.
 func (c *Core) markLimitBound() {
+	c.allLimited = !slices.ContainsFunc(c.targets, func(t *targetState) bool { return t.acceptsWork() && !t.limit.Limited() })
 	for _, r := range c.queue {
 		if slices.ContainsFunc(r.adapter.placements, func(pl *placement) bool { return serves(pl) && !pl.target.limit.Limited() }) {
 			continue
--- a/internal/placer/limits_test.go
+++ b/internal/placer/limits_test.go
@@ -174,3 +174,38 @@
 	const ordersOfLoad = 2
 	gomega.NewWithT(t).Expect(ordersOfLoad*loads).To(gomega.BeNumerically("<", grants), "more of the limits goes to orders than to requests")
 }
+
+// Guards against adapters that hardly any target loads, so that their requests are served less
+// than a quarter as often as all. Load pattern: all targets are limited, and more requests for a
+// few adapters that they have always wait.
+func TestRareAdaptersAreServedWhileAllTargetsAreLimited(t *testing.T) {
+	rareServed, rareAsked, served, asked := 0, 0, 0, 0
+	for seed := range uint64(10) {
+		sim := newSimulation(seed, 3, placer.Params{})
+		for i := range 3 {
+			sim.enqueue(adapter(i), nil)
+			sim.advance(time.Second)
+		}
+		for target := range sim.engines {
+			sim.rateLimits[target] = 2
+			sim.core.SetRateLimit(sim.now, target, 2, 0)
+		}
+		var rare []string
+		for i := range 300 {
+			sim.advance(100 * time.Millisecond)
+			sim.enqueue(adapter(sim.random.IntN(3)), nil)
+			if i%20 == 19 {
+				rare = append(rare, sim.enqueue(adapter(100+i%3), nil))
+			}
+		}
+		sim.advance(10 * time.Second)
+		for _, id := range rare {
+			if _, found := sim.granted[id]; found {
+				rareServed++
+			}
+		}
+		rareAsked, served, asked = rareAsked+len(rare), served+len(sim.granted), asked+sim.requestCount
+	}
+	t.Logf("%d of %d served, of all %d of %d", rareServed, rareAsked, served, asked)
+	gomega.NewWithT(t).Expect(float64(rareServed) / float64(rareAsked)).To(gomega.BeNumerically(">=", float64(served)/float64(asked)/4))
+}
