soak: Targets that name a limit

Some targets name a Server-Limit of 2 to 7 requests a second for 12 s. From the stability window after it was first named, a target may get, in four seconds, one and a half times what it allows and five more, from VMs that had passed on such an answer half a second before. A restart, pause or cut excuses a VM.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -79,6 +79,7 @@
 	others   []*engine.Target // of the second plain service
 	config   int
 	terms    terms
+	limits   map[*engine.Target]*limited
 	versions map[string]int64
 	faults   map[string]int
 	started  int
@@ -87,6 +88,7 @@
 func newRun(o Options) *run {
 	r := &run{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), checker: newChecker(), versions: map[string]int64{}, faults: map[string]int{},
+		limits: map[*engine.Target]*limited{},
 	}
 	r.terms = firstTerms(r)
 	return r
@@ -113,6 +115,7 @@
 	r.checkLost()
 	r.checkLeaving()
 	r.checkPauses()
+	r.checkLimits()
 	return r.result(), nil
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,9 +39,10 @@
 	Body     string
 	Adapter  string
 	Version  int64
-	After    int64 // event after which a stream was resumed
-	Fault    Fault // that spoilt the answer
-	Leaving  bool  // the answer says that the target leaves
+	After    int64   // event after which a stream was resumed
+	Fault    Fault   // that spoilt the answer
+	Limit    float64 // requests per second that the answer names, 0 for none
+	Leaving  bool    // the answer says that the target leaves
 	Finished bool
 	Dropped  bool // the connection ended before
 }
@@ -87,6 +88,7 @@
 	received []ReceivedOrder
 	beats    int64
 	leaving  bool
+	limit    float64 // named in each answer
 	ended    time.Time
 	overfull bool
 	said     []string // values of Server-Leaving in each answer
@@ -119,7 +121,7 @@
 	}
 	s.Address = l.Addr().String()
 	t := &Target{
-		Settings: s, store: store, listener: l, born: time.Now().UnixMilli(), held: map[string]*held{}, newest: map[string]int64{},
+		Settings: s, store: store, listener: l, born: time.Now().UnixMilli(), limit: s.RateLimit, held: map[string]*held{}, newest: map[string]int64{},
 	}
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
 	go func() { _ = t.server.Serve(l) }()
@@ -171,6 +173,13 @@
 	t.said = values
 }
 
+// NameLimit makes all further answers name a limit in requests per second, none if it is 0.
+func (t *Target) NameLimit(rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = rate
+}
+
 // Crash ends the target and all its connections.
 func (t *Target) Crash() {
 	t.mu.Lock()
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -53,7 +53,10 @@
 	if err != nil {
 		return
 	}
-	if limit := t.Settings.RateLimit; limit > 0 {
+	t.mu.Lock()
+	limit := t.limit
+	t.mu.Unlock()
+	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
 	}
 	if t.turnAway(w, r) {
@@ -61,7 +64,7 @@
 	}
 	fault := t.take()
 	id := r.Header.Get("X-Request-Id")
-	run := &Run{ID: id, At: time.Now(), Fault: fault, Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
+	run := &Run{ID: id, At: time.Now(), Fault: fault, Limit: limit, Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
 	run.After, _ = strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // none: from the first
 	if status := t.refusal(r, run); status != 0 {
 		if t.quiet.wait(r) {
