--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -30,6 +30,7 @@
 const (
 	Answer Source = "answer" // this VM, from the target
 	Owner  Source = "owner"  // another VM, and the owner of a target group passed it on
+	Told   Source = "vm"     // another VM, which told this VM as the owner of a target group
 )
 
 const (
@@ -104,7 +105,7 @@
 			r.pausedSince = s.HeardAt
 		}
 		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
-		t.pauses.lastEnd = max(t.pauses.lastEnd, r.pausedUntil)
+		t.pauses.targets[i.Target] = struct{}{}
 	}
 	return t.noteChange(r, before, s.HeardAt)
 }
@@ -157,7 +158,7 @@
 			r.unlistedSince = never
 		case r.unlistedSince == never:
 			r.unlistedSince = now
-		case now-r.unlistedSince > unlistedRetention:
+		case now-r.unlistedSince > unlistedRetention && r.pausedUntil <= now:
 			delete(t.records, target)
 		}
 	}
@@ -176,5 +177,9 @@
 // Exhausted returns the targets whose limit allows no request of this VM now.
 func (t *Table) Exhausted(now time.Duration) []string { return t.limits.Exhausted(now) }
 
+// StatedLimits returns the limits of the targets, with the times since which they have been in
+// force.
+func (t *Table) StatedLimits() map[string]ratelimit.Stated { return t.limits.Stated() }
+
 // RateLimits returns the limits of the targets.
 func (t *Table) RateLimits() map[string]float64 { return t.limits.Limits() }
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"cicadaslip/internal/socketstate"
 )
 
@@ -22,11 +24,26 @@
 	net.Conn
 	listener  *Listener
 	closed    atomic.Bool
-	idle      atomic.Bool // no byte of a request has arrived
+	idle      atomic.Bool // no byte of the next request has been read
+	unread    atomic.Bool // a Read waits for the next request, of which nothing has arrived
 	idleSince time.Time   // when the wait for it began
+	used      bool        // a request has begun
 	lateInput bool        // the current time limit has ended while input was there
 }
 
+// TrackState tells a connection of a Listener when a request begins and ends. It is the
+// ConnState function of the HTTP server.
+func TrackState(c net.Conn, state fasthttp.ConnState) {
+	conn, ok := c.(*Conn)
+	switch {
+	case !ok:
+	case state == fasthttp.StateActive:
+		conn.BeginRequest()
+	case state == fasthttp.StateIdle:
+		conn.BeginIdle()
+	}
+}
+
 // BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
 func (c *Conn) BeginIdle() {
 	if c.listener.Limits == nil {
@@ -35,7 +52,16 @@
 	c.idle.Store(true)
 	c.lateInput = false
 	c.idleSince = time.Now()
-	_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.listener.Limits().Idle))
+	_ = c.Conn.SetReadDeadline(c.idleEnd())
+}
+
+// idleEnd returns the end of the current wait under the current limits.
+func (c *Conn) idleEnd() time.Time {
+	limits := c.listener.Limits()
+	if c.used {
+		return c.idleSince.Add(limits.Idle)
+	}
+	return c.idleSince.Add(limits.First)
 }
 
 // BeginRequest starts the time limit for the header of a request, whose first byte has
@@ -45,6 +71,7 @@
 		return
 	}
 	c.idle.Store(false)
+	c.used = true
 	c.lateInput = false
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
 }
@@ -53,9 +80,18 @@
 // HTTP server closes the connection without a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := 0, error(nil)
+		if c.idle.Load() {
+			err = c.awaitInput()
+		}
+		if err == nil {
+			n, err = c.Conn.Read(p)
+		}
 		switch {
-		case n > 0 || err == nil:
+		case n > 0:
+			c.idle.Store(false)
+			return n, err
+		case err == nil:
 			return n, err
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.extendWait():
 			continue
@@ -66,6 +102,27 @@
 	}
 }
 
+// awaitInput waits until there is input, without reading it. Meanwhile the connection may be
+// closed by closeUnread.
+func (c *Conn) awaitInput() error {
+	c.unread.Store(true)
+	err := socketstate.Await(c.Conn)
+	if !c.unread.Swap(false) {
+		return net.ErrClosed
+	}
+	return err
+}
+
+// closeUnread closes the connection if nothing of its next request has been read, and
+// reports whether it has done so. A request that crosses this stays unread.
+func (c *Conn) closeUnread() bool {
+	if !c.unread.Swap(false) {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // extendWait moves the read deadline if the time limit has become longer since the
 // connection is idle, or if input is there that was not read in time. It reports whether it
 // has done so.
@@ -77,7 +134,7 @@
 	if !c.idle.Load() {
 		return false
 	}
-	end := c.idleSince.Add(c.listener.Limits().Idle)
+	end := c.idleEnd()
 	return time.Until(end) > 0 && c.Conn.SetReadDeadline(end) == nil
 }
 
@@ -90,11 +147,18 @@
 
 // Close implements net.Conn. It returns immediately; linger closes the
 // connection in the background, and the connection counts towards the
-// listener's limit until then.
+// listener's limit until then. An idle connection is closed at once: a request that crosses
+// the close stays unread, which its caller can tell from the reset.
 func (c *Conn) Close() error {
-	if !c.closed.Swap(true) {
-		go c.linger()
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.listener.remove(c)
+	if c.idle.Load() {
+		defer c.listener.openConns.Add(-1)
+		return c.Conn.Close()
 	}
+	go c.linger()
 	return nil
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strings"
@@ -49,6 +50,7 @@
 	sharedParts    []string        // IDs of the parts of the prompt that other requests may have, too
 	ownPart        string          // ID of the last part, which belongs to the request or its session
 	forwardFields  httpfields.List // header fields to forward to the target
+	serverError    *targetStream   // last whole response with a server error, passed on if no further target serves the request
 	route          *fleet.Route
 	configVersion  uint64 // version of the configuration that the route belongs to
 	service        string
@@ -176,8 +178,8 @@
 	ctx := c.http
 	ctx.Response.Reset()
 	ctx.SetStatusCode(httpStatus(e))
-	if e.Retry > 0 && e.Ran == errs.RanNo {
-		f := c.server.opt.Dialect.RetryAfterField(e.Retry)
+	if e.Ran == errs.RanNo {
+		f := c.server.opt.Dialect.RetryAfterField(cmp.Or(e.Retry, refusalRetryAfter))
 		ctx.Response.Header.Set(f.Name, f.Value)
 	}
 	if c.server.draining.Load() || ctx.Request.Header.ConnectionClose() || e.Code == errs.InvalidRequest {
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,37 +26,38 @@
 
 // world is a deployment of one route and one target.
 type world struct {
-	route           fleet.Route
-	target          string // address
-	panicIn         string // function that panics
-	panicked        chan string
-	inFlight        func() int
-	shutdown        func(context.Context)
-	openConnections func() int
-	placements      int
-	lastEventID     int64                // of the requests
-	resumedAfter    atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
-	stopTarget      func()               // makes the target refuse connections
-	summaries       chan gateway.Summary // of finished requests
-	quarantine      fakeQuarantine
-	acquire         func(placement int) *errs.Error // refuses placements, none if nil
-	noRetries       bool                            // the retry budget is used up
-	estimate        time.Duration                   // of the time until the first event, 1 s if 0
-	limits          atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
-	malformed       chan int                        // status of each answer to malformed input
-	leaving         []string                        // targets that leave and are granted nevertheless
-	grants          []grant                         // of the first placements; all others are of w.target
-	asked           chan placer.Request             // placements, unless it is nil
-	paused          []string                        // targets that want no requests
-	servicePause    time.Duration                   // of all targets of the service
-	advised         atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
-	statements      chan gateway.TargetStatement    // that were recorded, unless it is nil
-	ignored         atomic.Int64                    // statements
-	retries         int                             // taken from the budget
-	takeRetry       func() bool                     // decides on retries, unless it is nil
-	pick            func(exclude []string) bool     // reports whether a target can be picked, nil if always
-	latency         time.Duration                   // expected of plain targets, 1 s if 0
-	dial            func()                          // is called after a connection to a target was opened, unless it is nil
+	route        fleet.Route
+	target       string // address
+	panicIn      string // function that panics
+	panicked     chan string
+	inFlight     func() int
+	shutdown     func(context.Context)
+	placements   int
+	lastEventID  int64                // of the requests
+	resumedAfter atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
+	stopTarget   func()               // makes the target refuse connections
+	summaries    chan gateway.Summary // of finished requests
+	quarantine   fakeQuarantine
+	acquire      func(placement int) *errs.Error // refuses placements, none if nil
+	noRetries    bool                            // the retry budget is used up
+	estimate     time.Duration                   // of the time until the first event, 1 s if 0
+	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
+	malformed    chan int                        // status of each answer to malformed input
+	leaving      []string                        // targets that leave and are granted nevertheless
+	grants       []grant                         // of the first placements; all others are of w.target
+	asked        chan placer.Request             // placements, unless it is nil
+	paused       []string                        // targets that want no requests
+	servicePause time.Duration                   // of all targets of the service
+	advised      atomic.Int64                    // Retry-After of the last refusal, as a time.Duration
+	statements   chan gateway.TargetStatement    // that were recorded, unless it is nil
+	ignored      atomic.Int64                    // statements
+	mu           sync.Mutex                      // guards retries
+	retries      int                             // taken from the budget
+	takeRetry    func() bool                     // decides on retries, unless it is nil
+	pick         func(exclude []string) bool     // reports whether a target can be picked, nil if always
+	outcomes     atomic.Int64                    // recorded of requests at plain targets
+	latency      time.Duration                   // expected of plain targets, 1 s if 0
+	dial         func()                          // is called after a connection to a target was opened, unless it is nil
 }
 
 // grant is a target of a placement.
@@ -98,17 +100,31 @@
 
 func (w *world) RecordOutcome(string, string, balance.Outcome, time.Duration, time.Duration, *balance.Load) {
 	w.maybePanic("RecordOutcome")
+	w.outcomes.Add(1)
 }
 func (w *world) CountRequest(string) {}
 func (w *world) TakeRetry(string) bool {
 	if w.takeRetry != nil && !w.takeRetry() {
 		return false
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.retries++
 	return !w.noRetries
 }
 
-func (w *world) ReturnRetry(string, time.Time) { w.retries-- }
+func (w *world) ReturnRetry(string, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+}
+
+// taken returns the number of retries that are taken from the budget.
+func (w *world) taken() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.retries
+}
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
@@ -161,6 +177,7 @@
 func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
 func (w *world) Stated(gateway.Lease, gateway.TargetStatement)  {}
 func (w *world) IgnoreStatement(string)                         { w.ignored.Add(1) }
+func (w *world) Limited(string, []string) bool                  { return false }
 func (w *world) RecordStatement(_ string, s gateway.TargetStatement) {
 	if w.statements != nil {
 		w.statements <- s
@@ -181,6 +198,12 @@
 
 // newWorld starts a server, and a target that answers with respond.
 func newWorld(t *testing.T, kind fleet.Kind, respond func(net.Conn)) (*world, string) {
+	return newWorldBehind(t, kind, respond, func(l net.Listener) net.Listener { return l })
+}
+
+// newWorldBehind is like newWorld. The server accepts connections through the listener that
+// wrap returns.
+func newWorldBehind(t *testing.T, kind fleet.Kind, respond func(net.Conn), wrap func(net.Listener) net.Listener) (*world, string) {
 	g := gomega.NewWithT(t)
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -205,11 +228,11 @@
 	server := gateway.New(gateway.Options{
 		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: w.dialTarget},
 	})
-	w.inFlight, w.shutdown, w.openConnections = server.InFlight, server.Shutdown, server.OpenConnections
+	w.inFlight, w.shutdown = server.InFlight, server.Shutdown
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(wrap(l)) }()
 	return w, l.Addr().String()
 }
 
@@ -258,6 +281,18 @@
 	}
 }
 
+// Guards against a target that gets fewer and fewer requests, because those whose handling
+// failed unexpectedly count as open there for ever.
+func TestPanicOfAnAttemptEndsItAtItsTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, writes(plainAnswer))
+	w.panicIn = "ParseResponse"
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(w.outcomes.Load()).To(gomega.Equal(int64(1)))
+}
+
 // Guards against a stalled stream that sends lines without events now and then, and so
 // keeps its request, its connection and its lease until the caller's deadline although
 // another target could continue it.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,6 +30,7 @@
 	meta     ResponseMeta
 	failure  *errs.Error
 	refused  bool // the target states that it did not run the request
+	sent     bool // the target may have received a part of the request
 	target   fleet.Target
 	request  upstream.Request
 	sentAt   time.Time
@@ -42,9 +43,6 @@
 	return r.failure == nil && r.exchange.Status < minServerErrorStatus
 }
 
-// sent reports whether the target may have received a part of the request.
-func (r *reply) sent() bool { return r.failure == nil || r.failure.Code != errs.TargetUnavailable }
-
 // servePlain serves a request to a service whose responses are not streams. It
 // tries one target after another as long as retries are allowed. If the targets
 // that have the request are slow, a hedge is sent to a further one while they are
@@ -55,6 +53,10 @@
 	var last *reply
 	start := func(retryAt time.Time) *errs.Error {
 		target, found := c.server.opt.Fleet.Pick(c.service, c.excluded)
+		if !found && c.server.opt.Fleet.Limited(c.service, c.excluded) {
+			c.trace.addStep(StepLimited, "", "no share of a rate limit left")
+			return errs.NotRun(errs.NoTarget, "the rate limits of the service's targets leave this VM no request now").WithRetry(time.Second)
+		}
 		if !found {
 			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(c.pauseAdvice(time.Second))
 		}
@@ -93,12 +95,7 @@
 		select {
 		case r := <-replies:
 			running--
-			switch {
-			case r.sent():
-				sent = true
-			case !r.retryAt.IsZero():
-				c.server.opt.Fleet.ReturnRetry(c.service, r.retryAt)
-			}
+			sent = sent || r.sent
 			if r.failure != nil && r.failure.Ran == errs.RanNo {
 				attempts--
 			} else {
@@ -206,26 +203,44 @@
 	c.trace.setResponse(r.exchange.Status, r.target.ID)
 }
 
-// attemptPlain sends the request to one target and reads the complete
-// response.
+// attemptPlain sends the request to one target, reads the complete response and records the
+// outcome.
 func (c *call) attemptPlain(r *reply) {
 	defer c.containAttempt(r)
-	startedAt, target := time.Now(), r.target
+	startedAt := time.Now()
+	connectTime := c.exchangePlain(r)
+	c.returnUnsent(r)
+	c.judgePlain(r)
+	c.server.opt.Fleet.RecordOutcome(c.service, r.target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
+}
+
+// exchangePlain sends the request to one target and reads the complete response. It returns
+// the time that it took to connect, 0 if there is no response.
+func (c *call) exchangePlain(r *reply) (connectTime time.Duration) {
+	defer c.containAttempt(r)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	r.request.Connected = func() bool { return ctx.Err() == nil }
+	r.request.Connected = func() bool {
+		r.sent = ctx.Err() == nil
+		return r.sent
+	}
 	r.sentAt = time.Now()
 	a, failure := c.ask(ctx, r.request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline})
-	r.failure = failure
-	connectTime := time.Duration(0)
-	if r.failure == nil {
-		r.exchange, r.meta = a.exchange, a.meta
-		connectTime = r.exchange.ConnectTime()
-		c.readPlain(r, a)
-		r.exchange.Close()
+	if r.failure = failure; failure != nil {
+		return 0
+	}
+	defer a.exchange.Close()
+	r.exchange, r.meta = a.exchange, a.meta
+	c.readPlain(r, a)
+	return r.exchange.ConnectTime()
+}
+
+// returnUnsent gives back the retry of an attempt that no target has received. The attempt may
+// end after the call.
+func (c *call) returnUnsent(r *reply) {
+	if !r.sent && !r.retryAt.IsZero() {
+		c.server.opt.Fleet.ReturnRetry(c.service, r.retryAt)
 	}
-	c.judgePlain(r)
-	c.server.opt.Fleet.RecordOutcome(c.service, target.ID, c.outcome(r), time.Since(startedAt), connectTime, r.meta.Load)
 }
 
 // readPlain checks the head of an answer and reads its body.
@@ -259,7 +274,7 @@
 }
 
 // refusalRetryAfter is the Retry-After time for callers whose request was
-// refused by all targets that were tried.
+// refused by all targets that were tried, or for another reason that states no time.
 const refusalRetryAfter = 300 * time.Millisecond
 
 // maxPauseAdvice limits the Retry-After time for callers of a service whose targets all pause,
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 )
 
@@ -159,3 +160,79 @@
 	g.Expect(<-received).To(gomega.Equal(size - 4096))
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 }
+
+// Guards against a request whose answer is given up, or that is told "not run", because a
+// refusal of another request came before and the answer takes its time.
+func TestSilenceAfterARefusalOfAnotherRequest(t *testing.T) {
+	for kindName, k := range requestKinds {
+		t.Run(kindName, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			answer := ownPlainAnswer
+			if k.kind == fleet.Streaming {
+				answer = ownStream
+			}
+			arrivals := make(chan int, 8)
+			w, address := newWorld(t, k.kind, func(conn net.Conn) {
+				arrivals <- 1
+				if len(arrivals) > 1 {
+					_, _ = io.WriteString(conn, answer)
+					return
+				}
+				_, _ = io.WriteString(conn, foreignRefusal)
+				_, _ = conn.Read(make([]byte, 1)) // until the gateway leaves
+			})
+			w.route.Resumable, w.route.MaxAttempts = k.repeatable, 2
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if k.repeatable {
+				g.Expect(status).To(gomega.Equal(http.StatusOK))
+				g.Expect(arrivals).To(gomega.HaveLen(2))
+			} else {
+				g.Expect(status).To(gomega.Equal(http.StatusGatewayTimeout))
+				g.Expect(arrivals).To(gomega.HaveLen(1))
+			}
+			g.Eventually(w.inFlight).Should(gomega.BeZero())
+		})
+	}
+}
+
+// Guards against a refusal that does not say when to come again, because no target could be
+// connected to.
+func TestRefusalWithoutAConnectionStatesARetryDelay(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.Streaming, fleet.Idempotent, fleet.NonIdempotent} {
+		g := gomega.NewWithT(t)
+		w, address := newWorld(t, kind, nil)
+		w.stopTarget()
+		text := readToEnd(g, connect(t, address, 0, strings.Replace(callerRequest, "GET", "POST", 1)+"Connection: close\r\n\r\n"))
+		g.Expect(text).To(gomega.HavePrefix("HTTP/1.1 503 "), "%s", kind)
+		g.Expect(text).To(gomega.ContainSubstring("Retry-After: "), "%s", kind)
+	}
+}
+
+// Guards against a target's own error that is replaced by one of this system, because a further
+// target was sought and none took the request.
+func TestServerErrorIsPassedOnIfNoFurtherTargetTakesTheStream(t *testing.T) {
+	failed := writes(answer("500 Internal Server Error", "text/plain", "out of memory"))
+	for name, c := range map[string]struct {
+		acquire   func(int) *errs.Error
+		noRetries bool
+		second    func(net.Conn)
+	}{
+		"the placement refuses":    {acquire: refuseAfterFirst, second: failed},
+		"no retry is left":         {noRetries: true, second: failed},
+		"the other target refuses": {second: writes(refusal)},
+		"the other target closes":  {second: func(net.Conn) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, targets(failed, c.second))
+			w.route.Resumable, w.route.MaxAttempts, w.acquire, w.noRetries = true, 2, c.acquire, c.noRetries
+			status, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
+			g.Expect(body).To(gomega.Equal("out of memory"))
+			g.Eventually(w.inFlight).Should(gomega.BeZero())
+		})
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -55,6 +55,7 @@
 type Server struct {
 	opt             Options
 	http            *fasthttp.Server
+	callers         atomic.Pointer[callerconn.Listener]
 	draining        atomic.Bool
 	refuseStreamsAt atomic.Int64 // Unix time in nanoseconds from which a draining server refuses streams
 	inFlight        atomic.Int64
@@ -78,7 +79,7 @@
 		Handler: s.handle, ErrorHandler: s.handleMalformed, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Concurrency: maxConnections + concurrencyMargin,
 		ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: defaultBodyBytes, DisablePreParseMultipartForm: true, DisableHeaderNamesNormalizing: true,
-		HeaderReceived: s.requestConfig, CloseOnShutdown: true, ConnState: trackState, Logger: discardLogger{},
+		HeaderReceived: s.requestConfig, ConnState: callerconn.TrackState, Logger: discardLogger{},
 	}
 	return s
 }
@@ -109,29 +110,18 @@
 // callerLimits returns the time limits for the connections of callers.
 func (s *Server) callerLimits() callerconn.Limits {
 	limits := s.limits()
-	return callerconn.Limits{Idle: limits.IdleTimeout, Header: limits.HeaderTimeout}
-}
-
-// trackState tells the connection of a caller when a request begins and ends.
-func trackState(c net.Conn, state fasthttp.ConnState) {
-	conn, ok := c.(*callerconn.Conn)
-	switch {
-	case !ok:
-	case state == fasthttp.StateActive:
-		conn.BeginRequest()
-	case state == fasthttp.StateIdle:
-		conn.BeginIdle()
-	}
+	return callerconn.Limits{First: limits.IdleTimeout, Idle: limits.IdleTimeout, Header: limits.HeaderTimeout}
 }
 
 // Serve accepts connections from a listener and handles their requests until
 // the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(&callerconn.Listener{
+	callers := &callerconn.Listener{
 		Listener: l, Limit: maxConnections, WriteTimeout: callerWriteTimeout, Limits: s.callerLimits,
 		RefusalResponse: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
-	})
-	if err != nil {
+	}
+	s.callers.Store(callers)
+	if err := s.http.Serve(callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "serving callers on the listener failed")
 	}
 	return nil
@@ -140,9 +130,6 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// OpenConnections returns the number of callers' connections that are served.
-func (s *Server) OpenConnections() int { return int(s.http.GetOpenConnectionsCount()) }
-
 // Drain makes the server close each connection after its next response.
 // Streams that would begin later than acceptStreams from now are refused,
 // because the end of the process could cut them.
@@ -156,11 +143,12 @@
 	return s.draining.Load() && time.Now().UnixNano() > s.refuseStreamsAt.Load()
 }
 
-// Shutdown closes the listener and the idle connections, and waits until no connection is
-// open or ctx ends. The number of requests in flight does not tell when to stop: it counts
-// neither requests that are being read nor responses that are being written.
+// Shutdown closes the listener and the idle connections, and waits until all requests that
+// were read, in part or whole, are answered, or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
-	_ = s.http.ShutdownWithContext(ctx) // connections still open when ctx ends are cut when the process exits
+	if callers := s.callers.Load(); callers != nil {
+		_ = callers.Shutdown(ctx) // connections still open when ctx ends are cut when the process exits
+	}
 }
 
 // handleMalformed responds to input that is not a valid HTTP request, or not a whole one
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,55 +15,115 @@
 	"cicadaslip/internal/fleet"
 )
 
-// shutdownObservation is how long a shutdown is seen to wait.
-const shutdownObservation = 200 * time.Millisecond
+// pausedListener accepts connections that stop behind a read: after they have read the given
+// request of a connection, they wait until resume is closed.
+type pausedListener struct {
+	net.Listener
+	request int64
+	read    chan struct{}
+	resume  chan struct{}
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
+}
+
+type pausedConn struct {
+	*net.TCPConn
+	listener *pausedListener
+	reads    atomic.Int64
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.reads.Add(1) == c.listener.request {
+		close(c.listener.read)
+		<-c.listener.resume
+	}
+	return n, err
+}
 
-// Guards against a shutdown that cuts requests which it does not count: those of connections
-// that were just accepted, and those that have not arrived whole.
-func TestShutdownWaitsForRequestsThatAreBeingRead(t *testing.T) {
-	const request = "GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\n\r\n"
-	for name, sent := range map[string]int{"no byte yet": 0, "part of the head": 20} {
+// Guards against a request that is read when the shutdown closes the idle connections, and
+// that gets no answer: its caller cannot send it again.
+func TestRequestThatIsReadDuringAShutdownIsAnswered(t *testing.T) {
+	for name, requests := range map[string]int{"first of its connection": 1, "on a kept connection": 2} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, plainAnswer) })
+			paused := &pausedListener{request: int64(requests), read: make(chan struct{}), resume: make(chan struct{})}
+			w, address := newWorldBehind(t, fleet.NonIdempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) },
+				func(l net.Listener) net.Listener { paused.Listener = l; return paused })
 			conn, err := net.Dial("tcp", address)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			t.Cleanup(func() { _ = conn.Close() })
-			_, err = io.WriteString(conn, request[:sent])
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Eventually(w.openConnections).Should(gomega.BeEquivalentTo(1))
-			ended := make(chan struct{})
-			go func() {
-				w.shutdown(context.Background())
-				close(ended)
-			}()
-			g.Consistently(ended).WithTimeout(shutdownObservation).ShouldNot(gomega.BeClosed())
-			_, err = io.WriteString(conn, request[sent:])
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
-			g.Expect(resp.Body.Close()).To(gomega.Succeed())
-			g.Expect(conn.Close()).To(gomega.Succeed())
-			g.Eventually(ended).Should(gomega.BeClosed())
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			input := bufio.NewReader(conn)
+			stopped := make(chan struct{})
+			for i := range requests {
+				_, err := io.WriteString(conn, callerRequest+"\r\n")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				if i == requests-1 {
+					<-paused.read
+					go func() {
+						defer close(stopped)
+						w.shutdown(context.Background())
+					}()
+					g.Eventually(func() error {
+						c, err := net.Dial("tcp", address)
+						if err == nil {
+							_ = c.Close()
+						}
+						return err
+					}).Should(gomega.HaveOccurred(), "the listener is open")
+					g.Consistently(stopped).WithTimeout(time.Second).ShouldNot(gomega.BeClosed(), "the shutdown does not wait for the request")
+					close(paused.resume)
+				}
+				resp, err := http.ReadResponse(input, nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = io.Copy(io.Discard, resp.Body)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+			}
+			g.Eventually(stopped).WithTimeout(20 * time.Second).Should(gomega.BeClosed())
 		})
 	}
 }
 
+// Guards against a shutdown that cuts a request whose header has arrived in part.
+func TestShutdownWaitsForARequestThatArrivesInParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paused := &pausedListener{request: 1, read: make(chan struct{}), resume: make(chan struct{})}
+	w, address := newWorldBehind(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) },
+		func(l net.Listener) net.Listener { paused.Listener = l; return paused })
+	const sent = 20
+	conn := connect(t, address, 0, callerRequest[:sent])
+	<-paused.read
+	close(paused.resume)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.shutdown(context.Background())
+	}()
+	g.Consistently(ended).WithTimeout(time.Second).ShouldNot(gomega.BeClosed())
+	_, err := io.WriteString(conn, callerRequest[sent:]+"Connection: close\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(readToEnd(g, conn)).To(gomega.HavePrefix("HTTP/1.1 200 "))
+	g.Eventually(ended).WithTimeout(20 * time.Second).Should(gomega.BeClosed())
+}
+
 // Guards against a shutdown that waits for connections that carry no request.
 func TestShutdownDoesNotWaitForIdleConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, plainAnswer) })
-	client := &http.Client{Transport: &http.Transport{}}
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	req.Host = "h"
-	resp, err := client.Do(req)
+	w, address := newWorld(t, fleet.Idempotent, func(c net.Conn) { _, _ = io.WriteString(c, ownPlainAnswer) })
+	connect(t, address, 0)
+	used := connect(t, address, 0, callerRequest+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(used), nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = io.Copy(io.Discard, resp.Body)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(resp.Body.Close()).To(gomega.Succeed())
-	g.Expect(w.openConnections()).To(gomega.BeEquivalentTo(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	w.shutdown(ctx)
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -35,6 +35,9 @@
 	// maxLocalPerTarget bounds the concurrent requests that this VM sends to one target
 	// without a grant of an owner, because the other VMs do the same.
 	maxLocalPerTarget = 4
+	// minLocalEstimate is the least estimate of the time until the first event for a request
+	// without a grant of an owner.
+	minLocalEstimate = 500 * time.Millisecond
 	// otherGroupPenalty is how much shorter the backlog of a group must be, for each rank
 	// below another one up to the second, for its owner to be asked first. The penalty
 	// exists because the adapter would have to be loaded in that group.
@@ -109,8 +112,8 @@
 	// RateLimits returns the limits that targets have named to this VM, by target.
 	RateLimits func() map[string]float64
 	// TakeFromLimit reports whether this VM may send a request to a target without a grant,
-	// and counts it.
-	TakeFromLimit func(target string) bool
+	// and counts it. repeat tells that another target has had the request before.
+	TakeFromLimit func(target string, repeat bool) bool
 	// CountAgainstLimit counts a request that is sent to a target under a grant.
 	CountAgainstLimit func(target string)
 	// Quarantine is the table of parts that crash targets. VMs exchange it with their calls.
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -37,6 +37,7 @@
 	adoptUntil        Time   // no adapter is unloaded before
 	dispatchPass      uint64 // number of the current pass over the queue
 	lastFullPass      Time   // when the whole queue was last dispatched
+	limitBoundPass    uint64 // pass over the queue in which the limited targets were marked that requests depend on
 	hasNewRequest     bool   // a request arrived since the last pass
 	coldLoads         int    // adapters being loaded from the weights store, as of coldLoadsPass
 	coldLoadsPass     uint64 // pass over the queue in which coldLoads was counted
@@ -250,8 +251,8 @@
 		r.latestStart = min(r.latestStart, c.now+request.Abandon-abandonMargin)
 	}
 	r.adapter.countRequest(c.now)
-	if err := c.admit(r); err != nil {
-		c.refuseOnArrival(request, err)
+	if err, hold := c.admit(r); err != nil {
+		c.emit(RefuseRequest{ID: request.ID, Err: err, Hold: hold})
 		return
 	}
 	r.adapter.queued++
@@ -286,7 +287,7 @@
 
 func (c *Core) refuse(r *queuedRequest, err *errs.Error) {
 	c.dequeue(r)
-	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt})
+	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r)})
 }
 
 func (c *Core) emit(command Command) { c.commands = append(c.commands, command) }
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -66,14 +66,15 @@
 	prefillShareAt      Time
 	consecutiveFailures int
 	avoidUntil          Time
+	pausedUntil         map[string]Time // end of the pause that the target wants from a VM, by VM
+	heldUntil           Time            // no orders and reports before
 
-	pausedUntil map[string]Time // end of the pause that the target wants from a VM, by VM
-	heldUntil   Time            // no orders and reports before
-
-	limit         ratelimit.Bucket // requests that the target takes
-	limitStatedAt Time             // when the target stated its limit, or that it has none
-	limitPass     uint64           // dispatch pass to which limitReserved belongs
-	limitReserved int              // queued requests that wait for the limit of the target
+	limit          ratelimit.Bucket // requests that the target takes
+	limitStatedAt  Time             // when the target stated its limit, or that it has none
+	limitSince     Time             // when the target first stated the limit in force
+	limitPass      uint64           // dispatch pass to which limitReserved belongs
+	limitBoundPass uint64           // dispatch pass in which queued requests could be served by limited targets only, this one among them
+	limitReserved  int              // queued requests that wait for the limit of the target
 
 	recentlyUnloaded *recentAdapters
 	prefixes         *prefixCache
@@ -133,6 +134,7 @@
 	latestStart   Time // a later start is too late for a useful answer
 	deadline      Time
 	adapter       *adapterState
+	hold          limitHold
 }
 
 // activeRun is a granted request that has not ended.
