gateway: A begun stream asks for a place again before its caller leaves

What callers saw: a begun stream was cut at once when its target had ended and the owner's refusal advised to come back later than the stream could wait (up to 2 s for a full queue, 5 s for pauses; a caller with a pause limit of 2 s leaves after 1.85 s). A handover ended the same way, so that the stream stayed with a silent target until its caller left.

Cause: awaitPlacement waited for the Retry-After of the refusal, which is meant for callers, and gave up if that was beyond the time until the caller leaves.

The test failed before in both cases (unexpected EOF). Now the wait is at most half of the time left, so the owner is asked again while a place is of use. A request that is kept from targets because of its prompt still ends at once.

--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 )
 
@@ -87,6 +88,28 @@
 	g.Expect(body).To(gomega.Equal(wholeStream))
 }
 
+// Guards against a begun stream that is cut because a refusal advises callers to come back
+// later than the stream can wait, although the placement may have a place before.
+func TestStreamAsksAgainBeforeItsCallerLeaves(t *testing.T) {
+	for name, first := range map[string]func(net.Conn){"ended": writes(streamHead, chunk1, chunk2), "silent": mute(streamHead, chunk1, chunk2)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, inTurn(first, writes(streamHead, chunk3, lastChunk)))
+			w.route.Resumable, w.route.MaxAttempts = true, 2
+			w.acquire = func(placement int) *errs.Error {
+				if placement == 2 {
+					return errs.NotRun(errs.Overloaded, "the queue is full").WithRetry(time.Minute)
+				}
+				return nil
+			}
+			_, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(wholeStream))
+		})
+	}
+}
+
 // Guards against a resumed stream that stays at its new target when that one falls silent,
 // although a further target would take it.
 func TestResumedStreamLeavesASilentTarget(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,9 +120,13 @@
 	if failure.Ran != errs.RanNo || o.handover == nil && !c.streamBegun {
 		return false
 	}
-	delay := max(minPlacementDelay, failure.Retry)
 	c.returnRetry()
-	return time.Now().Add(delay).Before(c.placementDeadline(o)) && pause.For(o.ctx, delay)
+	left, delay := time.Until(c.placementDeadline(o)), failure.Retry
+	if failure.Code != errs.Quarantined {
+		delay = min(delay, left/2) // the advice is meant for callers, which may come back later
+	}
+	delay = max(minPlacementDelay, delay)
+	return delay < left && pause.For(o.ctx, delay)
 }
 
 // placementDetail marks errors of the placement. These are final unless awaitPlacement says
