gateway: A target that has not run a begun stream is tried again

What callers saw: a begun stream whose target had ended was cut with time left although targets had room again. In a small group every other target had refused it once, as full or because no connection came about within 0.3 s, and the owner grants no target that a request excludes.

Cause: a refusal and a failed connection excluded their target for the rest of the request, so that asking again after awaitPlacement was in vain. The earlier test of that wait (TestHandoverAsksAgainAfterRefusals) has a placement that ignores the exclusions.

Such targets, and those that were granted during their pause, now have a list of their own, which ends with the wait for a place. Targets that may have run the request, or leave, stay excluded.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,7 @@
 	limitedByRoute bool      // the deadline follows from the route's timeout
 	trace          Trace
 	excluded       []string  // IDs of targets that must not be tried again
+	unavailable    []string  // IDs of targets that have not run the stream and may take it later; awaitPlacement clears them
 	possibleRuns   int       // number of targets that run or may have run the request
 	arrivals       int       // number of targets that the request may have reached
 	retryTakenAt   time.Time // of a retry that was taken from the budget and has not been sent, zero if there is none
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -11,7 +11,11 @@
 // attempts and releases its lease. It returns the failure with the ID of the
 // target added.
 func (c *call) recordFailedAttempt(lease Lease, failure *errs.Error, eventCount int) *errs.Error {
-	c.excluded = append(c.excluded, lease.Grant.Target)
+	if failure.Ran == errs.RanNo {
+		c.unavailable = append(c.unavailable, lease.Grant.Target)
+	} else {
+		c.excluded = append(c.excluded, lease.Grant.Target)
+	}
 	outcome := placer.Failed
 	switch {
 	case c.callerLeft.Load():
--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -11,6 +11,7 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/placer"
 )
 
 // inTurn answers each request with the next function, and all later ones with the last.
@@ -110,6 +111,43 @@
 	}
 }
 
+// Guards against a begun stream that is cut although a target has room again, because that
+// target refused it once or could not be reached.
+func TestTargetThatHasNotRunAStreamIsTriedAgain(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	_ = closed.Close()
+	for name, c := range map[string]struct {
+		second  grant
+		respond func(net.Conn)
+	}{
+		"refused":       {second: grant{target: "b"}, respond: inTurn(writes(streamHead, chunk1, chunk2), writes(refusal), writes(streamHead, chunk3, lastChunk))},
+		"no connection": {second: grant{target: "b", address: closed.Addr().String()}, respond: inTurn(writes(streamHead, chunk1, chunk2), writes(streamHead, chunk3, lastChunk))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, c.respond)
+			w.route.Resumable, w.route.MaxAttempts = true, 2
+			w.grants = []grant{{target: "a"}, c.second}
+			w.asked = make(chan placer.Request, 8)
+			w.acquire = func(placement int) *errs.Error {
+				if placement == 3 {
+					return errs.NotRun(errs.NoTarget, "all targets are excluded").WithRetry(time.Millisecond)
+				}
+				return nil
+			}
+			_, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(wholeStream))
+			var excluded [][]string
+			for len(w.asked) > 0 {
+				excluded = append(excluded, (<-w.asked).Exclude)
+			}
+			g.Expect(excluded).To(gomega.Equal([][]string{nil, {"a"}, {"a", "b"}, {"a"}}))
+		})
+	}
+}
+
 // Guards against a resumed stream that stays at its new target when that one falls silent,
 // although a further target would take it.
 func TestResumedStreamLeavesASilentTarget(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -126,7 +126,11 @@
 		delay = min(delay, left/2) // the advice is meant for callers, which may come back later
 	}
 	delay = max(minPlacementDelay, delay)
-	return delay < left && pause.For(o.ctx, delay)
+	if delay >= left || !pause.For(o.ctx, delay) {
+		return false
+	}
+	c.unavailable = nil
+	return true
 }
 
 // placementDetail marks errors of the placement. These are final unless awaitPlacement says
@@ -239,7 +243,7 @@
 			// The next request tells the owner of the pause, after which the target may be of
 			// use again.
 			if slices.Contains(paused, g.Target) {
-				c.excluded = append(c.excluded, g.Target)
+				c.unavailable = append(c.unavailable, g.Target)
 			}
 			paused = append(paused, g.Target)
 			c.trace.addStep(StepSkipped, g.Target, "the target pauses")
@@ -313,7 +317,7 @@
 		Abandon: abandon,
 		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: objective,
-		Deadline: c.timeLeft(), Exclude: c.excluded,
+		Deadline: c.timeLeft(), Exclude: slices.Concat(c.excluded, c.unavailable),
 	}
 }
 
@@ -445,7 +449,7 @@
 		outcome = placer.Absent
 		pause.For(c.ctx, absentRetryDelay)
 	} else {
-		c.excluded = append(c.excluded, target)
+		c.unavailable = append(c.unavailable, target)
 	}
 	c.server.opt.Placement.Release(s.lease, outcome)
 	c.trace.addStep(StepFailed, target, "refused as not run")
