edge: A shutdown closes connections while the release of groups waits for the store

What callers saw: on a VM that owns two groups or more, a SIGTERM beside an outage of the store cut requests that had been accepted and passed on more than three seconds after the signal.

Cause: the shutdown first released one group after the other. Each release takes up to 3 s while the store is silent (a write and a read of 1.5 s each), and only then began the 3.2 s until new requests are no longer taken: 9.2 s of the 8 s that the process has. Kept connections stayed open, with requests on them, until the process was killed.

The test failed before: the process had not ended after 8 s. Groups are now released at the same time, beside the wait for the load balancer. The process still waits for the releases before it ends, within its time.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -20,17 +20,26 @@
 
 // drain takes the VM out of service. It fails the readiness check, releases the groups
 // that this VM owns, and keeps answering new requests until the platform's load
-// balancer has noticed. Then it waits for the requests in flight.
+// balancer has noticed. Then it waits for the requests in flight. The release may take
+// several seconds while the store does not answer.
 func (d *Daemon) drain() {
 	began := time.Now()
 	d.draining.Store(true)
 	d.log.Info().Str(fieldEvent, "draining").Int(fieldCount, d.gateway.InFlight()).Send()
 	d.gateway.Drain(newStreamWindow)
-	d.groups.Drain()
-	time.Sleep(deregistrationDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.ShutdownGrace-shutdownMargin))
 	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		d.groups.Drain()
+	}()
+	time.Sleep(deregistrationDelay)
 	d.gateway.Shutdown(ctx)
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
 	d.log.Info().Str(fieldEvent, "stopped").Int(fieldCount, d.gateway.InFlight()).
 		Dur(fieldTook, time.Since(began)).Send()
 }
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -28,6 +28,7 @@
 	model   = "base"
 	host    = "counter.example"
 	llm     = "assistant"
+	llm2    = "second-assistant"
 	app     = "counter"
 	quote   = "/quote/"   // resumable streams
 	notes   = "/notes/"   // streams that may not be repeated
@@ -36,6 +37,8 @@
 	events  = 8
 	// limit ends a test that hangs. It is no bound on what is measured.
 	limit = 30 * time.Second
+	// shutdownGrace is the time after which the platform kills a process that it has stopped.
+	shutdownGrace = 8 * time.Second
 )
 
 var dataCentres = []string{"riga-a", "liepaja-a", "daugavpils-a"}
@@ -51,6 +54,7 @@
 	version uint64
 	dropped map[string]bool // routes that are not in force
 	idleMs  int             // idle limit of callers
+	engine2 bool            // there is a second service of model engines
 	logs    logBuffer
 }
 
@@ -81,15 +85,18 @@
 			routes = append(routes, r)
 		}
 	}
+	engineService := func(name string) map[string]any {
+		return map[string]any{"name": name, "max_connections": 100, "engine": map[string]any{
+			"slots": 16, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": 4, "loads_per_s": 2.0,
+			"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
+		}}
+	}
+	services := []any{engineService(llm), map[string]any{"name": app, "max_connections": 100}}
+	if c.engine2 {
+		services = append(services, engineService(llm2))
+	}
 	c.g.Expect(c.store.Put("config", "main", map[string]any{
-		"version": c.version, "routes": routes,
-		"services": []any{
-			map[string]any{"name": llm, "max_connections": 100, "engine": map[string]any{
-				"slots": 16, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": 4, "loads_per_s": 2.0,
-				"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
-			}},
-			map[string]any{"name": app, "max_connections": 100},
-		},
+		"version": c.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": c.idleMs},
 	})).To(gomega.Succeed())
 }
@@ -139,7 +146,7 @@
 	s := &edge.Settings{
 		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Regions: regions,
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, PeerAddress: "127.0.0.1:0",
-		StoreAddress: link.Address(), ShutdownGrace: 8 * time.Second, TargetDrainTime: 2500 * time.Millisecond, Lease: 3 * time.Second, GroupSettleTime: 200 * time.Millisecond,
+		StoreAddress: link.Address(), ShutdownGrace: shutdownGrace, TargetDrainTime: 2500 * time.Millisecond, Lease: 3 * time.Second, GroupSettleTime: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 	}
 	c.g.Expect(s.Validate()).To(gomega.Succeed())
--- a/internal/edgetest/trouble_test.go
+++ b/internal/edgetest/trouble_test.go
@@ -296,6 +296,33 @@
 	c.g.Eventually(v.done).WithTimeout(9 * time.Second).Should(gomega.BeClosed())
 }
 
+// Guards against a shutdown beside an outage of the store that waits for the release of one
+// group after the other, takes requests meanwhile, and cuts them at the end of its time.
+func TestAShutdownDoesNotWaitForTheStore(t *testing.T) {
+	c := start(t, 1)
+	v := c.vms[0]
+	c.engine2 = true
+	c.configure()
+	c.target(engine.Settings{ID: "second", Service: llm2, Zone: dataCentres[0], Model: model, Slots: 16, Adapters: 4})
+	c.g.Eventually(v.daemon.OwnedGroups).WithTimeout(limit).Should(gomega.HaveLen(2))
+	v.link.Set(true, false, 0)
+	close(v.stop)
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			for {
+				if a := c.ask(v, request{path: booking + "x"}); a.err != nil {
+					c.g.Expect(c.runs(a.id)).To(gomega.BeEmpty(), "it was cut after it had been passed on")
+					return
+				}
+			}
+		})
+	}
+	c.g.Eventually(v.done).WithTimeout(shutdownGrace).Should(gomega.BeClosed())
+	wait.Wait()
+	c.g.Expect(c.logs.text()).To(gomega.MatchRegexp(`"event":"stopped","count":0,`))
+}
+
 // Guards against a VM that lost the store as an owner, follows another one since, and
 // goes on to use targets that have left meanwhile.
 func TestAFormerOwnerForgetsRemovedTargets(t *testing.T) {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -372,14 +372,16 @@
 	}
 }
 
-// Drain releases all owned groups.
+// Drain releases all owned groups, at the same time.
 func (m *Manager) Drain() {
 	m.draining.Store(true)
+	var releases sync.WaitGroup
 	for _, g := range m.allGroups() {
 		if g.owned() {
-			g.runAction(context.Background(), tenure.Release)
+			releases.Go(func() { g.runAction(context.Background(), tenure.Release) })
 		}
 	}
+	releases.Wait()
 }
 
 // Incarnation returns the incarnation of this process.
