acceptretry: A lack of file descriptors for one connection does not end the process

What callers would see: all requests of a VM end without an answer when it lacks a file descriptor (or memory of the system) for one more connection.

Cause: the HTTP library retries only timeouts of Accept. After any other failure Serve returns, and the daemon ends at once, without a drain. Where the failure hits the readiness check, the check is not served any more and the VM stays out of use.

Listeners for callers, the readiness check and metrics, also those of the product's own mode, now try again; the peer server did so before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cicadaslip/internal/acceptretry"
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/admin"
 	"cicadaslip/internal/arrivals"
@@ -122,6 +123,7 @@
 	if d.listener, err = net.Listen("tcp", d.settings.Addresses.Caller); err != nil {
 		return errs.Wrap(err, errs.InvalidSettings, "listen for callers")
 	}
+	d.listener = acceptretry.New(d.listener, d.acceptFailed)
 	if d.server, err = peer.Listen(d.settings.Addresses.PeerRPC, credentials, d.clock); err != nil {
 		return err
 	}
@@ -136,6 +138,11 @@
 	return nil
 }
 
+// acceptFailed logs that a connection could not be accepted for lack of resources.
+func (d *Daemon) acceptFailed(err error) {
+	d.log.Warn().Err(err).Msg("a connection could not be accepted")
+}
+
 // holder returns the name and incarnation of this VM.
 func (d *Daemon) holder() model.Holder {
 	return model.Holder{VM: d.self.Name, Incarnation: d.self.Incarnation}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/acceptretry"
 	"cicadaslip/internal/account"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/journal"
@@ -40,7 +41,7 @@
 	if err != nil {
 		return errs.Wrap(err, errs.InvalidSettings, "listen for metrics")
 	}
-	d.metricsListener = listener
+	d.metricsListener = acceptretry.New(listener, d.acceptFailed)
 	return nil
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/acceptretry"
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/gateway"
@@ -150,6 +151,8 @@
 	if d.readyListener, err = net.Listen("tcp", s.ReadyAddress); err != nil {
 		return errs.Wrap(err, errs.InvalidSettings, "listen for the readiness check")
 	}
+	d.callerListener = acceptretry.New(d.callerListener, d.acceptFailed)
+	d.readyListener = acceptretry.New(d.readyListener, d.acceptFailed)
 	s.PeerAddress = d.peerServer.Addr()
 	return nil
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/acceptretry"
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
@@ -279,6 +280,11 @@
 	o.d.log.Info().Str(fieldEvent, "malformed").Int(fieldStatus, status).Err(err).Send()
 }
 
+// acceptFailed logs that a connection could not be accepted for lack of resources.
+func (d *Daemon) acceptFailed(err error) {
+	d.log.Warn().Str(fieldEvent, "accept_failed").Err(err).Send()
+}
+
 // serveMetrics serves the metrics if the settings name a port. It returns once the port
 // is open. The windows of the latencies are rotated until ctx ends.
 func (d *Daemon) serveMetrics(ctx context.Context) error {
@@ -298,7 +304,7 @@
 		c.SetContentType("text/plain; charset=utf-8")
 		_, _ = fmt.Fprintf(c, "{\"cicadaslip\": %s}\n", d.metrics.Var())
 	}}
-	go func() { _ = server.Serve(l) }() // serves until the process ends
+	go func() { _ = server.Serve(acceptretry.New(l, d.acceptFailed)) }() // serves until the process ends
 	d.runInBackground(ctx, "metrics", func(ctx context.Context) {
 		ticker := time.NewTicker(metrics.RotateInterval)
 		defer ticker.Stop()
