gateway: A whole answer of a target is passed on at the deadline

What callers saw: 504 for an idempotent request although a target had answered it with a whole server error: a further target was tried after that one and had sent nothing by the deadline. Streams pass such an answer on; plain requests did so only if the further attempt failed before the deadline.

Cause: abandon did not look at the answers that the call already had.

The test failed before (504 instead of 500).

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -87,6 +87,26 @@
 	}
 }
 
+// Guards against a target's whole answer that is replaced by an error at the deadline, because
+// a further target was tried after it and sent nothing.
+func TestServerErrorIsPassedOnAtTheDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Idempotent, writes("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"))
+	w.route.MaxAttempts = 2
+	var dials atomic.Int64
+	ended := make(chan struct{})
+	defer close(ended)
+	w.dial = func() {
+		if dials.Add(1) == 2 {
+			<-ended
+		}
+	}
+	status, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
+	g.Expect(body).To(gomega.Equal("no"))
+}
+
 // Guards against a request that may crash targets and is hedged, so that it reaches one
 // target more.
 func TestSuspectIsNotHedged(t *testing.T) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -107,7 +107,7 @@
 			}
 			c.trace.addStep(StepFailed, r.target.ID, failureLabel(r))
 			if r.failure != nil && c.ctx.Err() != nil {
-				c.abandon(attempts) // the end of the call's context aborted the exchange
+				c.abandon(attempts, last) // the end of the call's context aborted the exchange
 				return
 			}
 			if supersedes(r, last) {
@@ -131,15 +131,19 @@
 			}
 			hedge.Reset(c.hedgeDelay())
 		case <-c.ctx.Done():
-			c.abandon(attempts)
+			c.abandon(attempts, last)
 			return
 		}
 	}
 }
 
 // abandon responds to a request whose deadline has passed or whose caller has
-// disconnected.
-func (c *call) abandon(attempts int) {
+// disconnected, with the last whole response of a target if there is one.
+func (c *call) abandon(attempts int, last *reply) {
+	if last != nil && last.failure == nil {
+		c.respond(last)
+		return
+	}
 	c.mayHaveRun = c.mayHaveRun || attempts > 0
 	c.respondError(c.contextError())
 }
