cicadaslipd: SIGHUP does not end a process of the product's own mode

What callers would see: all streams of a VM are cut when its process gets a SIGHUP, as at the end of its terminal or from a service manager's reload.

--- a/cmd/cicadaslipd/main.go
+++ b/cmd/cicadaslipd/main.go
@@ -1,5 +1,6 @@
 // Command cicadaslipd is the daemon of one entry VM. It drains on the first
-// SIGTERM or SIGINT and, without --edge, exits immediately on the second. Exit
+// SIGTERM or SIGINT and, without --edge, exits immediately on the second. SIGHUP ends
+// nothing: with --edge it checks the settings file, otherwise it is ignored. Exit
 // codes: 0 after a complete drain, 1 after a failure or a drain that aborted
 // requests, 2 for wrong options or settings.
 package main
@@ -74,6 +75,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGHUP) // changed settings take effect at the next start
 	stop := make(chan struct{})
 	go func() {
 		<-signals
--- a/internal/processtest/shutdown_test.go
+++ b/internal/processtest/shutdown_test.go
@@ -46,6 +46,23 @@
 	g.Expect(text).To(gomega.Equal(runner.Answer(adapterName(1), "after the shutdown", answerTokens)))
 }
 
+// Guards against a SIGHUP, as at the end of a terminal or a reload, that ends the process and
+// cuts its streams.
+func TestHangupCutsNoStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cluster := deployment(t, g, nil)
+	vm := cluster.VMs()[0]
+	answers := startStreams(caller(ctx, g, cluster, vm), longTokens)
+	waitForStreams(g, cluster)
+	cluster.Daemon(vm).Signal(syscall.SIGHUP)
+	for i := range longStreams {
+		answer := <-answers
+		_, complete := answer.Text()
+		g.Expect(complete).To(gomega.BeTrue(), "stream %d was cut", i)
+	}
+	g.Expect(cluster.Daemon(vm).Done()).NotTo(gomega.BeClosed())
+}
+
 func startStreams(c testcluster.Caller, tokens int) <-chan testcluster.Answer {
 	answers := make(chan testcluster.Answer, longStreams)
 	for i := range longStreams {
