target: A begun stream outlasts the silence of its whole target

What callers of the product's own mode saw: a begun stream, or a call that may not be repeated, ended with an error about 3.4 s after its target had fallen silent (0.25 s without a token, then three resumptions of up to 1 s each that got no head), although the target was sound, went on later, and no other target could complete the answer.

Cause: a resumption without a head in time counted as a broken connection, of which two in a row are allowed. Only silence after a head counted as silence. fasthttp reports the former with an error of its own, which was told as a truncated answer.

The test failed before (truncated_answer after the third silent resumption). Both are a timeout now and count as silence: the stream is resumed until its deadline. Before the first token, and for requests that another target can repeat, the number of resumptions stays limited.

--- a/internal/target/config.go
+++ b/internal/target/config.go
@@ -97,8 +97,8 @@
 	Dispatched      atomic.Uint64 // requests of which at least one byte was written
 	Discarded       atomic.Uint64 // answers and chunks discarded because they named another request, adapter or version
 	DuplicateChunks atomic.Uint64 // chunks discarded because they had been received before
-	ReadTimeouts    atomic.Uint64 // accepted stream connections whose read timed out, or that were aborted with their context
-	BrokenStreams   atomic.Uint64 // stream connections that ended otherwise before the final chunk, including timeouts before the first byte of a response
+	ReadTimeouts    atomic.Uint64 // stream connections whose read timed out, or that were aborted with their context
+	BrokenStreams   atomic.Uint64 // stream connections that ended otherwise before the final chunk
 	Resumptions     atomic.Uint64 // resumptions that the target accepted
 }
 
--- a/internal/target/dispatch.go
+++ b/internal/target/dispatch.go
@@ -51,7 +51,6 @@
 // requestStream sends req on a new connection and reads the stream of the
 // response.
 func (s *stream) requestStream(ctx context.Context, req *fasthttp.Request) *errs.Error {
-	s.connAccepted = false
 	conn, failure := s.client.dial(ctx, s.call.Target.Address)
 	if failure != nil {
 		return failure
@@ -76,7 +75,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return s.readRefusal(conn, resp)
 	}
-	s.result.Accepted, s.connAccepted = true, true
+	s.result.Accepted = true
 	if s.result.Resumes > 0 {
 		s.client.stats.Resumptions.Add(1)
 	}
@@ -114,10 +113,9 @@
 }
 
 // readError counts and classifies an error that ended reading before the final
-// chunk arrived. A timeout before the first byte of the response counts as a
-// truncated answer, because fasthttp reports it with an error of its own.
+// chunk arrived.
 func (s *stream) readError(err error) *errs.Error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) {
 		s.client.stats.ReadTimeouts.Add(1)
 		return errs.Wrap(err, errs.Timeout, "no data from the target within the read timeout")
 	}
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -46,8 +46,7 @@
 	gapStartedAt    time.Time // start of the current gap between tokens
 	discardedChunks int
 	tokenlessConns  int   // failed connections in a row since the last new token
-	brokenConns     int   // those of tokenlessConns that the target did not accept, or that failed other than by an idle timeout
-	connAccepted    bool  // the target accepted the request on the current connection
+	brokenConns     int   // those of tokenlessConns that failed other than by the silence of the target
 	answerBytes     int   // length of the text received so far
 	sinkErr         error // error with which sink ended the attempt
 }
@@ -84,7 +83,7 @@
 		return false
 	}
 	s.tokenlessConns++
-	if !s.connAccepted || failure.Code != errs.Timeout {
+	if failure.Code != errs.Timeout {
 		s.brokenConns++
 	}
 	if s.call.KeepResuming && s.result.Tokens > 0 {
--- a/internal/target/stream_test.go
+++ b/internal/target/stream_test.go
@@ -93,6 +93,43 @@
 	}
 }
 
+// Guards against a begun stream that ends because its target is silent as a whole for some
+// time, and answers no resumption either, although no other target can complete the answer.
+func TestSilentTargetIsAskedAgainUntilItAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const silentResumptions = 5 // more than shortTimeouts.MaxResumes
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		for requests := 0; ; requests++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			switch {
+			case requests == 0:
+				_, _ = io.WriteString(conn, eventsHead+token(0))
+			case requests > silentResumptions:
+				_, _ = io.WriteString(conn, eventsHead+token(1)+finalChunk(2))
+			}
+			_, _ = conn.Read(make([]byte, 1)) // until the client closes
+			_ = conn.Close()
+		}
+	}()
+	var text strings.Builder
+	call := target.Call{Request: "q1", Target: model.Target{Address: l.Addr().String()}, Adapter: quoteAdapter, Body: []byte("{}"), KeepResuming: true}
+	cfg := shortTimeouts
+	cfg.HeaderTimeout = 20 * time.Millisecond
+	_, err = target.New(cfg).Stream(context.Background(), call, func(chunk target.Chunk) error {
+		text.WriteString(chunk.Text)
+		return nil
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(text.String()).To(gomega.Equal("t0 t1 "))
+}
+
 // Guards against reporting a request that was sent as not run because its
 // resumption could not be sent.
 func TestFailedResumptionIsNotReportedAsNotRun(t *testing.T) {
