gateway: Only the first event of a stream follows its comments

Callers whose target had sent comments only and then broke off got the error event of the next target in the middle of their stream, events without IDs, or a stream that lacked its beginning, and an end that looked complete.

There was no event to go on after, so the first event of the next target was not compared with anything. It has to be the first of the stream now, like any event with which a target continues one.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -26,7 +26,7 @@
 // sequence checks that the events of one target follow each other, and those that the
 // caller already has.
 type sequence struct {
-	last      int64 // ID of the event before the next one, 0 if the events have no IDs so far
+	last      int64 // ID of the event before the next one, 0 if there is none or the events have no IDs so far
 	count     int   // events received, without comments
 	continues bool  // the caller has the head and the events of another target
 	named     bool  // the answer carries the ID of the request
@@ -47,7 +47,7 @@
 	if event.Comment {
 		return nil
 	}
-	if s.last > 0 && event.ID != s.last+1 {
+	if (s.last > 0 || s.continues) && event.ID != s.last+1 {
 		return errs.New(errs.WrongAnswer, "the stream skipped or repeated an event, or contains something else")
 	}
 	s.count++
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -287,3 +287,40 @@
 		g.Expect(steps[len(steps)-1].Detail).To(gomega.Equal(string(reason)), "%q", text)
 	}
 }
+
+// Guards against an error of the next target, or a stream that lacks its beginning, behind the
+// comments of a target that broke off before its first event.
+func TestOnlyTheBeginningOfAStreamFollowsItsComments(t *testing.T) {
+	const comment = ": busy\n\n"
+	stream := func(text string) string { return streamHead + chunk(text) + lastChunk }
+	for name, second := range map[string]string{
+		"an error event":             stream("event: error\ndata: upstream error\n\n"),
+		"events without IDs":         stream("data: a\n\ndata: b\n\n"),
+		"a gap":                      stream(eventsAfter(1)),
+		"a comment, an error event":  stream(comment + "event: error\ndata: upstream error\n\n"),
+		"an error's text":            stream("upstream error\n\n"),
+		"no event, for no request":   streamHead + lastChunk,
+		"no event, unframed":         unframedHead,
+		"an error":                   answer("500 Internal Server Error", "text/plain", "upstream error"),
+		"another type":               answer("200 OK", "application/json", "{}"),
+		"another type, right events": answer("200 OK", "text/plain", eventsAfter(0)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, attempts := range []int{2, 3} {
+				g := gomega.NewWithT(t)
+				w, address := newWorld(t, fleet.Streaming, inTurn(
+					writes(streamHead, chunk(comment)), writes(second), writes(streamHead, chunk(eventsAfter(0)), lastChunk)))
+				w.route.Resumable, w.route.MaxAttempts = true, attempts
+				_, body, err := get(g, address)
+				if attempts == 2 {
+					g.Expect(err).To(gomega.HaveOccurred(), "the stream looks complete: body %q", body)
+					g.Expect(body).To(gomega.Equal(comment))
+				} else {
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					g.Expect(body).To(gomega.Equal(comment + eventsAfter(0)))
+				}
+				g.Eventually(w.inFlight).Should(gomega.BeZero())
+			}
+		})
+	}
+}
