groupserver: A panic in an owner's decision does not end its process

All requests of a VM were lost, and its groups changed hands, when a decision about one of them panicked: the core also runs in goroutines of timers, orders and reports, which had no guard. net/rpc has none either.

The core is replaced after a panic, because it may be in any state. Its waiting requests are refused as not run by their owner, so VMs ask again; results of orders that it sent are those of an earlier core and change nothing. The next core asks the targets for reports. Confirmations, actions and reads of records are contained where they run.

--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -149,7 +149,7 @@
 
 func (g *group) startCore(record tenure.Record) {
 	params := g.params
-	params.FirstOwner = record.Epoch == 1
+	params.FirstOwner = record.Epoch == 1 && g.epoch != record.Epoch
 	g.orders.permission = tenure.Permission{}
 	g.core, g.epoch, g.halted, g.fenced = placer.New(params), record.Epoch, false, false
 	now := g.manager.now()
@@ -228,6 +228,7 @@
 	}
 	go func() {
 		defer g.actionRunning.Store(false)
+		defer g.manager.contain("action")
 		g.runAction(ctx, action)
 	}()
 }
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -365,6 +365,7 @@
 // verifyOwnership reads the objects of the owned groups, after which orders are sent again.
 func (m *Manager) verifyOwnership() {
 	defer m.ownershipVerified.Store(true)
+	defer m.contain("record")
 	for _, g := range m.allGroups() {
 		if g.owned() {
 			g.readRecord()
--- a/internal/groupserver/ordergate.go
+++ b/internal/groupserver/ordergate.go
@@ -125,6 +125,12 @@
 
 // confirmOwnership reads the group's object from the store.
 func (g *group) confirmOwnership(ctx context.Context) {
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.orders.confirming = false
+	}()
+	defer g.manager.contain("confirmation")
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sentAt := bootclock.Now()
@@ -135,9 +141,6 @@
 			g.confirm(r, sentAt)
 		}
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.orders.confirming = false
 }
 
 // haltPollInterval is the time between two checks whether all orders have arrived.
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -268,6 +268,7 @@
 // tick runs the core, executes its commands and sets the timer for its next run. The
 // caller holds the lock.
 func (g *group) tick() {
+	defer g.containCore()
 	now := g.manager.now()
 	allowed, expectedWait := g.ordersAllowed()
 	g.core.SetOrdersAllowed(now, allowed, expectedWait)
@@ -291,7 +292,10 @@
 		go g.fetchReport(g.core, c)
 	case placer.RelinquishOwnership:
 		g.halted, g.fenced = true, true
-		go g.readRecord()
+		go func() {
+			defer g.manager.contain("record")
+			g.readRecord()
+		}()
 	}
 }
 
@@ -315,29 +319,19 @@
 	for waited := time.Duration(0); !g.manager.ownershipVerified.Load() && waited < maxVerifyWait; waited += verifyPollInterval {
 		time.Sleep(verifyPollInterval)
 	}
-	result := placer.Withheld
-	began := time.Now()
-	number, allowed := uint64(0), false
-	if !g.holdOrders(core, order.Target) {
-		number, allowed = g.beginOrder(core)
-	}
-	if allowed {
-		result = g.manager.callOrder(order, epoch)
-	}
-	g.manager.opt.Observer.Ordered(g.name, epoch, order, result, time.Since(began))
+	result, number := g.attemptOrder(core, epoch, order)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if allowed && result != placer.Unanswered {
+	if result != placer.Unanswered {
 		g.orders.answered(number)
 	}
-	if g.core != core {
-		return
+	if g.core == core {
+		g.update(func() { core.HandleOrderResult(g.manager.now(), order, result) })
 	}
-	g.core.HandleOrderResult(g.manager.now(), order, result)
-	g.tick()
 }
 
 func (g *group) fetchReport(core *placer.Core, c placer.FetchReport) {
+	defer g.manager.contain("report")
 	if g.holdOrders(core, c.Target) {
 		return
 	}
@@ -346,9 +340,7 @@
 	g.manager.opt.Observer.Reported(g.name, c.Target, err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.core != core {
-		return
+	if g.core == core {
+		g.update(func() { core.HandleReport(g.manager.now(), askedAt, c.Target, report) })
 	}
-	g.core.HandleReport(g.manager.now(), askedAt, c.Target, report)
-	g.tick()
 }
