advisory: What a target says after another VM has told it is told to owners, too

What targets saw: an owner that was elected after the loss of the former one went on granting a leaving target, and each VM that knew of it had to skip the grant.

Cause: a VM tells owners only what it has heard itself. A target of which the VM had heard from another VM got its version in the table then, and none when the target told this VM so. The owner had that version already, so the VM's own word was in no delta.

The record now gets a new version with the first word to this VM, which makes the next call to each owner carry it once. TestOwnWordIsToldAfterThatOfAnotherVM failed before.

--- a/internal/advisory/exchange.go
+++ b/internal/advisory/exchange.go
@@ -16,8 +16,8 @@
 	Leaving []LeavingTarget
 }
 
-// Since returns the targets that began to leave after a version of the table, or all if the
-// table has not reached that version. With own set it leaves out those of which only other
+// Since returns the targets of which the table has learned after a version that they leave, or
+// all if it has not reached that version. With own set it leaves out those of which only other
 // VMs have heard.
 func (t *Table) Since(now time.Duration, version uint64, own bool) Delta {
 	if version > t.version {
--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -48,7 +48,7 @@
 	toldAt        time.Duration // newest statement to another VM that the target leaves
 	stayedAt      time.Duration // newest request of this VM whose answer did not state it
 	leavingSince  time.Duration // of the statement that made the target leave
-	changed       uint64        // version of the table in which the target began to leave
+	changed       uint64        // version of the table since which other VMs are to hear that the target leaves
 	pausedSince   time.Duration // first statement of the current or last pause
 	pausedUntil   time.Duration
 	unlistedSince time.Duration // never if the target is listed
@@ -76,7 +76,7 @@
 	// limits outlive an incarnation: that a new one takes more than the former is for its
 	// first answer to tell.
 	limits  *ratelimit.Table
-	version uint64 // number of the targets that have begun to leave
+	version uint64 // of what the table can tell other VMs, rises with each change
 	pauses  pauses
 }
 
@@ -96,6 +96,9 @@
 	before := r.leaving()
 	switch {
 	case s.Leaving:
+		if r.heardAt == never && before {
+			t.giveVersion(r) // now this VM tells it as its own
+		}
 		r.heardAt = max(r.heardAt, s.HeardAt)
 	case !s.Unclear:
 		r.stayedAt = max(r.stayedAt, s.SentAt)
@@ -126,12 +129,18 @@
 func (t *Table) noteChange(r *record, before bool, at time.Duration) bool {
 	after := r.leaving()
 	if after && !before {
-		t.version++
-		r.changed, r.leavingSince = t.version, at
+		t.giveVersion(r)
+		r.leavingSince = at
 	}
 	return after != before
 }
 
+// giveVersion makes the other VMs hear of a target with the next delta.
+func (t *Table) giveVersion(r *record) {
+	t.version++
+	r.changed = t.version
+}
+
 // Leaving reports whether a target has stated that it leaves.
 func (t *Table) Leaving(i Incarnation) bool {
 	r := t.records[i.Target]
--- a/internal/advisory/table_test.go
+++ b/internal/advisory/table_test.go
@@ -266,6 +266,23 @@
 	g.Expect(vms[1].Since(now, vms[1].Since(now, 0, true).Version, true).Leaving).To(gomega.BeEmpty(), "nothing is told twice")
 }
 
+// Guards against a new owner that no VM tells that a target leaves: this VM had heard it from
+// the former owner first, and then from the target.
+func TestOwnWordIsToldAfterThatOfAnotherVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	table := advisory.NewTable()
+	table.Merge(2, advisory.Delta{Version: 1, Leaving: []advisory.LeavingTarget{{Target: "t", Born: 7, Age: 1}}})
+	told := table.Since(3, 0, true)
+	g.Expect(told.Leaving).To(gomega.BeEmpty())
+	for at := range time.Duration(2) {
+		table.Observe(i, advisory.Statement{Leaving: true, HeardAt: 4 + at}, ratelimit.Position{})
+	}
+	told = table.Since(6, told.Version, true)
+	g.Expect(told.Leaving).To(gomega.HaveLen(1))
+	g.Expect(table.Since(7, told.Version, true).Leaving).To(gomega.BeEmpty(), "nothing is told twice")
+}
+
 // Guards against statements that are kept for ever, and against one that is lost because the
 // entry of its target is missing for a while.
 func TestStatementsEndWithTheirTarget(t *testing.T) {
