advisory: What a target has told this VM binds until the end of the target

What targets saw: requests from a VM that had passed on their word that they leave, if a later answer lacked it, or if their entry was back after more than a minute without one. The rule excuses only a restart or a freeze of the VM.

Cause: an answer without the statement, to a request that was sent after it had been heard, ended it also for the VM that had heard it from the target. And the records of targets without an entry were dropped after a minute, which an outage of the store may outlast.

A target that leaves says so in all its answers, so an answer without it is one that is not its own, or of a target that breaks its promise; neither is a reason to send there. Only what another VM has heard ends that way, because the rule does not bind this VM then. Records are kept for an hour without an entry.

TestLaterAnswerEndsAStatement asserted the former end. It is replaced by TestOwnWordOfATargetBindsUntilItsEnd, which is stricter, and by TestLaterAnswerEndsTheWordOfAnotherVM.

--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -37,8 +37,9 @@
 	// never is the time of what has not happened.
 	never = time.Duration(math.MinInt64)
 	// unlistedRetention is how long the statements of a target are kept that is not listed. The
-	// entry of a target may be missing for a while, and may reach this VM later than its answer.
-	unlistedRetention = time.Minute
+	// entry of a target that serves may be missing for as long as an outage of the store, and may
+	// reach this VM later than its answer.
+	unlistedRetention = time.Hour
 )
 
 // record is what one incarnation of a target has stated.
@@ -46,7 +47,7 @@
 	born          int64
 	heardAt       time.Duration // newest statement to this VM that the target leaves
 	toldAt        time.Duration // newest statement to another VM that the target leaves
-	stayedAt      time.Duration // newest request of this VM whose answer did not state it
+	stayedAt      time.Duration // newest request of this VM whose answer does not state it
 	leavingSince  time.Duration // of the statement that made the target leave
 	changed       uint64        // version of the table since which other VMs are to hear that the target leaves
 	pausedSince   time.Duration // first statement of the current or last pause
@@ -54,11 +55,10 @@
 	unlistedSince time.Duration // never if the target is listed
 }
 
-// leaving reports whether the target leaves. An answer to an earlier request than the
-// statement says nothing about what came after.
+// leaving reports whether the target leaves. What it has told this VM holds for the whole
+// incarnation. What it has told another VM ends with its answer to a later request of this VM.
 func (r *record) leaving() bool {
-	at := max(r.heardAt, r.toldAt)
-	return at != never && at >= r.stayedAt
+	return r.heardAt != never || r.toldAt != never && r.toldAt >= r.stayedAt
 }
 
 // source returns who heard that the target leaves.
--- a/internal/advisory/table_test.go
+++ b/internal/advisory/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,8 +41,9 @@
 	answers  []*answer // of all incarnations, not yet recorded
 	recorded []*answer
 	messages []message
-	told     bool    // a message has arrived
-	noted    []int64 // by VM: incarnation whose pause has begun and not ended, 0 for none
+	told     bool           // a message has arrived
+	said     map[int64]bool // incarnations of which an answer was recorded that says that they leave
+	noted    []int64        // by VM: incarnation whose pause has begun and not ended, 0 for none
 }
 
 // step advances the clock. Times are distinct, so that the order of events is defined.
@@ -50,31 +52,40 @@
 }
 
 // mustLeave reports whether a VM has to keep requests from the newest incarnation: it has
-// recorded an answer in which the target says that it leaves, and none to a later request in
-// which it does not.
+// recorded an answer in which the target says that it leaves, whatever came after.
 func (w *world) mustLeave(vm int) bool {
-	var said, stayed time.Duration = -1, -1
-	for _, a := range w.recorded {
-		if a.vm != vm || a.born != w.born || a.unclear {
-			continue
-		}
-		if a.leaving {
-			said = max(said, a.heard)
-		} else {
-			stayed = max(stayed, a.sent)
+	return slices.ContainsFunc(w.recorded, func(a *answer) bool { return a.vm == vm && a.born == w.born && a.leaving && !a.unclear })
+}
+
+// heardNothing reports whether a VM has recorded no answer of the newest incarnation.
+func (w *world) heardNothing(vm int) bool {
+	return !slices.ContainsFunc(w.recorded, func(a *answer) bool { return a.vm == vm && a.born == w.born })
+}
+
+// restart makes a VM forget all. The calls between it and the first VM begin anew.
+func (w *world) restart(vm int) {
+	of := func(a *answer) bool { return a.vm == vm }
+	w.requests, w.answers, w.recorded = slices.DeleteFunc(w.requests, of), slices.DeleteFunc(w.answers, of), slices.DeleteFunc(w.recorded, of)
+	w.vms[vm], w.noted[vm] = advisory.NewTable(), 0
+	for other := range w.vms {
+		if vm == 0 || other == vm {
+			w.seen[other], w.sent[other] = 0, 0
 		}
 	}
-	return said >= 0 && said >= stayed
+}
+
+// callOwner makes a VM call the first VM without a loss.
+func (w *world) callOwner(vm int) {
+	own := w.vms[vm].Since(w.now, w.sent[vm], true)
+	w.vms[0].Merge(w.now, own)
+	told := w.vms[0].Since(w.now, w.seen[vm], false)
+	w.vms[vm].Merge(w.now, told)
+	w.sent[vm], w.seen[vm], w.told = own.Version, told.Version, true
 }
 
 // mayLeave reports whether the newest incarnation has ever stated that it leaves.
 func (w *world) mayLeave() bool {
-	for _, a := range w.recorded {
-		if a.born == w.born && a.leaving && !a.unclear {
-			return true
-		}
-	}
-	return false
+	return w.said[w.born]
 }
 
 // pausedFor returns the rest of the pause that the newest incarnation wants from a VM.
@@ -130,8 +141,9 @@
 }
 
 // Guards against a statement that is lost or comes back in any order of answers, messages
-// between VMs, lost messages and restarts of the target at the same ID: an old answer that is
-// recorded after a newer one, an answer of a former incarnation, and a message that is late.
+// between VMs, lost messages and restarts of VMs and of the target at the same ID: an old answer
+// that is recorded after a newer one, an answer of a former incarnation, a message that is late,
+// and an answer in which a target that has said that it leaves does not say so.
 // A pause binds the VM that was told until the end of the longest one, and no other VM.
 func TestStatementsOfAnyOrder(t *testing.T) {
 	const rounds = 50 // of rapid's number of checks
@@ -145,7 +157,7 @@
 
 func checkAnyOrder(t *rapid.T) {
 	vms := rapid.IntRange(2, 4).Draw(t, "VMs")
-	w := &world{born: 1, seen: make([]uint64, vms), sent: make([]uint64, vms), noted: make([]int64, vms)}
+	w := &world{born: 1, seen: make([]uint64, vms), sent: make([]uint64, vms), noted: make([]int64, vms), said: map[int64]bool{}}
 	for range vms {
 		w.vms = append(w.vms, advisory.NewTable())
 	}
@@ -184,6 +196,30 @@
 				Leaving: a.leaving && !a.unclear, Unclear: a.unclear, SentAt: a.sent, HeardAt: a.heard, Pause: a.pause,
 			}, ratelimit.Position{VMs: vms})
 			w.recorded = append(w.recorded, a)
+			w.said[a.born] = w.said[a.born] || a.leaving && !a.unclear
+		},
+		"time passes": func(t *rapid.T) {
+			if w.now > 40*time.Minute {
+				t.Skip("the target has ended")
+			}
+			w.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "s")) * time.Second
+		},
+		"VM restarts": func(t *rapid.T) { w.step(t); w.restart(rapid.IntRange(0, vms-1).Draw(t, "VM")) },
+		"all VMs call the owner": func(t *rapid.T) {
+			w.step(t)
+			for range 2 {
+				for vm := 1; vm < vms; vm++ {
+					w.callOwner(vm)
+				}
+			}
+			for teller := range vms {
+				for vm := range vms {
+					unheard := w.heardNothing(vm) && (w.heardNothing(0) || w.mustLeave(0))
+					if w.mustLeave(teller) && unheard && !w.vms[vm].Leaving(advisory.Incarnation{Target: "t", Born: w.born}) {
+						t.Fatalf("VM %d has not heard from VM %d that incarnation %d leaves", vm, teller, w.born)
+					}
+				}
+			}
 		},
 		"VM calls the owner": func(t *rapid.T) {
 			w.step(t)
@@ -214,9 +250,9 @@
 	})
 }
 
-// Guards against a target that stays out of use although a later answer no longer says that
-// it leaves, or that comes back because of an older one.
-func TestLaterAnswerEndsAStatement(t *testing.T) {
+// Guards against requests to a target that has told this VM that it leaves: an answer to a later
+// request does not say so, or its entry is missing for minutes.
+func TestOwnWordOfATargetBindsUntilItsEnd(t *testing.T) {
 	g := gomega.NewWithT(t)
 	i := advisory.Incarnation{Target: "t", Born: 7}
 	table := advisory.NewTable()
@@ -226,10 +262,38 @@
 	}
 	g.Expect(observe(2, 5, true)).To(gomega.BeTrue())
 	g.Expect(observe(4, 6, false)).To(gomega.BeTrue(), "sent before the statement")
-	g.Expect(observe(6, 7, false)).To(gomega.BeFalse())
-	g.Expect(observe(1, 3, false)).To(gomega.BeFalse())
-	g.Expect(observe(2, 4, true)).To(gomega.BeFalse(), "older than the answer that ended it")
-	g.Expect(observe(7, 8, true)).To(gomega.BeTrue())
+	g.Expect(observe(6, 7, false)).To(gomega.BeTrue(), "sent after the statement")
+	table.Retain(time.Second, func(string) (int64, bool) { return 0, false })
+	table.Retain(10*time.Minute, func(string) (int64, bool) { return 0, false })
+	table.Retain(10*time.Minute, func(string) (int64, bool) { return 7, true })
+	g.Expect(table.Leaving(i)).To(gomega.BeTrue(), "its entry is back")
+	g.Expect(table.Leaving(advisory.Incarnation{Target: "t", Born: 8})).To(gomega.BeFalse(), "the next incarnation")
+
+	table = advisory.NewTable()
+	g.Expect(observe(8, 9, false)).To(gomega.BeFalse())
+	g.Expect(observe(3, 5, true)).To(gomega.BeTrue(), "passed on later than the answer to a later request")
+}
+
+// Guards against a target that stays out of use because of what another VM has heard, although
+// its answer to a later request of this VM does not say that it leaves, and against one that
+// comes back because of an older answer.
+func TestLaterAnswerEndsTheWordOfAnotherVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	table := advisory.NewTable()
+	tell := func(now, at time.Duration) bool {
+		table.Merge(now, advisory.Delta{Leaving: []advisory.LeavingTarget{{Target: "t", Born: 7, Age: now - at}}})
+		return table.Leaving(i)
+	}
+	stay := func(sent, heard time.Duration) bool {
+		table.Observe(i, advisory.Statement{SentAt: sent, HeardAt: heard}, ratelimit.Position{})
+		return table.Leaving(i)
+	}
+	g.Expect(tell(6, 5)).To(gomega.BeTrue())
+	g.Expect(stay(4, 7)).To(gomega.BeTrue(), "sent before the statement")
+	g.Expect(stay(6, 8)).To(gomega.BeFalse())
+	g.Expect(tell(9, 4)).To(gomega.BeFalse(), "older than the request whose answer ended it")
+	g.Expect(tell(10, 9)).To(gomega.BeTrue())
 }
 
 // Guards against a statement that does not reach all VMs through the owner, or not the next
@@ -291,23 +355,23 @@
 	i := advisory.Incarnation{Target: "t", Born: 7}
 	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: time.Second}, ratelimit.Position{})
 	unlisted := func(string) (int64, bool) { return 0, false }
-	table.Retain(2*time.Second, unlisted)
-	table.Retain(30*time.Second, unlisted)
+	table.Retain(2*time.Minute, unlisted)
+	table.Retain(30*time.Minute, unlisted)
 	g.Expect(table.Leaving(i)).To(gomega.BeTrue())
-	table.Retain(40*time.Second, func(string) (int64, bool) { return 7, true })
-	table.Retain(50*time.Second, unlisted)
-	table.Retain(100*time.Second, unlisted)
+	table.Retain(40*time.Minute, func(string) (int64, bool) { return 7, true })
+	table.Retain(50*time.Minute, unlisted)
+	table.Retain(100*time.Minute, unlisted)
 	g.Expect(table.Leaving(i)).To(gomega.BeTrue(), "it was listed in between")
-	table.Retain(111*time.Second, unlisted)
+	table.Retain(111*time.Minute, unlisted)
 	g.Expect(table.Leaving(i)).To(gomega.BeFalse())
-	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: 120 * time.Second}, ratelimit.Position{})
-	table.Retain(121*time.Second, func(string) (int64, bool) { return 8, true })
-	g.Expect(table.Since(121*time.Second, 0, false).Leaving).To(gomega.BeEmpty())
-	const pause = 5 * time.Minute
-	table.Observe(i, advisory.Statement{Pause: pause, HeardAt: 130 * time.Second}, ratelimit.Position{})
-	table.Retain(131*time.Second, unlisted)
-	table.Retain(131*time.Second+pause/2, unlisted)
-	g.Expect(table.PausedFor(131*time.Second+pause/2, i)).To(gomega.Equal(pause/2 - time.Second))
-	table.Retain(131*time.Second+pause, unlisted)
-	g.Expect(table.PausedFor(131*time.Second, i)).To(gomega.BeZero())
+	table.Observe(i, advisory.Statement{Leaving: true, HeardAt: 120 * time.Minute}, ratelimit.Position{})
+	table.Retain(121*time.Minute, func(string) (int64, bool) { return 8, true })
+	g.Expect(table.Since(121*time.Minute, 0, false).Leaving).To(gomega.BeEmpty())
+	const pause = 4 * time.Hour
+	table.Observe(i, advisory.Statement{Pause: pause, HeardAt: 130 * time.Minute}, ratelimit.Position{})
+	table.Retain(131*time.Minute, unlisted)
+	table.Retain(131*time.Minute+pause/2, unlisted)
+	g.Expect(table.PausedFor(131*time.Minute+pause/2, i)).To(gomega.Equal(pause/2 - time.Minute))
+	table.Retain(131*time.Minute+pause, unlisted)
+	g.Expect(table.PausedFor(131*time.Minute, i)).To(gomega.BeZero())
 }
