edgetest: Each engine holds adapters of its own before it says that it leaves

The trace of each such run shows that e0 got no order and no request before and after its word, and that the VMs first took it for a leaving one when the store said so 3.5 s later: all three adapters of the test were on one engine. Nothing was treated as leaving too early; the scene was left to the owner's choice of engines.

Each engine now holds three adapters of its own before the VMs start, the targets must have run requests before they say that they leave, and the test goes on only when a VM has passed on the word of each. The leaving plain targets are those of VMs that get requests, which was left to chance, too, where the owner is killed.

--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -95,8 +95,8 @@
 }
 
 // start starts VMs, and as many engines and plain targets, one of each in each
-// data centre.
-func start(t *testing.T, n int) *cluster {
+// data centre. The functions in prepare are called before the VMs start.
+func start(t *testing.T, n int, prepare ...func(*cluster)) *cluster {
 	c := &cluster{t: t, g: gomega.NewWithT(t), dropped: map[string]bool{}, idleMs: 15000}
 	var err error
 	c.store, err = metastore.Start("127.0.0.1:0")
@@ -112,6 +112,9 @@
 			ID: fmt.Sprintf("a%d", i), Service: app, Zone: dataCentres[i], Slots: 6, Pause: 5 * time.Millisecond,
 		}))
 	}
+	for _, f := range prepare {
+		f(c)
+	}
 	for i := range n {
 		c.vms = append(c.vms, c.vm(i))
 	}
--- a/internal/edgetest/leaving_test.go
+++ b/internal/edgetest/leaving_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -99,6 +101,56 @@
 	}
 }
 
+// spreadAdapters is the number of adapters that spread divides among the engines.
+const spreadAdapters = 9
+
+// spread makes each engine the only one that holds some adapters, with room for one more.
+func spread(c *cluster) {
+	for n := range spreadAdapters {
+		c.g.Expect(c.engines[n%len(c.engines)].Hold(fmt.Sprint("a", n))).To(gomega.Succeed())
+	}
+}
+
+// askAllEngines sends requests to a VM until done is closed, with several callers, for all
+// adapters that spread has divided.
+func (w *drainWatch) askAllEngines(callers *sync.WaitGroup, vm int, v *vm, done <-chan struct{}) {
+	for i := range 4 {
+		callers.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				w.ask(vm, v, request{path: quote + "x", adapter: fmt.Sprint("a", n%spreadAdapters), deadline: 2 * time.Second})
+				w.ask(vm, v, request{path: lookup + "x", deadline: time.Second})
+			}
+		})
+	}
+}
+
+// passedOn returns the targets of which an answer was passed on in which they say that they
+// leave.
+func (w *drainWatch) passedOn() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.passed))
+}
+
+// runsSince returns the number of requests that a target has run and that were sent after a
+// time.
+func (w *drainWatch) runsSince(target *engine.Target, since time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, run := range target.Runs() {
+		if w.asked[run.ID].at.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against requests to a target that has said in an answer that it leaves, from the VM
 // that passed the answer on and from all others, also after the owner of the target's group
 // is replaced, and from a VM that starts later.
@@ -115,22 +167,33 @@
 		{name: "told to the store at once"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := start(t, 3)
+			c := start(t, 3, spread)
 			c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
 			w := newDrainWatch(c)
 			var callers sync.WaitGroup
-			began := time.Now()
-			end := began.Add(time.Second + observed)
+			done := make(chan struct{})
+			defer callers.Wait()
+			end := sync.OnceFunc(func() { close(done) })
+			defer end()
 			former := c.owner()
+			var inUse []*engine.Target // plain targets, each of which a VM in its data centre uses
 			for i, v := range c.vms {
 				if !test.killOwner || v != former {
-					w.keepAsking(&callers, i, v, end)
+					w.askAllEngines(&callers, i, v, done)
+					inUse = append(inUse, c.apps[i])
 				}
 			}
-			time.Sleep(time.Second)
-			leaving := []*engine.Target{c.engines[0], c.engines[1], c.apps[0], c.apps[1]}
+			leaving := []*engine.Target{c.engines[0], c.engines[1], inUse[0], inUse[1]}
+			var ids []string
+			for _, target := range append([]*engine.Target{c.engines[2]}, leaving...) {
+				c.g.Eventually(target.Runs).WithTimeout(limit).ShouldNot(gomega.BeEmpty(), target.Settings.ID)
+			}
 			for _, target := range leaving {
 				target.SayLeaving("1")
+				ids = append(ids, target.Settings.ID)
+			}
+			if test.reportAfter != 0 {
+				c.g.Eventually(w.passedOn).WithTimeout(limit).Should(gomega.ConsistOf(ids))
 			}
 			if test.killOwner {
 				time.Sleep(drainBound / 5)
@@ -140,7 +203,7 @@
 				time.Sleep(drainBound / 2)
 				v := c.vm(3)
 				c.g.Eventually(v.ready).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
-				w.keepAsking(&callers, 3, v, end)
+				w.askAllEngines(&callers, 3, v, done)
 			}
 			if test.reportAfter >= 0 {
 				time.Sleep(test.reportAfter)
@@ -149,14 +212,13 @@
 				}
 			}
 			told := time.Now()
+			time.Sleep(observed)
+			end()
 			callers.Wait()
 			for _, target := range leaving {
-				if test.reportAfter != 0 {
-					c.g.Expect(w.passed).To(gomega.HaveKey(target.Settings.ID))
-				}
 				w.check(target, told)
 			}
-			c.g.Expect(c.engines[2].Runs()).NotTo(gomega.BeEmpty())
+			c.g.Expect(w.runsSince(c.engines[2], told)).NotTo(gomega.BeZero(), "the engine that stays gets requests")
 			if test.startVM {
 				c.g.Expect(c.logs.text()).To(gomega.MatchRegexp(`"vm":"vm3","event":"target_leaving","target":"e0"[^}]*"source":"owner","age_ms":`))
 			}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -157,6 +157,14 @@
 	return map[string]any{"name": t.Settings.Model, "version": 1, "adapters": adapters}
 }
 
+// Hold makes the target hold an adapter without an order.
+func (t *Target) Hold(adapter string) error {
+	t.mu.Lock()
+	t.held[adapter] = &held{ready: time.Now(), version: 1}
+	t.mu.Unlock()
+	return t.Beat()
+}
+
 // Leave makes the target say that it leaves.
 func (t *Target) Leave() error {
 	t.mu.Lock()
