gateway: A field that is ignored as a statement is not passed on

What could break the rule: an answer with `Server-Leaving: 0`, or with the field twice, was passed on as it was, while this VM ignored it. Whoever counts answers with the field holds the VM to a word that it has not taken.

The fields of a head whose statement is ignored are now left out of the answer to the caller.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -226,13 +227,16 @@
 }
 
 // copyResponseHead copies the status and the end-to-end header fields of a
-// target's response to the caller's response.
-func (c *call) copyResponseHead(e *upstream.Exchange) {
+// target's response to the caller's response, without those whose statement is ignored: what
+// the caller is told of the target, this VM has to heed.
+func (c *call) copyResponseHead(a answer) {
 	ctx := c.http
 	ctx.Response.Reset()
-	ctx.SetStatusCode(e.Status)
-	for _, f := range e.Fields.EndToEnd(func(string) bool { return false }) {
-		ctx.Response.Header.Add(f.Name, f.Value)
+	ctx.SetStatusCode(a.exchange.Status)
+	for _, f := range a.exchange.Fields.EndToEnd(func(string) bool { return false }) {
+		if !slices.ContainsFunc(a.meta.Statement.Invalid, func(name string) bool { return strings.EqualFold(name, f.Name) }) {
+			ctx.Response.Header.Add(f.Name, f.Value)
+		}
 	}
 	if c.server.draining.Load() || ctx.Request.Header.ConnectionClose() {
 		ctx.SetConnectionClose()
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -79,7 +79,7 @@
 	}
 	return fleet.Limits{}
 }
-func (w *world) Usable(target string, _ int64) bool { return !slices.Contains(w.leaving, target) }
+func (w *world) Usable(target string, _ int64) bool     { return !slices.Contains(w.leaving, target) }
 func (w *world) PausedFor(target string, _ int64) time.Duration {
 	if slices.Contains(w.paused, target) {
 		return time.Second
@@ -143,7 +143,8 @@
 	return gateway.ResponseMeta{
 		Signed: fields.Get("X-Unsigned") == "", RequestID: fields.Get("X-Request-Id"),
 		NotRun: fields.Get("X-Not-Executed") != "" || misdirected, Misdirected: misdirected,
-		Statement: gateway.TargetStatement{Pause: stated},
+		Encoded:   fields.Get("Content-Encoding") != "",
+		Statement: statedLeaving(gateway.TargetStatement{Pause: stated}, fields),
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -198,7 +198,7 @@
 		c.respondError(r.failure)
 		return
 	}
-	c.copyResponseHead(r.exchange)
+	c.copyResponseHead(answer{exchange: r.exchange, meta: r.meta})
 	c.http.SetBody(r.body)
 	c.trace.setResponse(r.exchange.Status, r.target.ID)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,7 +55,7 @@
 		c.finish()
 		return
 	}
-	c.copyResponseHead(stream.exchange)
+	c.copyResponseHead(stream.answer)
 	if stream.exchange.Status != fasthttp.StatusOK {
 		c.http.SetBody(stream.body)
 		c.trace.setResponse(stream.exchange.Status, stream.lease.Grant.Target)
