gateway, edge: A statement belongs to the incarnation that was asked

What could break the rule: a target that has started anew under its ID said that it leaves, in its answer to a request under a grant from before its start. This VM knew the new start, recorded the statement for the former one, and went on sending.

Cause: the statement was recorded for the incarnation that the grant, or the choice, named. The owner may be behind this VM; the target accepts the request, because requests name only its ID.

The newest incarnation that this VM knows when the request is sent counts now. One that it hears of while the answer is on its way does not: a VM that wakes from a freeze may read the end of the former incarnation's answer after the news of the next one, which must not take that one out of use.

--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -236,6 +236,13 @@
 	return !d.statements.Leaving(advisory.Incarnation{Target: id, Born: born})
 }
 
+// NewestStart implements gateway.Fleet.
+func (d *deployment) NewestStart(target string, born int64) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(born, d.targets[target].Born)
+}
+
 // leavingByService returns the number of targets that leave, by service.
 func (d *deployment) leavingByService() map[string]int64 {
 	d.mu.Lock()
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -43,6 +43,7 @@
 	estimate     time.Duration                   // of the time until the first event, 1 s if 0
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
 	malformed    chan int                        // status of each answer to malformed input
+	newestStart  int64                           // of the target, as this VM knows it
 	leaving      []string                        // targets that leave and are granted nevertheless
 	grants       []grant                         // of the first placements; all others are of w.target
 	asked        chan placer.Request             // placements, unless it is nil
@@ -79,7 +80,9 @@
 	}
 	return fleet.Limits{}
 }
+
 func (w *world) Usable(target string, _ int64) bool     { return !slices.Contains(w.leaving, target) }
+func (w *world) NewestStart(_ string, born int64) int64 { return max(born, w.newestStart) }
 func (w *world) PausedFor(target string, _ int64) time.Duration {
 	if slices.Contains(w.paused, target) {
 		return time.Second
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// Guards against the word of a target that is recorded for its former incarnation, so that this
+// VM sends on to it: the grant, or the choice, is older than what this VM knows of the target.
+func TestWordsAreThoseOfTheIncarnationThatWasAsked(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.Streaming, fleet.Idempotent} {
+		g := gomega.NewWithT(t)
+		w, address := newWorld(t, kind, writes("HTTP/1.1 200 OK\r\n"+leavingField+": 1\r\nContent-Length: 8\r\n\r\nid: 1\n\n\n"))
+		w.statements, w.newestStart = make(chan gateway.TargetStatement, 1), 7
+		status, _, err := get(g, address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+		g.Expect((<-w.statements).Born).To(gomega.Equal(int64(7)), string(kind))
+	}
+}
+
 // Guards against a request that is refused, or takes from the retry budget, because targets
 // were granted of which this VM knows that they leave.
 func TestLeavingTargetsAreSkipped(t *testing.T) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -222,6 +222,7 @@
 	defer cancel()
 	r.request.Connected = func() bool {
 		r.sent = ctx.Err() == nil
+		r.target.Born = c.server.opt.Fleet.NewestStart(r.target.ID, r.target.Born)
 		return r.sent
 	}
 	r.sentAt = time.Now()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -76,7 +76,7 @@
 	Leaving   bool          // it is about to stop and takes no new requests
 	Unclear   bool          // neither Leaving nor the opposite
 	Pause     time.Duration // for which it wants no request from this VM, 0 if it names none
-	Born      int64         // its start time according to the grant or this VM's view, in Unix milliseconds, 0 if unknown
+	Born      int64         // its start time according to the grant or this VM's view when the request was sent, in Unix milliseconds, 0 if unknown
 	Invalid   []string      // header fields whose statement is ignored
 	SentAt    time.Time     // when the answered request was sent
 	HeardAt   time.Time     // when the head arrived
@@ -119,6 +119,9 @@
 	// Usable reports whether requests may currently be sent to an incarnation of a target,
 	// apart from pauses. born is its start time in Unix milliseconds, 0 if unknown.
 	Usable(target string, born int64) bool
+	// NewestStart returns the start time of the newest known incarnation of a target that began
+	// at born or later, in Unix milliseconds.
+	NewestStart(target string, born int64) int64
 	// PausedFor returns the time for which an incarnation of a target wants no requests from
 	// this VM, 0 if it takes them.
 	PausedFor(target string, born int64) time.Duration
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,7 @@
 	events   *eventstream.Reader
 	head     TargetStatement // what the head of the response stated
 	sentAt   time.Time       // when the request was sent
+	born     int64           // start time of the target that it was sent to
 	body     []byte          // body of a response that is not an event stream
 	leased   bool            // the lease has not been released
 	refused  bool            // the target has stated that it did not run the request
@@ -360,7 +361,7 @@
 	}
 	s.events, s.sequence = eventstream.NewReader(s.exchange), c.newSequence(s.opening.after, s.meta)
 	var stated bool
-	if s.head, stated = c.statement(s.meta, s.sentAt, g.Born); stated {
+	if s.head, stated = c.statement(s.meta, s.sentAt, s.born); stated {
 		c.server.opt.Fleet.RecordStatement(g.Target, s.head)
 		c.server.opt.Placement.Stated(s.lease, s.head)
 	}
@@ -374,6 +375,7 @@
 		return false
 	}
 	s.sent, s.sentAt = true, time.Now()
+	s.born = c.server.opt.Fleet.NewestStart(s.lease.Grant.Target, s.lease.Grant.Born)
 	c.possibleRuns++
 	c.arrivals++
 	c.retryTakenAt = time.Time{}
