gateway, edgetest, test: Leaving targets on each way to a target, and at a VM that is cut off

TestGrantsOfLeavingTargetsAreNotUsed sends a grant of a leaving target to first attempts, retries, resumes and handovers, which only first attempts had before. TestOwnWordOfATargetBindsAVMThatIsCutOff cuts a VM off from the store, the owner and all other VMs, lets the targets cease to say that they leave, removes their entries and brings them back.

--- a/internal/edgetest/leaving_test.go
+++ b/internal/edgetest/leaving_test.go
@@ -226,6 +226,64 @@
 	}
 }
 
+// Guards against requests to a target that has said to this VM that it leaves: while the VM is cut
+// off from the store, the owner and all other VMs, after that, and after the target has ceased to
+// say so, or the store has missed it.
+func TestOwnWordOfATargetBindsAVMThatIsCutOff(t *testing.T) {
+	c := start(t, 3, spread)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	cutOff, former := c.vms[0], c.owner()
+	if former == cutOff {
+		former = c.vms[1]
+	}
+	w := newDrainWatch(c)
+	askAll := func() {
+		for n := range spreadAdapters {
+			w.ask(0, cutOff, request{path: quote + "x", adapter: fmt.Sprint("a", n), deadline: time.Second})
+			w.ask(0, cutOff, request{path: lookup + "x", deadline: time.Second})
+			w.ask(0, cutOff, request{path: booking + "x", deadline: time.Second})
+		}
+	}
+	leaving := []*engine.Target{c.engines[0], c.engines[1], c.apps[0], c.apps[1]}
+	ids := []string{"e0", "e1", "a0", "a1"}
+	askAll()
+	cutOff.link.Set(true, false, 0)
+	for _, v := range c.vms[1:] {
+		v.daemon.Kill()
+	}
+	for _, target := range leaving {
+		target.SayLeaving("1")
+	}
+	c.g.Eventually(func() []string { askAll(); return w.passedOn() }).WithTimeout(limit).Should(gomega.ConsistOf(ids))
+	passed := time.Now()
+	for _, target := range leaving {
+		target.SayLeaving()
+	}
+	none := func(when string) {
+		askAll()
+		for _, target := range leaving {
+			c.g.Expect(w.runsSince(target, passed)).To(gomega.BeZero(), "%s: requests to %s", when, target.Settings.ID)
+		}
+		c.g.Expect(w.runsSince(c.apps[2], passed)).NotTo(gomega.BeZero(), when)
+	}
+	none("cut off")
+	cutOff.link.Set(false, false, 0)
+	cutOff.link.Reset()
+	for _, target := range leaving {
+		c.store.Remove("servers", target.Settings.ID)
+	}
+	time.Sleep(drainBound)
+	none("missing in the store")
+	for _, target := range leaving {
+		c.g.Expect(target.Beat()).To(gomega.Succeed())
+	}
+	c.vms = c.vms[:1]
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	time.Sleep(drainBound)
+	none("back in touch")
+	c.g.Expect(w.runsSince(c.engines[2], passed)).NotTo(gomega.BeZero())
+}
+
 // Guards against a target that stays out of use although it has started anew, or never said
 // that it leaves: in a value that says nothing, or in an answer that is not its own.
 func TestOnlyItsOwnWordTakesATargetOutOfUse(t *testing.T) {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -4,13 +4,16 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/placer"
 )
 
 // leavingField is the header field in which targets say that they leave, with the value "1".
@@ -106,6 +109,66 @@
 	}
 }
 
+// Guards against a request to a leaving target under a grant that was given before this VM heard
+// of it: on each way by which a stream gets to a target.
+func TestGrantsOfLeavingTargetsAreNotUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		first     func(net.Conn) // answer of the first target, nil if the first grant is skipped
+		second    func(net.Conn)
+		retries   int
+		resumable bool
+	}{
+		"first attempt":                       {second: writes(ownStream)},
+		"after a refusal":                     {first: writes(refusal), second: writes(ownStream), retries: 1},
+		"resume":                              {first: writes(streamHead, chunk1, "5\r\nid"), second: writes(streamHead, chunk2, lastChunk), retries: 1, resumable: true},
+		"handover before the first event":     {first: lateThenWhole, second: writes(ownStream), retries: 1, resumable: true},
+		"handover of a stream that has begun": {first: silentThenWhole, second: writes(streamHead, chunk3, lastChunk), retries: 1, resumable: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			respond := c.second
+			if c.first != nil {
+				respond = targets(c.first, c.second)
+			}
+			w, address := newWorld(t, fleet.Streaming, respond)
+			left, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { _ = left.Close() })
+			var reached atomic.Int64
+			go func() {
+				for {
+					conn, err := left.Accept()
+					if err != nil {
+						return
+					}
+					reached.Add(1)
+					_ = conn.Close()
+				}
+			}()
+			if c.first != nil {
+				w.grants = []grant{{target: "u"}}
+			}
+			w.grants = append(w.grants, grant{"left", left.Addr().String()})
+			w.leaving, w.asked = []string{"left"}, make(chan placer.Request, 16)
+			if c.resumable {
+				w.route.Resumable, w.route.MaxAttempts, w.estimate = true, 2, time.Millisecond
+			}
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(reached.Load()).To(gomega.BeZero(), "requests to the leaving target")
+			g.Expect(w.retries).To(gomega.Equal(c.retries))
+			g.Expect(w.placements).To(gomega.Equal(len(w.grants) + 1))
+			var last placer.Request
+			for range w.placements {
+				last = <-w.asked
+			}
+			g.Expect(last.Exclude).To(gomega.ContainElement("left"))
+		})
+	}
+}
+
 // Guards against a request that is refused, or takes from the retry budget, because targets
 // were granted of which this VM knows that they leave.
 func TestLeavingTargetsAreSkipped(t *testing.T) {
