--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -202,7 +202,7 @@
 		c.respondError(r.failure)
 		return
 	}
-	c.copyResponseHead(r.exchange)
+	c.copyResponseHead(answer{exchange: r.exchange, meta: r.meta})
 	c.http.SetBody(r.body)
 	c.trace.setResponse(r.exchange.Status, r.target.ID)
 }
@@ -226,6 +226,7 @@
 	defer cancel()
 	r.request.Connected = func() bool {
 		r.sent = ctx.Err() == nil
+		r.target.Born = c.server.opt.Fleet.NewestStart(r.target.ID, r.target.Born)
 		return r.sent
 	}
 	r.sentAt = time.Now()
