groupserver, advisory, placer: A new owner reads the report of a target that pauses for its VM

A pause binds the VM that was told, but after a takeover it bound all: the next owner grants no target before it has read the target's report, and its reports waited for the end of the pause that the target wanted from the owner's own VM. So a target that had told this VM alone to wait, for up to five minutes, served nobody in that time, though others asked for it; their requests waited for loads elsewhere or were refused.

The rule leaves two requests. One of them is now spent on that report: once until the end of all pauses that overlap, and only if the state of the target is unknown. Further reports and all orders wait as before.

Ruled out: the target's description in the store in place of the report (it is older than the former owner's last orders), and another VM as the next owner (all may have been told).

TestPauseOfTheOwnersVMDoesNotBindOthers and, with three VMs, a killed owner and two targets that have told one of the other VMs each, TestPauseOfTheNextOwnerBindsNoOtherVM fail without the call. A guard on reports was not tested before: without it TestPauseOfTheOwnersVMDoesNotBindOthers fails now.

--- a/internal/advisory/pause.go
+++ b/internal/advisory/pause.go
@@ -44,6 +44,20 @@
 	return r.pausedUntil - now
 }
 
+// TakeCall reports whether this VM may make a call to a target that pauses, which it may once
+// until the end of all pauses that overlap. Targets put up with two.
+func (t *Table) TakeCall(now time.Duration, i Incarnation) bool {
+	if t.PausedFor(now, i) == 0 {
+		return true
+	}
+	r := t.records[i.Target]
+	if r.called {
+		return false
+	}
+	r.called = true
+	return true
+}
+
 // Pauses returns the targets that want no request from this VM now.
 func (t *Table) Pauses(now time.Duration) []Pause {
 	var all []Pause
--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -51,6 +51,7 @@
 	changed       uint64        // version of the table in which the target began to leave
 	pausedSince   time.Duration // first statement of the current or last pause
 	pausedUntil   time.Duration
+	called        bool          // the call that TakeCall allows was made during the current or last pause
 	unlistedSince time.Duration // never if the target is listed
 }
 
@@ -102,7 +103,7 @@
 	}
 	if s.Pause > 0 {
 		if s.HeardAt >= r.pausedUntil {
-			r.pausedSince = s.HeardAt
+			r.pausedSince, r.called = s.HeardAt, false
 		}
 		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
 		t.pauses.targets[i.Target] = struct{}{}
--- a/internal/advisory/table_test.go
+++ b/internal/advisory/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,14 @@
 	delta advisory.Delta
 }
 
+// calledInPause is a call to a target during its pause.
+type calledInPause struct {
+	vm       int
+	born     int64
+	at       time.Duration
+	recorded int // answers that were recorded before
+}
+
 // world is one target, with several incarnations at one ID, and the VMs that hear of it.
 type world struct {
 	now      time.Duration
@@ -42,6 +51,7 @@
 	messages []message
 	told     bool    // a message has arrived
 	noted    []int64 // by VM: incarnation whose pause has begun and not ended, 0 for none
+	calls    []calledInPause
 }
 
 // step advances the clock. Times are distinct, so that the order of events is defined.
@@ -95,6 +105,7 @@
 			t.Fatalf("VM %d keeps requests from incarnation %d for %v, which wants %v", vm, w.born, got, want)
 		}
 		w.checkChanges(t, vm)
+		w.checkCalls(t, vm)
 		leaving := table.Leaving(i)
 		if w.mustLeave(vm) && !leaving {
 			t.Fatalf("VM %d sends requests to incarnation %d although it has said that it leaves", vm, w.born)
@@ -108,6 +119,21 @@
 	}
 }
 
+// checkCalls expects at most one call of a VM during each pause that it knew.
+func (w *world) checkCalls(t *rapid.T, vm int) {
+	for n, a := range w.recorded {
+		calls := 0
+		for _, c := range w.calls {
+			if c.vm == vm && a.vm == vm && c.born == a.born && c.recorded > n && c.at >= a.heard && c.at < a.heard+a.pause {
+				calls++
+			}
+		}
+		if calls > 1 {
+			t.Fatalf("VM %d: %d calls to incarnation %d between %v and %v", vm, calls, a.born, a.heard, a.heard+a.pause)
+		}
+	}
+}
+
 // checkChanges expects that the pauses of a VM begin and end in turn, and that one which has
 // begun and not ended is the current one.
 func (w *world) checkChanges(t *rapid.T, vm int) {
@@ -204,6 +230,20 @@
 				w.vms[m.to].Merge(w.now, m.delta)
 			}
 		},
+		"VM calls the target": func(t *rapid.T) {
+			w.step(t)
+			vm := rapid.IntRange(0, vms-1).Draw(t, "VM")
+			i := advisory.Incarnation{Target: "t", Born: w.born}
+			left, allowed := w.vms[vm].PausedFor(w.now, i), w.vms[vm].TakeCall(w.now, i)
+			switch {
+			case left == 0 && !allowed:
+				t.Fatalf("VM %d may not call incarnation %d, which does not pause", vm, w.born)
+			case left > 0 && allowed:
+				w.calls = append(w.calls, calledInPause{vm, w.born, w.now, len(w.recorded)})
+			case left > 0 && !slices.ContainsFunc(w.calls, func(c calledInPause) bool { return c.vm == vm && c.born == w.born }):
+				t.Fatalf("VM %d may not call incarnation %d, which it has not called", vm, w.born)
+			}
+		},
 		"target is listed": func(t *rapid.T) {
 			w.step(t)
 			listed := rapid.IntRange(0, 5).Draw(t, "listed") > 0
@@ -294,3 +334,25 @@
 	table.Retain(131*time.Second+pause, unlisted)
 	g.Expect(table.PausedFor(131*time.Second, i)).To(gomega.BeZero())
 }
+
+// Guards against more than one call to a target during pauses that overlap, and against a
+// later pause in which none may be made.
+func TestOneCallIsAllowedInEachPause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	i := advisory.Incarnation{Target: "t", Born: 7}
+	table := advisory.NewTable()
+	pause := func(at, left time.Duration) {
+		table.Observe(i, advisory.Statement{HeardAt: at * time.Second, Pause: left * time.Second}, ratelimit.Position{})
+	}
+	take := func(at time.Duration) bool { return table.TakeCall(at*time.Second, i) }
+	g.Expect(take(0)).To(gomega.BeTrue())
+	g.Expect(take(0)).To(gomega.BeTrue(), "it does not pause")
+	pause(1, 3)
+	g.Expect(take(2)).To(gomega.BeTrue())
+	g.Expect(take(3)).To(gomega.BeFalse())
+	pause(3, 10)
+	g.Expect(take(12)).To(gomega.BeFalse(), "during the pause that overlaps")
+	pause(20, 5)
+	g.Expect(take(21)).To(gomega.BeTrue())
+	g.Expect(table.TakeCall(21*time.Second, advisory.Incarnation{Target: "t", Born: 8})).To(gomega.BeTrue(), "the next incarnation")
+}
--- a/internal/edge/pauses.go
+++ b/internal/edge/pauses.go
@@ -25,6 +25,14 @@
 	return d.statements.PausedFor(d.now(), advisory.Incarnation{Target: target, Born: max(born, d.targets[target].Born)})
 }
 
+// takeCall reports whether this VM may make a call to a target, which it may once during a
+// pause.
+func (d *deployment) takeCall(target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.statements.TakeCall(d.now(), advisory.Incarnation{Target: target, Born: d.targets[target].Born})
+}
+
 // ServicePausedFor implements gateway.Fleet.
 func (d *deployment) ServicePausedFor(service string) time.Duration {
 	d.mu.Lock()
@@ -124,4 +132,6 @@
 
 func (d *Daemon) pauses() []advisory.Pause { return d.deployment.pauses() }
 
+func (d *Daemon) takeCall(target string) bool { return d.deployment.takeCall(target) }
+
 func (d *Daemon) pausedFor(target string) time.Duration { return d.deployment.PausedFor(target, 0) }
--- a/internal/edgetest/pauses_test.go
+++ b/internal/edgetest/pauses_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -103,6 +104,99 @@
 	}
 }
 
+// holdAdapter sends requests until a target holds an adapter.
+func (c *cluster) holdAdapter(target *engine.Target, adapter string) {
+	for _, other := range c.engines {
+		if other != target {
+			other.TurnAway(-1)
+		}
+	}
+	c.g.Eventually(func() bool {
+		a := c.ask(c.vms[0], request{path: quote + "x", adapter: adapter})
+		return slices.ContainsFunc(target.Runs(), func(r engine.Run) bool { return r.ID == a.id })
+	}).WithTimeout(limit).Should(gomega.BeTrue(), "%s at %s", adapter, target.Settings.ID)
+	for _, other := range c.engines {
+		other.TurnAway(0)
+	}
+}
+
+// tellPause sends requests to a VM until a target has told it to pause.
+func (c *cluster) tellPause(v *vm, target *engine.Target, adapter string, pause time.Duration) {
+	for _, other := range c.engines {
+		other.TurnAway(-1)
+	}
+	target.TurnAway(1, fmt.Sprint(pause.Seconds()))
+	c.g.Eventually(func() bool {
+		c.ask(v, request{path: quote + "x", adapter: adapter})
+		return slices.ContainsFunc(target.Arrivals(), func(a engine.Arrival) bool { return a.Pause == pause })
+	}).WithTimeout(limit).Should(gomega.BeTrue(), target.Settings.ID)
+	for _, other := range c.engines {
+		other.TurnAway(0)
+	}
+}
+
+// Guards against a target that no VM uses because it wants nothing from the VM that has become
+// the owner of its group, which does not know what the target holds; and against orders, or
+// more than one call, to it from there.
+func TestPauseOfTheNextOwnerBindsNoOtherVM(t *testing.T) {
+	const pause = time.Minute
+	c := start(t, 3)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	c.g.Expect(c.engines[2].Leave()).To(gomega.Succeed())
+	former, usable := c.owner(), map[*vm]*engine.Target{}
+	var others []*vm
+	for _, v := range c.vms {
+		if v != former {
+			others = append(others, v)
+		}
+	}
+	for _, target := range c.engines[:2] {
+		c.holdAdapter(target, "a1")
+	}
+	for i, v := range others {
+		c.tellPause(v, c.engines[i], "a1", pause)
+		usable[v] = c.engines[1-i]
+	}
+	former.daemon.Kill()
+	began := time.Now()
+	served := func() {
+		for v, target := range usable {
+			a := c.ask(v, request{path: quote + "x", adapter: "a1", deadline: 4 * time.Second})
+			c.g.Expect(a.status).To(gomega.Equal(http.StatusOK))
+			runs := c.runs(a.id)
+			c.g.Expect(runs).To(gomega.HaveLen(1))
+			c.g.Expect(slices.ContainsFunc(target.Runs(), func(r engine.Run) bool { return r.ID == a.id })).To(gomega.BeTrue())
+		}
+	}
+	var owner *vm
+	c.g.Eventually(func() bool {
+		served()
+		owner = c.owner()
+		return owner != nil && owner != former
+	}).WithTimeout(limit).Should(gomega.BeTrue())
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); { // longer than the wait for orders
+		served()
+	}
+	c.g.Expect(time.Since(began)).To(gomega.BeNumerically("<", pause), "the pauses have not ended")
+	for i, v := range others {
+		orders, reports := 0, 0
+		for _, call := range c.engines[i].Calls() {
+			switch {
+			case call.At.Before(began):
+			case call.Order:
+				orders++
+			default:
+				reports++
+			}
+		}
+		c.t.Logf("%s: %d orders, %d reports, told the owner %v", c.engines[i].Settings.ID, orders, reports, v == owner)
+		if v == owner {
+			c.g.Expect(orders).To(gomega.BeZero())
+			c.g.Expect(reports).To(gomega.BeNumerically("<=", 1))
+		}
+	}
+}
+
 // Guards against callers that wait for their deadline although all targets of the service
 // pause, that are told to come back too early or late, or that find no target after the end.
 func TestRequestsAreRefusedAtOnceWhileAllTargetsPause(t *testing.T) {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -77,6 +77,9 @@
 	// PausedFor returns the time for which a target wants nothing from this VM, 0 if it takes
 	// requests. Nil means that no target pauses.
 	PausedFor func(target string) time.Duration
+	// TakeCall reports whether a call may be made to a target during its pause in which the
+	// target's state is read. Nil means that none may.
+	TakeCall func(target string) bool
 	// StoreReachable reports whether the last call to the store succeeded.
 	StoreReachable func() bool
 	// StoreLost reports whether calls to the store have failed for some time.
--- a/internal/groupserver/pauses_test.go
+++ b/internal/groupserver/pauses_test.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/advisory"
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/placer"
+	"cicadaslip/internal/ratelimit"
+	"cicadaslip/internal/tenure"
 )
 
 // recordingEngines record the time of each call.
@@ -72,3 +79,77 @@
 	request.Request.ID, request.Request.Holder, request.Pauses = "other", "vm2", nil
 	g.Expect(m.Acquire(ctx, request).Err).To(gomega.BeNil())
 }
+
+// reportingEngines report an adapter that a former owner has loaded, and count calls.
+type reportingEngines struct {
+	promptEngines
+	orders, reports atomic.Int64
+	fails           bool // reports fail
+}
+
+func (e *reportingEngines) Order(ctx context.Context, o placer.Order, holder string, token int64) placer.OrderResult {
+	e.orders.Add(1)
+	return e.promptEngines.Order(ctx, o, holder, token)
+}
+
+func (e *reportingEngines) Report(context.Context, string, string) (*placer.Report, error) {
+	e.reports.Add(1)
+	if e.fails {
+		return nil, errs.New(errs.TargetRefused, "turned away")
+	}
+	return &placer.Report{Models: map[string]int64{"base": 1}, Ready: map[placer.Adapter]int64{{Model: "base", Name: "a"}: 1}}, nil
+}
+
+// Guards against a target that is out of use for all VMs because it wants nothing from the VM
+// that has become the owner of its group, and against more than one call to it for that.
+func TestPauseOfTheOwnersVMDoesNotBindOthers(t *testing.T) {
+	for name, fails := range map[string]bool{"the report arrives": false, "the report fails": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			engines := &reportingEngines{promptEngines: promptEngines{sequence: map[string]int64{}, readyAt: map[string]time.Time{}}, fails: fails}
+			statements := advisory.NewTable()
+			var mu sync.Mutex
+			began, i := time.Now(), advisory.Incarnation{Target: "t"}
+			statements.Observe(i, advisory.Statement{Pause: time.Hour}, ratelimit.Position{})
+			store := memstore.New()
+			record, err := json.Marshal(tenure.Record{Owner: "vm9", Epoch: 1, Released: true, Closed: true})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			former, err := store.Create(t.Context(), Kind+"/"+GroupName("s", 0), record)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			m := New(Options{
+				VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: store, Engines: engines, Observer: &panicCounter{}, SettleDelay: time.Millisecond,
+				TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
+				PausedFor: func(string) time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
+					return statements.PausedFor(time.Since(began), i)
+				},
+				TakeCall: func(string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					return statements.TakeCall(time.Since(began), i)
+				},
+			})
+			m.Replace([]objectstore.Object{former})
+			m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
+				[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go m.Run(ctx)
+			g.Eventually(m.OwnedGroups).WithTimeout(30 * time.Second).Should(gomega.HaveLen(1))
+			ask := func(id, vm, adapter string) *errs.Error {
+				return m.Acquire(ctx, grouprpc.AcquireRequest{Group: GroupName("s", 0), Epoch: 1, Request: placer.Request{
+					ID: id, Holder: vm, Adapter: placer.Adapter{Model: "base", Name: adapter}, PromptTokens: 100, OutputTokens: 10, Objective: time.Second, Deadline: 2 * time.Second,
+				}}).Err
+			}
+			for n := range 3 {
+				failure := ask(fmt.Sprint("r", n), "vm1", "a")
+				g.Expect(failure == nil).To(gomega.Equal(!fails), "%v", failure)
+			}
+			g.Expect(ask("load", "vm1", "b")).NotTo(gomega.BeNil(), "a load would need an order")
+			g.Expect(engines.reports.Load()).To(gomega.Equal(int64(1)))
+			g.Expect(engines.orders.Load()).To(gomega.BeZero())
+		})
+	}
+}
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -338,7 +338,9 @@
 }
 
 func (g *group) fetchReport(core *placer.Core, c placer.FetchReport) {
-	if g.holdOrders(core, c.Target) {
+	// A pause of the owner's VM binds no other, but none is granted a target of unknown state.
+	mayRead := c.StateUnknown && g.manager.opt.TakeCall != nil && g.manager.opt.TakeCall(c.Target)
+	if !mayRead && g.holdOrders(core, c.Target) {
 		return
 	}
 	askedAt := g.manager.now()
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -12,7 +12,7 @@
 		if t.needsReport && t.inFlight == nil && (!t.reportRequested || c.now-t.reportRequestedAt >= reportRetryInterval) && c.now >= t.ordersFrom() {
 			t.reportRequested, t.reportRequestedAt = true, c.now
 			t.countOrder(c.now)
-			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address})
+			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address, StateUnknown: !t.stateKnown})
 		}
 		if c.ordersAllowed && t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.ordersFrom() {
 			c.sendNextOrder(t)
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -145,7 +145,10 @@
 type SendOrder struct{ Order Order }
 
 // FetchReport instructs the caller to fetch a fresh report from a target.
-type FetchReport struct{ Target, Address string }
+type FetchReport struct {
+	Target, Address string
+	StateUnknown    bool // no request is granted the target before its first report
+}
 
 // RelinquishOwnership instructs the caller to give up the group, because a
 // target has seen a newer owner.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -94,6 +94,8 @@
 	said     []string // values of Server-Leaving in each answer
 	turned   turnedAway
 	arrivals []Arrival
+	refusing turnedAway // orders and requests for reports
+	calls    []Arrival
 	newest   map[string]int64
 	loseNext int // orders that get no answer
 }
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -29,11 +29,13 @@
 		w.WriteHeader(statusElsewhere)
 		return
 	}
-	switch r.URL.Path {
-	case "/cicadaslip/order":
-		t.order(w, r)
-	case "/cicadaslip/report":
-		if t.quiet.wait(r) {
+	switch path := r.URL.Path; path {
+	case orderPath, reportPath:
+		switch {
+		case t.turnAwayCall(w, path):
+		case path == orderPath:
+			t.order(w, r)
+		case t.quiet.wait(r):
 			t.report(w)
 		}
 	default:
@@ -41,6 +43,11 @@
 	}
 }
 
+const (
+	orderPath  = "/cicadaslip/order"
+	reportPath = "/cicadaslip/report"
+)
+
 func notRun(w http.ResponseWriter, r *http.Request, status int) {
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Not-Executed", "1")
--- a/internal/standin/engine/turnaway.go
+++ b/internal/standin/engine/turnaway.go
@@ -6,9 +6,11 @@
 	"time"
 )
 
-// Arrival is a request of a caller that has reached the target.
+// Arrival is a request of a caller, an order or a request for a report that has reached the
+// target.
 type Arrival struct {
-	ID         string
+	ID         string // of a request of a caller
+	Order      bool
 	At         time.Time
 	TurnedAway bool
 	AnsweredAt time.Time     // if it was turned away
@@ -59,22 +61,62 @@
 	return w.values, true
 }
 
-// turnAway records the arrival of a request. It reports whether it has turned the request away.
-func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) bool {
+// TurnAwayCalls is like TurnAway for orders and requests for reports.
+func (t *Target) TurnAwayCalls(calls int, retryAfter ...string) {
 	t.mu.Lock()
-	arrival := Arrival{ID: r.Header.Get("X-Request-Id"), At: time.Now()}
-	values, turned := t.turned.take(arrival.At)
-	if turned {
-		arrival.TurnedAway, arrival.AnsweredAt = true, time.Now()
-		if len(values) == 1 {
-			if seconds, err := strconv.ParseFloat(values[0], 64); err == nil {
-				arrival.Pause = time.Duration(seconds * float64(time.Second))
-			}
+	defer t.mu.Unlock()
+	t.refusing = turnedAway{left: calls, values: retryAfter}
+}
+
+// Calls returns all orders and requests for reports that have reached the target, in order.
+func (t *Target) Calls() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.calls...)
+}
+
+// arrive returns the record of what has reached the target, and the values of Retry-After if
+// it is turned away.
+func (w *turnedAway) arrive() (arrival Arrival, values []string) {
+	arrival.At = time.Now()
+	if values, arrival.TurnedAway = w.take(arrival.At); !arrival.TurnedAway {
+		return arrival, nil
+	}
+	arrival.AnsweredAt = time.Now()
+	if len(values) == 1 {
+		if seconds, err := strconv.ParseFloat(values[0], 64); err == nil {
+			arrival.Pause = time.Duration(seconds * float64(time.Second))
 		}
 	}
+	return arrival, values
+}
+
+// turnAwayCall records the arrival of an order or of a request for a report. It reports whether
+// it has turned it away.
+func (t *Target) turnAwayCall(w http.ResponseWriter, path string) bool {
+	t.mu.Lock()
+	arrival, values := t.refusing.arrive()
+	arrival.Order = path == orderPath
+	t.calls = append(t.calls, arrival)
+	t.mu.Unlock()
+	if !arrival.TurnedAway {
+		return false
+	}
+	for _, value := range values {
+		w.Header().Add("Retry-After", value)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// turnAway records the arrival of a request. It reports whether it has turned the request away.
+func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) bool {
+	t.mu.Lock()
+	arrival, values := t.turned.arrive()
+	arrival.ID = r.Header.Get("X-Request-Id")
 	t.arrivals = append(t.arrivals, arrival)
 	t.mu.Unlock()
-	if !turned {
+	if !arrival.TurnedAway {
 		return false
 	}
 	for _, value := range values {
