edge: Handle signals before the settings are read

A process that was still starting was ended by SIGHUP, and by SIGTERM without its drain: the signals were registered only after the sockets had been opened, in a goroutine of its own.

runEdge registers them first. What arrives earlier is queued and handled once the daemon runs. What is left is the start of the Go runtime itself.

--- a/cmd/cicadaslipd/edge.go
+++ b/cmd/cicadaslipd/edge.go
@@ -22,6 +22,8 @@
 // runEdge runs the daemon as an entry VM of the users' platform until it is stopped
 // by a signal.
 func runEdge(o options) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	level, err := zerolog.ParseLevel(o.LogLevel)
 	if err != nil {
 		return errs.Wrap(err, errs.InvalidSettings, "parse the log level")
@@ -44,7 +46,7 @@
 		return err
 	}
 	stop := make(chan struct{})
-	go handleSignals(log, path, stop)
+	go handleSignals(log, path, signals, stop)
 	return d.Run(stop)
 }
 
@@ -63,9 +65,7 @@
 // handleSignals closes stop at the first SIGTERM or SIGINT. On SIGHUP it only
 // validates the settings file and logs the result: changed settings take effect at
 // the next start.
-func handleSignals(log zerolog.Logger, path string, stop chan<- struct{}) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+func handleSignals(log zerolog.Logger, path string, signals <-chan os.Signal, stop chan<- struct{}) {
 	stopping := false
 	for s := range signals {
 		if s == syscall.SIGHUP {
