soak: Check DRAIN after the store's word, and excuse LOST only while a target works

- What the store has acknowledged about a leaving target was not checked, only what the target says in its answers.
A request of a VM in touch that arrives later than drain_ms after the acknowledgement is a violation now.
- The last sixth of the grace excused any request that was sent up to 3 s after SIGTERM.
The rule excuses those on which a target is still at work.
Requests that waited at a stopping VM without a target were never reported.

The stand-in records when the work on a request ended and which requests got 421. Tests show that both checks can fail, and what they excuse.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -98,15 +98,12 @@
 func (c *checker) finish(targets []*engine.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	runs := map[string][]engine.Run{}
+	runs := runsByID(targets)
 	for _, t := range targets {
 		if t.Overfull() {
 			c.fail("%s was ordered over its places", t.Settings.ID)
 		}
 		c.checkOrders(t)
-		for _, r := range t.Runs() {
-			runs[r.ID] = append(runs[r.ID], r)
-		}
 	}
 	known := map[string]bool{}
 	for _, a := range c.answers {
@@ -120,6 +117,17 @@
 	}
 }
 
+// runsByID returns what the targets ran, by request.
+func runsByID(targets []*engine.Target) map[string][]engine.Run {
+	found := map[string][]engine.Run{}
+	for _, t := range targets {
+		for _, r := range t.Runs() {
+			found[r.ID] = append(found[r.ID], r)
+		}
+	}
+	return found
+}
+
 // checkOrders checks that no order of an owner arrived after one of a later owner, where
 // the target would have carried it out.
 func (c *checker) checkOrders(t *engine.Target) {
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -42,7 +43,7 @@
 // checkLost checks that no request ends without a complete answer while a sound target has it
 // and there is time left.
 func (r *run) checkLost() {
-	arrivals, unsound := arrivalsByID(r.allTargets()), r.unsoundRuns()
+	arrivals, unsound, runs := arrivalsByID(r.allTargets()), r.unsoundRuns(), runsByID(r.allTargets())
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
 	var closed []string
@@ -54,10 +55,10 @@
 		}
 		switch {
 		case r.options.Planned:
-			if !a.lateAfterTerm() {
+			if !a.lateAfterTerm(runs[a.id]) {
 				r.checker.fail("LOST: %s", a)
 			}
-		case arrived && a.kept && a.status == 0 && r.inTouch(a):
+		case arrived && a.kept && a.status == 0 && r.inTouch(a.vm, a.sent, a.done):
 			closed = append(closed, a.String())
 		}
 	}
@@ -92,19 +93,22 @@
 	return a.done.Sub(a.sent) < least-lossMargin
 }
 
-// lateAfterTerm reports whether the end of the grace period of a SIGTERM excuses the loss.
-func (a answer) lateAfterTerm() bool {
+// lateAfterTerm reports whether the end of the grace period of a SIGTERM excuses the loss: a
+// target must have been at work on the request until then.
+func (a answer) lateAfterTerm(runs []engine.Run) bool {
 	for _, s := range a.vm.timeline.between(a.sent, a.done, restarted) {
-		if a.done.Sub(s.from) > lateWork && a.sent.Sub(s.from) < lateSends {
+		late := s.from.Add(lateWork)
+		atWork := slices.ContainsFunc(runs, func(run engine.Run) bool { return run.EndedAt.IsZero() || run.EndedAt.After(late) })
+		if a.done.After(late) && a.sent.Sub(s.from) < lateSends && atWork {
 			return true
 		}
 	}
 	return false
 }
 
-// inTouch reports whether nothing disturbed the VM of a request or the store from the
-// stability window before the request until its end.
-func (r *run) inTouch(a answer) bool {
-	from := a.sent.Add(-stabilityWindow)
-	return len(a.vm.timeline.between(from, a.done)) == 0 && len(r.storeTimeline.between(from, a.done)) == 0
+// inTouch reports whether nothing disturbed a VM or the store from the stability window before
+// a time until another time.
+func (r *run) inTouch(v *vm, from, to time.Time) bool {
+	from = from.Add(-stabilityWindow)
+	return len(v.timeline.between(from, to)) == 0 && len(r.storeTimeline.between(from, to)) == 0
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -20,6 +20,9 @@
 		at := now.Add(-sent)
 		return answer{id: id, kind: kindBooking, vm: v, kept: true, sent: at, written: at, done: now}
 	}
+	// The target had ended its work on q1 long before the end of this grace period.
+	idle := closed(&vm{name: "vm3", timeline: timeline{spans: []*span{{kind: restarted, from: now.Add(time.Minute - 7*time.Second)}}}}, "q1", 0)
+	idle.sent, idle.written, idle.done = now.Add(time.Minute-5*time.Second), now.Add(time.Minute-5*time.Second), now.Add(time.Minute)
 	begun := closed(v, "q1", 2*time.Second)
 	begun.status = 200
 	unsent := closed(v, "q1", 2*time.Second)
@@ -42,6 +45,7 @@
 		"not sent whole":                 {true, []answer{unsent}, 0},
 		"no time left":                   {true, []answer{closed(v, "q1", 6*time.Second)}, 0},
 		"at the end of the grace":        {true, []answer{closed(terminated, "q1", 5*time.Second)}, 0},
+		"no target at work":              {true, []answer{idle}, 1},
 		"sent long after SIGTERM":        {true, []answer{closed(terminated, "q1", 2*time.Second)}, 1},
 		"four beside disruptions":        {false, four(v), 1},
 		"three beside disruptions":       {false, four(v)[:3], 0},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -122,6 +122,7 @@
 func (r *run) start() error {
 	var err error
 	if r.lock, err = net.Listen("tcp", address(vmAddress(r.options.Seed, 1), lockPort)); err != nil {
+	r.checkReportedLeaving()
 		return errs.Wrap(err, errs.Internal, "another run of this seed uses its addresses")
 	}
 	if r.store, err = metastore.Start("127.0.0.1:0"); err != nil {
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// checkReportedLeaving checks that no request reaches a target later than the drain time after
+// the store had acknowledged that the target leaves.
+func (r *run) checkReportedLeaving() {
+	arrivals := arrivalsByID(r.allTargets())
+	r.checker.mu.Lock()
+	defer r.checker.mu.Unlock()
+	for _, a := range r.checker.answers {
+		for _, at := range arrivals[a.id] {
+			if reported := at.target.ReportedLeaving(); !reported.IsZero() && r.afterReport(a, at.Arrival, reported) {
+				r.checker.fail("DRAIN: %s %s, sent to %s at %s, reached %s %v after the store had acknowledged that it leaves",
+					a.kind, a.id, a.vm.name, a.sent.Format(clock), at.target.Settings.ID, at.At.Sub(reported))
+			}
+		}
+	}
+}
+
+// afterReport reports whether a request that reached a target which had reported to leave is
+// a violation: only VMs in touch are bound, and only by what a stable store acknowledged.
+func (r *run) afterReport(a answer, at engine.Arrival, reported time.Time) bool {
+	return !at.Misdirected && at.At.After(reported.Add(drain)) &&
+		len(r.storeTimeline.between(reported.Add(-stabilityWindow), reported)) == 0 && r.inTouch(a.vm, a.sent, at.At)
+}
+
 // checkPauses checks that targets get no more than pauseRequests from a VM between the notice
 // after a refusal with Retry-After and the end of that time.
 func (r *run) checkPauses() {
--- a/internal/soak/statements_test.go
+++ b/internal/soak/statements_test.go
@@ -69,6 +69,39 @@
 	}
 }
 
+// Guards against a checker that does not see requests at targets that the store has announced
+// to leave, or that blames VMs for what they could not know.
+func TestTheCheckerFindsRequestsAtTargetsThatReportedToLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		after       time.Duration // since the report, when the request arrives
+		vm, store   time.Duration // since the report, when they are disturbed
+		misdirected bool
+		broken      bool
+	}{
+		"later than the drain time":      {after: drain + time.Second, broken: true},
+		"within the drain time":          {after: drain - time.Second},
+		"refused with status 421":        {after: drain + time.Second, misdirected: true},
+		"VM disturbed before the report": {after: drain + time.Second, vm: -100 * time.Millisecond},
+		"VM disturbed since the report":  {after: drain + time.Second, vm: time.Second},
+		"VM disturbed long before":       {after: drain + 6*time.Second, vm: time.Second, broken: true},
+		"store disturbed":                {after: drain + 6*time.Second, store: -time.Second},
+		"store disturbed since":          {after: drain + time.Second, store: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, v, reported := newRun(Options{}), &vm{name: "vm0"}, time.Now()
+			if c.vm != 0 {
+				v.timeline.spans = []*span{{kind: restarted, from: reported.Add(c.vm), to: reported.Add(c.vm + time.Millisecond)}}
+			}
+			if c.store != 0 {
+				r.storeTimeline.spans = []*span{{kind: disrupted, from: reported.Add(c.store), to: reported.Add(c.store + time.Millisecond)}}
+			}
+			at := reported.Add(c.after)
+			broken := r.afterReport(answer{id: "q1", vm: v, sent: at}, engine.Arrival{ID: "q1", At: at, Misdirected: c.misdirected}, reported)
+			gomega.NewWithT(t).Expect(broken).To(gomega.Equal(c.broken))
+		})
+	}
+}
+
 // Guards against a checker that does not see requests in the pauses that targets ask for, or
 // that counts what was on its way.
 func TestTheCheckerFindsRequestsInPauses(t *testing.T) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -44,7 +44,8 @@
 	Limit    float64 // requests per second that the answer names, 0 for none
 	Leaving  bool    // the answer says that the target leaves
 	Finished bool
-	Dropped  bool // the connection ended before
+	EndedAt  time.Time // zero while the target works on it
+	Dropped  bool      // the connection ended before
 }
 
 // Settings of a target.
@@ -77,25 +78,26 @@
 	born     int64
 	quiet    silence
 
-	mu       sync.Mutex
-	fault    Fault
-	left     int // answers that the fault spoils, negative for all
-	runs     []*Run
-	held     map[string]*held
-	sequence int64
-	fence    int64
-	holders  []string // of accepted orders, in order
-	received []ReceivedOrder
-	beats    int64
-	leaving  bool
-	limit    float64 // named in each answer
-	ended    time.Time
-	overfull bool
-	said     []string // values of Server-Leaving in each answer
-	turned   turnedAway
-	arrivals []Arrival
-	newest   map[string]int64
-	loseNext int // orders that get no answer
+	mu              sync.Mutex
+	fault           Fault
+	left            int // answers that the fault spoils, negative for all
+	runs            []*Run
+	held            map[string]*held
+	sequence        int64
+	fence           int64
+	holders         []string // of accepted orders, in order
+	received        []ReceivedOrder
+	beats           int64
+	leaving         bool
+	reportedLeaving time.Time // zero while the store has not acknowledged it
+	limit           float64   // named in each answer
+	ended           time.Time
+	overfull        bool
+	said            []string // values of Server-Leaving in each answer
+	turned          turnedAway
+	arrivals        []*Arrival
+	newest          map[string]int64
+	loseNext        int // orders that get no answer
 }
 
 // ReceivedOrder is an order that has arrived, also if it was refused.
@@ -162,7 +164,23 @@
 	t.mu.Lock()
 	t.leaving = true
 	t.mu.Unlock()
-	return t.Beat()
+	if err := t.Beat(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reportedLeaving.IsZero() {
+		t.reportedLeaving = time.Now()
+	}
+	return nil
+}
+
+// ReportedLeaving returns the time at which the store had acknowledged that the target leaves,
+// zero if it has not.
+func (t *Target) ReportedLeaving() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reportedLeaving
 }
 
 // SayLeaving makes all further answers of the target state that it leaves, without a word to
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -59,7 +59,8 @@
 	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
 	}
-	if t.turnAway(w, r) {
+	arrival, turned := t.turnAway(w, r)
+	if turned {
 		return
 	}
 	fault := t.take()
@@ -67,6 +68,9 @@
 	run := &Run{ID: id, At: time.Now(), Fault: fault, Limit: limit, Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
 	run.After, _ = strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // none: from the first
 	if status := t.refusal(r, run); status != 0 {
+		if status == statusElsewhere {
+			t.noteMisdirected(arrival)
+		}
 		if t.quiet.wait(r) {
 			notRun(w, r, status)
 		}
@@ -78,7 +82,7 @@
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
-		run.Dropped = r.Context().Err() != nil
+		run.Dropped, run.EndedAt = r.Context().Err() != nil, time.Now()
 		t.mu.Unlock()
 	}()
 	if part := t.Settings.DeadlyPart; part != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), part+":") {
--- a/internal/standin/engine/turnaway.go
+++ b/internal/standin/engine/turnaway.go
@@ -8,11 +8,12 @@
 
 // Arrival is a request of a caller that has reached the target.
 type Arrival struct {
-	ID         string
-	At         time.Time
-	TurnedAway bool
-	AnsweredAt time.Time     // if it was turned away
-	Pause      time.Duration // stated in Retry-After, 0 if none
+	ID          string
+	At          time.Time
+	TurnedAway  bool
+	AnsweredAt  time.Time     // if it was turned away
+	Pause       time.Duration // stated in Retry-After, 0 if none
+	Misdirected bool          // refused with status 421
 }
 
 // turnedAway tells which requests the target turns away as not run.
@@ -42,7 +43,11 @@
 func (t *Target) Arrivals() []Arrival {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append([]Arrival(nil), t.arrivals...)
+	arrivals := make([]Arrival, 0, len(t.arrivals))
+	for _, a := range t.arrivals {
+		arrivals = append(arrivals, *a)
+	}
+	return arrivals
 }
 
 // take returns the values of Retry-After with which the target turns a request away.
@@ -59,10 +64,17 @@
 	return w.values, true
 }
 
+// noteMisdirected records that a request was refused with status 421.
+func (t *Target) noteMisdirected(a *Arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.Misdirected = true
+}
+
 // turnAway records the arrival of a request. It reports whether it has turned the request away.
-func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) bool {
+func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) (*Arrival, bool) {
 	t.mu.Lock()
-	arrival := Arrival{ID: r.Header.Get("X-Request-Id"), At: time.Now()}
+	arrival := &Arrival{ID: r.Header.Get("X-Request-Id"), At: time.Now()}
 	values, turned := t.turned.take(arrival.At)
 	if turned {
 		arrival.TurnedAway, arrival.AnsweredAt = true, time.Now()
@@ -75,11 +87,11 @@
 	t.arrivals = append(t.arrivals, arrival)
 	t.mu.Unlock()
 	if !turned {
-		return false
+		return arrival, false
 	}
 	for _, value := range values {
 		w.Header().Add("Retry-After", value)
 	}
 	notRun(w, r, http.StatusServiceUnavailable)
-	return true
+	return arrival, true
 }
