soak: Find processes that end by themselves

A process that crashed was started again by the next restart of its VM, and nothing told of it. The state of each process that is restarted is compared with the signal that was sent.

A second signal during a restart goes only to the process that is being stopped: one that had just been started would have ended unnoticed.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,10 +29,13 @@
 	timeline   timeline
 	restarting sync.Mutex
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	starts int
-	thaw   func() // records the end of a pause, nil if the process is not paused
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	starts   int
+	stopping bool // the process has got the signal that ends it, and somebody waits for its end
+	// ownEnds are the states of processes that ended otherwise than by the signals sent.
+	ownEnds []string
+	thaw    func() // records the end of a pause, nil if the process is not paused
 }
 
 // grace is the time from SIGTERM until the process is killed.
@@ -139,7 +142,7 @@
 // is under way.
 func (v *vm) restart(s syscall.Signal) error {
 	if !v.restarting.TryLock() {
-		v.signal(s)
+		v.signalStopping(s)
 		return nil
 	}
 	defer v.restarting.Unlock()
@@ -148,24 +151,63 @@
 	return v.start()
 }
 
+// signalStopping sends a signal to the process if it is being stopped. A process that has
+// just been started would end without anybody to start it again.
+func (v *vm) signalStopping(s syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopping {
+		_ = v.cmd.Process.Signal(s) // it may have ended meanwhile
+	}
+}
+
 // stop ends the process and waits for it.
 func (v *vm) stop(s syscall.Signal) {
 	v.signal(syscall.SIGCONT)
 	v.signal(s)
 	v.mu.Lock()
 	cmd := v.cmd
+	v.stopping = cmd != nil
 	v.mu.Unlock()
 	if cmd == nil {
 		return
 	}
 	kill := time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
 	defer kill.Stop()
-	_ = cmd.Wait() // the exit code of a killed process says nothing
+	_ = cmd.Wait() // endedByItself reads the state
 	v.mu.Lock()
-	v.cmd = nil
+	if endedByItself(s, cmd.ProcessState) {
+		v.ownEnds = append(v.ownEnds, cmd.ProcessState.String())
+	}
+	v.cmd, v.stopping = nil, false
 	v.mu.Unlock()
 }
 
+// endedByItself reports whether a process had another end than the signal that was sent.
+func endedByItself(sent syscall.Signal, state *os.ProcessState) bool {
+	status, known := state.Sys().(syscall.WaitStatus)
+	switch {
+	case !known:
+		return false
+	case status.Exited():
+		return sent == killSignal || status.ExitStatus() != 0
+	}
+	return status.Signal() != syscall.SIGKILL && status.Signal() != syscall.SIGTERM
+}
+
+// checkProcesses checks that no process ended by itself.
+func (r *run) checkProcesses() {
+	r.checker.mu.Lock()
+	defer r.checker.mu.Unlock()
+	for _, v := range r.vms {
+		v.mu.Lock()
+		for _, state := range v.ownEnds {
+			r.checker.fail("a process of %s ended by itself: %s", v.name, state)
+		}
+		v.mu.Unlock()
+	}
+}
+
 // end kills the process for good, after a restart that is under way.
 func (v *vm) end() {
 	v.restarting.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cicadaslip/internal/errs"
@@ -101,6 +103,7 @@
 	if err := r.start(); err != nil {
 		return Result{}, errs.Wrap(err, errs.Internal, "start the deployment")
 	}
+	signal.Ignore(syscall.SIGHUP) // processes inherit that until their runtimes have started
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	for i := range r.callers() {
@@ -116,6 +119,7 @@
 	r.checkLeaving()
 	r.checkPauses()
 	r.checkLimits()
+	r.checkProcesses()
 	return r.result(), nil
 }
 
