soak: Rolling restarts, and runs with many processes

Signals and configurations hit single VMs at random, so that a restart of most VMs beside reloads and new configurations was rare. A series of its own terminates some VMs or all within 3 s, without waiting for their ends, beside SIGHUP and new configurations. The schedules of the other series stay.

With many processes, eight callers reached each VM too seldom to use a connection again before its idle limit, and the final check asked the VMs one after another within 13 s. The callers grow with the VMs, each uses four of them, and the final check asks 24 VMs at a time.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -165,6 +165,7 @@
 		{kinds: plannedFaults, rng: rand.New(rand.NewPCG(seed, seed+1)), pause: maxPause},
 		{kinds: statementFaults, rng: rand.New(rand.NewPCG(seed, seed+2)), pause: 4 * maxPause},
 		{kinds: limitFaults, rng: rand.New(rand.NewPCG(seed, seed+3)), pause: 8 * maxPause},
+		{kinds: rollFaults, rng: rand.New(rand.NewPCG(seed, seed+4)), pause: 8 * maxPause},
 	}
 	if r.options.Planned {
 		return calm
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,13 +52,42 @@
 	{"silence", (*run).silenceTargets},
 	restart("planned_term", syscall.SIGTERM),
 	{"planned_hup", func(r *run, rng *rand.Rand) func() { r.anyVM(rng).signal(syscall.SIGHUP); return nil }},
-	{"terms", func(r *run, rng *rand.Rand) func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.changeTerms(rng)
-		_ = r.configure() // cannot fail on a value of this package
-		return nil
-	}},
+	{"terms", func(r *run, rng *rand.Rand) func() { r.nextTerms(rng); return nil }},
+}
+
+var rollFaults = []fault{{"roll", (*run).roll}}
+
+// rollTime is the time between the first and the last signal of a rolling restart.
+const rollTime = 3 * time.Second
+
+// roll terminates some VMs or all, one after another and without waiting for their ends.
+// Between the signals come SIGHUP to VMs that may be stopping, and new configurations.
+func (r *run) roll(rng *rand.Rand) func() {
+	order := rng.Perm(len(r.vms))
+	order = order[:1+rng.IntN(len(order))]
+	own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	r.rolls.Go(func() {
+		for _, i := range order {
+			v := r.vms[i]
+			r.rolls.Go(func() { _ = v.restart(syscall.SIGTERM) }) // the run shows that it is missing
+			switch own.IntN(3) {
+			case 0:
+				r.anyVM(own).signal(syscall.SIGHUP)
+			case 1:
+				r.nextTerms(own)
+			}
+			time.Sleep(rollTime / time.Duration(len(order)))
+		}
+	})
+	return nil
+}
+
+// nextTerms writes a configuration with new terms.
+func (r *run) nextTerms(rng *rand.Rand) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changeTerms(rng)
+	_ = r.configure() // cannot fail on a value of this package
 }
 
 // silenceTargets lets some targets fall silent, one in four times all of them.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -39,6 +39,8 @@
 	adapters     = 14
 	places       = 4
 	callers      = 8
+	vmsOfCaller  = 4
+	finalCallers = 24               // that ask at the same time whether all is served
 	calm         = 13 * time.Second // after the last fault, until all must be served
 	startLimit   = 20 * time.Second
 )
@@ -73,6 +75,7 @@
 	number  atomic.Int64
 
 	storeTimeline timeline
+	rolls         sync.WaitGroup // rolling restarts under way
 
 	mu       sync.Mutex
 	targets  []*engine.Target // all that ever were, but those of the second plain service
@@ -100,33 +103,34 @@
 func Run(o Options) (Result, error) {
 	r := newRun(o)
 	defer r.close()
+	signal.Ignore(syscall.SIGHUP) // processes inherit that until their runtimes have started
 	if err := r.start(); err != nil {
 		return Result{}, errs.Wrap(err, errs.Internal, "start the deployment")
 	}
-	signal.Ignore(syscall.SIGHUP) // processes inherit that until their runtimes have started
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	for i := range r.callers() {
 		wait.Go(func() { r.call(ctx, rand.New(rand.NewPCG(o.Seed, uint64(i)+1))) })
 	}
 	r.disturb(time.Duration(o.Seconds) * time.Second)
+	r.rolls.Wait()
 	r.heal()
 	r.awaitService()
 	cancel()
 	wait.Wait()
 	r.checker.finish(r.allTargets())
+	r.checkProcesses()
 	r.checkLost()
 	r.checkLeaving()
+	r.checkReportedLeaving()
 	r.checkPauses()
 	r.checkLimits()
-	r.checkProcesses()
 	return r.result(), nil
 }
 
 func (r *run) start() error {
 	var err error
 	if r.lock, err = net.Listen("tcp", address(vmAddress(r.options.Seed, 1), lockPort)); err != nil {
-	r.checkReportedLeaving()
 		return errs.Wrap(err, errs.Internal, "another run of this seed uses its addresses")
 	}
 	if r.store, err = metastore.Start("127.0.0.1:0"); err != nil {
@@ -267,14 +271,28 @@
 func (r *run) call(ctx context.Context, rng *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
+	vms := r.vmsOf(rng)
 	kinds := []string{kindQuote, kindQuote, kindNotes, kindBooking, kindBooking, kindLookup, kindProbe}
 	for ctx.Err() == nil {
-		v := r.vms[rng.IntN(len(r.vms))]
+		v := vms[rng.IntN(len(vms))]
 		r.checker.note(r.ask(client, v, kinds[rng.IntN(len(kinds))], rng.IntN(adapters)))
 		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 	}
 }
 
+// vmsOf returns the VMs that a caller sends its requests to. They are few, so that its
+// connections are in use again before their idle limit.
+func (r *run) vmsOf(rng *rand.Rand) []*vm {
+	if len(r.vms) <= vmsOfCaller {
+		return r.vms
+	}
+	vms := make([]*vm, 0, vmsOfCaller)
+	for _, i := range rng.Perm(len(r.vms))[:vmsOfCaller] {
+		vms = append(vms, r.vms[i])
+	}
+	return vms
+}
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 }
@@ -301,7 +319,7 @@
 	if r.options.Planned {
 		return max(5*callers, r.options.VMs)
 	}
-	return callers
+	return max(callers, r.options.VMs)
 }
 
 // extraRetries is the retry budget beside the share of requests. Where it is small, silences
@@ -377,27 +395,34 @@
 // awaitService checks that all kinds of requests are served by all VMs within the
 // calm time after the last fault.
 func (r *run) awaitService() {
-	client := newClient()
-	missing := map[string]bool{}
 	end := time.Now().Add(calm)
+	var wait sync.WaitGroup
+	free := make(chan struct{}, finalCallers)
 	for _, v := range r.vms {
-		for _, kind := range []string{kindQuote, kindNotes, kindBooking, kindLookup, kindProbe} {
-			name := v.name + " " + kind
-			missing[name] = true
-			for n := 0; missing[name] && time.Now().Before(end); n++ {
-				a := r.ask(client, v, kind, n%adapters)
-				r.checker.note(a)
-				if a.status == http.StatusOK && a.whole {
-					delete(missing, name)
-				}
+		free <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-free }()
+			for _, kind := range []string{kindQuote, kindNotes, kindBooking, kindLookup, kindProbe} {
+				r.awaitKind(v, kind, end)
 			}
+		})
+	}
+	wait.Wait()
+}
+
+// awaitKind asks a VM until it serves a kind of request.
+func (r *run) awaitKind(v *vm, kind string, end time.Time) {
+	client := newClient()
+	for n := 0; time.Now().Before(end); n++ {
+		a := r.ask(client, v, kind, n%adapters)
+		r.checker.note(a)
+		if a.status == http.StatusOK && a.whole {
+			return
 		}
 	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
-	for name := range missing {
-		r.checker.fail("%s is not served %v after the last fault", name, calm)
-	}
+	r.checker.fail("%s %s is not served %v after the last fault", v.name, kind, calm)
 }
 
 func (r *run) result() Result {
