gateway: Refuse waiting streams during a shutdown

Callers of a VM that shuts down saw their connection closed without an answer when the process ended, 7.7 s after SIGTERM: streams that had been accepted until 2 s after SIGTERM and waited for a target all the time. They could not tell that the request had not run.

The VM's log has no line on the request but "stopped" with count 1; no target got it; the new owner of the group answers the wait after the process has ended. The wait ended only at the request's own deadline, which may lie beyond the grace.

Streams that have begun or that a target has at work still get another target.

TestWaitingStreamIsRefusedDuringAShutdown failed before in all three cases (timeout at the deadline).

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -20,7 +20,8 @@
 
 // drain takes the VM out of service. It fails the readiness check, releases the groups
 // that this VM owns, and keeps answering new requests until the platform's load
-// balancer has noticed. Then it waits for the requests in flight.
+// balancer has noticed. Then it refuses the streams that still wait for a target, which their
+// callers can send to another VM, and waits for the other requests in flight.
 func (d *Daemon) drain() {
 	began := time.Now()
 	d.draining.Store(true)
@@ -28,6 +29,7 @@
 	d.gateway.Drain(newStreamWindow)
 	d.groups.Drain()
 	time.Sleep(deregistrationDelay)
+	d.gateway.RefuseWaiting()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.ShutdownGrace-shutdownMargin))
 	defer cancel()
 	d.gateway.Shutdown(ctx)
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -32,6 +32,8 @@
 	panicked     chan string
 	inFlight     func() int
 	shutdown     func(context.Context)
+	drain        func(acceptStreams time.Duration)
+	refuse       func() // waiting requests
 	placements   int
 	lastEventID  int64                // of the requests
 	resumedAfter atomic.Int64         // ID of the event after which the last attempt was to continue, 0 if from the beginning
@@ -39,6 +41,7 @@
 	summaries    chan gateway.Summary // of finished requests
 	quarantine   fakeQuarantine
 	acquire      func(placement int) *errs.Error // refuses placements, none if nil
+	await        func(context.Context, int)      // delays placements, unless it is nil
 	noRetries    bool                            // the retry budget is used up
 	estimate     time.Duration                   // of the time until the first event, 1 s if 0
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
@@ -152,12 +155,18 @@
 	return httpfields.Field{Name: "Retry-After", Value: "1"}
 }
 
-func (w *world) Acquire(_ context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
+func (w *world) Acquire(ctx context.Context, _ string, r placer.Request) (gateway.Lease, *errs.Error) {
 	w.maybePanic("Acquire")
 	w.placements++
 	if w.asked != nil {
 		w.asked <- r
 	}
+	if w.await != nil {
+		w.await(ctx, w.placements)
+		if err := ctx.Err(); err != nil {
+			return gateway.Lease{}, errs.NotRun(errs.Cancelled, "the request has left")
+		}
+	}
 	if w.acquire != nil {
 		if failure := w.acquire(w.placements); failure != nil {
 			return gateway.Lease{}, failure
@@ -229,6 +238,7 @@
 		Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: &upstream.Client{Dial: w.dialTarget},
 	})
 	w.inFlight, w.shutdown = server.InFlight, server.Shutdown
+	w.drain, w.refuse = server.Drain, server.RefuseWaiting
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,8 +58,11 @@
 	callers         atomic.Pointer[callerconn.Listener]
 	draining        atomic.Bool
 	refuseStreamsAt atomic.Int64 // Unix time in nanoseconds from which a draining server refuses streams
-	inFlight        atomic.Int64
-	acquireCount    atomic.Uint64 // makes the IDs of placement requests unique
+	// waits ends when requests that wait for their first target are refused.
+	waits         context.Context
+	refuseWaiting context.CancelFunc
+	inFlight      atomic.Int64
+	acquireCount  atomic.Uint64 // makes the IDs of placement requests unique
 
 	mu       sync.Mutex
 	calls    map[*call]struct{}
@@ -75,6 +78,7 @@
 		opt.Quarantine = noQuarantine{}
 	}
 	s := &Server{opt: opt, calls: map[*call]struct{}{}}
+	s.waits, s.refuseWaiting = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleMalformed, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, Concurrency: maxConnections + concurrencyMargin,
@@ -138,6 +142,11 @@
 	s.draining.Store(true)
 }
 
+// RefuseWaiting refuses the streams that wait for a target, now and later, unless a target is
+// at work on them or their callers have got a part: a stream that begins later might not end
+// before the process does, and its caller would get no answer.
+func (s *Server) RefuseWaiting() { s.refuseWaiting() }
+
 // refusesStreams reports whether new streams are refused.
 func (s *Server) refusesStreams() bool {
 	return s.draining.Load() && time.Now().UnixNano() > s.refuseStreamsAt.Load()
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 )
 
@@ -129,3 +130,54 @@
 	w.shutdown(ctx)
 	g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
 }
+
+// Guards against a stream that waits for a target until the process ends, and that gets no
+// answer: its caller cannot tell that it has not run.
+func TestWaitingStreamIsRefusedDuringAShutdown(t *testing.T) {
+	for name, c := range map[string]struct {
+		before  bool // the shutdown refuses waiting requests before this one waits
+		waitsAt int  // placement
+		status  int
+	}{
+		"waits":               {waitsAt: 1, status: http.StatusServiceUnavailable},
+		"comes later":         {before: true, waitsAt: 1, status: http.StatusServiceUnavailable},
+		"a target has failed": {waitsAt: 2, status: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, fleet.Streaming, func(net.Conn) {})
+			w.route.Resumable, w.route.MaxAttempts = true, 2
+			w.drain(time.Minute)
+			if c.before {
+				w.refuse()
+			}
+			w.await = func(ctx context.Context, placement int) {
+				if placement == c.waitsAt {
+					w.refuse()
+					<-ctx.Done()
+				}
+			}
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(c.status))
+			g.Expect((<-w.summaries).Trace.Failure.Code).To(gomega.Equal(errs.Draining))
+		})
+	}
+}
+
+// Guards against a shutdown that cuts a stream which its target broke off, although another
+// target continues it.
+func TestBegunStreamIsResumedDuringAShutdown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Streaming, inTurn(writes(streamHead+chunk("id: 1\n\n")), writes(streamHead+chunk("id: 2\n\n")+lastChunk)))
+	w.route.Resumable, w.route.MaxAttempts = true, 2
+	w.await = func(_ context.Context, placement int) {
+		if placement == 2 {
+			w.refuse()
+		}
+	}
+	status, body, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("id: 1\n\nid: 2\n\n"))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -216,11 +216,19 @@
 	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
+	refusable := o.handover == nil && !c.streamBegun
+	if refusable {
+		defer context.AfterFunc(c.server.waits, cancel)()
+	}
 	var paused []string // targets that were granted during their pause
 	for {
 		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
 		if failure != nil {
-			if ctx.Err() != nil && c.ctx.Err() == nil {
+			switch {
+			case ctx.Err() == nil || c.ctx.Err() != nil:
+			case refusable && c.server.waits.Err() != nil:
+				failure = errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetryAfter)
+			default:
 				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
 			}
 			return Lease{}, failure
