--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -20,8 +20,9 @@
 
 // drain takes the VM out of service. It fails the readiness check, releases the groups
 // that this VM owns, and keeps answering new requests until the platform's load
-// balancer has noticed. Then it waits for the requests in flight. The release may take
-// several seconds while the store does not answer.
+// balancer has noticed. Then it refuses the streams that still wait for a target, which their
+// callers can send to another VM, and waits for the other requests in flight. The release may
+// take several seconds while the store does not answer.
 func (d *Daemon) drain() {
 	began := time.Now()
 	d.draining.Store(true)
@@ -35,6 +36,7 @@
 		d.groups.Drain()
 	}()
 	time.Sleep(deregistrationDelay)
+	d.gateway.RefuseWaiting()
 	d.gateway.Shutdown(ctx)
 	select {
 	case <-released:
--- a/internal/edgetest/leaving_test.go
+++ b/internal/edgetest/leaving_test.go
@@ -232,10 +232,7 @@
 func TestOwnWordOfATargetBindsAVMThatIsCutOff(t *testing.T) {
 	c := start(t, 3, spread)
 	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
-	cutOff, former := c.vms[0], c.owner()
-	if former == cutOff {
-		former = c.vms[1]
-	}
+	cutOff := c.vms[0]
 	w := newDrainWatch(c)
 	askAll := func() {
 		for n := range spreadAdapters {
--- a/internal/standin/engine/turnaway.go
+++ b/internal/standin/engine/turnaway.go
@@ -9,12 +9,13 @@
 // Arrival is a request of a caller, an order or a request for a report that has reached the
 // target.
 type Arrival struct {
-	ID         string // of a request of a caller
-	Order      bool
-	At         time.Time
-	TurnedAway bool
-	AnsweredAt time.Time     // if it was turned away
-	Pause      time.Duration // stated in Retry-After, 0 if none
+	ID          string // of a request of a caller
+	Order       bool
+	At          time.Time
+	TurnedAway  bool
+	AnsweredAt  time.Time     // if it was turned away
+	Pause       time.Duration // stated in Retry-After, 0 if none
+	Misdirected bool          // refused with status 421
 }
 
 // turnedAway tells which requests the target turns away as not run.
@@ -44,7 +45,11 @@
 func (t *Target) Arrivals() []Arrival {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append([]Arrival(nil), t.arrivals...)
+	arrivals := make([]Arrival, 0, len(t.arrivals))
+	for _, a := range t.arrivals {
+		arrivals = append(arrivals, *a)
+	}
+	return arrivals
 }
 
 // take returns the values of Retry-After with which the target turns a request away.
@@ -109,19 +114,27 @@
 	return true
 }
 
+// noteMisdirected records that a request was refused with status 421.
+func (t *Target) noteMisdirected(a *Arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.Misdirected = true
+}
+
 // turnAway records the arrival of a request. It reports whether it has turned the request away.
-func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) bool {
+func (t *Target) turnAway(w http.ResponseWriter, r *http.Request) (*Arrival, bool) {
 	t.mu.Lock()
-	arrival, values := t.turned.arrive()
-	arrival.ID = r.Header.Get("X-Request-Id")
+	recorded, values := t.turned.arrive()
+	recorded.ID = r.Header.Get("X-Request-Id")
+	arrival := &recorded
 	t.arrivals = append(t.arrivals, arrival)
 	t.mu.Unlock()
 	if !arrival.TurnedAway {
-		return false
+		return arrival, false
 	}
 	for _, value := range values {
 		w.Header().Add("Retry-After", value)
 	}
 	notRun(w, r, http.StatusServiceUnavailable)
-	return true
+	return arrival, true
 }
