explain, edge: Logs tell which targets leave when a request is refused, and when it ends

What operators saw: the story of a request that was refused because all targets leave had the reason "no target of the service takes a request now", which pauses have, too, and no line about a target, because those were more than 5 s old. The lines that end a target's leaving had neither age nor anything else that tied them to the word.

`explain` derives from the target lines of the VM that refused which targets of the service left, for how long and by whose word, and shows the changes of the targets that the request names. target_restarted, target_gone and target_staying have the age of the word that they end. TestReportNamesTheTargetsThatLeave, TestChangesTellTheSourceAndAgeOfTheWord (its ends had no age) and the checks of TestTheLogsTellWhyARequestFailed for both kinds of services are new.

--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -147,9 +147,9 @@
 	return r != nil && r.born >= i.Born && r.leaving()
 }
 
-// Origin returns who heard that a target leaves, and how long ago.
+// Origin returns who heard that a target leaves or left, and how long ago.
 func (t *Table) Origin(now time.Duration, target string) (Source, time.Duration) {
-	if r := t.records[target]; r != nil {
+	if r := t.records[target]; r != nil && max(r.heardAt, r.toldAt) != never {
 		return r.source(), now - r.leavingSince
 	}
 	return "", 0
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -165,9 +165,11 @@
 	}
 	now := d.now()
 	for _, c := range diffTargets(before, d.targets) {
-		if told[c.target.ID] && c.kind == targetLeaving {
-			source, age := d.statements.Origin(now, c.target.ID)
+		switch source, age := d.statements.Origin(now, c.target.ID); {
+		case told[c.target.ID] && c.kind == targetLeaving:
 			c.source, c.age = string(source), age
+		case before[c.target.ID].Leaving:
+			c.age = age
 		}
 		d.changes = append(d.changes, c)
 	}
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
@@ -34,6 +35,7 @@
 	g.Expect(usable).To(gomega.BeFalse())
 	_, found := d.Pick("s", nil)
 	g.Expect(found).To(gomega.BeFalse())
+	g.Expect(d.leavingByService()).To(gomega.Equal(map[string]int64{"s": 1}))
 
 	list(9)
 	g.Expect(d.Usable("t", 9)).To(gomega.BeTrue())
@@ -44,3 +46,50 @@
 	_, found = d.Pick("s", nil)
 	g.Expect(found).To(gomega.BeTrue())
 }
+
+// Guards against a log that does not tell since when and by whose word a target left, at the begin
+// and at each kind of end.
+func TestChangesTellTheSourceAndAgeOfTheWord(t *testing.T) {
+	for name, c := range map[string]struct {
+		own  bool // this VM heard it from the target
+		end  func(d *deployment, r *fleet.Registry, told time.Duration)
+		kind targetChangeKind
+	}{
+		"starts anew": {own: true, kind: targetRestarted, end: func(_ *deployment, r *fleet.Registry, _ time.Duration) {
+			r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 9}, Revision: 9})
+		}},
+		"is gone": {kind: targetGone, end: func(_ *deployment, r *fleet.Registry, _ time.Duration) { r.Remove(time.Now(), "t", 9) }},
+		"its answer does not say so": {kind: targetStaying, end: func(d *deployment, _ *fleet.Registry, told time.Duration) {
+			d.statements.Observe(advisory.Incarnation{Target: "t", Born: 7}, advisory.Statement{SentAt: told + 1, HeardAt: told + 2}, ratelimit.Position{VMs: 1})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			const age = time.Second
+			d := newDeployment(&Settings{DataCentre: "d"}, time.Now().Add(-time.Minute), func() ratelimit.Position { return ratelimit.Position{VMs: 1} }, func(string) {}, nil, metrics.NewWith(metrics.EdgeDefinitions))
+			d.updateRegistry(func(r *fleet.Registry, _ time.Time) {
+				r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 7}, Revision: 7})
+			})
+			d.takeChanges()
+			told, source := d.now(), sourceOwner
+			if c.own {
+				source = sourceAnswer
+				heard := time.Now().Add(-age)
+				d.RecordStatement("t", gateway.TargetStatement{Leaving: true, Born: 7, SentAt: heard, HeardAt: heard})
+			} else {
+				d.mergeLeaving(advisory.Delta{Version: 1, Leaving: []advisory.LeavingTarget{{Target: "t", Born: 7, Age: age}}})
+			}
+			changes := d.takeChanges()
+			g.Expect(changes).To(gomega.HaveLen(1))
+			g.Expect(changes[0].kind).To(gomega.Equal(targetLeaving))
+			g.Expect(changes[0].source).To(gomega.Equal(source))
+			g.Expect(changes[0].age).To(gomega.BeNumerically(">=", age))
+			d.updateRegistry(func(r *fleet.Registry, _ time.Time) { c.end(d, r, told) })
+			changes = d.takeChanges()
+			g.Expect(changes).To(gomega.HaveLen(1))
+			g.Expect(changes[0].kind).To(gomega.Equal(c.kind))
+			g.Expect(changes[0].age).To(gomega.BeNumerically(">=", age))
+			g.Expect(d.leavingByService()["s"]).To(gomega.BeZero())
+		})
+	}
+}
--- a/internal/edge/targetchange.go
+++ b/internal/edge/targetchange.go
@@ -25,7 +25,7 @@
 	target fleet.Target
 	kind   targetChangeKind
 	source string        // who heard the target say so, empty if its description tells it
-	age    time.Duration // since the target said so
+	age    time.Duration // since the target said that it leaves, 0 if its description alone tells it
 }
 
 // diffTargets returns the changes between two tables of targets, sorted by target ID.
@@ -58,10 +58,10 @@
 	for _, c := range d.deployment.takeChanges() {
 		line := d.log.Info().Str(fieldEvent, "target_"+string(c.kind)).Str(fieldTarget, c.target.ID).
 			Str(fieldService, c.target.Service).Str(fieldAddress, c.target.Address).Int64(fieldBorn, c.target.Born)
-		if c.source == "" {
-			line.Str(fieldSource, source).Send()
-			continue
+		line.Str(fieldSource, cmp.Or(c.source, source))
+		if c.source != "" || c.age > 0 {
+			line.Dur(fieldAge, c.age)
 		}
-		line.Str(fieldSource, c.source).Dur(fieldAge, c.age).Send()
+		line.Send()
 	}
 }
--- a/internal/edgetest/explain_test.go
+++ b/internal/edgetest/explain_test.go
@@ -72,7 +72,20 @@
 	refused := c.ask(c.vms[1], request{path: quote + "x", adapter: "a1"})
 	c.g.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	c.g.Expect(c.story(refused.id)).To(gomega.And(
-		gomega.ContainSubstring("no target of the group takes new work"), gomega.ContainSubstring("ran=not_run")))
+		gomega.ContainSubstring("no target of the group takes new work"), gomega.ContainSubstring("ran=not_run"),
+		gomega.MatchRegexp(`leaving: vm1 knew that all targets of assistant leave: e0 for [0-9.]+ s \((store|relay)\), e1 `)))
+
+	for _, target := range c.apps {
+		target.SetFault(engine.None, 0)
+		target.SayLeaving("1")
+	}
+	c.g.Eventually(func() int { return c.ask(c.vms[0], request{path: lookup + "x"}).status }).
+		WithTimeout(limit).Should(gomega.Equal(http.StatusServiceUnavailable))
+	refused = c.ask(c.vms[0], request{path: lookup + "x"})
+	c.g.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	c.g.Expect(c.story(refused.id)).To(gomega.And(
+		gomega.ContainSubstring("no target of the service takes a request now"),
+		gomega.MatchRegexp(`leaving: vm0 knew that all targets of counter leave: a0 for [0-9.]+ s \((answer|owner)\), a1 .*, a2 `)))
 
 	c.store.SetFault(metastore.Refuse)
 	v := c.vm(7)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -86,3 +86,42 @@
 		}
 	}
 }
+
+const leavingLogs = `{"vm":"vm1","event":"target_up","target":"t1","service":"s","source":"store","stamp":"1000000000.0"}
+{"vm":"vm1","event":"target_up","target":"t2","service":"s","source":"store","stamp":"1000000000.1"}
+{"vm":"vm1","event":"target_up","target":"u1","service":"other","source":"store","stamp":"1000000000.2"}
+{"vm":"vm1","event":"target_leaving","target":"t1","service":"s","source":"answer","age_ms":250,"stamp":"12000000000.0"}
+{"vm":"vm1","event":"skipped","request":"q1","target":"t1","reason":"the target leaves","stamp":"13000000000.0"}
+{"vm":"vm1","event":"finished","request":"q1","service":"s","status":200,"stamp":"13100000000.0"}
+{"vm":"vm1","event":"target_leaving","target":"t2","service":"s","source":"owner","age_ms":1000,"stamp":"14000000000.0"}
+{"vm":"vm1","event":"finished","request":"q2","service":"s","status":503,"ran":"not_run","reason":"no_target","stamp":"30000000000.0"}
+{"vm":"vm1","event":"target_restarted","target":"t2","service":"s","source":"store","stamp":"31000000000.0"}
+{"vm":"vm1","event":"finished","request":"q3","service":"s","status":503,"ran":"not_run","reason":"overloaded","stamp":"32000000000.0"}
+{"vm":"vm1","event":"target_gone","target":"t2","service":"s","source":"store","stamp":"33000000000.0"}
+{"vm":"vm1","event":"finished","request":"q4","service":"s","status":503,"ran":"not_run","reason":"no_target","stamp":"34000000000.0"}
+{"vm":"vm2","event":"finished","request":"q5","service":"s","status":503,"ran":"not_run","reason":"no_target","stamp":"34000000000.0"}
+`
+
+// Guards against a request that was refused because all targets leave, or whose grant was not
+// used, and whose story does not tell which of them have said so, when and to whom.
+func TestReportNamesTheTargetsThatLeave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := explain.Read(strings.NewReader(leavingLogs), explain.Window{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for request, want := range map[string][]string{
+		"q1": {"vm1 did not use the grants of t1 for 1.250 s (answer)"},
+		"q2": {"vm1 knew that all targets of s leave: t1 for 18.250 s (answer), t2 for 17.000 s (owner)"},
+		"q3": nil,
+		"q4": {"vm1 knew that all targets of s leave: t1 for 22.250 s (answer)"},
+		"q5": nil,
+	} {
+		report, err := explain.BuildReport(request, lines)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Leaving).To(gomega.Equal(want), request)
+	}
+	report, _ := explain.BuildReport("q1", lines)
+	g.Expect(report.StateChanges).To(gomega.HaveLen(1))
+	var b strings.Builder
+	g.Expect(explain.Write(&b, report)).To(gomega.Succeed())
+	g.Expect(b.String()).To(gomega.ContainSubstring("leaving: vm1 did not use the grants of t1"))
+}
