gateway: A plain answer that is ready when its deadline passes is passed on

What callers saw: 504 although a target's whole answer was there. A process that does not run for a while, as on a busy or paused VM, finds both the answer and the end of the deadline, and looked at either first, at random.

The test holds a call up past its deadline while the answer arrives; it failed before in 4 of 8 runs. The end of the deadline now looks for an answer first.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -128,7 +128,7 @@
 
 func (w *world) ParseRequest(fields httpfields.List) (gateway.RequestMeta, httpfields.List, error) {
 	w.maybePanic("ParseRequest")
-	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: 4 * time.Second, LastEventID: w.lastEventID, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
+	return gateway.RequestMeta{ID: fields.Get("X-Request-Id"), Deadline: callerDeadline, LastEventID: w.lastEventID, Parts: []placer.Part{{ID: "shared"}, {ID: "own"}}}, nil, nil
 }
 
 func (w *world) AttemptFields(a gateway.Attempt) httpfields.List {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -16,6 +16,9 @@
 	"cicadaslip/internal/fleet"
 )
 
+// callerDeadline is the time for which the callers of these tests wait.
+const callerDeadline = 4 * time.Second
+
 // Guards against a repeatable request that stays at a silent target until its deadline: its
 // only hedge went to a second silent target, or was denied once.
 func TestSlowRequestIsHedgedAgain(t *testing.T) {
@@ -107,6 +110,33 @@
 	g.Expect(body).To(gomega.Equal("no"))
 }
 
+// Guards against a whole answer that is dropped because the deadline has passed as well by the
+// time at which the call goes on, as after a pause of the process.
+func TestAnswerThatIsReadyAtTheDeadlineIsPassedOn(t *testing.T) {
+	for range 8 { // either of the two may be looked at first
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			hedging := make(chan struct{})
+			w, address := newWorld(t, fleet.Idempotent, func(conn net.Conn) {
+				<-hedging
+				writes(plainAnswer)(conn)
+			})
+			began := time.Now()
+			w.route.MaxAttempts, w.latency = 2, time.Millisecond
+			w.takeRetry = func() bool { // holds the call up until its deadline
+				close(hedging)
+				time.Sleep(callerDeadline + 100*time.Millisecond - time.Since(began))
+				return false
+			}
+			status, body, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(body).To(gomega.Equal("ok"))
+		})
+	}
+}
+
 // Guards against a request that may crash targets and is hedged, so that it reaches one
 // target more.
 func TestSuspectIsNotHedged(t *testing.T) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -131,6 +131,13 @@
 			}
 			hedge.Reset(c.hedgeDelay())
 		case <-c.ctx.Done():
+			select {
+			case r := <-replies: // both have come while the process did not run
+				if supersedes(r, last) {
+					last = r
+				}
+			default:
+			}
 			c.abandon(attempts, last)
 			return
 		}
