--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -21,8 +21,8 @@
 // drain takes the VM out of service. It fails the readiness check, releases the groups
 // that this VM owns, and keeps answering new requests until the platform's load
 // balancer has noticed. Then it refuses the streams that still wait for a target, which their
-// callers can send to another VM, and waits for the other requests in flight. The release may
-// take several seconds while the store does not answer.
+// callers can send to another VM, and waits for the other requests in flight. To release the
+// groups may take several seconds while the store does not answer.
 func (d *Daemon) drain() {
 	began := time.Now()
 	d.draining.Store(true)
