gateway: A slow caller's stream has the whole time for its next target

What callers would see: a begun stream is cut at once when its target ends, if writing the event before took about as long as the time after which callers leave, as over a slow link with a large event.

Cause: the wait of the caller counted from the time at which the event had been read from the target, so that no time was left for a place. A caller that is still being sent an event does not wait for the next one.

The test failed before (unexpected EOF). The wait now counts from the time at which the last event has been written.

--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,6 +151,28 @@
 	}
 }
 
+// Guards against a begun stream that is cut because its caller read the last event slowly: the
+// caller has not waited for the next one meanwhile.
+func TestStreamOfASlowCallerIsResumed(t *testing.T) {
+	const abandonAfter = time.Second
+	g := gomega.NewWithT(t)
+	large := "id: 1\ndata: " + strings.Repeat("x", 1<<20-100) + "\n\n" // more than the buffers of the connection hold
+	w, address := newWorld(t, fleet.Streaming, inTurn(writes(streamHead, chunk(large)), writes(streamHead, chunk2, lastChunk)))
+	w.route.Resumable, w.route.MaxAttempts, w.route.AbandonAfter = true, 2, abandonAfter
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	g.Expect(conn.(*net.TCPConn).SetReadBuffer(64 << 10)).To(gomega.Succeed())
+	_, err = io.WriteString(conn, callerRequest+"\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(abandonAfter + 500*time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(body) == large+"id: 2\n\n").To(gomega.BeTrue(), "%d bytes", len(body))
+}
+
 // Guards against a resumed stream that stays at its new target when that one falls silent,
 // although a further target would take it.
 func TestResumedStreamLeavesASilentTarget(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -301,14 +301,6 @@
 	return o.waitingSince.Add(c.route.AbandonAfter - abandonReserve)
 }
 
-// waitingSince returns the time since which the caller has waited for the next event.
-func (c *call) waitingSince() time.Time {
-	if c.trace.lastEventAt.IsZero() {
-		return c.arrived
-	}
-	return c.trace.lastEventAt
-}
-
 // placerRequest builds the request for a lease.
 func (c *call) placerRequest(o opening) placer.Request {
 	output := c.meta.LengthHint
@@ -516,14 +508,15 @@
 // streamBody forwards the events of a stream to the caller. It implements
 // io.ReadCloser.
 type streamBody struct {
-	call        *call
-	source      *targetStream
-	handover    *handover // planned if the source is late with the next event, nil if none
-	pending     []byte    // bytes of the current event that have not been read yet
-	lastEventID int64     // ID of the last event that the caller has or that was enqueued, 0 if none
-	hasEvents   bool      // an event other than a comment was enqueued
-	endErr      error     // result of Read after the last event, nil while the stream goes on
-	closed      bool
+	call         *call
+	source       *targetStream
+	handover     *handover // planned if the source is late with the next event, nil if none
+	pending      []byte    // bytes of the current event that have not been read yet
+	lastEventID  int64     // ID of the last event that the caller has or that was enqueued, 0 if none
+	hasEvents    bool      // an event other than a comment was enqueued
+	waitingSince time.Time // when the last event had been written to the caller
+	endErr       error     // result of Read after the last event, nil while the stream goes on
+	closed       bool
 }
 
 // enqueue stores the next event for Read. The preceding event must have been
@@ -559,8 +552,9 @@
 func (b *streamBody) readNext() {
 	defer b.contain()
 	c := b.call
+	b.waitingSince = time.Now()
 	if b.handover == nil && b.mayMove() {
-		next := opening{after: b.lastEventID, waitingSince: c.waitingSince()}
+		next := opening{after: b.lastEventID, waitingSince: b.waitingSince}
 		b.handover = c.planHandover(b.source, next, c.eventGapDelay())
 	}
 	event, err := b.source.next(c)
@@ -615,7 +609,7 @@
 		b.cut(failure)
 		return
 	}
-	stream, event, openFailure := c.openStream(opening{ctx: c.ctx, after: b.lastEventID, waitingSince: c.waitingSince()})
+	stream, event, openFailure := c.openStream(opening{ctx: c.ctx, after: b.lastEventID, waitingSince: b.waitingSince})
 	if openFailure != nil {
 		b.cut(openFailure)
 		return
