callerconn: An answer does not wait for the caller's next request

What callers would see: a caller that sends its next request before the answer to the first gets that answer only together with the next one, up to a deadline later, and not at all if the process ends or the connection is closed between the two.

Cause: the HTTP library holds a response back while input waits on the connection (a pipeline). A target's whole answer, also a stream's, waited for a silent target of another request, or for the rest of another request's body.

The library sends at once if the handler has set a write deadline, which Conn replaces for each write.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// SendAtOnce makes the HTTP server send the response to a request as soon as it is there. The
+// server would hold it back while a further request waits on the connection, unless the handler
+// has set the write deadline, whatever that is.
+func SendAtOnce(ctx *fasthttp.RequestCtx) { _ = ctx.SetWriteDeadline(time.Time{}) }
+
 // BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
 func (c *Conn) BeginIdle() {
 	if c.listener.Limits == nil {
--- a/internal/frontend/caller_fault_test.go
+++ b/internal/frontend/caller_fault_test.go
@@ -1,10 +1,12 @@
 package frontend_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,6 +49,25 @@
 	}
 }
 
+// Guards against an answer that its caller gets only with that to the next request, which the
+// caller has sent before.
+func TestAnswerDoesNotWaitForTheNextRequest(t *testing.T) {
+	f := newFixture(t, func(l *serverLimits) { l.ReadTimeout, l.Deadline = time.Minute, time.Minute })
+	next := rawPost("/v1/completions", completionBody("hem", 5, false))
+	conn := f.dial("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n" + next[:len(next)-1])
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	answers := bufio.NewReader(conn)
+	for _, rest := range []string{next[len(next)-1:], ""} {
+		resp, err := http.ReadResponse(answers, nil)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		f.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+		_, err = io.Copy(io.Discard, resp.Body)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.WriteString(conn, rest)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+}
+
 // Guards against a caller that occupies a target or memory because it does not read.
 // The size limit of the buffer and the write timeout must each suffice alone.
 func TestSlowCallerIsBounded(t *testing.T) {
--- a/internal/frontend/routes.go
+++ b/internal/frontend/routes.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/callerconn"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/model"
 	"cicadaslip/internal/timeline"
@@ -45,6 +46,7 @@
 	guard := &inFlightGuard{s: s}
 	defer guard.done()
 	defer s.recoverPanic(func(e *errs.Error) { s.respondError(ctx, "", "", e) })
+	callerconn.SendAtOnce(ctx)
 	path := string(ctx.Path())
 	switch path {
 	case "/healthz":
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -79,6 +79,7 @@
 	c := &call{server: s, http: ctx, arrived: time.Now()}
 	c.trace.start(c.arrived)
 	defer c.contain()
+	callerconn.SendAtOnce(ctx)
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
