edgetest: The request without a configuration is sent once its own VM has lost the store

TestTheLogsTellWhyARequestFailed failed once in a run of the package beside other work (load 25): the story of the last request lacked store_lost. The test waited until any VM had lost the store, and asked the new VM 1 ms after its start; the new VM noticed only after that. The test now waits for the line of that VM; what it expects is unchanged.

--- a/internal/edgetest/explain_test.go
+++ b/internal/edgetest/explain_test.go
@@ -89,7 +89,7 @@
 
 	c.store.SetFault(metastore.Refuse)
 	v := c.vm(7)
-	c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.ContainSubstring("store_lost"))
+	c.g.Eventually(c.logs.text).WithTimeout(limit).Should(gomega.MatchRegexp(`"vm":"vm7"[^\n]*"event":"store_lost"`))
 	early := c.ask(v, request{method: http.MethodGet, path: lookup + "x"})
 	c.g.Expect(early.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	c.g.Expect(c.story(early.id)).To(gomega.And(
