standin/engine: The port of a target that starts again is kept for it

TestOnlyItsOwnWordTakesATargetOutOfUse failed once in a run of its package beside other work (load 27): listen tcp 127.0.0.1:38227: bind: address already in use. The test crashes a target and starts it again at its address. Meanwhile the port was free, and the system may give it to an outgoing connection, of which the tests of all packages open many.

A socket that is bound and not listening now holds it until the test process ends; connections to the crashed target are refused as before.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -117,13 +117,15 @@
 // Start starts a target and enters it into the store.
 func Start(s Settings, store *metastore.Store) (*Target, error) {
 	if s.Address == "" {
-		s.Address = "127.0.0.1:0"
+		var err error
+		if s.Address, err = reservePort(); err != nil {
+			return nil, err
+		}
 	}
 	l, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return nil, err
 	}
-	s.Address = l.Addr().String()
 	t := &Target{
 		Settings: s, store: store, listener: l, born: time.Now().UnixMilli(), limit: s.RateLimit, held: map[string]*held{}, newest: map[string]int64{},
 	}
