placer: Values that other VMs send have bounds

A request whose deadline overflowed waited or counted as running for ever, so its target looked busier than it was, and later requests were not served; a limit that is no number, or a pause or an age that overflowed, kept targets out of use or later statements from being heard.

TestRequestsWithAnyValuesEnd and TestStatementsWithAnyValuesEnd failed before.

--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -234,6 +234,7 @@
 	if c.queuedByID[request.ID] != nil {
 		return
 	}
+	request = request.bounded()
 	switch {
 	case c.draining:
 		c.refuseOnArrival(request, errs.NotRun(errs.Draining, "the owner of the target group is shutting down"))
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -13,6 +13,7 @@
 // than the newest one are ignored.
 func (c *Core) SetRateLimit(now Time, target string, perSecond float64, age time.Duration) {
 	c.advance(now)
+	perSecond, age = boundedRate(perSecond), max(0, boundedDuration(age))
 	if t := c.targetsByID[target]; t != nil && c.now-age >= t.limitStatedAt {
 		t.limitStatedAt = c.now - age
 		if perSecond > 0 {
--- a/internal/placer/pauses.go
+++ b/internal/placer/pauses.go
@@ -18,6 +18,7 @@
 	if t == nil || t.description.Born > born {
 		return
 	}
+	left = boundedDuration(left)
 	if t.pausedUntil == nil {
 		t.pausedUntil = map[string]Time{}
 	}
--- a/internal/placer/runs.go
+++ b/internal/placer/runs.go
@@ -108,6 +108,7 @@
 	if t == nil || c.runs[request.ID] != nil || c.queuedByID[request.ID] != nil {
 		return
 	}
+	request = request.bounded()
 	r := &queuedRequest{Request: request, queuedAt: c.now, deadline: c.now + request.Deadline, adapter: c.adapterState(request.Adapter)}
 	run := &activeRun{request: r, target: t, grantedAt: c.now, firstEventSeen: started}
 	if !started {
