placer: A running request is not granted a second time

A call that named the ID of a running request got a second grant, and the first run was forgotten: its target counted one run and its tokens for ever, and took fewer requests. VMs give each call an ID of its own, so only a faulty one does this. It is refused as not run now.

TestRunningRequestIsNotGrantedAgain failed before.

--- a/internal/placer/bounds_test.go
+++ b/internal/placer/bounds_test.go
@@ -101,3 +101,20 @@
 		}
 	}
 }
+
+// Guards against a second grant of a running request, of which the first one would be
+// forgotten and count as running for ever.
+func TestRunningRequestIsNotGrantedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newBaseCore()
+	r := baseRequest("q")
+	c.Enqueue(0, r)
+	g.Expect(granted(c, 0)).To(gomega.Equal(1))
+	r.Exclude = []string{"t0"}
+	c.Enqueue(0, r)
+	r.Exclude = []string{"t1"}
+	c.Enqueue(0, r)
+	g.Expect(granted(c, 0)).To(gomega.BeZero())
+	c.Release(0, "q", placer.Done)
+	g.Expect(c.RunCount()).To(gomega.BeZero())
+}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -236,6 +236,9 @@
 	}
 	request = request.bounded()
 	switch {
+	case c.runs[request.ID] != nil:
+		c.refuseOnArrival(request, errs.NotRun(errs.Conflict, "a request with the same ID has been granted a target"))
+		return
 	case c.draining:
 		c.refuseOnArrival(request, errs.NotRun(errs.Draining, "the owner of the target group is shutting down"))
 		return
