placer: Names in requests are forgotten

An owner kept the demand of each adapter that a request had ever named, whether it exists or not, and each VM that had ever told of a pause. Callers who name adapters that do not exist could fill its memory.

Once a minute the core drops adapters that are neither placed nor announced nor in demand, and a pause that has ended when another VM's begins.

TestNamesInRequestsAreForgotten failed before: 20,002 adapters and 19,999 pauses after 20,000 requests.

--- a/internal/placer/bounds_test.go
+++ b/internal/placer/bounds_test.go
@@ -118,3 +118,28 @@
 	c.Release(0, "q", placer.Done)
 	g.Expect(c.RunCount()).To(gomega.BeZero())
 }
+
+// Guards against names in requests, of adapters that do not exist and of VMs, which an owner
+// remembers for ever.
+func TestNamesInRequestsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, now := newBaseCore(), placer.Time(0)
+	c.SetVersion(now, placer.Adapter{Model: "base", Name: "announced"}, 1)
+	before := c.AdapterCount()
+	const names = 20_000
+	for i := range names {
+		now += 50 * time.Millisecond
+		r := baseRequest(fmt.Sprint("q", i))
+		r.Adapter.Model, r.Adapter.Name = "none", fmt.Sprint("a", i)
+		c.Enqueue(now, r)
+		c.SetPause(now, fmt.Sprint("vm", i), "t0", 1, time.Second)
+		c.Tick(now)
+	}
+	g.Expect(c.PauseCount()).To(gomega.BeNumerically("<", names/100))
+	g.Expect(c.AdapterCount()).To(gomega.BeNumerically("<", names/4))
+	for range 3 {
+		now += 2 * time.Minute
+		c.Tick(now)
+	}
+	g.Expect(c.AdapterCount()).To(gomega.Equal(before))
+}
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -44,6 +45,7 @@
 	coldLoadsPass     uint64 // pass over the queue in which coldLoads was counted
 	anyStale          bool   // an adapter may be placed in an outdated version
 	lastRunExpiry     Time   // when expired runs were last removed
+	lastForgetting    Time   // when adapters were last forgotten
 	lastSpareCheck    Time   // when spare slots were last freed
 	lastPauseEnd      Time   // when no target pauses for any VM any more
 }
@@ -224,6 +226,25 @@
 	return a.demand * math.Exp2(-float64(now-a.demandUpdatedAt)/float64(demandHalfLife))
 }
 
+const (
+	// forgetInterval is the time between two looks for adapters that can be forgotten.
+	forgetInterval = time.Minute
+	// forgottenDemand is the demand below which an adapter is forgotten.
+	forgottenDemand = 0.05
+)
+
+// forgetAdapters removes the states of adapters that are not placed, announced or in demand.
+// Requests may name any number of adapters that do not exist.
+func (c *Core) forgetAdapters() {
+	if c.now-c.lastForgetting < forgetInterval {
+		return
+	}
+	c.lastForgetting = c.now
+	maps.DeleteFunc(c.adapters, func(_ Adapter, a *adapterState) bool {
+		return a.queued == 0 && len(a.placements) == 0 && a.newestVersion == 0 && a.noLoadUntil <= c.now && a.demandAt(c.now) < forgottenDemand
+	})
+}
+
 func (a *adapterState) countRequest(now Time) {
 	a.demand, a.demandUpdatedAt = a.demandAt(now)+1, now
 }
@@ -302,6 +323,7 @@
 func (c *Core) Tick(now Time) []Command {
 	c.advance(now)
 	c.expireRuns()
+	c.forgetAdapters()
 	c.replaceStaleVersions()
 	c.loadModels()
 	c.dispatchQueue()
--- a/internal/placer/pauses.go
+++ b/internal/placer/pauses.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	if t.pausedUntil == nil {
 		t.pausedUntil = map[string]Time{}
 	}
+	if _, known := t.pausedUntil[vm]; !known {
+		maps.DeleteFunc(t.pausedUntil, func(_ string, until Time) bool { return until <= c.now })
+	}
 	t.pausedUntil[vm] = max(t.pausedUntil[vm], c.now+left)
 	c.lastPauseEnd = max(c.lastPauseEnd, c.now+left)
 }
