gateway, test: Unsigned and encoded answers are not passed on

No test of the package noticed when either check was switched off. They are covered now for all kinds of requests, and where an answer continues a stream. The code is as before.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -141,7 +141,7 @@
 	misdirected := status == http.StatusMisdirectedRequest
 	stated, _ := time.ParseDuration(fields.Get("X-Pause")) // none: no pause
 	return gateway.ResponseMeta{
-		Signed: fields.Get("X-Unsigned") == "", RequestID: fields.Combined("X-Request-Id"),
+		Signed: fields.Get("X-Unsigned") == "", Encoded: fields.Get("Content-Encoding") != "", RequestID: fields.Combined("X-Request-Id"),
 		NotRun: fields.Get("X-Not-Executed") != "" || misdirected, Misdirected: misdirected,
 		Statement: gateway.TargetStatement{Pause: stated},
 	}
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -77,6 +77,8 @@
 		"200 with a comment only":                    stream(":\n\n"),
 		"200 for another request":                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: q2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(eventsAfter(1)) + lastChunk,
 		"200 for another request, without an event":  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: q2\r\nContent-Length: 0\r\n\r\n",
+		"200 without a signature, the right events":  strings.Replace(stream(eventsAfter(1)), "\r\n", "\r\nX-Unsigned: 1\r\n", 1),
+		"200 compressed":                             strings.Replace(stream(eventsAfter(1)), "\r\n", "\r\nContent-Encoding: gzip\r\n", 1),
 		"200 without a signature":                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Unsigned: 1\r\nContent-Length: 0\r\n\r\n",
 		"204":                                        "HTTP/1.1 204 No Content\r\nX-Request-Id: q1\r\n\r\n",
 		"206 with the right events":                  answer("206 Partial Content", events, eventsAfter(1)),
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -139,6 +139,32 @@
 	}
 }
 
+// Guards against an answer that does not come from a target, or is not in the form that the
+// caller asked for, and is passed on as that of a target.
+func TestUnsignedOrEncodedAnswersAreNotPassedOn(t *testing.T) {
+	for name, field := range map[string]string{"unsigned": "X-Unsigned: 1\r\n", "compressed": "Content-Encoding: gzip\r\n"} {
+		for kindName, k := range requestKinds {
+			t.Run(name+"/"+kindName, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				answer := ownPlainAnswer
+				if k.kind == fleet.Streaming {
+					answer = ownStream
+				}
+				w, address := newWorld(t, k.kind, inTurn(writes(strings.Replace(answer, "X-Request-Id", field+"X-Request-Id", 1)), writes(answer)))
+				w.route.Resumable, w.route.MaxAttempts = k.repeatable, 2
+				status, body, err := get(g, address)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				if k.repeatable {
+					g.Expect(status).To(gomega.Equal(http.StatusOK))
+					g.Expect(body).To(gomega.BeElementOf("ok", "id: 1\n\n"))
+				} else {
+					g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+				}
+			})
+		}
+	}
+}
+
 // Guards against a caller that is told "not run" by the bare status of a target that does
 // not state it.
 func TestStatusThatPromisesNotRunIsPassedOnOnlyIfTheTargetStatesIt(t *testing.T) {
