quarantine: Times of other VMs are bounded

Progress of which another VM sent an age far below zero lay in the future and hid all later crashes of its part; a quarantine since such a time was taken over again each time that a VM told of it, so its requests were refused for ever.

Ages below zero count as zero, except for the tenth of a second by which a release is ahead of its time, and quarantines that begin later than they last are ignored.

TestTimesOfOtherVMsAreBounded failed before.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -46,6 +46,9 @@
 	return d
 }
 
+// maxAge bounds the ages that other VMs send. What is older has no effect.
+const maxAge = 24 * time.Hour
+
 // Merge adds what another VM has sent.
 func (t *Table) Merge(d Delta) {
 	if len(d.Observations)+len(d.Progress)+len(d.Quarantined) == 0 {
@@ -56,7 +59,7 @@
 	now := t.opt.Now()
 	for _, o := range d.Observations {
 		if o.Age < Duration {
-			t.addObservation(o, now-o.Age)
+			t.addObservation(o, now-max(0, o.Age))
 		}
 	}
 	for _, q := range d.Quarantined {
@@ -64,7 +67,7 @@
 	}
 	for _, p := range d.Progress {
 		if record := t.progressRecord(p.Part); p.Count > record.counts[p.Origin] {
-			t.setProgress(p.Part, record, p.Origin, p.Count, now-p.Age)
+			t.setProgress(p.Part, record, p.Origin, p.Count, now-min(max(-crashSeparation, p.Age), maxAge)) // a release is ahead of its time
 		}
 	}
 	if t.judged != t.version {
@@ -75,8 +78,10 @@
 // mergeQuarantined takes over a quarantine that another VM or an earlier process has
 // decided, unless this VM knows a newer one of the part.
 func (t *Table) mergeQuarantined(q Quarantined, now time.Duration) {
-	ended := t.opt.Wall().UnixMilli()-q.Since >= Duration.Milliseconds()
-	if known := t.quarantined[q.Part]; ended || known != nil && known.since >= q.Since {
+	wall := t.opt.Wall()
+	ended := q.Since <= wall.Add(-Duration).UnixMilli()
+	invalid := q.Since > wall.Add(Duration).UnixMilli()
+	if known := t.quarantined[q.Part]; ended || invalid || known != nil && known.since >= q.Since {
 		return
 	}
 	wasActive := t.active(q.Part, now)
