httpstore: An answer to another call is not believed

In the product's own mode an earlier answer that the store wrote once more, between a call and its answer, was taken for the answer: the object of another key, a write that took no effect, a list or a watch of an earlier revision; so was an error with the status of a success.

The key is compared in answers to reads and writes, the version in those to updates, keys and revisions in lists and watches. After a difference the idle connections are closed, and a write counts as ambiguous. Refusals hold no object and cannot be compared.

--- a/internal/objectstore/httpstore/response.go
+++ b/internal/objectstore/httpstore/response.go
@@ -63,3 +63,10 @@
 	}
 	return errs.Wrap(errors.Join(errNoResponse, err), errs.StoreUnavailable, "the read got no usable response from the platform")
 }
+
+// otherCallError returns the error of a call that got the answer to another one. Answers bear
+// no ID, so those that follow on the same connections may be of other calls, too.
+func otherCallError(client *fasthttp.HostClient, isWrite bool) error {
+	client.CloseIdleConnections()
+	return unansweredError(isWrite, errs.New(errs.WrongAnswer, "the platform answered another call"))
+}
--- a/internal/objectstore/httpstore/store.go
+++ b/internal/objectstore/httpstore/store.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +34,9 @@
 func (c *Client) Get(ctx context.Context, key string, minRevision int64) (objectstore.Object, error) {
 	var object objectstore.Object
 	err := c.do(ctx, c.readCall(objectPath(key), query(httpapi.MinRevision, formatInt(minRevision))), &object)
+	if err == nil && object.Key != key {
+		return objectstore.Object{}, otherCallError(c.calls, false)
+	}
 	return object, err
 }
 
@@ -42,7 +47,11 @@
 
 // Update replaces the object if its current version equals version.
 func (c *Client) Update(ctx context.Context, key string, value []byte, version int64) (objectstore.Object, error) {
-	return c.put(ctx, key, value, query(httpapi.Mode, httpapi.ModeUpdate, httpapi.Version, formatInt(version)))
+	object, err := c.put(ctx, key, value, query(httpapi.Mode, httpapi.ModeUpdate, httpapi.Version, formatInt(version)))
+	if err == nil && object.Version <= version {
+		return objectstore.Object{}, otherCallError(c.calls, true)
+	}
+	return object, err
 }
 
 // Put creates or replaces an object unconditionally.
@@ -62,6 +71,9 @@
 		body: body, timeout: c.options.CallTimeout, isWrite: true,
 	}
 	err := c.do(ctx, request, &object)
+	if err == nil && object.Key != key {
+		return objectstore.Object{}, otherCallError(c.calls, true)
+	}
 	return object, err
 }
 
@@ -81,6 +93,10 @@
 	parameters := query(httpapi.Prefix, prefix, httpapi.After, after,
 		httpapi.Limit, formatInt(int64(limit)), httpapi.MinRevision, formatInt(minRevision))
 	err := c.do(ctx, c.readCall(httpapi.ObjectsPath, parameters), &page)
+	other := func(o objectstore.Object) bool { return !strings.HasPrefix(o.Key, prefix) }
+	if err == nil && (page.Revision < minRevision || slices.ContainsFunc(page.Objects, other)) {
+		return objectstore.Page{}, otherCallError(c.calls, false)
+	}
 	return page, err
 }
 
@@ -95,6 +111,10 @@
 	request.client = c.watches
 	request.timeout += wait
 	err := c.do(ctx, request, &changes)
+	other := func(c objectstore.Change) bool { return !strings.HasPrefix(c.Object.Key, prefix) }
+	if err == nil && (changes.Revision < since || slices.ContainsFunc(changes.Changes, other)) {
+		return objectstore.Changes{}, otherCallError(c.watches, false)
+	}
 	return changes, err
 }
 
