--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -105,7 +105,7 @@
 		status, _, err := get(g, address)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(status).To(gomega.Equal(http.StatusOK))
-		g.Expect((<-w.statements).Born).To(gomega.Equal(int64(7)), string(kind))
+		g.Expect(w.statements).To(gomega.Receive(gomega.HaveField("Born", int64(7))), string(kind))
 	}
 }
 
