groupclient, edge, test: Leaving targets without an owner, and of which only the owner knows

The check in the choice without an owner, and the one for grants of a target or an incarnation that this VM does not list, had no test that failed without them: the gateway skips what the first lets through, and no test had the second.

--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -45,6 +45,14 @@
 	g.Expect(d.Usable("t", 11)).To(gomega.BeTrue(), "the former incarnation was asked")
 	_, found = d.Pick("s", nil)
 	g.Expect(found).To(gomega.BeTrue())
+
+	for _, target := range []string{"t", "unlisted"} { // the owner knows of both, this VM does not
+		asked = d.NewestStart(target, 13)
+		g.Expect(d.Usable(target, 13)).To(gomega.BeTrue(), target)
+		d.RecordStatement(target, gateway.TargetStatement{Leaving: true, Born: asked, SentAt: time.Now(), HeardAt: time.Now()})
+		g.Expect(d.Usable(target, 13)).To(gomega.BeFalse(), target)
+		g.Expect(d.Usable(target, 14)).To(gomega.BeTrue(), target)
+	}
 }
 
 // Guards against a log that does not tell since when and by whose word a target left, at the begin
--- a/internal/groupclient/leaving_test.go
+++ b/internal/groupclient/leaving_test.go
@@ -8,7 +8,9 @@
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/advisory"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
+	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
 )
 
@@ -53,3 +55,30 @@
 	stated()
 	g.Expect(due()).To(gomega.Equal([]string{"s.40"}), "the next owner")
 }
+
+// Guards against requests to a target that leaves or pauses while no owner responds, and against
+// places and limits that are used up by grants which the gateway then skips.
+func TestChoiceWithoutAnOwnerLeavesOutTargetsThatTakeNoRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := placer.Adapter{Model: "base", Name: "a"}
+	var taken []string
+	c := &Client{
+		groups: map[string]*ownerState{}, localGrants: map[string]int{}, start: time.Now(),
+		opt: Options{
+			RequiredVersion: func(placer.Adapter) int64 { return 0 },
+			Target:          func(id string) (fleet.Target, bool) { return fleet.Target{ID: id, Born: 7}, id != "leaves" },
+			TakeFromLimit:   func(target string, _ bool) bool { taken = append(taken, target); return true },
+		},
+	}
+	c.groups["s.0"] = &ownerState{name: "s.0", responded: true, resident: map[placer.Adapter][]placer.ResidentAdapter{
+		a: {{Target: "leaves", Adapter: a}, {Target: "stays", Adapter: a}},
+	}}
+	for range 3 {
+		lease, _ := c.chooseLocally([]string{"s.0"}, placer.Request{ID: "r", Adapter: a})
+		g.Expect(lease.Grant.Target).To(gomega.Equal("stays"))
+	}
+	g.Expect(taken).To(gomega.Equal([]string{"stays", "stays", "stays"}))
+	g.Expect(c.localGrants).To(gomega.Equal(map[string]int{"stays": 3}))
+	lease, _ := c.chooseLocally([]string{"s.0"}, placer.Request{ID: "r", Adapter: a, Exclude: []string{"stays"}})
+	g.Expect(lease.Grant.Target).To(gomega.BeEmpty())
+}
