placer, test: Requests do not wait for loads of a target that has begun to leave

The check for loads under way is one of several on the way of a load; the test fails without it, like TestPlannedLoadsAreNotOrderedFromALeavingTarget.

--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -336,6 +336,27 @@
 	}
 }
 
+// Guards against requests that wait for a load which a target carries out that has begun to leave.
+func TestRequestsDoNotWaitForLoadsOfALeavingTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(1, 2, placer.Params{})
+	sim.loadTime = 5 * time.Second
+	ids := []string{sim.enqueue(adapter(0), nil), sim.enqueue(adapter(1), nil)}
+	sim.advance(100 * time.Millisecond)
+	g.Expect(sim.loads).To(gomega.HaveKey("t0"))
+	sim.loadTime = defaultLoadTime
+	sim.leaving["t0"] = true
+	sim.updateTargets()
+	for i := range 2 {
+		ids = append(ids, sim.enqueue(adapter(i), nil))
+	}
+	sim.advance(2 * time.Second)
+	for _, id := range ids {
+		g.Expect(sim.granted).To(gomega.HaveKey(id))
+		g.Expect(sim.granted[id].Target).To(gomega.Equal("t1"))
+	}
+}
+
 // Guards against requests that wait until their deadline in the queue of a group whose targets
 // all leave.
 func TestWaitingRequestsAreRefusedWhenAllTargetsLeave(t *testing.T) {
