--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -52,6 +52,7 @@
 	changed       uint64        // version of the table since which other VMs are to hear that the target leaves
 	pausedSince   time.Duration // first statement of the current or last pause
 	pausedUntil   time.Duration
+	called        bool          // the call that TakeCall allows was made during the current or last pause
 	unlistedSince time.Duration // never if the target is listed
 }
 
@@ -105,7 +106,7 @@
 	}
 	if s.Pause > 0 {
 		if s.HeardAt >= r.pausedUntil {
-			r.pausedSince = s.HeardAt
+			r.pausedSince, r.called = s.HeardAt, false
 		}
 		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
 		t.pauses.targets[i.Target] = struct{}{}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/acceptretry"
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/gateway"
@@ -115,7 +116,7 @@
 		VM: s.VM, Incarnation: incarnation, Address: s.PeerAddress, Lease: s.Lease, Cores: s.Cores, Regions: s.Regions,
 		Store: deps.Store, Engines: deps.Orders, Observer: groupObserver{d},
 		TargetsCheckFences: s.TargetsCheckFences, StoreCalled: func(err error) { d.recordStoreCall(groupserver.Kind, err) },
-		RateLimits: d.rateLimits, PausedFor: d.pausedFor, Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
+		RateLimits: d.rateLimits, PausedFor: d.pausedFor, TakeCall: d.takeCall, Announce: d.announce, SettleDelay: s.GroupSettleTime, StoreReachable: d.health.healthy, StoreLost: d.health.unreachable,
 	})
 	d.quarantine = newQuarantineKeeper(d, incarnation)
 	d.placement = groupclient.New(groupclient.Options{
@@ -150,6 +151,8 @@
 	if d.readyListener, err = net.Listen("tcp", s.ReadyAddress); err != nil {
 		return errs.Wrap(err, errs.InvalidSettings, "listen for the readiness check")
 	}
+	d.callerListener = acceptretry.New(d.callerListener, d.acceptFailed)
+	d.readyListener = acceptretry.New(d.readyListener, d.acceptFailed)
 	s.PeerAddress = d.peerServer.Addr()
 	return nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,6 +38,7 @@
 	leased   bool            // the lease has not been released
 	refused  bool            // the target has stated that it did not run the request
 	sent     bool            // the request may have reached the target
+	withheld bool            // the request was not sent because the target pauses
 	handover *handover       // planned if the first event is late, nil if none
 
 	opening    opening
@@ -121,9 +122,17 @@
 	if failure.Ran != errs.RanNo || o.handover == nil && !c.streamBegun {
 		return false
 	}
-	delay := max(minPlacementDelay, failure.Retry)
 	c.returnRetry()
-	return time.Now().Add(delay).Before(c.placementDeadline(o)) && pause.For(o.ctx, delay)
+	left, delay := time.Until(c.placementDeadline(o)), failure.Retry
+	if failure.Code != errs.Quarantined {
+		delay = min(delay, left/2) // the advice is meant for callers, which may come back later
+	}
+	delay = max(minPlacementDelay, delay)
+	if delay >= left || !pause.For(o.ctx, delay) {
+		return false
+	}
+	c.unavailable = nil
+	return true
 }
 
 // placementDetail marks errors of the placement. These are final unless awaitPlacement says
@@ -217,11 +226,19 @@
 	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
+	refusable := o.handover == nil && !c.streamBegun
+	if refusable {
+		defer context.AfterFunc(c.server.waits, cancel)()
+	}
 	var paused []string // targets that were granted during their pause
 	for {
 		lease, failure := c.server.opt.Placement.Acquire(ctx, c.service, c.placerRequest(o))
 		if failure != nil {
-			if ctx.Err() != nil && c.ctx.Err() == nil {
+			switch {
+			case ctx.Err() == nil || c.ctx.Err() != nil:
+			case refusable && c.server.waits.Err() != nil:
+				failure = errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetryAfter)
+			default:
 				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
 			}
 			return Lease{}, failure
@@ -232,14 +249,14 @@
 		case !c.server.opt.Fleet.Usable(g.Target, g.Born):
 			c.excluded = append(c.excluded, g.Target)
 			c.trace.addStep(StepSkipped, g.Target, "the target leaves")
-		case c.server.opt.Fleet.PausedFor(g.Target, g.Born) > 0:
+		case c.pauses(g.Target, g.Born):
 			// The next request tells the owner of the pause, after which the target may be of
 			// use again.
 			if slices.Contains(paused, g.Target) {
-				c.excluded = append(c.excluded, g.Target)
+				c.unavailable = append(c.unavailable, g.Target)
 			}
 			paused = append(paused, g.Target)
-			c.trace.addStep(StepSkipped, g.Target, "the target pauses")
+			c.trace.addStep(StepSkipped, g.Target, detailPauses)
 		default:
 			return lease, nil
 		}
@@ -310,7 +327,7 @@
 		Abandon: abandon,
 		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: len(c.body), PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: objective,
-		Deadline: c.timeLeft(), Exclude: c.excluded,
+		Deadline: c.timeLeft(), Exclude: slices.Concat(c.excluded, c.unavailable),
 	}
 }
 
@@ -374,6 +391,10 @@
 	if s.opening.ctx.Err() != nil {
 		return false
 	}
+	if c.pauses(s.lease.Grant.Target, s.lease.Grant.Born) { // since the connection was begun
+		s.withheld = true
+		return false
+	}
 	s.sent, s.sentAt = true, time.Now()
 	s.born = c.server.opt.Fleet.NewestStart(s.lease.Grant.Target, s.lease.Grant.Born)
 	c.possibleRuns++
@@ -425,6 +446,10 @@
 	switch {
 	case s.refused:
 		return s.recordRefusal(c, failure)
+	case s.withheld:
+		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
+		c.trace.addStep(StepSkipped, s.lease.Grant.Target, detailPauses)
+		return failure
 	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
 		c.mayHaveRun = c.mayHaveRun || s.sent
 		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
@@ -443,7 +468,7 @@
 		outcome = placer.Absent
 		pause.For(c.ctx, absentRetryDelay)
 	} else {
-		c.excluded = append(c.excluded, target)
+		c.unavailable = append(c.unavailable, target)
 	}
 	c.server.opt.Placement.Release(s.lease, outcome)
 	c.trace.addStep(StepFailed, target, "refused as not run")
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -77,6 +77,9 @@
 	// PausedFor returns the time for which a target wants nothing from this VM, 0 if it takes
 	// requests. Nil means that no target pauses.
 	PausedFor func(target string) time.Duration
+	// TakeCall reports whether a call may be made to a target during its pause in which the
+	// target's state is read. Nil means that none may.
+	TakeCall func(target string) bool
 	// StoreReachable reports whether the last call to the store succeeded.
 	StoreReachable func() bool
 	// StoreLost reports whether calls to the store have failed for some time.
@@ -365,6 +368,7 @@
 // verifyOwnership reads the objects of the owned groups, after which orders are sent again.
 func (m *Manager) verifyOwnership() {
 	defer m.ownershipVerified.Store(true)
+	defer m.contain("record")
 	for _, g := range m.allGroups() {
 		if g.owned() {
 			g.readRecord()
@@ -372,14 +376,16 @@
 	}
 }
 
-// Drain releases all owned groups.
+// Drain releases all owned groups, at the same time.
 func (m *Manager) Drain() {
 	m.draining.Store(true)
+	var releases sync.WaitGroup
 	for _, g := range m.allGroups() {
 		if g.owned() {
-			g.runAction(context.Background(), tenure.Release)
+			releases.Go(func() { g.runAction(context.Background(), tenure.Release) })
 		}
 	}
+	releases.Wait()
 }
 
 // Incarnation returns the incarnation of this process.
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -29,11 +29,13 @@
 		w.WriteHeader(statusElsewhere)
 		return
 	}
-	switch r.URL.Path {
-	case "/cicadaslip/order":
-		t.order(w, r)
-	case "/cicadaslip/report":
-		if t.quiet.wait(r) {
+	switch path := r.URL.Path; path {
+	case orderPath, reportPath:
+		switch {
+		case t.turnAwayCall(w, path):
+		case path == orderPath:
+			t.order(w, r)
+		case t.quiet.wait(r):
 			t.report(w)
 		}
 	default:
@@ -41,6 +43,11 @@
 	}
 }
 
+const (
+	orderPath  = "/cicadaslip/order"
+	reportPath = "/cicadaslip/report"
+)
+
 func notRun(w http.ResponseWriter, r *http.Request, status int) {
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("X-Not-Executed", "1")
@@ -59,7 +66,8 @@
 	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
 	}
-	if t.turnAway(w, r) {
+	arrival, turned := t.turnAway(w, r)
+	if turned {
 		return
 	}
 	fault := t.take()
@@ -67,6 +75,9 @@
 	run := &Run{ID: id, At: time.Now(), Fault: fault, Limit: limit, Header: r.Header.Clone(), Method: r.Method, URI: r.URL.RequestURI(), Body: string(body)}
 	run.After, _ = strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // none: from the first
 	if status := t.refusal(r, run); status != 0 {
+		if status == statusElsewhere {
+			t.noteMisdirected(arrival)
+		}
 		if t.quiet.wait(r) {
 			notRun(w, r, status)
 		}
@@ -78,7 +89,7 @@
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
-		run.Dropped = r.Context().Err() != nil
+		run.Dropped, run.EndedAt = r.Context().Err() != nil, time.Now()
 		t.mu.Unlock()
 	}()
 	if part := t.Settings.DeadlyPart; part != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), part+":") {
--- a/internal/target/dispatch.go
+++ b/internal/target/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/httpfields"
 )
 
 // dispatch sends the request for the first time and reads its stream.
@@ -51,7 +51,6 @@
 // requestStream sends req on a new connection and reads the stream of the
 // response.
 func (s *stream) requestStream(ctx context.Context, req *fasthttp.Request) *errs.Error {
-	s.connAccepted = false
 	conn, failure := s.client.dial(ctx, s.call.Target.Address)
 	if failure != nil {
 		return failure
@@ -68,15 +67,14 @@
 		return s.readError(err)
 	}
 	// Targets need not echo the ID of a request.
-	sent, echoed := req.Header.Peek(headerRequestID), resp.Header.Peek(headerRequestID)
-	if len(sent) > 0 && len(echoed) > 0 && !bytes.Equal(sent, echoed) {
+	if sent := req.Header.Peek(headerRequestID); len(sent) > 0 && !httpfields.HasOnly(resp.Header.PeekAll(headerRequestID), string(sent)) {
 		s.client.stats.Discarded.Add(1)
 		return errs.New(errs.WrongAnswer, "target answered with another request ID").WithRan(errs.RanUnknown)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return s.readRefusal(conn, resp)
 	}
-	s.result.Accepted, s.connAccepted = true, true
+	s.result.Accepted = true
 	if s.result.Resumes > 0 {
 		s.client.stats.Resumptions.Add(1)
 	}
@@ -114,10 +112,9 @@
 }
 
 // readError counts and classifies an error that ended reading before the final
-// chunk arrived. A timeout before the first byte of the response counts as a
-// truncated answer, because fasthttp reports it with an error of its own.
+// chunk arrived.
 func (s *stream) readError(err error) *errs.Error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) {
 		s.client.stats.ReadTimeouts.Add(1)
 		return errs.Wrap(err, errs.Timeout, "no data from the target within the read timeout")
 	}
