platform, groupserver, edge: A pause in the refusal of an order or report is heard

A target that refused orders or reports of an owner with 503 and Retry-After got further ones at once, and requests of that VM: what such answers state was not read. The rule counts from any answer with 503 and Retry-After to that machine.

Such answers name no request and bear no signature. So the pause, and nothing else, is read there, for the incarnation for which the call was meant.

TestPausesInAnswersToOrdersAndReportsAreHeard, TestRefusedOrdersAndReportsAreNotRepeatedDuringThePause and TestPauseInTheRefusalOfAnOrderBindsTheOwnersVM fail without it.

--- a/internal/advisory/pause.go
+++ b/internal/advisory/pause.go
@@ -34,6 +34,19 @@
 	return pauses{targets: map[string]struct{}{}, noted: map[string]notedPause{}}
 }
 
+// ObservePause records that an answer which arrived at a time asks this VM for a pause.
+func (t *Table) ObservePause(heardAt time.Duration, i Incarnation, pause time.Duration) {
+	if known := t.records[i.Target]; pause <= 0 || known != nil && known.born > i.Born {
+		return
+	}
+	r := t.record(i)
+	if heardAt >= r.pausedUntil {
+		r.pausedSince, r.called = heardAt, false
+	}
+	r.pausedUntil = max(r.pausedUntil, heardAt+pause)
+	t.pauses.targets[i.Target] = struct{}{}
+}
+
 // PausedFor returns the time for which a target wants no request from this VM, 0 if it takes
 // requests.
 func (t *Table) PausedFor(now time.Duration, i Incarnation) time.Duration {
--- a/internal/advisory/table.go
+++ b/internal/advisory/table.go
@@ -101,13 +101,7 @@
 	case !s.Unclear:
 		r.stayedAt = max(r.stayedAt, s.SentAt)
 	}
-	if s.Pause > 0 {
-		if s.HeardAt >= r.pausedUntil {
-			r.pausedSince, r.called = s.HeardAt, false
-		}
-		r.pausedUntil = max(r.pausedUntil, s.HeardAt+s.Pause)
-		t.pauses.targets[i.Target] = struct{}{}
-	}
+	t.ObservePause(s.HeardAt, i, s.Pause)
 	return t.noteChange(r, before, s.HeardAt)
 }
 
--- a/internal/edge/pauses.go
+++ b/internal/edge/pauses.go
@@ -33,6 +33,14 @@
 	return d.statements.TakeCall(d.now(), advisory.Incarnation{Target: target, Born: d.targets[target].Born})
 }
 
+// recordPause records that an incarnation of a target has just asked this VM for a pause.
+func (d *deployment) recordPause(target string, born int64, pause time.Duration) {
+	d.mu.Lock()
+	d.statements.ObservePause(d.now(), advisory.Incarnation{Target: target, Born: born}, pause)
+	d.mu.Unlock()
+	d.pausesChanged()
+}
+
 // ServicePausedFor implements gateway.Fleet.
 func (d *deployment) ServicePausedFor(service string) time.Duration {
 	d.mu.Lock()
@@ -132,6 +140,16 @@
 
 func (d *Daemon) pauses() []advisory.Pause { return d.deployment.pauses() }
 
+// heardInCall records what a target states in its answer to an order or a request for a report.
+func (d *Daemon) heardInCall(target string, born int64, s advisory.CallStatement) {
+	for _, field := range s.Invalid {
+		d.deployment.IgnoreStatement(field)
+	}
+	if s.Pause > 0 {
+		d.deployment.recordPause(target, born, s.Pause)
+	}
+}
+
 func (d *Daemon) takeCall(target string) bool { return d.deployment.takeCall(target) }
 
 func (d *Daemon) pausedFor(target string) time.Duration { return d.deployment.PausedFor(target, 0) }
--- a/internal/edgetest/pauses_test.go
+++ b/internal/edgetest/pauses_test.go
@@ -207,6 +207,53 @@
 	}
 }
 
+// Guards against orders, reports and requests that reach a target from a VM although it has
+// refused an order of that VM with Retry-After; and against other VMs that keep away, too.
+func TestPauseInTheRefusalOfAnOrderBindsTheOwnersVM(t *testing.T) {
+	const pause = 3 * time.Second
+	c := start(t, 2)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	for _, target := range c.engines {
+		c.holdAdapter(target, "a1")
+	}
+	owner := c.owner()
+	w := newDrainWatch(c)
+	for _, target := range c.engines {
+		target.TurnAwayCalls(-1, fmt.Sprint(pause.Seconds()))
+	}
+	ownerIndex := slices.Index(c.vms, owner)
+	other := c.vms[1-ownerIndex]
+	w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a7", deadline: time.Second}) // needs a load
+	refused := map[*engine.Target]engine.Arrival{}
+	for _, target := range c.engines {
+		if i := slices.IndexFunc(target.Calls(), func(call engine.Arrival) bool { return call.TurnedAway }); i >= 0 {
+			refused[target] = target.Calls()[i]
+		}
+	}
+	c.g.Expect(refused).NotTo(gomega.BeEmpty())
+	for _, first := range refused {
+		for time.Since(first.AnsweredAt) < pause {
+			w.ask(ownerIndex, owner, request{path: quote + "x", adapter: "a1", deadline: time.Second})
+			c.g.Expect(w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a1", deadline: time.Second}).status).To(gomega.Equal(http.StatusOK), "a VM that was not told")
+			w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a7", deadline: 500 * time.Millisecond})
+		}
+	}
+	for target, first := range refused {
+		from, until, during := first.AnsweredAt.Add(pauseGrace), first.AnsweredAt.Add(pause), 0
+		for _, call := range target.Calls() {
+			if call.At.After(from) && call.At.Before(until) {
+				during++
+			}
+		}
+		for _, a := range target.Arrivals() {
+			if a.At.After(from) && a.At.Before(until) && w.asked[a.ID].vm == ownerIndex {
+				during++
+			}
+		}
+		c.g.Expect(during).To(gomega.BeNumerically("<=", maxDuringPause), target.Settings.ID)
+	}
+}
+
 // Guards against callers that wait for their deadline although all targets of the service
 // pause, that are told to come back too early or late, or that find no target after the end.
 func TestRequestsAreRefusedAtOnceWhileAllTargetsPause(t *testing.T) {
--- a/internal/groupserver/contain.go
+++ b/internal/groupserver/contain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/placer"
 )
@@ -15,7 +16,7 @@
 			result = placer.Unanswered
 		}
 	}()
-	return m.opt.Engines.Order(context.Background(), order, m.opt.VM, epoch)
+	return m.opt.Engines.Order(m.listen(order.Target, order.Born), order, m.opt.VM, epoch)
 }
 
 // callReport fetches the report of a target.
@@ -27,5 +28,13 @@
 			report, err = nil, failure
 		}
 	}()
-	return m.opt.Engines.Report(context.Background(), c.Target, c.Address)
+	return m.opt.Engines.Report(m.listen(c.Target, c.Born), c.Target, c.Address)
+}
+
+// listen returns a context for a call to an incarnation of a target.
+func (m *Manager) listen(target string, born int64) context.Context {
+	if m.opt.Heard == nil {
+		return context.Background()
+	}
+	return advisory.WithCallListener(context.Background(), func(s advisory.CallStatement) { m.opt.Heard(target, born, s) })
 }
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
@@ -80,6 +81,9 @@
 	// TakeCall reports whether a call may be made to a target during its pause in which the
 	// target's state is read. Nil means that none may.
 	TakeCall func(target string) bool
+	// Heard is called with what an incarnation of a target states in its answer to an order or a
+	// request for a report. Nil ignores it.
+	Heard func(target string, born int64, s advisory.CallStatement)
 	// StoreReachable reports whether the last call to the store succeeded.
 	StoreReachable func() bool
 	// StoreLost reports whether calls to the store have failed for some time.
--- a/internal/groupserver/pauses_test.go
+++ b/internal/groupserver/pauses_test.go
@@ -153,3 +153,89 @@
 		})
 	}
 }
+
+// refusingEngines refuse all calls with a pause.
+type refusingEngines struct {
+	pause time.Duration
+	mu    sync.Mutex
+	calls []time.Time // when each was answered
+}
+
+func (e *refusingEngines) refuse(ctx context.Context) {
+	e.mu.Lock()
+	e.calls = append(e.calls, time.Now())
+	e.mu.Unlock()
+	advisory.HeardInCall(ctx, advisory.CallStatement{Pause: e.pause})
+}
+
+func (e *refusingEngines) Order(ctx context.Context, _ placer.Order, _ string, _ int64) placer.OrderResult {
+	e.refuse(ctx)
+	return placer.Unanswered
+}
+
+func (e *refusingEngines) Report(ctx context.Context, _, _ string) (*placer.Report, error) {
+	e.refuse(ctx)
+	return nil, errs.New(errs.TargetRefused, "refused")
+}
+
+// Guards against orders and reports that are repeated although the target has refused the last
+// one and asked the owner's VM to pause.
+func TestRefusedOrdersAndReportsAreNotRepeatedDuringThePause(t *testing.T) {
+	for name, record := range map[string]tenure.Record{
+		"first owner, orders": {}, "later owner, reports": {Owner: "vm9", Epoch: 1, Released: true, Closed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			const born = 7
+			engines := &refusingEngines{pause: time.Hour}
+			statements := advisory.NewTable()
+			var mu sync.Mutex
+			began, i := time.Now(), advisory.Incarnation{Target: "t", Born: born}
+			store := memstore.New()
+			var former []objectstore.Object
+			if record.Epoch > 0 {
+				value, err := json.Marshal(record)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				object, err := store.Create(t.Context(), Kind+"/"+GroupName("s", 0), value)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				former = []objectstore.Object{object}
+			}
+			m := New(Options{
+				VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: store, Engines: engines, Observer: &panicCounter{}, SettleDelay: time.Millisecond,
+				TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
+				PausedFor: func(string) time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
+					return statements.PausedFor(time.Since(began), i)
+				},
+				TakeCall: func(string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					return statements.TakeCall(time.Since(began), i)
+				},
+				Heard: func(target string, from int64, s advisory.CallStatement) {
+					mu.Lock()
+					defer mu.Unlock()
+					statements.ObservePause(time.Since(began), advisory.Incarnation{Target: target, Born: from}, s.Pause)
+				},
+			})
+			m.Replace(former)
+			m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
+				[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Born: born, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go m.Run(ctx)
+			g.Eventually(m.OwnedGroups).WithTimeout(30 * time.Second).Should(gomega.HaveLen(1))
+			for n := range 2 {
+				g.Expect(m.Acquire(ctx, grouprpc.AcquireRequest{Group: GroupName("s", 0), Epoch: 1, Request: placer.Request{
+					ID: fmt.Sprint("r", n), Holder: "vm1", Adapter: placer.Adapter{Model: "base", Name: "a"}, PromptTokens: 100, OutputTokens: 10, Objective: time.Second, Deadline: 2 * time.Second,
+				}}).Err).NotTo(gomega.BeNil())
+			}
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			g.Expect(engines.calls).NotTo(gomega.BeEmpty())
+			g.Expect(len(engines.calls)-1).To(gomega.BeNumerically("<=", 1), "calls after the first one, which has begun the pause")
+		})
+	}
+}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -12,7 +12,7 @@
 		if t.needsReport && t.inFlight == nil && (!t.reportRequested || c.now-t.reportRequestedAt >= reportRetryInterval) && c.now >= t.ordersFrom() {
 			t.reportRequested, t.reportRequestedAt = true, c.now
 			t.countOrder(c.now)
-			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address, StateUnknown: !t.stateKnown})
+			c.emit(FetchReport{Target: t.description.ID, Address: t.description.Address, Born: t.description.Born, StateUnknown: !t.stateKnown})
 		}
 		if c.ordersAllowed && t.inFlight == nil && t.stateKnown && !t.needsReport && c.now >= t.ordersFrom() {
 			c.sendNextOrder(t)
@@ -33,7 +33,7 @@
 		c.orderCount++
 		t.inFlightPlan = p
 		t.inFlight = &Order{
-			Target: t.description.ID, Address: t.description.Address, Operation: p.operation, Adapter: p.placement.adapter,
+			Target: t.description.ID, Address: t.description.Address, Born: t.description.Born, Operation: p.operation, Adapter: p.placement.adapter,
 			Precondition: t.acceptedOrders, Poll: p.placement.accepted, id: c.orderCount,
 		}
 		if p.operation == Load && p.placement.adapter.Name != "" {
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -63,6 +63,7 @@
 type Order struct {
 	Target       string
 	Address      string
+	Born         int64 // start time of the target, in Unix milliseconds
 	Operation    Operation
 	Adapter      Adapter
 	Version      int64 // version to load, 0 for the newest
@@ -147,7 +148,8 @@
 // FetchReport instructs the caller to fetch a fresh report from a target.
 type FetchReport struct {
 	Target, Address string
-	StateUnknown    bool // no request is granted the target before its first report
+	Born            int64 // start time of the target, in Unix milliseconds
+	StateUnknown    bool  // no request is granted the target before its first report
 }
 
 // RelinquishOwnership instructs the caller to give up the group, because a
