placer, gateway, edge, explain: Logs and metrics tell what pauses do to requests

Operators saw begin and end of a pause, but not that a request had waited for its end, or which target's pause a refusal was due to; a plain request's refusal read the same whether all targets paused or none was there.

The owner's granted and refused lines name the target and the time waited (paused_by, pause_wait_ms), the front end has a line paused, edge_pause_held counts requests by what became of them, and explain has lines pause: and the pauses of the targets involved.

--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -44,4 +44,6 @@
 	fieldLimitBefore  = "limit_before"
 	fieldLimitedBy    = "limited_by"
 	fieldLimitWait    = "limit_wait_ms"
+	fieldPausedBy     = "paused_by"
+	fieldPauseWait    = "pause_wait_ms"
 )
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -24,6 +24,7 @@
 	heldGranted = "granted"
 	heldRefused = "refused"
 	heldNoShare = "no_share"
+	heldSkipped = "skipped" // only by pauses
 )
 
 // limitKeeper watches and counts the limits that targets have named.
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -122,11 +122,12 @@
 	o.d.metrics.Observe(metrics.EdgeGrantWait, command.Waited)
 	o.d.deployment.limits.countSent(command.Grant.Target, grantedBy(command.Repeat))
 	o.d.deployment.limits.countHold(command.Hold, heldGranted)
+	o.d.countPause(command.Pause, heldGranted)
 	line := o.d.log.Debug()
 	if command.Waited > longGrantWait || o.d.grantLogSampler.allow(successesPerSecond) {
 		line = o.d.log.Info()
 	}
-	logHold(line, command.Hold).Str(fieldEvent, "granted").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.Grant.Request).
+	logPause(logHold(line, command.Hold), command.Pause).Str(fieldEvent, "granted").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.Grant.Request).
 		Str(fieldTarget, command.Grant.Target).Int64(fieldVersion, command.Grant.Version).
 		Dur(fieldEstimate, command.Estimate).Dur(fieldBacklog, command.Backlog).Dur(fieldWaited, command.Waited).Send()
 }
@@ -135,7 +136,8 @@
 func (o groupObserver) Refused(group string, epoch int64, command placer.RefuseRequest) {
 	o.d.metrics.Count(metrics.EdgeRefusals, string(command.Err.Code))
 	o.d.deployment.limits.countHold(command.Hold, heldRefused)
-	logHold(o.d.log.Info(), command.Hold).Str(fieldEvent, "refused").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.ID).
+	o.d.countPause(command.Pause, heldRefused)
+	logPause(logHold(o.d.log.Info(), command.Hold), command.Pause).Str(fieldEvent, "refused").Str(fieldGroup, group).Int64(fieldEpoch, epoch).Str(fieldRequest, command.ID).
 		Str(fieldReason, command.Err.Error()).Dur(fieldRetry, command.Err.Retry).Dur(fieldWaited, command.Waited).Send()
 }
 
@@ -227,7 +229,7 @@
 	if step.Estimate > 0 {
 		line.Dur(fieldEstimate, step.Estimate).Str(fieldOwner, step.Owner).Int64(fieldVersion, step.Version)
 	}
-	logHold(line, step.Hold)
+	logPause(logHold(line, step.Hold), step.Pause)
 	if b := step.Break; b != nil {
 		line.Strs(fieldParts, b.Parts).Int(fieldCount, b.EventCount).Bool(fieldCrashed, b.Crashed)
 	}
@@ -263,6 +265,10 @@
 			if step.Hold == nil {
 				m.Count(metrics.EdgeLimitHeld, heldNoShare)
 			}
+		case gateway.StepSkipped:
+			if step.Detail == gateway.DetailPauses {
+				m.Count(metrics.EdgePauseHeld, heldSkipped)
+			}
 		case gateway.StepPlaced:
 			if step.Owner == "" {
 				m.Add(metrics.EdgeUngranted, 1)
--- a/internal/edge/pauses.go
+++ b/internal/edge/pauses.go
@@ -3,8 +3,12 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/placer"
 )
 
 // pauseChange is the begin or end of a target's pause for this VM.
@@ -125,6 +129,21 @@
 	return changes
 }
 
+// logPause adds the pause that has held a request up to a log line, if there is one.
+func logPause(line *zerolog.Event, hold *placer.PauseHold) *zerolog.Event {
+	if hold == nil {
+		return line
+	}
+	return line.Str(fieldPausedBy, hold.Target).Dur(fieldPauseWait, hold.Waited)
+}
+
+// countPause counts a request that a pause has held up, if one has.
+func (d *Daemon) countPause(hold *placer.PauseHold, label string) {
+	if hold != nil {
+		d.metrics.Count(metrics.EdgePauseHeld, label)
+	}
+}
+
 // logPauseChanges logs each begin and end of a pause since the last call.
 func (d *Daemon) logPauseChanges() {
 	for _, c := range d.deployment.takePauseChanges() {
--- a/internal/edgetest/pauses_test.go
+++ b/internal/edgetest/pauses_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -281,6 +282,7 @@
 					c.g.Expect(arrival.ID).NotTo(gomega.Equal(a.id))
 				}
 			}
+			c.g.Expect(c.story(a.id)).To(gomega.Or(gomega.ContainSubstring("pause: all targets of the service pause"), gomega.ContainSubstring("pause: refused, because all targets pause")), path)
 		}
 	}
 	time.Sleep(time.Until(ends) + 100*time.Millisecond)
@@ -291,6 +293,23 @@
 	}
 }
 
+// Guards against a request that waited for the end of a pause without the logs telling it.
+func TestTheLogsTellThatARequestWaitedForThePauseOfATarget(t *testing.T) {
+	c := start(t, 1)
+	c.g.Expect(c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}).status).To(gomega.Equal(http.StatusOK))
+	c.g.Eventually(func() string {
+		for _, target := range c.engines {
+			target.PauseCallers(500 * time.Millisecond)
+		}
+		c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}) // is turned away by all targets
+		a := c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"})
+		if !strings.Contains(c.logs.text(), fmt.Sprintf(`"request":"%s/`, a.id)) {
+			return "" // it was granted at once, and is not in the sample
+		}
+		return c.story(a.id)
+	}).WithTimeout(limit).Should(gomega.MatchRegexp(`target_paused .*target=e(?s:.*)pause: held up for [1-9][0-9]* ms by the pause of e\d, then granted`))
+}
+
 // Guards against a sound target that is kept out of use: by a value that says nothing, or by
 // the pause of its former incarnation.
 func TestOnlyAPauseThatIsOneTakesATargetOutOfUse(t *testing.T) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,6 +36,7 @@
 	Lines        []Line   `json:"lines"`   // lines about the request, in causal order
 	StateChanges []Line   `json:"around"`  // state changes of the VMs involved, from stateChangeLookback before the first of Lines to the last
 	Limits       []string `json:"limits"`  // how rate limits of targets held the request up
+	Pauses       []string `json:"pauses"`  // how pauses of targets held the request up
 	Missing      []string `json:"missing"` // descriptions of the lines and logs that are missing
 }
 
@@ -142,13 +143,14 @@
 	first, last := report.Lines[0].Time, report.Lines[len(report.Lines)-1].Time
 	involved, targets := involvedVMs(report.Lines), involvedTargets(report.Lines)
 	for _, l := range lines {
-		changed := stateChangeEvents[l.Event] || limitEvents[l.Event] && targets[stringField(l.Fields, "target")]
+		changed := stateChangeEvents[l.Event] || (limitEvents[l.Event] || pauseEvents[l.Event]) && targets[stringField(l.Fields, "target")]
 		if changed && involved[l.VM] && l.Time.After(first.Add(-stateChangeLookback)) && !l.Time.After(last) {
 			report.StateChanges = append(report.StateChanges, l)
 		}
 	}
 	slices.SortStableFunc(report.StateChanges, compareStamps)
 	report.Limits = describeLimits(report.Lines)
+	report.Pauses = describePauses(report.Lines)
 	report.Missing = describeGaps(report.Lines, lines)
 	return report, nil
 }
@@ -211,6 +213,9 @@
 	for _, limit := range report.Limits {
 		fmt.Fprintf(&b, "limit: %s\n", limit)
 	}
+	for _, pause := range report.Pauses {
+		fmt.Fprintf(&b, "pause: %s\n", pause)
+	}
 	for _, gap := range report.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", gap)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -86,3 +86,43 @@
 		}
 	}
 }
+
+const pauseLogs = `{"vm":"vm1","event":"target_paused","target":"t1","left_ms":900,"source":"answer","stamp":"1000000000.0"}
+{"vm":"vm1","event":"target_paused","target":"t2","left_ms":900,"source":"answer","stamp":"1000000000.0"}
+{"vm":"vm2","event":"granted","request":"q1/1","target":"t1","paused_by":"t1","pause_wait_ms":412,"stamp":"2000000000.0"}
+{"vm":"vm1","event":"paused","request":"q1","target":"t1","paused_by":"t1","pause_wait_ms":412,"stamp":"2100000000.0"}
+{"vm":"vm1","event":"finished","request":"q1","status":200,"stamp":"2100000000.1"}
+{"vm":"vm2","event":"refused","request":"q2/1","paused_by":"t1","pause_wait_ms":0,"retry_ms":2000,"stamp":"2000000000.0"}
+{"vm":"vm2","event":"refused","request":"q3/1","paused_by":"t1","pause_wait_ms":20,"retry_ms":2000,"stamp":"2000000000.0"}
+{"vm":"vm1","event":"paused","request":"q4","reason":"all targets of the service pause","stamp":"2000000000.0"}
+{"vm":"vm1","event":"skipped","request":"q5","target":"t3","reason":"the target pauses","stamp":"2000000000.0"}
+{"vm":"vm1","event":"skipped","request":"q6","target":"t3","reason":"the target leaves","stamp":"2000000000.0"}
+`
+
+// Guards against a report that does not tell that a request waited, was refused or was not sent
+// because of the pause of a target.
+func TestReportNamesThePauseThatHeldARequestUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := explain.Read(strings.NewReader(pauseLogs), explain.Window{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for id, want := range map[string]string{
+		"q1": "pause: held up for 412 ms by the pause of t1, then granted\n",
+		"q2": "pause: refused, because all targets pause, t1 for the shortest time\n",
+		"q3": "pause: held up for 20 ms by the pause of t1, then refused\n",
+		"q4": "pause: all targets of the service pause\n",
+		"q5": "pause: not sent to t3, which pauses\n",
+	} {
+		report, err := explain.BuildReport(id, lines)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Pauses).To(gomega.HaveLen(1), id)
+		var b strings.Builder
+		g.Expect(explain.Write(&b, report)).To(gomega.Succeed())
+		g.Expect(b.String()).To(gomega.ContainSubstring(want))
+		if id == "q1" {
+			g.Expect(report.StateChanges).To(gomega.HaveLen(1), "the pause of a target that the request had nothing to do with")
+		}
+	}
+	report, err := explain.BuildReport("q6", lines)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(report.Pauses).To(gomega.BeEmpty())
+}
--- a/internal/explain/limits.go
+++ b/internal/explain/limits.go
@@ -11,7 +11,7 @@
 func involvedTargets(lines []Line) map[string]bool {
 	targets := map[string]bool{}
 	for _, l := range lines {
-		for _, name := range []string{"target", "limited_by"} {
+		for _, name := range []string{"target", "limited_by", "paused_by"} {
 			if target := stringField(l.Fields, name); target != "" {
 				targets[target] = true
 			}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -59,6 +59,7 @@
 			return errs.NotRun(errs.NoTarget, "the rate limits of the service's targets leave this VM no request now").WithRetry(time.Second)
 		}
 		if !found {
+			c.traceServicePause()
 			return errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(c.pauseAdvice(time.Second))
 		}
 		c.excluded = append(c.excluded, target.ID)
@@ -184,7 +185,7 @@
 // traceFailure records the end of an attempt without an answer for the caller.
 func (c *call) traceFailure(r *reply) {
 	if r.withheld {
-		c.trace.addStep(StepSkipped, r.target.ID, detailPauses)
+		c.trace.addStep(StepSkipped, r.target.ID, DetailPauses)
 		return
 	}
 	c.trace.addStep(StepFailed, r.target.ID, failureLabel(r))
@@ -292,8 +293,15 @@
 // refused by all targets that were tried, or for another reason that states no time.
 const refusalRetryAfter = 300 * time.Millisecond
 
-// detailPauses is the detail of a StepSkipped whose target pauses.
-const detailPauses = "the target pauses"
+// DetailPauses is the detail of a StepSkipped whose target pauses.
+const DetailPauses = "the target pauses"
+
+// traceServicePause records that all targets of the service pause, if they do.
+func (c *call) traceServicePause() {
+	if c.server.opt.Fleet.ServicePausedFor(c.service) > 0 {
+		c.trace.addStep(StepPaused, "", "all targets of the service pause")
+	}
+}
 
 // pauses reports whether an incarnation of a target wants no requests from this VM now.
 func (c *call) pauses(target string, born int64) bool {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -67,6 +67,7 @@
 	Owner    string            // VM that granted the lease, empty if this VM chose the target from its own view
 	Group    string            // group of targets that the owner manages, empty if Owner is
 	Hold     *placer.LimitHold // nil if no rate limit of a target has held the request up
+	Pause    *placer.PauseHold // nil if no pause of a target has held the request up
 }
 
 // TargetStatement is what a target stated about itself in the head of an answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -213,6 +213,7 @@
 // than this VM that a target leaves or pauses.
 func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
 	if left := c.server.opt.Fleet.ServicePausedFor(c.service); left > time.Until(c.placementDeadline(o)) {
+		c.traceServicePause()
 		return Lease{}, errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(min(maxPauseAdvice, left))
 	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
@@ -239,7 +240,7 @@
 				c.excluded = append(c.excluded, g.Target)
 			}
 			paused = append(paused, g.Target)
-			c.trace.addStep(StepSkipped, g.Target, detailPauses)
+			c.trace.addStep(StepSkipped, g.Target, DetailPauses)
 		default:
 			return lease, nil
 		}
@@ -431,7 +432,7 @@
 		return s.recordRefusal(c, failure)
 	case s.withheld:
 		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
-		c.trace.addStep(StepSkipped, s.lease.Grant.Target, detailPauses)
+		c.trace.addStep(StepSkipped, s.lease.Grant.Target, DetailPauses)
 		return failure
 	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
 		c.mayHaveRun = c.mayHaveRun || s.sent
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -16,6 +16,7 @@
 	StepFailed  = "attempt_failed"
 	StepResumed = "resumed"
 	StepLimited = "limited" // the rate limits of targets have held the request up, or leave no target
+	StepPaused  = "paused"  // the request waited for the end of a target's pause
 	StepLate    = "late"    // the target is late with its next event, so that another one is sought
 )
 
@@ -31,6 +32,7 @@
 	Version  int64             // version of the adapter, 0 if unknown
 	Break    *StreamBreak      // of a failed attempt at a stream, nil otherwise
 	Hold     *placer.LimitHold // of a request that rate limits have held up, nil otherwise
+	Pause    *placer.PauseHold // of a request that pauses have held up, nil otherwise
 }
 
 // StreamBreak describes the state in which an attempt at a stream failed.
@@ -79,6 +81,9 @@
 	if l.Hold != nil {
 		t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: StepLimited, Target: l.Hold.Target, Hold: l.Hold})
 	}
+	if l.Pause != nil {
+		t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: StepPaused, Target: l.Pause.Target, Pause: l.Pause})
+	}
 	t.Steps = append(t.Steps, Step{
 		At: time.Since(t.arrivedAt), Name: StepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
 	})
--- a/internal/groupclient/acquire.go
+++ b/internal/groupclient/acquire.go
@@ -119,7 +119,7 @@
 		reply := c.askOwner(ctx, o, r)
 		if reply.Err == nil {
 			c.trackRunning(o.name, r, reply.Grant)
-			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name, Hold: reply.Hold}, nil
+			return gateway.Lease{Grant: reply.Grant, Estimate: reply.Estimate, Owner: o.owner, Group: o.name, Hold: reply.Hold, Pause: reply.Pause}, nil
 		}
 		if isOwnerUnavailable(reply.Err) && refused > 0 {
 			continue
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -43,6 +43,7 @@
 	Grant    placer.Grant
 	Estimate time.Duration // expected time until the first event of the response
 	Hold     *placer.LimitHold
+	Pause    *placer.PauseHold
 	Err      *errs.Error
 }
 
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -281,7 +281,7 @@
 	switch c := command.(type) {
 	case placer.GrantRequest:
 		g.manager.opt.Observer.Granted(g.name, g.epoch, c)
-		g.sendReply(c.Grant.Request, grouprpc.AcquireReply{Grant: c.Grant, Estimate: c.Estimate, Hold: c.Hold})
+		g.sendReply(c.Grant.Request, grouprpc.AcquireReply{Grant: c.Grant, Estimate: c.Estimate, Hold: c.Hold, Pause: c.Pause})
 	case placer.RefuseRequest:
 		g.manager.opt.Observer.Refused(g.name, g.epoch, c)
 		g.sendReply(c.ID, grouprpc.AcquireReply{Err: c.Err})
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -35,6 +35,7 @@
 	EdgeQuarantines       Name = "edge_quarantines"
 	EdgeTargetsLeaving    Name = "edge_targets_leaving"
 	EdgeTargetsPaused     Name = "edge_targets_paused"
+	EdgePauseHeld         Name = "edge_pause_held"
 	EdgeStatementsIgnored Name = "edge_statements_ignored"
 	EdgeTargetsLimited    Name = "edge_targets_limited"
 	EdgeLimits            Name = "edge_limits"
@@ -60,6 +61,7 @@
 	{EdgeQuarantines, ByLabel, "parts", "of prompts that crash targets: part_quarantined, part_released"},
 	{EdgeTargetsLeaving, ByLabel, "targets", "that leave, by service, as their descriptions or answers state"},
 	{EdgeTargetsPaused, ByLabel, "targets", "that want no requests from this VM for a while, by service"},
+	{EdgePauseHeld, ByLabel, "requests", "held up by pauses of targets, as owner: granted or refused after it, or refused because all pause; skipped: a target was chosen or granted and the request not sent to it"},
 	{EdgeStatementsIgnored, ByLabel, "statements", "of targets about themselves that were ignored, by header field; foreign: in an answer of another target or to another request"},
 	{EdgeTargetsLimited, ByLabel, "targets", "that limit their requests, by service, as far as this VM knows"},
 	{EdgeLimits, ByLabel, "requests a minute", "sum of these limits, by service"},
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -252,8 +253,8 @@
 		r.latestStart = min(r.latestStart, c.now+request.Abandon-abandonMargin)
 	}
 	r.adapter.countRequest(c.now)
-	if err, hold := c.admit(r); err != nil {
-		c.emit(RefuseRequest{ID: request.ID, Err: err, Hold: hold})
+	if refusal := c.admit(r); refusal != nil {
+		c.emit(*refusal)
 		return
 	}
 	r.adapter.queued++
@@ -288,7 +289,7 @@
 
 func (c *Core) refuse(r *queuedRequest, err *errs.Error) {
 	c.dequeue(r)
-	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r)})
+	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r), Pause: cmp.Or(r.refusedBy, c.pauseHold(r))})
 }
 
 func (c *Core) emit(command Command) { c.commands = append(c.commands, command) }
--- a/internal/placer/dispatch.go
+++ b/internal/placer/dispatch.go
@@ -189,6 +189,7 @@
 // it and the target wants it.
 func (c *Core) grantWithinLimit(r *queuedRequest, best candidate) {
 	if best.pauseWait > 0 {
+		c.holdUpForPause(r, best.target)
 		return
 	}
 	if best.limitWait > 0 {
@@ -285,7 +286,7 @@
 			Priority: enginePriority(r.Priority, late), Born: t.description.Born,
 		},
 		Estimate: best.firstEvent, Backlog: best.backlog, Waited: c.now - r.queuedAt,
-		Hold: c.limitHold(r), Repeat: len(r.Exclude) > 0,
+		Hold: c.limitHold(r), Pause: c.pauseHold(r), Repeat: len(r.Exclude) > 0,
 	})
 }
 
@@ -301,8 +302,8 @@
 	return min(4, priority)
 }
 
-// admit returns an error, and the limits that cause it if they do, if a new request cannot be expected to start in time.
-func (c *Core) admit(r *queuedRequest) (*errs.Error, *LimitHold) {
+// admit returns a refusal if a new request cannot be expected to start in time, nil if it can.
+func (c *Core) admit(r *queuedRequest) *RefuseRequest {
 	targets, backlog, queued := 0, time.Duration(0), time.Duration(0)
 	for _, t := range c.targets {
 		if t.acceptsWork() {
@@ -311,16 +312,16 @@
 		}
 	}
 	if targets == 0 {
-		return errNoTarget(), nil
+		return &RefuseRequest{ID: r.ID, Err: errNoTarget()}
 	}
-	if failure := c.checkPauses(r); failure != nil {
-		return failure, nil
+	if failure, pause := c.checkPauses(r); failure != nil {
+		return &RefuseRequest{ID: r.ID, Err: failure, Pause: pause}
 	}
 	if len(c.queue) == 0 {
-		return nil, nil
+		return nil
 	}
 	if failure, hold := c.checkLimits(r); failure != nil {
-		return failure, hold
+		return &RefuseRequest{ID: r.ID, Err: failure, Hold: hold}
 	}
 	for _, other := range c.queue {
 		if other.Priority <= r.Priority {
@@ -329,9 +330,9 @@
 	}
 	wait := (backlog + queued) / time.Duration(targets)
 	if float64(wait) > maxWaitFraction*float64(r.latestStart-c.now) {
-		return errs.NotRun(errs.Overloaded, "the request would wait beyond its deadline").WithRetry(retryAfter(wait)), nil
+		return &RefuseRequest{ID: r.ID, Err: errs.NotRun(errs.Overloaded, "the request would wait beyond its deadline").WithRetry(retryAfter(wait))}
 	}
-	return nil, nil
+	return nil
 }
 
 // errNoTarget returns the error for requests to a group whose targets all leave.
@@ -360,7 +361,8 @@
 		case c.now >= r.latestStart:
 			c.refuse(r, errs.NotRun(errs.DeadlineUnreachable, "no target could start the request in time").WithRetry(minRetryAfter))
 		default:
-			if failure := c.checkPauses(r); failure != nil {
+			if failure, pause := c.checkPauses(r); failure != nil {
+				r.refusedBy = pause
 				c.refuse(r, failure)
 			}
 		}
--- a/internal/placer/pauses.go
+++ b/internal/placer/pauses.go
@@ -45,28 +45,54 @@
 	return max(0, until-now)
 }
 
-// checkPauses returns an error if all targets that a request may use want no requests from its
+// pauseHold is the time for which the pauses of targets have held a queued request up.
+type pauseHold struct {
+	since  Time
+	target *targetState // nil if no pause has held the request up
+}
+
+// holdUpForPause records that the pause of a target holds a queued request up.
+func (c *Core) holdUpForPause(r *queuedRequest, t *targetState) {
+	if r.pause.target == nil {
+		r.pause.since = c.now
+	}
+	r.pause.target = t
+}
+
+// pauseHold returns how the pauses of targets have held a request up, nil if they have not.
+func (c *Core) pauseHold(r *queuedRequest) *PauseHold {
+	if r.pause.target == nil {
+		return nil
+	}
+	return &PauseHold{Target: r.pause.target.description.ID, Waited: c.now - r.pause.since}
+}
+
+// checkPauses returns an error, and the pause that ends first, if all targets that a request may use want no requests from its
 // VM for so long that its first event would be late. Its caller may find a VM that was not
 // told.
-func (c *Core) checkPauses(r *queuedRequest) *errs.Error {
+func (c *Core) checkPauses(r *queuedRequest) (*errs.Error, *PauseHold) {
 	if c.lastPauseEnd <= c.now {
-		return nil
+		return nil, nil
 	}
-	shortest := time.Duration(0)
+	shortest, first := time.Duration(0), (*targetState)(nil)
 	for _, t := range c.targets {
 		if !t.acceptsWork() {
 			continue
 		}
 		left, excluded := t.pausedFor(c.now, r.Holder), slices.Contains(r.Exclude, t.description.ID)
 		if !excluded && c.now+left < r.firstEventDue || left == 0 && !excluded {
-			return nil
+			return nil, nil
 		}
-		if left > 0 && (shortest == 0 || left < shortest) {
-			shortest = left
+		if left > 0 && (first == nil || left < shortest) {
+			shortest, first = left, t
 		}
 	}
-	if shortest == 0 {
-		return nil
+	if first == nil {
+		return nil, nil
+	}
+	hold := &PauseHold{Target: first.description.ID}
+	if waited := c.pauseHold(r); waited != nil {
+		hold.Waited = waited.Waited
 	}
-	return errs.NotRun(errs.NoTarget, "no target of the group wants requests from this VM now").WithRetry(min(maxPauseAdvice, shortest))
+	return errs.NotRun(errs.NoTarget, "no target of the group wants requests from this VM now").WithRetry(min(maxPauseAdvice, shortest)), hold
 }
--- a/internal/placer/pauses_test.go
+++ b/internal/placer/pauses_test.go
@@ -86,6 +86,8 @@
 	g.Expect(sim.answered(short)).To(gomega.BeFalse())
 	sim.advance(20 * time.Millisecond)
 	g.Expect(sim.granted).To(gomega.HaveKey(short))
+	g.Expect(sim.heldByPause[short]).To(gomega.HaveField("Target", gomega.HavePrefix("t")))
+	g.Expect(sim.heldByPause[short].Waited).To(gomega.And(gomega.BeNumerically(">=", 350*time.Millisecond), gomega.BeNumerically("<=", 420*time.Millisecond)))
 
 	sim.advance(time.Second)
 	sim.pauseAll("vm0", 2*time.Second)
@@ -98,6 +100,7 @@
 	g.Expect(sim.refused).To(gomega.HaveKey(long))
 	g.Expect(sim.refused[long].Err.Code).To(gomega.Equal(errs.NoTarget))
 	g.Expect(sim.refused[long].Err.Retry).To(gomega.Equal(2*time.Second), "the shortest pause")
+	g.Expect(sim.refused[long].Pause).To(gomega.Equal(&placer.PauseHold{Target: "t1"}))
 	other := sim.enqueue(adapter(0), from("vm1"))
 	sim.advance(500 * time.Millisecond)
 	g.Expect(sim.granted).To(gomega.HaveKey(other))
@@ -112,6 +115,7 @@
 	sim.advance(50 * time.Millisecond)
 	g.Expect(sim.refused).To(gomega.HaveKey(queued))
 	g.Expect(sim.refused[queued].Err.Retry).To(gomega.Equal(5 * time.Second))
+	g.Expect(sim.refused[queued].Pause.Target).To(gomega.Equal("t0"))
 }
 
 // Guards against a pause that keeps the next incarnation of its target out of use, or that a
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -115,9 +115,10 @@
 	trace          bool
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
 	lateBy         time.Duration
-	grantTimes     map[string][]time.Duration // by target
-	grantedAt      map[string]time.Duration   // by request
-	rateLimits     map[string]float64         // that the engines name with the first event, by target
+	grantTimes     map[string][]time.Duration   // by target
+	grantedAt      map[string]time.Duration     // by request
+	heldByPause    map[string]*placer.PauseHold // of granted requests
+	rateLimits     map[string]float64           // that the engines name with the first event, by target
 }
 
 func newSimulation(seed uint64, engines int, params placer.Params) *simulation {
@@ -133,7 +134,7 @@
 		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, loads: map[string]int{}, rateLimits: map[string]float64{},
 		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, holds: map[string]*placer.LimitHold{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
-	sim.grantedAt = map[string]time.Duration{}
+	sim.grantedAt, sim.heldByPause = map[string]time.Duration{}, map[string]*placer.PauseHold{}
 	for i := range engines {
 		id := fmt.Sprintf("t%d", i)
 		sim.engines[id] = newEngine(id, 1)
@@ -206,7 +207,7 @@
 func (sim *simulation) grant(c placer.GrantRequest) {
 	sim.grantTimes[c.Grant.Target] = append(sim.grantTimes[c.Grant.Target], sim.now)
 	id := c.Grant.Request
-	sim.grantedAt[id] = sim.now
+	sim.grantedAt[id], sim.heldByPause[id] = sim.now, c.Pause
 	sim.checkUnanswered(id)
 	sim.granted[id], sim.waits[id], sim.holds[id] = c.Grant, c.Waited, c.Hold
 	if sim.leaving[c.Grant.Target] {
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -135,6 +135,8 @@
 	deadline      Time
 	adapter       *adapterState
 	hold          limitHold
+	pause         pauseHold
+	refusedBy     *PauseHold // nil if the request was not refused because of pauses
 }
 
 // activeRun is a granted request that has not ended.
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -124,6 +124,13 @@
 	Waited    time.Duration // since the limit first held the request up
 }
 
+// PauseHold tells that a request waited for the end of a target's pause for its VM, or was
+// refused because of it.
+type PauseHold struct {
+	Target string        // the last target that the request waited for, or of those that pause for too long the one whose pause ends first
+	Waited time.Duration // since a pause first held the request up, 0 if none has
+}
+
 // GrantRequest answers a request with a target.
 type GrantRequest struct {
 	Grant    Grant
@@ -131,6 +138,7 @@
 	Backlog  time.Duration // time that the target needs for the prompts granted before
 	Waited   time.Duration // time that the request was queued
 	Hold     *LimitHold    // nil if no limit held the request up
+	Pause    *PauseHold    // nil if no pause held the request up
 	Repeat   bool          // the request has been sent to another target before
 }
 
@@ -140,6 +148,7 @@
 	Err    *errs.Error
 	Waited time.Duration // time that the request was queued
 	Hold   *LimitHold    // nil if no limit held the request up
+	Pause  *PauseHold    // nil if no pause held the request up or is the cause
 }
 
 // SendOrder instructs the caller to send an order to a target.
