placer: A pause that a new incarnation asks for is kept until the owner learns of it

The VM that a restarted target has told names the pause with its next request; the owner may learn of the restart later. It then dropped the pause with the state of the former incarnation, and granted the target to that VM again. The VM did not use the grant, but asked once more, and requests in the queue lost the wait.

Pauses are now kept with their incarnation. A message about the former one neither prolongs nor replaces that of the next.

TestOwnersObeyPausesInAnyOrder (messages that are late, overtaken or repeated, restarts, takeovers, held orders) failed with the former reset.

--- a/internal/placer/pauses.go
+++ b/internal/placer/pauses.go
@@ -11,17 +11,31 @@
 // because other VMs may serve them earlier.
 const maxPauseAdvice = 5 * time.Second
 
+// targetPause is the pause that an incarnation of a target wants from a VM.
+type targetPause struct {
+	born  int64 // the owner may learn of the incarnation later than of its pause
+	until Time
+}
+
 // SetPause records for how long an incarnation of a target wants no requests from a VM.
 func (c *Core) SetPause(now Time, vm, target string, born int64, left time.Duration) {
 	c.advance(now)
 	t := c.targetsByID[target]
-	if t == nil || t.description.Born > born {
+	if t == nil {
 		return
 	}
-	if t.pausedUntil == nil {
-		t.pausedUntil = map[string]Time{}
+	if t.pauses == nil {
+		t.pauses = map[string]targetPause{}
 	}
-	t.pausedUntil[vm] = max(t.pausedUntil[vm], c.now+left)
+	known := t.pauses[vm]
+	switch {
+	case born < known.born:
+		return
+	case born > known.born:
+		known = targetPause{born: born}
+	}
+	known.until = max(known.until, c.now+left)
+	t.pauses[vm] = known
 	c.lastPauseEnd = max(c.lastPauseEnd, c.now+left)
 }
 
@@ -38,11 +52,15 @@
 
 // pausedFor returns the time for which a target wants no requests from a VM.
 func (t *targetState) pausedFor(now Time, vm string) time.Duration {
-	until, found := t.pausedUntil[vm]
-	if found && until <= now {
-		delete(t.pausedUntil, vm)
+	p, found := t.pauses[vm]
+	if !found {
+		return 0
+	}
+	if p.until <= now || p.born < t.description.Born {
+		delete(t.pauses, vm)
+		return 0
 	}
-	return max(0, until-now)
+	return p.until - now
 }
 
 // pauseHold is the time for which the pauses of targets have held a queued request up.
--- a/internal/placer/pauses_test.go
+++ b/internal/placer/pauses_test.go
@@ -1,11 +1,13 @@
 package placer_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/placer"
@@ -130,6 +132,13 @@
 	id := sim.enqueue(adapter(0), from("vm0"))
 	sim.advance(time.Second)
 	g.Expect(sim.granted).To(gomega.HaveKey(id))
+
+	sim.core.SetPause(sim.now, "vm0", "t0", 2, 200*time.Millisecond)
+	sim.core.SetPause(sim.now, "vm0", "t0", 1, time.Minute)
+	id = sim.enqueue(adapter(0), from("vm0"))
+	g.Expect(sim.granted).NotTo(gomega.HaveKey(id))
+	sim.advance(250 * time.Millisecond)
+	g.Expect(sim.granted).To(gomega.HaveKey(id), "the former incarnation wanted a longer pause")
 }
 
 // Guards against orders and reports that reach a target that wants nothing from the owner's VM,
@@ -152,3 +161,153 @@
 	sim.advance(time.Second)
 	g.Expect(sim.engines["t0"].acceptedOrders).To(gomega.BeNumerically(">", 0))
 }
+
+// toldPause is a pause that an incarnation of a target has asked a VM for.
+type toldPause struct {
+	vm, target string
+	born       int64
+	until      time.Duration
+}
+
+// pauseMessage is a request on its way to the owner, with the pauses of its VM.
+type pauseMessage struct {
+	vm     string
+	pauses []toldPause
+	left   []time.Duration // of each, when the message was sent
+}
+
+// pauseWorld is a group whose owner hears of pauses in messages that are late, overtake each
+// other and come twice.
+type pauseWorld struct {
+	sim      *simulation
+	told     []toldPause
+	messages []pauseMessage
+	holders  map[string]string // VM by request
+	checked  map[string]bool   // grants, by request
+	// bound holds what the present owner has heard of the newest incarnations, with the end as
+	// the owner must see it.
+	bound []toldPause
+	held  map[string]toldPause // orders, by target
+	stale map[string]bool      // targets that have started anew since the owner was told of them
+}
+
+var pauseVMs = []string{"vm0", "vm1"}
+
+func (w *pauseWorld) restart(target string) {
+	w.sim.engines[target] = newEngine(target, w.sim.engines[target].born+1)
+	delete(w.held, target)
+	w.stale[target] = true
+}
+
+// list tells the owner of the present targets.
+func (w *pauseWorld) list() {
+	w.stale = map[string]bool{}
+	w.sim.updateTargets()
+}
+
+// takeOver replaces the owner by one that knows nothing.
+func (w *pauseWorld) takeOver() {
+	w.sim.core = placer.New(placer.Params{MaxColdLoads: 8, Engine: placer.Engine{AdapterSlots: adapterSlots, Models: []placer.Model{{Name: modelName}}}})
+	w.bound, w.held = nil, map[string]toldPause{}
+	w.list()
+}
+
+func (w *pauseWorld) arrive(m pauseMessage) {
+	w.sim.now++ // later than all grants so far
+	for i, p := range m.pauses {
+		w.sim.core.SetPause(w.sim.now, m.vm, p.target, p.born, m.left[i])
+		p.until = w.sim.now + m.left[i]
+		w.bound = append(w.bound, p)
+		w.bound = slices.DeleteFunc(w.bound, func(old toldPause) bool { return old.vm == m.vm && old.target == p.target && old.born < p.born })
+	}
+	id := w.sim.enqueue(adapter(w.sim.random.IntN(4)), from(m.vm))
+	w.holders[id] = m.vm
+}
+
+func (w *pauseWorld) check(t *rapid.T) {
+	for id, at := range w.sim.grantedAt {
+		if w.checked[id] {
+			continue
+		}
+		w.checked[id] = true
+		granted := w.sim.granted[id]
+		for _, p := range w.bound {
+			if p.vm == w.holders[id] && p.target == granted.Target && p.born >= granted.Born && at < p.until {
+				t.Fatalf("%s of %s was granted %s at %v, which pauses until %v", id, p.vm, p.target, at, p.until)
+			}
+		}
+	}
+}
+
+// Guards against grants, orders and reports during a pause that the owner has heard of, in any
+// order of messages: late, repeated, about a former incarnation or one that the owner does not
+// know yet, across restarts of the target and takeovers; and against pauses that outlast their
+// end.
+func TestOwnersObeyPausesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &pauseWorld{
+			sim:     newSimulation(rapid.Uint64().Draw(t, "seed"), 2, placer.Params{}),
+			holders: map[string]string{}, checked: map[string]bool{}, held: map[string]toldPause{}, stale: map[string]bool{},
+		}
+		w.sim.called = func(target string) {
+			if held, found := w.held[target]; found && w.sim.now < held.until {
+				t.Fatalf("an order or report was sent to %s at %v, before %v", target, w.sim.now, held.until)
+			}
+		}
+		target := rapid.SampledFrom([]string{"t0", "t1"})
+		vm := rapid.SampledFrom(pauseVMs)
+		t.Repeat(map[string]func(*rapid.T){
+			"VM is told": func(t *rapid.T) {
+				id := target.Draw(t, "target")
+				left := time.Duration(rapid.IntRange(1, 30).Draw(t, "left")) * 100 * time.Millisecond
+				w.told = append(w.told, toldPause{vm.Draw(t, "VM"), id, w.sim.engines[id].born, w.sim.now + left})
+			},
+			"VM asks": func(t *rapid.T) {
+				m := pauseMessage{vm: vm.Draw(t, "VM")}
+				for _, p := range w.told {
+					if left := p.until - w.sim.now; p.vm == m.vm && left > 0 {
+						m.pauses, m.left = append(m.pauses, p), append(m.left, left)
+					}
+				}
+				w.messages = append(w.messages, m)
+			},
+			"message arrives": func(t *rapid.T) {
+				if len(w.messages) == 0 {
+					t.Skip("no message")
+				}
+				n := rapid.IntRange(0, len(w.messages)-1).Draw(t, "message")
+				m := w.messages[n]
+				if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+					w.messages = append(w.messages[:n:n], w.messages[n+1:]...)
+				}
+				w.arrive(m)
+			},
+			"orders are held": func(t *rapid.T) {
+				id := target.Draw(t, "target")
+				left := time.Duration(rapid.IntRange(1, 20).Draw(t, "left")) * 100 * time.Millisecond
+				if w.stale[id] {
+					t.Skip("the owner holds the orders of the former incarnation")
+				}
+				w.sim.core.HoldOrders(w.sim.now, id, left)
+				w.held[id] = toldPause{until: max(w.held[id].until, w.sim.now+left)}
+			},
+			"target restarts": func(t *rapid.T) { w.restart(target.Draw(t, "target")) },
+			"owner hears":     func(*rapid.T) { w.list() },
+			"takeover":        func(*rapid.T) { w.takeOver() },
+			"time passes": func(t *rapid.T) {
+				w.sim.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "ms")) * 10 * time.Millisecond)
+			},
+			"": w.check,
+		})
+		w.list()
+		w.sim.advance(12 * time.Second)
+		w.check(t)
+		for _, vm := range pauseVMs {
+			id := w.sim.enqueue(adapter(0), from(vm))
+			w.sim.advance(3 * time.Second)
+			if _, granted := w.sim.granted[id]; !granted {
+				t.Fatalf("%s gets no target although all pauses have ended: %s", vm, fmt.Sprint(w.sim.refused[id].Err))
+			}
+		}
+	})
+}
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -111,6 +111,7 @@
 	waits          map[string]time.Duration     // queueing time of granted requests
 	holds          map[string]*placer.LimitHold // of granted requests
 	loadTime       time.Duration                // time to load an adapter
+	called         func(target string)          // is called before each order and report, unless it is nil
 	oneWayDelay    time.Duration                // network delay of an order or its answer
 	trace          bool
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
@@ -187,13 +188,22 @@
 			sim.checkUnanswered(c.ID)
 			sim.refused[c.ID] = c
 		case placer.SendOrder:
+			sim.call(c.Order.Target)
 			sim.deliverOrder(c.Order)
 		case placer.FetchReport:
+			sim.call(c.Target)
 			sim.deliverReport(c.Target)
 		}
 	}
 }
 
+// call records that an order or a request for a report is sent to a target.
+func (sim *simulation) call(target string) {
+	if sim.called != nil {
+		sim.called(target)
+	}
+}
+
 // checkUnanswered records a violation if a request has already been answered.
 func (sim *simulation) checkUnanswered(id string) {
 	if _, granted := sim.granted[id]; granted {
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -66,8 +66,8 @@
 	prefillShareAt      Time
 	consecutiveFailures int
 	avoidUntil          Time
-	pausedUntil         map[string]Time // end of the pause that the target wants from a VM, by VM
-	heldUntil           Time            // no orders and reports before
+	pauses              map[string]targetPause // by VM
+	heldUntil           Time                   // no orders and reports before
 
 	limit          ratelimit.Bucket // requests that the target takes
 	limitStatedAt  Time             // when the target stated its limit, or that it has none
