--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -113,7 +113,7 @@
 				respond = inTurn(c.before, c.after)
 			}
 			w, address := newWorld(t, c.kind, respond)
-			w.route.MaxAttempts, w.route.Resumable, w.latency, w.estimate = 3, c.resumable, time.Millisecond, time.Millisecond
+			w.route.MaxAttempts, w.route.Resumable, w.latency, w.estimate = 2, c.resumable, time.Millisecond, time.Millisecond
 			w.outcome = make(chan balance.Outcome, 8)
 			pausing, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(gomega.HaveOccurred())
