--- a/internal/edge/pauses.go
+++ b/internal/edge/pauses.go
@@ -3,8 +3,12 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/placer"
 )
 
 // pauseChange is the begin or end of a target's pause for this VM.
@@ -33,6 +37,14 @@
 	return d.statements.TakeCall(d.now(), advisory.Incarnation{Target: target, Born: d.targets[target].Born})
 }
 
+// recordPause records that an incarnation of a target has just asked this VM for a pause.
+func (d *deployment) recordPause(target string, born int64, pause time.Duration) {
+	d.mu.Lock()
+	d.statements.ObservePause(d.now(), advisory.Incarnation{Target: target, Born: born}, pause)
+	d.mu.Unlock()
+	d.pausesChanged()
+}
+
 // ServicePausedFor implements gateway.Fleet.
 func (d *deployment) ServicePausedFor(service string) time.Duration {
 	d.mu.Lock()
@@ -117,6 +129,21 @@
 	return changes
 }
 
+// logPause adds the pause that has held a request up to a log line, if there is one.
+func logPause(line *zerolog.Event, hold *placer.PauseHold) *zerolog.Event {
+	if hold == nil {
+		return line
+	}
+	return line.Str(fieldPausedBy, hold.Target).Dur(fieldPauseWait, hold.Waited)
+}
+
+// countPause counts a request that a pause has held up, if one has.
+func (d *Daemon) countPause(hold *placer.PauseHold, label string) {
+	if hold != nil {
+		d.metrics.Count(metrics.EdgePauseHeld, label)
+	}
+}
+
 // logPauseChanges logs each begin and end of a pause since the last call.
 func (d *Daemon) logPauseChanges() {
 	for _, c := range d.deployment.takePauseChanges() {
@@ -132,6 +159,16 @@
 
 func (d *Daemon) pauses() []advisory.Pause { return d.deployment.pauses() }
 
+// heardInCall records what a target states in its answer to an order or a request for a report.
+func (d *Daemon) heardInCall(target string, born int64, s advisory.CallStatement) {
+	for _, field := range s.Invalid {
+		d.deployment.IgnoreStatement(field)
+	}
+	if s.Pause > 0 {
+		d.deployment.recordPause(target, born, s.Pause)
+	}
+}
+
 func (d *Daemon) takeCall(target string) bool { return d.deployment.takeCall(target) }
 
 func (d *Daemon) pausedFor(target string) time.Duration { return d.deployment.PausedFor(target, 0) }
--- a/internal/edgetest/pauses_test.go
+++ b/internal/edgetest/pauses_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -207,6 +208,53 @@
 	}
 }
 
+// Guards against orders, reports and requests that reach a target from a VM although it has
+// refused an order of that VM with Retry-After; and against other VMs that keep away, too.
+func TestPauseInTheRefusalOfAnOrderBindsTheOwnersVM(t *testing.T) {
+	const pause = 3 * time.Second
+	c := start(t, 2)
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	for _, target := range c.engines {
+		c.holdAdapter(target, "a1")
+	}
+	owner := c.owner()
+	w := newDrainWatch(c)
+	for _, target := range c.engines {
+		target.TurnAwayCalls(-1, fmt.Sprint(pause.Seconds()))
+	}
+	ownerIndex := slices.Index(c.vms, owner)
+	other := c.vms[1-ownerIndex]
+	w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a7", deadline: time.Second}) // needs a load
+	refused := map[*engine.Target]engine.Arrival{}
+	for _, target := range c.engines {
+		if i := slices.IndexFunc(target.Calls(), func(call engine.Arrival) bool { return call.TurnedAway }); i >= 0 {
+			refused[target] = target.Calls()[i]
+		}
+	}
+	c.g.Expect(refused).NotTo(gomega.BeEmpty())
+	for _, first := range refused {
+		for time.Since(first.AnsweredAt) < pause {
+			w.ask(ownerIndex, owner, request{path: quote + "x", adapter: "a1", deadline: time.Second})
+			c.g.Expect(w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a1", deadline: time.Second}).status).To(gomega.Equal(http.StatusOK), "a VM that was not told")
+			w.ask(1-ownerIndex, other, request{path: quote + "x", adapter: "a7", deadline: 500 * time.Millisecond})
+		}
+	}
+	for target, first := range refused {
+		from, until, during := first.AnsweredAt.Add(pauseGrace), first.AnsweredAt.Add(pause), 0
+		for _, call := range target.Calls() {
+			if call.At.After(from) && call.At.Before(until) {
+				during++
+			}
+		}
+		for _, a := range target.Arrivals() {
+			if a.At.After(from) && a.At.Before(until) && w.asked[a.ID].vm == ownerIndex {
+				during++
+			}
+		}
+		c.g.Expect(during).To(gomega.BeNumerically("<=", maxDuringPause), target.Settings.ID)
+	}
+}
+
 // Guards against callers that wait for their deadline although all targets of the service
 // pause, that are told to come back too early or late, or that find no target after the end.
 func TestRequestsAreRefusedAtOnceWhileAllTargetsPause(t *testing.T) {
@@ -234,6 +282,7 @@
 					c.g.Expect(arrival.ID).NotTo(gomega.Equal(a.id))
 				}
 			}
+			c.g.Expect(c.story(a.id)).To(gomega.Or(gomega.ContainSubstring("pause: all targets of the service pause"), gomega.ContainSubstring("pause: refused, because all targets pause")), path)
 		}
 	}
 	time.Sleep(time.Until(ends) + 100*time.Millisecond)
@@ -244,6 +293,23 @@
 	}
 }
 
+// Guards against a request that waited for the end of a pause without the logs telling it.
+func TestTheLogsTellThatARequestWaitedForThePauseOfATarget(t *testing.T) {
+	c := start(t, 1)
+	c.g.Expect(c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}).status).To(gomega.Equal(http.StatusOK))
+	c.g.Eventually(func() string {
+		for _, target := range c.engines {
+			target.PauseCallers(500 * time.Millisecond)
+		}
+		c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"}) // is turned away by all targets
+		a := c.ask(c.vms[0], request{path: quote + "x", adapter: "a1"})
+		if !strings.Contains(c.logs.text(), fmt.Sprintf(`"request":"%s/`, a.id)) {
+			return "" // it was granted at once, and is not in the sample
+		}
+		return c.story(a.id)
+	}).WithTimeout(limit).Should(gomega.MatchRegexp(`target_paused .*target=e(?s:.*)pause: held up for [1-9][0-9]* ms by the pause of e\d, then granted`))
+}
+
 // Guards against a sound target that is kept out of use: by a value that says nothing, or by
 // the pause of its former incarnation.
 func TestOnlyAPauseThatIsOneTakesATargetOutOfUse(t *testing.T) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,6 +37,7 @@
 	StateChanges []Line   `json:"around"`  // state changes of the VMs involved, from stateChangeLookback before the first of Lines to the last
 	Limits       []string `json:"limits"`  // how rate limits of targets held the request up
 	Leaving      []string `json:"leaving"` // which targets the request did not get because they leave
+	Pauses       []string `json:"pauses"`  // how pauses of targets held the request up
 	Missing      []string `json:"missing"` // descriptions of the lines and logs that are missing
 }
 
@@ -143,7 +144,7 @@
 	first, last := report.Lines[0].Time, report.Lines[len(report.Lines)-1].Time
 	involved, targets := involvedVMs(report.Lines), involvedTargets(report.Lines)
 	for _, l := range lines {
-		changed := stateChangeEvents[l.Event] || (limitEvents[l.Event] || targetEvents[l.Event]) && targets[stringField(l.Fields, "target")]
+		changed := stateChangeEvents[l.Event] || (limitEvents[l.Event] || targetEvents[l.Event] || pauseEvents[l.Event]) && targets[stringField(l.Fields, "target")]
 		if changed && involved[l.VM] && l.Time.After(first.Add(-stateChangeLookback)) && !l.Time.After(last) {
 			report.StateChanges = append(report.StateChanges, l)
 		}
@@ -151,6 +152,7 @@
 	slices.SortStableFunc(report.StateChanges, compareStamps)
 	report.Limits = describeLimits(report.Lines)
 	report.Leaving = describeLeaving(report.Lines, lines)
+	report.Pauses = describePauses(report.Lines)
 	report.Missing = describeGaps(report.Lines, lines)
 	return report, nil
 }
@@ -216,6 +218,9 @@
 	for _, leaving := range report.Leaving {
 		fmt.Fprintf(&b, "leaving: %s\n", leaving)
 	}
+	for _, pause := range report.Pauses {
+		fmt.Fprintf(&b, "pause: %s\n", pause)
+	}
 	for _, gap := range report.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", gap)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -222,6 +222,7 @@
 // than this VM that a target leaves or pauses.
 func (c *call) acquireUsable(o opening) (Lease, *errs.Error) {
 	if left := c.server.opt.Fleet.ServicePausedFor(c.service); left > time.Until(c.placementDeadline(o)) {
+		c.traceServicePause()
 		return Lease{}, errs.NotRun(errs.NoTarget, "no target of the service takes a request now").WithRetry(min(maxPauseAdvice, left))
 	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
@@ -256,7 +257,7 @@
 				c.unavailable = append(c.unavailable, g.Target)
 			}
 			paused = append(paused, g.Target)
-			c.trace.addStep(StepSkipped, g.Target, detailPauses)
+			c.trace.addStep(StepSkipped, g.Target, DetailPauses)
 		default:
 			return lease, nil
 		}
@@ -365,6 +366,7 @@
 	ctx, s.cancel = context.WithCancel(s.opening.ctx)
 	request := c.upstreamRequest(g.Address, attempt)
 	request.Connected = func() bool { return s.markSent(c) }
+	request.Late = func(read upstream.LateHead) { c.recordLate(g.Target, g.Born, s.sentAt, read) }
 	if s.answer, failure = c.ask(ctx, request, upstream.Timeouts{Connect: connectTimeout, Deadline: c.deadline}); failure != nil {
 		return failure
 	}
@@ -440,7 +442,7 @@
 		return s.recordRefusal(c, failure)
 	case s.withheld:
 		c.server.opt.Placement.Release(s.lease, placer.Cancelled)
-		c.trace.addStep(StepSkipped, s.lease.Grant.Target, detailPauses)
+		c.trace.addStep(StepSkipped, s.lease.Grant.Target, DetailPauses)
 		return failure
 	case s.opening.ctx.Err() != nil && c.ctx.Err() == nil:
 		c.mayHaveRun = c.mayHaveRun || s.sent
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -132,7 +133,7 @@
 	t.acceptedOrders, t.stateKnown, t.plannedOrders, t.inFlight = 0, false, nil, nil
 	t.needsReport, t.reportRequested, t.reportsValidFrom, t.noOrdersUntil = true, false, c.now, 0
 	t.runTokens, t.prefillUntil, t.extraSlowness, t.prefillShare, t.consecutiveFailures, t.avoidUntil = 0, 0, 0, 0, 0, 0
-	t.averageSlowness, t.pausedUntil, t.heldUntil = 1, nil, 0
+	t.averageSlowness, t.heldUntil = 1, 0
 	t.recentlyUnloaded, t.prefixes = &recentAdapters{}, newPrefixCache(c.params.Engine.CacheTokens)
 }
 
@@ -277,8 +278,8 @@
 		r.latestStart = min(r.latestStart, c.now+request.Abandon-abandonMargin)
 	}
 	r.adapter.countRequest(c.now)
-	if err, hold := c.admit(r); err != nil {
-		c.emit(RefuseRequest{ID: request.ID, Err: err, Hold: hold})
+	if refusal := c.admit(r); refusal != nil {
+		c.emit(*refusal)
 		return
 	}
 	r.adapter.queued++
@@ -313,7 +314,7 @@
 
 func (c *Core) refuse(r *queuedRequest, err *errs.Error) {
 	c.dequeue(r)
-	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r)})
+	c.emit(RefuseRequest{ID: r.ID, Err: err, Waited: c.now - r.queuedAt, Hold: c.limitHold(r), Pause: cmp.Or(r.refusedBy, c.pauseHold(r))})
 }
 
 func (c *Core) emit(command Command) { c.commands = append(c.commands, command) }
--- a/internal/placer/export_test.go
+++ b/internal/placer/export_test.go
@@ -16,7 +16,7 @@
 func (c *Core) PauseCount() int {
 	count := 0
 	for _, t := range c.targets {
-		count += len(t.pausedUntil)
+		count += len(t.pauses)
 	}
 	return count
 }
--- a/internal/placer/pauses.go
+++ b/internal/placer/pauses.go
@@ -12,21 +12,35 @@
 // because other VMs may serve them earlier.
 const maxPauseAdvice = 5 * time.Second
 
+// targetPause is the pause that an incarnation of a target wants from a VM.
+type targetPause struct {
+	born  int64 // the owner may learn of the incarnation later than of its pause
+	until Time
+}
+
 // SetPause records for how long an incarnation of a target wants no requests from a VM.
 func (c *Core) SetPause(now Time, vm, target string, born int64, left time.Duration) {
 	c.advance(now)
 	t := c.targetsByID[target]
-	if t == nil || t.description.Born > born {
+	if t == nil {
 		return
 	}
 	left = boundedDuration(left)
-	if t.pausedUntil == nil {
-		t.pausedUntil = map[string]Time{}
+	if t.pauses == nil {
+		t.pauses = map[string]targetPause{}
 	}
-	if _, known := t.pausedUntil[vm]; !known {
-		maps.DeleteFunc(t.pausedUntil, func(_ string, until Time) bool { return until <= c.now })
+	known, found := t.pauses[vm]
+	if !found {
+		maps.DeleteFunc(t.pauses, func(_ string, p targetPause) bool { return p.until <= c.now })
 	}
-	t.pausedUntil[vm] = max(t.pausedUntil[vm], c.now+left)
+	switch {
+	case born < known.born:
+		return
+	case born > known.born:
+		known = targetPause{born: born}
+	}
+	known.until = max(known.until, c.now+left)
+	t.pauses[vm] = known
 	c.lastPauseEnd = max(c.lastPauseEnd, c.now+left)
 }
 
@@ -43,35 +57,65 @@
 
 // pausedFor returns the time for which a target wants no requests from a VM.
 func (t *targetState) pausedFor(now Time, vm string) time.Duration {
-	until, found := t.pausedUntil[vm]
-	if found && until <= now {
-		delete(t.pausedUntil, vm)
+	p, found := t.pauses[vm]
+	if !found {
+		return 0
+	}
+	if p.until <= now || p.born < t.description.Born {
+		delete(t.pauses, vm)
+		return 0
 	}
-	return max(0, until-now)
+	return p.until - now
 }
 
-// checkPauses returns an error if all targets that a request may use want no requests from its
+// pauseHold is the time for which the pauses of targets have held a queued request up.
+type pauseHold struct {
+	since  Time
+	target *targetState // nil if no pause has held the request up
+}
+
+// holdUpForPause records that the pause of a target holds a queued request up.
+func (c *Core) holdUpForPause(r *queuedRequest, t *targetState) {
+	if r.pause.target == nil {
+		r.pause.since = c.now
+	}
+	r.pause.target = t
+}
+
+// pauseHold returns how the pauses of targets have held a request up, nil if they have not.
+func (c *Core) pauseHold(r *queuedRequest) *PauseHold {
+	if r.pause.target == nil {
+		return nil
+	}
+	return &PauseHold{Target: r.pause.target.description.ID, Waited: c.now - r.pause.since}
+}
+
+// checkPauses returns an error, and the pause that ends first, if all targets that a request may use want no requests from its
 // VM for so long that its first event would be late. Its caller may find a VM that was not
 // told.
-func (c *Core) checkPauses(r *queuedRequest) *errs.Error {
+func (c *Core) checkPauses(r *queuedRequest) (*errs.Error, *PauseHold) {
 	if c.lastPauseEnd <= c.now {
-		return nil
+		return nil, nil
 	}
-	shortest := time.Duration(0)
+	shortest, first := time.Duration(0), (*targetState)(nil)
 	for _, t := range c.targets {
 		if !t.acceptsWork() {
 			continue
 		}
 		left, excluded := t.pausedFor(c.now, r.Holder), slices.Contains(r.Exclude, t.description.ID)
 		if !excluded && c.now+left < r.firstEventDue || left == 0 && !excluded {
-			return nil
+			return nil, nil
 		}
-		if left > 0 && (shortest == 0 || left < shortest) {
-			shortest = left
+		if left > 0 && (first == nil || left < shortest) {
+			shortest, first = left, t
 		}
 	}
-	if shortest == 0 {
-		return nil
+	if first == nil {
+		return nil, nil
+	}
+	hold := &PauseHold{Target: first.description.ID}
+	if waited := c.pauseHold(r); waited != nil {
+		hold.Waited = waited.Waited
 	}
-	return errs.NotRun(errs.NoTarget, "no target of the group wants requests from this VM now").WithRetry(min(maxPauseAdvice, shortest))
+	return errs.NotRun(errs.NoTarget, "no target of the group wants requests from this VM now").WithRetry(min(maxPauseAdvice, shortest)), hold
 }
--- a/internal/placer/simulation_test.go
+++ b/internal/placer/simulation_test.go
@@ -111,13 +111,15 @@
 	waits          map[string]time.Duration     // queueing time of granted requests
 	holds          map[string]*placer.LimitHold // of granted requests
 	loadTime       time.Duration                // time to load an adapter
+	called         func(target string)          // is called before each order and report, unless it is nil
 	oneWayDelay    time.Duration                // network delay of an order or its answer
 	trace          bool
 	executesLate   func(placer.Order) bool // orders that are executed lateBy after they were sent, without an answer; nil for none
 	lateBy         time.Duration
-	grantTimes     map[string][]time.Duration // by target
-	grantedAt      map[string]time.Duration   // by request
-	rateLimits     map[string]float64         // that the engines name with the first event, by target
+	grantTimes     map[string][]time.Duration   // by target
+	grantedAt      map[string]time.Duration     // by request
+	heldByPause    map[string]*placer.PauseHold // of granted requests
+	rateLimits     map[string]float64           // that the engines name with the first event, by target
 }
 
 func newSimulation(seed uint64, engines int, params placer.Params) *simulation {
@@ -133,7 +135,7 @@
 		running: map[string]placer.Grant{}, newestVersions: map[placer.Adapter]int64{}, grantTimes: map[string][]time.Duration{}, loads: map[string]int{}, rateLimits: map[string]float64{},
 		streamTime: 100 * time.Millisecond, prefillUntil: map[string]time.Duration{}, promptTokens: map[string]int{}, waits: map[string]time.Duration{}, holds: map[string]*placer.LimitHold{}, loadTime: defaultLoadTime, oneWayDelay: time.Millisecond,
 	}
-	sim.grantedAt = map[string]time.Duration{}
+	sim.grantedAt, sim.heldByPause = map[string]time.Duration{}, map[string]*placer.PauseHold{}
 	for i := range engines {
 		id := fmt.Sprintf("t%d", i)
 		sim.engines[id] = newEngine(id, 1)
@@ -186,13 +188,22 @@
 			sim.checkUnanswered(c.ID)
 			sim.refused[c.ID] = c
 		case placer.SendOrder:
+			sim.call(c.Order.Target)
 			sim.deliverOrder(c.Order)
 		case placer.FetchReport:
+			sim.call(c.Target)
 			sim.deliverReport(c.Target)
 		}
 	}
 }
 
+// call records that an order or a request for a report is sent to a target.
+func (sim *simulation) call(target string) {
+	if sim.called != nil {
+		sim.called(target)
+	}
+}
+
 // checkUnanswered records a violation if a request has already been answered.
 func (sim *simulation) checkUnanswered(id string) {
 	if _, granted := sim.granted[id]; granted {
@@ -206,7 +217,7 @@
 func (sim *simulation) grant(c placer.GrantRequest) {
 	sim.grantTimes[c.Grant.Target] = append(sim.grantTimes[c.Grant.Target], sim.now)
 	id := c.Grant.Request
-	sim.grantedAt[id] = sim.now
+	sim.grantedAt[id], sim.heldByPause[id] = sim.now, c.Pause
 	sim.checkUnanswered(id)
 	sim.granted[id], sim.waits[id], sim.holds[id] = c.Grant, c.Waited, c.Hold
 	if sim.leaving[c.Grant.Target] {
