gateway: End the handovers that wait when a shutdown refuses waiting streams

A stream whose target was late, and that waited for a second one during a shutdown, waited on when the late target failed: its caller's connection was closed without an answer at the end of the process. The refusal of waiting streams left handovers out, because a target is at work; it may fail later.

The wait of a handover ends, too, as long as the caller has got nothing. The late target goes on and its answer is passed on; if it fails, the caller gets 502.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -142,9 +142,9 @@
 	s.draining.Store(true)
 }
 
-// RefuseWaiting refuses the streams that wait for a target, now and later, unless a target is
-// at work on them or their callers have got a part: a stream that begins later might not end
-// before the process does, and its caller would get no answer.
+// RefuseWaiting ends the waits for a target, now and later, of streams of which their callers
+// have got nothing: a stream that begins later might not end before the process does, and its
+// caller would get no answer. A target that is at work on one of them goes on.
 func (s *Server) RefuseWaiting() { s.refuseWaiting() }
 
 // refusesStreams reports whether new streams are refused.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -181,3 +181,35 @@
 	g.Expect(status).To(gomega.Equal(http.StatusOK))
 	g.Expect(body).To(gomega.Equal("id: 1\n\nid: 2\n\n"))
 }
+
+// Guards against a stream that waits for a second target until the process ends after its
+// first one was late, whether that one fails or delivers in the end.
+func TestLateStreamIsAnsweredDuringAShutdown(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		status int
+	}{
+		"the late target fails":    {"", http.StatusBadGateway},
+		"the late target delivers": {streamHead + chunk("id: 1\n\n") + lastChunk, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			refused := make(chan struct{})
+			w, address := newWorld(t, fleet.Streaming, func(conn net.Conn) {
+				<-refused
+				_, _ = io.WriteString(conn, c.answer)
+			})
+			w.route.Resumable, w.route.MaxAttempts, w.estimate = true, 2, time.Millisecond
+			w.await = func(ctx context.Context, placement int) {
+				if placement == 2 {
+					w.refuse()
+					<-ctx.Done()
+					close(refused)
+				}
+			}
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(c.status))
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -117,7 +117,7 @@
 // request is refused for good: one of which the caller has nothing yet, and that is not at
 // work at another target, is better sent again by the caller.
 func (c *call) awaitPlacement(o opening, failure *errs.Error) bool {
-	if failure.Ran != errs.RanNo || o.handover == nil && !c.streamBegun {
+	if failure.Ran != errs.RanNo || o.handover == nil && !c.streamBegun || c.refusesWaiting() {
 		return false
 	}
 	delay := max(minPlacementDelay, failure.Retry)
@@ -216,8 +216,7 @@
 	}
 	ctx, cancel := context.WithDeadline(o.ctx, c.placementDeadline(o))
 	defer cancel()
-	refusable := o.handover == nil && !c.streamBegun
-	if refusable {
+	if !c.streamBegun {
 		defer context.AfterFunc(c.server.waits, cancel)()
 	}
 	var paused []string // targets that were granted during their pause
@@ -226,7 +225,7 @@
 		if failure != nil {
 			switch {
 			case ctx.Err() == nil || c.ctx.Err() != nil:
-			case refusable && c.server.waits.Err() != nil:
+			case c.refusesWaiting():
 				failure = errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetryAfter)
 			default:
 				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
@@ -254,6 +253,9 @@
 	}
 }
 
+// refusesWaiting reports whether the shutdown of this VM ends the wait for a target.
+func (c *call) refusesWaiting() bool { return !c.streamBegun && c.server.waits.Err() != nil }
+
 // takeRetry takes a retry from the budget if the request has reached a target before. One that
 // was taken and not sent counts for the next attempt.
 func (c *call) takeRetry() bool {
