--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,10 @@
 	{246, 12, 4, "a continuation that failed looked like the end of the stream", false},
 	{501, 12, 4, "none: targets that check no fences", false},
 	{335, 10, 4, "begun streams were cut beside silent targets", true},
+	{1103, 12, 4, "streams that waited for a target were cut at the end of a shutdown", true},
+	{1110, 6, 4, "streams that waited for a target were cut at the end of a shutdown", true},
+	{1118, 8, 4, "streams that waited for a target were cut at the end of a shutdown", true},
+	{1119, 6, 4, "streams that waited for a target were cut at the end of a shutdown", true},
 }
 
 // buildDaemon builds the program of the VMs.
@@ -37,12 +41,19 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred(), string(output))
 }
 
+// seedsAtOnce is the number of seeds that run at the same time.
+const seedsAtOnce = 2
+
 // Guards against broken promises while processes and links fail.
 func TestSeeds(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "cicadaslipd")
 	buildDaemon(gomega.NewWithT(t), program)
+	slots := make(chan struct{}, seedsAtOnce)
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			g := gomega.NewWithT(t)
 			result, err := Run(Options{Seed: r.seed, Seconds: r.seconds, VMs: r.vms, Planned: r.planned, Program: program, Dir: t.TempDir()})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
