soak: More callers, and targets for many processes

The trace shows what the design allows: 24 final callers asked three engines with 24 slots for the same adapter at the same moment, beside 40 others. Requests that still met their objective were granted first, the late ones waited 6.1 s and were refused (q1429, q2142 of vm6), twice within the 13 s. The check stays; services have a target for four VMs now, three at least, and the final callers begin with different adapters.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,7 +58,7 @@
 	callers         atomic.Pointer[callerconn.Listener]
 	draining        atomic.Bool
 	refuseStreamsAt atomic.Int64 // Unix time in nanoseconds from which a draining server refuses streams
-	// waits ends when requests that wait for their first target are refused.
+	// waits ends when a shutdown refuses the streams that wait for a target.
 	waits         context.Context
 	refuseWaiting context.CancelFunc
 	inFlight      atomic.Int64
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -39,6 +39,8 @@
 	adapters     = 14
 	places       = 4
 	callers      = 8
+	minTargets   = 3 // of a service
+	vmsOfTarget  = 4
 	vmsOfCaller  = 4
 	finalCallers = 24               // that ask at the same time whether all is served
 	calm         = 13 * time.Second // after the last fault, until all must be served
@@ -139,7 +141,7 @@
 	if err := r.configure(); err != nil {
 		return err
 	}
-	for i := range 3 {
+	for i := range max(minTargets, r.options.VMs/vmsOfTarget) {
 		if err := r.addEngine(i); err != nil {
 			return err
 		}
@@ -319,7 +321,7 @@
 	if r.options.Planned {
 		return max(5*callers, r.options.VMs)
 	}
-	return max(callers, r.options.VMs)
+	return max(3*callers, r.options.VMs)
 }
 
 // extraRetries is the retry budget beside the share of requests. Where it is small, silences
@@ -398,22 +400,22 @@
 	end := time.Now().Add(calm)
 	var wait sync.WaitGroup
 	free := make(chan struct{}, finalCallers)
-	for _, v := range r.vms {
+	for i, v := range r.vms {
 		free <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-free }()
 			for _, kind := range []string{kindQuote, kindNotes, kindBooking, kindLookup, kindProbe} {
-				r.awaitKind(v, kind, end)
+				r.awaitKind(v, kind, i, end)
 			}
 		})
 	}
 	wait.Wait()
 }
 
-// awaitKind asks a VM until it serves a kind of request.
-func (r *run) awaitKind(v *vm, kind string, end time.Time) {
+// awaitKind asks a VM until it serves a kind of request, beginning with one of the adapters.
+func (r *run) awaitKind(v *vm, kind string, adapter int, end time.Time) {
 	client := newClient()
-	for n := 0; time.Now().Before(end); n++ {
+	for n := adapter; time.Now().Before(end); n++ {
 		a := r.ask(client, v, kind, n%adapters)
 		r.checker.note(a)
 		if a.status == http.StatusOK && a.whole {
