edgetest, gateway, test: Addresses of servers that have ended stay theirs

TestStreamAsksAgainBeforeItsCallerLeaves hung until the package's time limit, twice, and TestTargetThatHasNotRunAStreamIsTriedAgain failed 4 times, all beside tests of other packages. In the stacks of a hang, the test's server holds more than 64 requests with IDs of edgetest ("q" and six digits): callers there go on asking a VM that was killed, whose port another server had got by then.

The addresses of VMs, and of the target that refuses connections, are now reserved as those of the stand-in engines are, by a package that both use.

--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -20,6 +20,7 @@
 	"cicadaslip/internal/retrybudget"
 	"cicadaslip/internal/standin/engine"
 	"cicadaslip/internal/standin/linkproxy"
+	"cicadaslip/internal/standin/loopback"
 	"cicadaslip/internal/standin/metastore"
 	"cicadaslip/platform"
 )
@@ -138,6 +139,14 @@
 	return target
 }
 
+// address returns an address of its own for a server. Once that has ended, connections to it are
+// refused, so that requests to it cannot reach another server.
+func (c *cluster) address() string {
+	address, err := loopback.Reserve()
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return address
+}
+
 func (c *cluster) vm(i int) *vm {
 	regions := map[string]string{}
 	for _, d := range dataCentres {
@@ -148,7 +157,7 @@
 	c.t.Cleanup(link.Close)
 	s := &edge.Settings{
 		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Regions: regions,
-		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, PeerAddress: "127.0.0.1:0",
+		CallerAddress: c.address(), ReadyAddress: c.address(), ReadyPath: platform.ReadyPath, PeerAddress: c.address(),
 		StoreAddress: link.Address(), ShutdownGrace: shutdownGrace, TargetDrainTime: 2500 * time.Millisecond, Lease: 3 * time.Second, GroupSettleTime: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 	}
--- a/internal/gateway/handover_chain_test.go
+++ b/internal/gateway/handover_chain_test.go
@@ -15,6 +15,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/placer"
+	"cicadaslip/internal/standin/loopback"
 )
 
 // inTurn answers each request with the next function, and all later ones with the last.
@@ -117,15 +118,14 @@
 // Guards against a begun stream that is cut although a target has room again, because that
 // target refused it once or could not be reached.
 func TestTargetThatHasNotRunAStreamIsTriedAgain(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := loopback.Reserve()
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	_ = closed.Close()
 	for name, c := range map[string]struct {
 		second  grant
 		respond func(net.Conn)
 	}{
 		"refused":       {second: grant{target: "b"}, respond: inTurn(writes(streamHead, chunk1, chunk2), writes(refusal), writes(streamHead, chunk3, lastChunk))},
-		"no connection": {second: grant{target: "b", address: closed.Addr().String()}, respond: inTurn(writes(streamHead, chunk1, chunk2), writes(streamHead, chunk3, lastChunk))},
+		"no connection": {second: grant{target: "b", address: closed}, respond: inTurn(writes(streamHead, chunk1, chunk2), writes(streamHead, chunk3, lastChunk))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cicadaslip/internal/standin/loopback"
 	"cicadaslip/internal/standin/metastore"
 )
 
@@ -118,7 +119,7 @@
 func Start(s Settings, store *metastore.Store) (*Target, error) {
 	if s.Address == "" {
 		var err error
-		if s.Address, err = reservePort(); err != nil {
+		if s.Address, err = loopback.Reserve(); err != nil {
 			return nil, err
 		}
 	}
--- /dev/null
+++ b/internal/standin/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback reserves addresses for the servers of tests.
+package loopback
--- a/internal/standin/engine/port.go
+++ b/internal/standin/loopback/reserve.go
@@ -1,4 +1,4 @@
-package engine
+package loopback
 
 import (
 	"net"
@@ -6,10 +6,10 @@
 	"syscall"
 )
 
-// reservePort returns a free address of loopback, which stays reserved until the process ends:
-// a target can start there again, although the system gives ports that are not in use to
-// outgoing connections. Nothing listens on the socket, so that connections are refused.
-func reservePort() (string, error) {
+// Reserve returns a free address of loopback, which stays reserved until the process ends: a
+// server can listen there, end and start again, although the system gives ports that are not
+// in use to others. Meanwhile connections to it are refused.
+func Reserve() (string, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return "", err
