gateway, platform, test: Tests of slow connections end if a connection does not come about

A connect has 300 ms, and the test waits until all connections are there. Connections are now opened without that limit where a test delays them, and waits have an end. What is expected is unchanged.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -24,6 +24,9 @@
 	"cicadaslip/internal/upstream"
 )
 
+// testLimit ends a test that hangs. It is no bound on what is measured.
+const testLimit = 30 * time.Second
+
 // world is a deployment of one route and one target.
 type world struct {
 	route        fleet.Route
@@ -218,6 +221,9 @@
 func (w *world) Panicked(request string, _ *errs.Error) { w.panicked <- request }
 
 func (w *world) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	if w.dialed != nil {
+		ctx = context.WithoutCancel(ctx) // a test that delays connections counts them all
+	}
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if w.dial != nil {
 		w.dial()
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -145,14 +145,15 @@
 			status, _, err := get(g, address)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(status).To(gomega.Equal(http.StatusOK))
-			g.Expect(<-reached).To(gomega.BeFalse(), "requests to the paused target")
+			g.Eventually(reached).WithTimeout(testLimit).Should(gomega.Receive(gomega.BeFalse()), "requests to the paused target")
 			g.Expect(w.taken()).To(gomega.Equal(c.retries))
 			if c.kind != fleet.Streaming {
 				for range len(w.grants) + 1 {
-					g.Expect(<-w.outcome).NotTo(gomega.Or(gomega.Equal(balance.NotConnected), gomega.Equal(balance.Failed)), "a pause is no failure")
+					g.Eventually(w.outcome).WithTimeout(testLimit).Should(gomega.Receive(gomega.Not(gomega.Or(gomega.Equal(balance.NotConnected), gomega.Equal(balance.Failed)))), "a pause is no failure")
 				}
 			}
-			summary := <-w.summaries
+			var summary gateway.Summary
+			g.Eventually(w.summaries).WithTimeout(testLimit).Should(gomega.Receive(&summary))
 			skipped := gateway.Step{}
 			for _, step := range summary.Trace.Steps {
 				if step.Target == "paused" && step.Name != gateway.StepPlaced && step.Name != gateway.StepSent {
@@ -208,12 +209,14 @@
 					statuses <- status
 				}()
 			}
-			<-all
-			g.Expect((<-w.statements).Pause).To(gomega.Equal(3 * time.Second))
+			g.Eventually(all).WithTimeout(testLimit).Should(gomega.BeClosed())
+			var first gateway.TargetStatement
+			g.Eventually(w.statements).WithTimeout(testLimit).Should(gomega.Receive(&first))
+			g.Expect(first.Pause).To(gomega.Equal(3 * time.Second))
 			paused.Store(true)
 			close(heard)
 			for range waiting + 1 {
-				g.Expect(<-statuses).To(gomega.Equal(http.StatusServiceUnavailable))
+				g.Eventually(statuses).WithTimeout(testLimit).Should(gomega.Receive(gomega.Equal(http.StatusServiceUnavailable)))
 			}
 			g.Expect(reached.Load()).To(gomega.Equal(int64(1)))
 			g.Expect(time.Duration(w.advised.Load())).To(gomega.BeNumerically("<=", time.Second))
@@ -277,7 +280,7 @@
 					default:
 						return 0
 					}
-				}).WithTimeout(30 * time.Second).Should(gomega.Equal(3 * time.Second))
+				}).WithTimeout(testLimit).Should(gomega.Equal(3 * time.Second))
 			})
 		}
 	}
