standin: A store that comes back from an older copy

Revisions are given out again, watches from one that it does not have get 410, and the header Store-Era is in all answers, errors too. Waiting watches go on in the next era, get 410 or are cut. Calls can be held up before they are carried out, or before they are answered, so that a restore happens between. Watches from the future got no 410 before. Targets write their descriptions one at a time, so that one that is written again after a restore does not overtake the word that it leaves.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -78,6 +78,7 @@
 	server   *http.Server
 	born     int64
 	quiet    silence
+	beating  sync.Mutex // keeps descriptions in order
 
 	mu              sync.Mutex
 	fault           Fault
@@ -137,6 +138,8 @@
 
 // Beat writes the description of the target to the store.
 func (t *Target) Beat() error {
+	t.beating.Lock()
+	defer t.beating.Unlock()
 	t.mu.Lock()
 	t.beats++
 	spec := map[string]any{
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -11,7 +11,10 @@
 	"time"
 )
 
-const prefix = "/cicadaslip/objects/"
+const (
+	prefix    = "/cicadaslip/objects/"
+	eraHeader = "Store-Era"
+)
 
 // Fault is how the store misbehaves.
 type Fault string
@@ -20,6 +23,7 @@
 const (
 	None   Fault = ""
 	Refuse Fault = "refuse" // 503
+	Busy   Fault = "busy"   // 429
 	Silent Fault = "silent" // no answer
 	Lost   Fault = "lost"   // writes are done and not answered
 )
@@ -39,9 +43,17 @@
 }
 
 type change struct {
-	Kind      string `json:"-"`
-	Object    object `json:"object"`
-	Tombstone bool   `json:"tombstone"`
+	Kind      string    `json:"-"`
+	At        time.Time `json:"-"`
+	Object    object    `json:"object"`
+	Tombstone bool      `json:"tombstone"`
+}
+
+// reply is what the store answers to one call, with the era in which it was worked out.
+type reply struct {
+	era    int64
+	status int
+	body   any // nil for none
 }
 
 // Store is the stand-in. It is safe for concurrent use.
@@ -52,22 +64,28 @@
 	mu       sync.Mutex
 	changed  *sync.Cond
 	objects  map[string]map[string]object // by kind and name
-	history  []change
-	oldest   int64 // history is kept after this revision
+	log      []change                     // all changes that led to objects, in order of their revisions
+	oldest   int64                        // watches may begin at this revision or later
 	revision int64
+	era      int64
 	fault    Fault
 	calls    map[string]int
 	closed   bool
 	hung     chan struct{} // closed when silent calls may end
+	gates    []*gate
+	cutting  bool // watches of a former era are cut
 }
 
+// firstRevision is the revision of an empty store.
+const firstRevision = 1
+
 // Start starts a store on loopback.
 func Start(address string) (*Store, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, objects: map[string]map[string]object{}, revision: 1, calls: map[string]int{}, hung: make(chan struct{})}
+	s := &Store{listener: l, objects: map[string]map[string]object{}, revision: firstRevision, oldest: firstRevision, era: 1, calls: map[string]int{}, hung: make(chan struct{})}
 	s.changed = sync.NewCond(&s.mu)
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = s.server.Serve(l) }()
@@ -81,6 +99,9 @@
 func (s *Store) Close() {
 	s.mu.Lock()
 	s.closed = true
+	for _, g := range s.gates {
+		g.open()
+	}
 	s.changed.Broadcast()
 	s.mu.Unlock()
 	s.SetFault(None)
@@ -103,10 +124,13 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.revision
+	s.oldest = s.revision
 	s.changed.Broadcast()
 }
 
+// ListCalls is the name under which Calls counts the GET calls that list a kind.
+const ListCalls = "LIST"
+
 // Calls returns the number of calls by method.
 func (s *Store) Calls(method string) int {
 	s.mu.Lock()
@@ -170,7 +194,8 @@
 }
 
 func (s *Store) note(c change) {
-	s.history = append(s.history, c)
+	c.At = time.Now()
+	s.log = append(s.log, c)
 	s.changed.Broadcast()
 }
 
@@ -180,44 +205,54 @@
 	s.calls[r.Method]++
 	fault, hung := s.fault, s.hung
 	s.mu.Unlock()
+	s.pass(r.Method, kind, beforeCall)
+	var a reply
 	switch {
-	case fault == Refuse:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	case fault == Silent:
 		<-hung
 		panic(http.ErrAbortHandler)
-	}
-	switch r.Method {
-	case http.MethodGet:
-		s.read(w, r, kind, name)
+	case fault == Refuse:
+		a = s.reply(http.StatusServiceUnavailable)
+	case fault == Busy:
+		a = s.reply(http.StatusTooManyRequests)
+	case r.Method != http.MethodGet:
+		a = s.write(r, kind, name)
+	case r.URL.Query().Get("watch") != "":
+		a = s.watch(r, kind)
 	default:
-		s.write(w, r, kind, name, fault)
+		a = s.read(r, kind, name)
 	}
+	s.pass(r.Method, kind, beforeAnswer)
+	if fault == Lost && r.Method != http.MethodGet {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(eraHeader, strconv.FormatInt(a.era, 10))
+	if a.body == nil {
+		w.WriteHeader(a.status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.status)
+	_ = json.NewEncoder(w).Encode(a.body)
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+func (s *Store) reply(status int) reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return reply{era: s.era, status: status}
 }
 
-func (s *Store) read(w http.ResponseWriter, r *http.Request, kind, name string) {
-	if since := r.URL.Query().Get("watch"); since != "" {
-		s.watch(w, r, kind, since)
-		return
-	}
+func (s *Store) read(r *http.Request, kind, name string) reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if name != "" {
 		o, exists := s.objects[kind][name]
 		if !exists {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return reply{era: s.era, status: http.StatusNotFound}
 		}
-		answer(w, http.StatusOK, o)
-		return
+		return reply{s.era, http.StatusOK, o}
 	}
+	s.calls[ListCalls]++
 	items := []object{}
 	for n, o := range s.objects[kind] {
 		if n > r.URL.Query().Get("after") {
@@ -225,11 +260,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": s.revision})
+	return reply{s.era, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": s.revision}}
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, text string) {
-	since, _ := strconv.ParseInt(text, 10, 64) // zero: from the beginning
+func (s *Store) watch(r *http.Request, kind string) reply {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	since = max(since, firstRevision) // zero: from the beginning
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.AfterFunc(time.Duration(wait)*time.Millisecond, func() {
 		s.mu.Lock()
@@ -239,40 +275,45 @@
 	defer timer.Stop()
 	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	s.mu.Lock()
-	for {
-		if since < s.oldest {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
-			return
+	defer s.mu.Unlock()
+	for began := s.era; ; s.changed.Wait() {
+		if s.cutting && s.era > began {
+			panic(http.ErrAbortHandler)
 		}
-		var events []change
-		for _, c := range s.history {
-			if c.Kind == kind && c.Object.Metadata.Revision > since {
-				events = append(events, c)
-			}
+		if since < s.oldest || since > s.revision {
+			return reply{era: s.era, status: http.StatusGone}
 		}
-		fault, hung := s.fault, s.hung
-		if fault == Silent {
+		events := s.changesSince(kind, since)
+		if s.fault == Silent {
+			hung := s.hung
 			s.mu.Unlock()
 			<-hung
+			s.mu.Lock()
 			panic(http.ErrAbortHandler)
 		}
 		if len(events) > 0 || s.closed || !time.Now().Before(end) {
-			at := s.revision
-			s.mu.Unlock()
-			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
-			return
+			return reply{s.era, http.StatusOK, map[string]any{"events": events, "at": s.revision}}
+		}
+	}
+}
+
+// changesSince returns the changes of a kind after a revision. The caller holds the lock.
+func (s *Store) changesSince(kind string, revision int64) []change {
+	var events []change
+	for i := len(s.log) - 1; i >= 0 && s.log[i].Object.Metadata.Revision > revision; i-- {
+		if s.log[i].Kind == kind {
+			events = append(events, s.log[i])
 		}
-		s.changed.Wait()
 	}
+	slices.Reverse(events)
+	return events
 }
 
-func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string, fault Fault) {
+func (s *Store) write(r *http.Request, kind, name string) reply {
 	var o object
 	if r.Method != http.MethodDelete {
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
+			return s.reply(http.StatusBadRequest)
 		}
 	}
 	if name == "" {
@@ -282,16 +323,14 @@
 	if text := r.URL.Query().Get("revision"); text != "" {
 		expected, _ = strconv.ParseInt(text, 10, 64)
 	}
-	status, body := s.apply(r.Method, kind, name, expected, o.Spec)
-	if fault == Lost {
-		panic(http.ErrAbortHandler)
-	}
-	answer(w, status, body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, result := s.apply(r.Method, kind, name, expected, o.Spec)
+	return reply{s.era, status, result}
 }
 
+// apply carries out a write. The caller holds the lock.
 func (s *Store) apply(method, kind, name string, expected int64, spec json.RawMessage) (int, object) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	o, exists := s.objects[kind][name]
 	switch {
 	case method == http.MethodPost && exists:
