--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -53,6 +53,7 @@
 	apps    []*engine.Target
 	vms     []*vm
 	version uint64
+	config  map[string]any  // that was written last
 	dropped map[string]bool // routes that are not in force
 	idleMs  int             // idle limit of callers
 	engine2 bool            // there is a second service of model engines
@@ -96,10 +97,17 @@
 	if c.engine2 {
 		services = append(services, engineService(llm2))
 	}
-	c.g.Expect(c.store.Put("config", "main", map[string]any{
+	c.config = map[string]any{
 		"version": c.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": c.idleMs},
-	})).To(gomega.Succeed())
+	}
+	c.configureAgain()
+}
+
+// configureAgain writes the last configuration again, as the operator does if the store has
+// lost it.
+func (c *cluster) configureAgain() {
+	c.g.Expect(c.store.Put("config", "main", c.config)).To(gomega.Succeed())
 }
 
 // start starts VMs, and as many engines and plain targets, one of each in each
