platform, kindwatch: What is read from the store is ordered by era and revision

Callers saw 404 for added routes and answers by old configurations after the platform's store had come back from a copy: VMs that were told of changes by other VMs ignored all that the restored store wrote until its revisions had passed those of the lost history, and VMs that follow the store listed and watched it in turn without a pause.

Cause: a revision was compared as a bare number, which orders states only within one history of the store. A restored store gives revisions out again.

Followers, tables and what VMs send each other hold positions. Lists after a lost history are spread and paced, and a list whose pages are of two eras is repeated.

--- a/internal/edge/configfetch.go
+++ b/internal/edge/configfetch.go
@@ -29,10 +29,9 @@
 	}
 }
 
-// deflatedSince returns the configuration for a VM that has applied all changes up to the
-// given revision.
-func (c *configCache) deflatedSince(revision int64) (grouprpc.ConfigReply, error) {
-	reply := grouprpc.ConfigReply{Update: c.updateSince(revision)}
+// deflatedSince returns the update of updateSince with a compressed configuration.
+func (c *configCache) deflatedSince(at objectstore.Position) (grouprpc.ConfigReply, error) {
+	reply := grouprpc.ConfigReply{Update: c.updateSince(at)}
 	value := reply.Update.Value
 	if reply.Update.Value = nil; len(value) == 0 {
 		return reply, nil
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
 	"cicadaslip/internal/retrybudget"
@@ -110,28 +111,27 @@
 	return d.targetsListed
 }
 
-// advanceTargets records that all changes of targets up to a store revision have been
-// applied.
-func (d *deployment) advanceTargets(revision int64) {
+// advanceTargets records that all changes of targets up to a position have been applied.
+func (d *deployment) advanceTargets(at objectstore.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.registry.AdvanceTo(revision)
+	d.registry.AdvanceTo(at)
 }
 
-// appliedTargetRevision returns the store revision up to which all changes of targets
-// have been applied.
-func (d *deployment) appliedTargetRevision() int64 {
+// appliedTargetRevision returns the position up to which all changes of targets have been
+// applied.
+func (d *deployment) appliedTargetRevision() objectstore.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.registry.AsOf()
 }
 
 // targetUpdateSince returns the update for a VM that has applied all changes of targets
-// up to the given revision.
-func (d *deployment) targetUpdateSince(revision int64) fleet.Changes {
+// up to the given position.
+func (d *deployment) targetUpdateSince(at objectstore.Position) fleet.Changes {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.registry.ChangesSince(time.Now(), revision)
+	return d.registry.ChangesSince(time.Now(), at)
 }
 
 // expireMissingTargets removes the missing targets that have been kept for long enough.
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -10,6 +10,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/ratelimit"
 )
 
@@ -22,7 +23,7 @@
 	d := newDeployment(settings, time.Now(), func() ratelimit.Position { return ratelimit.Position{VMs: 1} }, func(string) {}, nil, metrics.NewWith(metrics.EdgeDefinitions))
 	list := func(born int64) {
 		d.updateRegistry(func(r *fleet.Registry, _ time.Time) {
-			r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: born}, Revision: born})
+			r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: born}, Revision: objectstore.Position(born)})
 		})
 	}
 	list(7)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -108,8 +108,8 @@
 // followsStore reports whether this VM follows the store itself.
 func (d *Daemon) followsStore() bool { return d.groups.OwnsAny() || !d.relay.replacesStore() }
 
-// appliedRevisions returns the store revisions up to which this VM has applied the
-// changes of each kind of object, whether it read them itself or received them.
+// appliedRevisions returns the positions up to which this VM has applied the changes of
+// each kind of object, whether it read them itself or received them.
 func (d *Daemon) appliedRevisions() grouprpc.StoreRevisions {
 	return grouprpc.StoreRevisions{
 		Config: d.config.appliedRevision(), Targets: d.deployment.appliedTargetRevision(), Versions: d.versions.appliedRevision(),
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 )
 
@@ -16,13 +17,13 @@
 type versionTable struct {
 	mu        sync.Mutex
 	byAdapter map[placer.Adapter]announcedVersion
-	asOf      int64 // store revision up to which all announcements have been applied
+	asOf      objectstore.Position // up to which all announcements have been applied
 }
 
 type announcedVersion struct {
 	version    int64
-	revision   int64     // store revision at which the version was announced
-	receivedAt time.Time // when this VM received the announcement
+	revision   objectstore.Position // at which the version was announced
+	receivedAt time.Time            // when this VM received the announcement
 }
 
 func newVersionTable() *versionTable {
@@ -41,9 +42,9 @@
 	return true
 }
 
-// advance records that all announcements after revision since, up to and including
-// revision asOf, have been applied. It has no effect if earlier ones may be missing.
-func (t *versionTable) advance(since, asOf int64) {
+// advance records that all announcements after position since, up to and including
+// position asOf, have been applied. It has no effect if earlier ones may be missing.
+func (t *versionTable) advance(since, asOf objectstore.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if since <= t.asOf {
@@ -51,22 +52,21 @@
 	}
 }
 
-// appliedRevision returns the store revision up to which all announcements have been
-// applied.
-func (t *versionTable) appliedRevision() int64 {
+// appliedRevision returns the position up to which all announcements have been applied.
+func (t *versionTable) appliedRevision() objectstore.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.asOf
 }
 
 // updateSince returns the update for a VM that has applied all announcements up to the
-// given revision.
-func (t *versionTable) updateSince(revision int64) grouprpc.VersionUpdate {
+// given position.
+func (t *versionTable) updateSince(at objectstore.Position) grouprpc.VersionUpdate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	update := grouprpc.VersionUpdate{Since: revision, AsOf: t.asOf}
+	update := grouprpc.VersionUpdate{Since: at, AsOf: t.asOf}
 	for a, row := range t.byAdapter {
-		if row.revision > revision {
+		if row.revision > at {
 			update.Rows = append(update.Rows, grouprpc.AdapterVersion{Adapter: a, Version: row.version, Revision: row.revision})
 		}
 	}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -111,35 +111,36 @@
 	follow(d.kinds.Targets, d.settings.TargetDrainTime/2-relayMargin, &targetHandler{d: d})
 	follow(d.kinds.Versions, versionWatchPause, d.newObjectHandler(d.kinds.Versions, d.handleVersionObject, d.versions.advance))
 	follow(groupserver.Kind, groupWatchPause, &groupHandler{d})
-	d.followers[d.kinds.Config].KnownRevision = d.config.appliedRevision
-	d.followers[d.kinds.Targets].KnownRevision = d.deployment.appliedTargetRevision
-	d.followers[d.kinds.Versions].KnownRevision = d.versions.appliedRevision
+	d.followers[d.kinds.Config].Known = d.config.appliedRevision
+	d.followers[d.kinds.Targets].Known = d.deployment.appliedTargetRevision
+	d.followers[d.kinds.Versions].Known = d.versions.appliedRevision
 }
 
 // newObjectHandler returns a handler of a kind that applies each object by itself.
-func (d *Daemon) newObjectHandler(kind string, apply func(objectstore.Object), advance func(since, asOf int64)) kindwatch.Handler {
+func (d *Daemon) newObjectHandler(kind string, apply func(objectstore.Object), advance func(since, asOf objectstore.Position)) kindwatch.Handler {
 	return &objectHandler{apply: apply, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) }}
 }
 
-// newestRevisions returns the newest store revision that this VM has seen of each kind.
-func (d *Daemon) newestRevisions() map[string]int64 {
-	newestRevisions := make(map[string]int64, len(d.followers))
+// newestRevisions returns the newest position of an object that this VM has seen of each
+// kind.
+func (d *Daemon) newestRevisions() map[string]objectstore.Position {
+	newestRevisions := make(map[string]objectstore.Position, len(d.followers))
 	for kind, f := range d.followers {
-		newestRevisions[kind] = f.NewestRevision()
+		newestRevisions[kind] = f.Newest()
 	}
 	return newestRevisions
 }
 
-// compareNewestRevisions passes the newest revisions that another VM has seen to the
+// compareNewestRevisions passes the newest positions that another VM has seen to the
 // followers, which repeat their watches if they have been behind for too long. It does
 // nothing while this VM does not follow the store.
-func (d *Daemon) compareNewestRevisions(newestRevisions map[string]int64) {
+func (d *Daemon) compareNewestRevisions(newestRevisions map[string]objectstore.Position) {
 	if !d.followsStore() {
 		return
 	}
-	for kind, revision := range newestRevisions {
+	for kind, at := range newestRevisions {
 		if f := d.followers[kind]; f != nil {
-			f.HandlePeerRevision(revision)
+			f.HandlePeerPosition(at)
 		}
 	}
 }
@@ -162,26 +163,26 @@
 // implements kindwatch.Handler.
 type objectHandler struct {
 	apply           func(objectstore.Object)
-	advance         func(since, asOf int64) // records that all changes between two revisions have been applied
-	recordStoreCall func(error)             // records the result of a call to the store
+	advance         func(since, asOf objectstore.Position) // records that all changes between two positions have been applied
+	recordStoreCall func(error)                            // records the result of a call to the store
 }
 
 // Replace implements kindwatch.Handler.
-func (h *objectHandler) Replace(objects []objectstore.Object, revision int64) {
+func (h *objectHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
 	for _, o := range objects {
 		h.apply(o)
 	}
-	h.advance(0, revision)
+	h.advance(0, at)
 }
 
 // Change implements kindwatch.Handler.
-func (h *objectHandler) Change(changes []objectstore.Change, revision int64) {
+func (h *objectHandler) Change(changes []objectstore.Change, at objectstore.Position) {
 	for _, c := range changes {
 		if !c.Deleted {
 			h.apply(c.Object)
 		}
 	}
-	h.advance(0, revision)
+	h.advance(0, at)
 }
 
 // StoreCalled implements kindwatch.Handler.
@@ -190,19 +191,19 @@
 // handleConfigObject applies the object if it is the configuration.
 func (d *Daemon) handleConfigObject(o objectstore.Object) {
 	if o.Key == d.kinds.MainConfigKey {
-		d.applyConfig(o.Value, o.Revision, sourceStore)
+		d.applyConfig(o.Value, o.Position(), sourceStore)
 	}
 }
 
 // applyConfig puts a configuration into force unless it is invalid or not newer than the
 // one in force. source is the value of fieldSource.
-func (d *Daemon) applyConfig(value []byte, revision int64, source string) {
+func (d *Daemon) applyConfig(value []byte, at objectstore.Position, source string) {
 	c, err := d.kinds.DecodeConfig(value)
 	if err != nil {
 		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
 		return
 	}
-	d.config.set(value, revision)
+	d.config.set(value, at)
 	if !d.deployment.setConfig(c) {
 		return
 	}
@@ -218,7 +219,7 @@
 }
 
 // Replace implements kindwatch.Handler.
-func (h *targetHandler) Replace(objects []objectstore.Object, revision int64) {
+func (h *targetHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
 	var targets []fleet.StoredTarget
 	for _, o := range objects {
 		if t, ok := h.decode(o); ok {
@@ -226,29 +227,29 @@
 		}
 	}
 	h.d.deployment.updateRegistry(func(r *fleet.Registry, now time.Time) {
-		r.Replace(now, targets, revision)
+		r.Replace(now, targets, at)
 		h.d.deployment.targetsListed = true
 	})
 	h.d.publishFleet(sourceStore)
 }
 
 // Change implements kindwatch.Handler.
-func (h *targetHandler) Change(changes []objectstore.Change, revision int64) {
+func (h *targetHandler) Change(changes []objectstore.Change, at objectstore.Position) {
 	if len(changes) == 0 {
-		h.d.deployment.advanceTargets(revision)
+		h.d.deployment.advanceTargets(at)
 		return
 	}
 	h.d.deployment.updateRegistry(func(r *fleet.Registry, now time.Time) {
 		for _, c := range changes {
 			if c.Deleted {
-				r.Remove(now, objectName(c.Object.Key), revision)
+				r.Remove(now, objectName(c.Object.Key), at)
 				continue
 			}
 			if t, ok := h.decode(c.Object); ok {
 				r.Put(t)
 			}
 		}
-		r.AdvanceTo(revision)
+		r.AdvanceTo(at)
 	})
 	h.d.publishFleet(sourceStore)
 }
@@ -260,7 +261,7 @@
 		h.d.log.Warn().Err(err).Str(fieldEvent, "target_ignored").Str(fieldTarget, objectName(o.Key)).Send()
 		return fleet.StoredTarget{}, false
 	}
-	return fleet.StoredTarget{Target: t, Revision: o.Revision}, true
+	return fleet.StoredTarget{Target: t, Revision: o.Position()}, true
 }
 
 // StoreCalled implements kindwatch.Handler.
@@ -286,7 +287,7 @@
 		d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
 		return
 	}
-	d.setVersion(grouprpc.AdapterVersion{Adapter: a, Version: version, Revision: o.Revision})
+	d.setVersion(grouprpc.AdapterVersion{Adapter: a, Version: version, Revision: o.Position()})
 }
 
 // setVersion records an announced version of an adapter. A version newer than the one
@@ -304,12 +305,12 @@
 type groupHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
-func (h *groupHandler) Replace(objects []objectstore.Object, _ int64) {
+func (h *groupHandler) Replace(objects []objectstore.Object, _ objectstore.Position) {
 	h.d.groups.Replace(slices.DeleteFunc(objects, h.d.quarantine.takeObject))
 }
 
 // Change implements kindwatch.Handler.
-func (h *groupHandler) Change(changes []objectstore.Change, _ int64) {
+func (h *groupHandler) Change(changes []objectstore.Change, _ objectstore.Position) {
 	h.d.groups.Change(slices.DeleteFunc(changes, h.d.quarantine.takeChange))
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,13 +7,14 @@
 	"github.com/onsi/gomega"
 
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/objectstore"
 )
 
 func target(id string, born, sequence int64, leaving bool) fleet.Target {
 	return fleet.Target{ID: id, Service: "s", Born: born, Sequence: sequence, Leaving: leaving}
 }
 
-func stored(t fleet.Target, revision int64) fleet.StoredTarget {
+func stored(t fleet.Target, revision objectstore.Position) fleet.StoredTarget {
 	return fleet.StoredTarget{Target: t, Revision: revision}
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cicadaslip/internal/objectstore"
 )
 
 const (
@@ -20,24 +22,24 @@
 // it was written.
 type StoredTarget struct {
 	Target   Target
-	Revision int64
+	Revision objectstore.Position
 }
 
 // Row is the registry's record of one target. VMs send it to each other with gob,
 // so its field names are part of the protocol.
 type Row struct {
 	Target   Target
-	Revision int64         // store revision of the last change that other VMs need to know
-	Missing  bool          // whether the target's description is gone from the store
-	Kept     time.Duration // remaining time for a missing target to register again
+	Revision objectstore.Position // of the last change that other VMs need to know
+	Missing  bool                 // whether the target's description is gone from the store
+	Kept     time.Duration        // remaining time for a missing target to register again
 }
 
 // Changes holds the rows that changed after a revision of the store. VMs send it to
 // each other with gob, so its field names are part of the protocol.
 type Changes struct {
-	Since int64 // revision up to which the receiver said that it knows all changes
-	AsOf  int64 // revision up to which the receiver knows all changes once it has applied the rows
-	Full  bool  // whether Rows lists every present target, so that targets without a row are gone
+	Since objectstore.Position // up to which the receiver said that it knows all changes
+	AsOf  objectstore.Position // up to which the receiver knows all changes once it has applied the rows
+	Full  bool                 // whether Rows lists every present target, so that targets without a row are gone
 	Rows  []Row
 }
 
@@ -47,12 +49,12 @@
 // concurrent use.
 type Registry struct {
 	rows         map[string]*entry
-	asOf         int64 // store revision up to which the rows are complete
-	removalFloor int64 // removals before this store revision may be unknown
+	asOf         objectstore.Position // up to which the rows are complete
+	removalFloor objectstore.Position // removals before it may be unknown
 
-	storeOutage      bool      // whether this VM cannot reach the store
-	outageRevision   int64     // asOf when the outage began
-	storeRecoveredAt time.Time // end of the last outage; zero if there was none or other VMs reached the store in it
+	storeOutage      bool                 // whether this VM cannot reach the store
+	outageRevision   objectstore.Position // asOf when the outage began
+	storeRecoveredAt time.Time            // end of the last outage; zero if there was none or other VMs reached the store in it
 }
 
 type entry struct {
@@ -65,10 +67,10 @@
 func NewRegistry() *Registry { return &Registry{rows: map[string]*entry{}} }
 
 // AsOf returns the revision of the store up to which all changes are known.
-func (r *Registry) AsOf() int64 { return r.asOf }
+func (r *Registry) AsOf() objectstore.Position { return r.asOf }
 
 // AdvanceTo records that all changes in the store up to a revision have been entered.
-func (r *Registry) AdvanceTo(revision int64) { r.asOf = max(r.asOf, revision) }
+func (r *Registry) AdvanceTo(revision objectstore.Position) { r.asOf = max(r.asOf, revision) }
 
 // Put adds or updates a target. It returns false and changes nothing if the
 // description is older than what is known of the target.
@@ -106,7 +108,7 @@
 // Remove marks a target as missing from the store as of a revision. Unless the target
 // was leaving or is unknown, it stays in the table for reregistrationGrace if its removal may be the
 // result of a store outage.
-func (r *Registry) Remove(now time.Time, id string, revision int64) {
+func (r *Registry) Remove(now time.Time, id string, revision objectstore.Position) {
 	current := r.rows[id]
 	if current == nil {
 		// Another VM may have seen the target in the meantime.
@@ -132,7 +134,7 @@
 }
 
 // Replace replaces the table by the full list of targets that was read at a revision.
-func (r *Registry) Replace(now time.Time, targets []StoredTarget, revision int64) {
+func (r *Registry) Replace(now time.Time, targets []StoredTarget, revision objectstore.Position) {
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.Target.ID] = true
@@ -189,7 +191,7 @@
 // ChangesSince returns the changes to send to a VM that knows all changes up to a
 // revision. If removals after that revision may have been forgotten, it returns the
 // full table.
-func (r *Registry) ChangesSince(now time.Time, revision int64) Changes {
+func (r *Registry) ChangesSince(now time.Time, revision objectstore.Position) Changes {
 	c := Changes{Since: revision, AsOf: r.asOf, Full: revision < r.removalFloor}
 	for _, e := range r.rows {
 		row := e.Row
--- a/internal/fleet/registry_exchange_test.go
+++ b/internal/fleet/registry_exchange_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/objectstore"
 )
 
 // Guards against a VM with an older state that makes another VM use a removed target
@@ -29,7 +30,7 @@
 	g.Expect(ids(ahead.Targets(now))).To(gomega.Equal([]string{"b"}))
 	behind.Apply(now, ahead.ChangesSince(now, behind.AsOf()))
 	g.Expect(ids(behind.Targets(now))).To(gomega.Equal([]string{"b"}))
-	g.Expect(behind.AsOf()).To(gomega.Equal(int64(8)))
+	g.Expect(behind.AsOf()).To(gomega.Equal(objectstore.Position(8)))
 }
 
 // Guards against a VM that loses its connection to the store and then keeps targets
@@ -98,8 +99,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
 		store := map[string]fleet.StoredTarget{}
-		removed := map[string]int64{}
-		revision := int64(0)
+		removed := map[string]objectstore.Position{}
+		revision := objectstore.Position(0)
 		vms := make([]*fleet.Registry, 4)
 		for i := range vms {
 			vms[i] = fleet.NewRegistry()
@@ -118,7 +119,7 @@
 				d.Revision = revision
 				store[id] = d
 			default:
-				store[id] = stored(target(id, revision, 1, false), revision)
+				store[id] = stored(target(id, int64(revision), 1, false), revision)
 				delete(removed, id)
 			}
 		}
@@ -152,7 +153,7 @@
 			case 3:
 				r.Apply(now, other.ChangesSince(now, r.AsOf()))
 			case 4: // the other VM answers for an outdated revision of this VM
-				r.Apply(now, other.ChangesSince(now, rapid.Int64Range(0, r.AsOf()).Draw(t, "revision")))
+				r.Apply(now, other.ChangesSince(now, objectstore.Position(rapid.Int64Range(0, int64(r.AsOf())).Draw(t, "revision"))))
 			}
 		}
 		read(vms[0], true)
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -10,6 +10,7 @@
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/quarantine"
 	"cicadaslip/internal/ratelimit"
@@ -90,10 +91,10 @@
 	// RequiredVersion returns the oldest version of an adapter that may be used.
 	// It is 0 if any version may be used.
 	RequiredVersion func(a placer.Adapter) int64
-	// SeenRevisions returns the newest object revisions that this VM has seen, by kind
+	// SeenRevisions returns the newest object positions that this VM has seen, by kind
 	// of object, and HandlePeerRevisions receives those that an owner has seen.
-	SeenRevisions       func() map[string]int64
-	HandlePeerRevisions func(seen map[string]int64)
+	SeenRevisions       func() map[string]objectstore.Position
+	HandlePeerRevisions func(seen map[string]objectstore.Position)
 	// KnownRevisions returns the store revisions up to which this VM knows the
 	// deployment.
 	KnownRevisions func() grouprpc.StoreRevisions
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -14,6 +14,7 @@
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/quarantine"
@@ -157,8 +158,8 @@
 	c := New(Options{
 		VM: "vm1", Groups: newManager(t, "vm1", noEngines{}), Peers: peers, Observer: noOwnerObserver{}, Quarantine: noQuarantine{},
 		Target:          func(string) (fleet.Target, bool) { return target, true },
-		RequiredVersion: func(placer.Adapter) int64 { return 0 }, SeenRevisions: func() map[string]int64 { return nil },
-		HandlePeerRevisions: func(map[string]int64) {}, KnownRevisions: func() grouprpc.StoreRevisions { return grouprpc.StoreRevisions{} },
+		RequiredVersion: func(placer.Adapter) int64 { return 0 }, SeenRevisions: func() map[string]objectstore.Position { return nil },
+		HandlePeerRevisions: func(map[string]objectstore.Position) {}, KnownRevisions: func() grouprpc.StoreRevisions { return grouprpc.StoreRevisions{} },
 		UpdateFor: func(string) *grouprpc.DeploymentUpdate { return nil }, HandleReply: func(string, string, *grouprpc.SyncReply) {},
 		RateLimits: func() map[string]float64 { return nil }, TakeFromLimit: func(string, bool) bool { return true },
 		LeavingSince: func(uint64, bool) advisory.Delta { return advisory.Delta{} }, MergeLeaving: func(advisory.Delta) {},
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -8,6 +8,7 @@
 	"cicadaslip/internal/advisory"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/quarantine"
 	"cicadaslip/internal/tenure"
@@ -94,7 +95,7 @@
 	// RateLimits holds, in calls until the owner first responds, the rate limits that targets
 	// have named to the caller, in requests per second by target.
 	RateLimits map[string]float64
-	Seen       map[string]int64 // newest object revision that the caller has seen, by kind of object
+	Seen       map[string]objectstore.Position // newest object position that the caller has seen, by kind of object
 	// Promise is the caller's promise not to order the group's targets, if the owner's last
 	// reply asked for one.
 	Promise     tenure.Promise
@@ -123,20 +124,20 @@
 	Known    StoreRevisions // store revisions up to which the owner knows the deployment
 	Config   uint64         // version of the configuration in force at the owner
 	NotOwner bool
-	Record   tenure.Record            // if NotOwner: the group's newest record known to the receiver
-	At       int64                    // if NotOwner: store version of the object that holds Record
-	Seen     map[string]int64         // newest object revision that the owner has seen, by kind of object
-	Epoch    int64                    // epoch of the owner
-	Blind    bool                     // the owner cannot reach the store
-	Asks     bool                     // the owner asks for a promise
-	Stamp    time.Duration            // time of the reply on the owner's clock, for the promise
-	VMs      int                      // the owner and the VMs that called it recently
-	Rank     int                      // of the caller among them, by name, from 0
-	Backlog  time.Duration            // mean time until a target of the group reads a new prompt
-	Version  uint64                   // version of the owner's view of the group
-	Full     bool                     // Resident replaces the caller's view
-	Resident []placer.ResidentAdapter // adapters that became resident, or all if Full
-	Gone     []placer.ResidentAdapter // adapters that are no longer resident
+	Record   tenure.Record                   // if NotOwner: the group's newest record known to the receiver
+	At       int64                           // if NotOwner: store version of the object that holds Record
+	Seen     map[string]objectstore.Position // newest object position that the owner has seen, by kind of object
+	Epoch    int64                           // epoch of the owner
+	Blind    bool                            // the owner cannot reach the store
+	Asks     bool                            // the owner asks for a promise
+	Stamp    time.Duration                   // time of the reply on the owner's clock, for the promise
+	VMs      int                             // the owner and the VMs that called it recently
+	Rank     int                             // of the caller among them, by name, from 0
+	Backlog  time.Duration                   // mean time until a target of the group reads a new prompt
+	Version  uint64                          // version of the owner's view of the group
+	Full     bool                            // Resident replaces the caller's view
+	Resident []placer.ResidentAdapter        // adapters that became resident, or all if Full
+	Gone     []placer.ResidentAdapter        // adapters that are no longer resident
 	// Quarantine is what the owner has learned of parts that crash targets since
 	// QuarantineSeen, if the caller wants to know.
 	Quarantine quarantine.Delta
@@ -158,13 +159,13 @@
 	OrdersArriveWithin time.Duration // time by which its own last order has arrived at its target
 }
 
-// StoreRevisions holds, for each kind of the deployment's objects, the store revision up
-// to which a VM knows all changes, whether it read them itself or received them from
-// another VM.
+// StoreRevisions holds, for each kind of the deployment's objects, the position in the
+// store's history up to which a VM knows all changes, whether it read them itself or received
+// them from another VM.
 type StoreRevisions struct {
-	Config   int64
-	Targets  int64
-	Versions int64
+	Config   objectstore.Position
+	Targets  objectstore.Position
+	Versions objectstore.Position
 }
 
 // DeploymentUpdate holds the changes of the deployment that the sender knows and the
@@ -179,16 +180,16 @@
 
 // ConfigUpdate holds the configuration if it has changed after the receiver's revision.
 type ConfigUpdate struct {
-	Since    int64  // store revision known to the receiver, after which changes are included
-	AsOf     int64  // store revision up to which changes are included
-	Revision int64  // revision of the configuration's object
-	Value    []byte // encoded configuration, empty if it has not changed
-	Deferred bool   // Value is left out, and the receiver fetches it
+	Since    objectstore.Position // known to the receiver, after which changes are included
+	AsOf     objectstore.Position // up to which changes are included
+	Revision objectstore.Position // of the configuration's object
+	Value    []byte               // encoded configuration, empty if it has not changed
+	Deferred bool                 // Value is left out, and the receiver fetches it
 }
 
 // ConfigRequest asks an owner for its configuration.
 type ConfigRequest struct {
-	Known int64 // store revision up to which the caller knows all changes
+	Known objectstore.Position // up to which the caller knows all changes
 }
 
 // ConfigReply holds the configuration if it has changed after the caller's revision.
@@ -199,8 +200,8 @@
 
 // VersionUpdate holds the adapter versions announced after the receiver's revision.
 type VersionUpdate struct {
-	Since int64 // store revision known to the receiver, after which versions are included
-	AsOf  int64 // store revision up to which versions are included
+	Since objectstore.Position // known to the receiver, after which versions are included
+	AsOf  objectstore.Position // up to which versions are included
 	Rows  []AdapterVersion
 }
 
@@ -208,7 +209,7 @@
 type AdapterVersion struct {
 	Adapter  placer.Adapter
 	Version  int64
-	Revision int64 // store revision of the announcement
+	Revision objectstore.Position // of the announcement
 }
 
 // RunningRequest is a request that runs on a target under an owner's grant. The VM
--- a/internal/kindwatch/kindwatch.go
+++ b/internal/kindwatch/kindwatch.go
@@ -1,6 +1,7 @@
 // Package kindwatch follows all objects of one kind in the platform's store. It lists
-// the objects once, watches for changes from the revision of the list, and lists them
-// again if the store no longer has the history since the last revision read.
+// the objects once, watches for changes from the position of the list, and lists them
+// again if the store no longer has the history since the last position read, as after a
+// restore from a copy.
 package kindwatch
 
 import (
@@ -24,11 +25,13 @@
 	// minWatchDuration is the time below which a watch that returns no changes counts as
 	// cut off, so that it is repeated only after minRetryDelay.
 	minWatchDuration = 50 * time.Millisecond
-	// staleAfter is how long after PauseAfterChanges a revision that another process has
+	// staleAfter is how long after PauseAfterChanges a position that another process has
 	// seen may be missing here before the watch is repeated.
 	staleAfter = 500 * time.Millisecond
 	// activePollInterval is the time between two checks of Active while it is false.
 	activePollInterval = 100 * time.Millisecond
+	// relistJitter is the longest random delay of the first list after the history is gone.
+	relistJitter = 100 * time.Millisecond
 	// recoveryWatchTimeout bounds the duration of the first watch call after a failure.
 	recoveryWatchTimeout = 300 * time.Millisecond
 )
@@ -36,10 +39,10 @@
 // Handler receives the objects that were read. Its methods are called from one
 // goroutine.
 type Handler interface {
-	// Replace replaces all objects by those listed at a revision.
-	Replace(objects []objectstore.Object, revision int64)
-	// Change applies changes in order. All changes up to the revision are included.
-	Change(changes []objectstore.Change, revision int64)
+	// Replace replaces all objects by those listed at a position.
+	Replace(objects []objectstore.Object, at objectstore.Position)
+	// Change applies changes in order. All changes up to the position are included.
+	Change(changes []objectstore.Change, at objectstore.Position)
 	// StoreCalled reports the result of a call to the store.
 	StoreCalled(err error)
 }
@@ -60,35 +63,35 @@
 	// InitialWait is how long the first list waits for changes from other processes, which
 	// may make it unnecessary. It requires KnownRevision.
 	InitialWait time.Duration
-	// KnownRevision returns the revision up to which this process has received all
-	// changes from other processes, so that the watch can continue from there. It is
-	// nil if there is no such source.
-	KnownRevision func() int64
+	// Known returns the position up to which this process has received all changes from
+	// other processes, so that the watch can continue from there. It is nil if there is no
+	// such source.
+	Known func() objectstore.Position
 
 	mu              sync.Mutex
-	newestRevision  int64 // newest revision of an object that was read
-	readRevision    int64 // revision up to which the store was read
+	newest          objectstore.Position // of an object that was read
+	readTo          objectstore.Position // up to which the store was read
 	cancel          context.CancelFunc
-	maybeStale      bool // another process has seen a later revision than readRevision
+	maybeStale      bool // another process has seen a later position than readTo
 	maybeStaleSince time.Time
 	lastCallFailed  bool // the last call failed, or RestartWatch was called
 }
 
-// NewestRevision returns the newest revision of an object that was read.
-func (f *Follower) NewestRevision() int64 {
+// Newest returns the newest position of an object that was read.
+func (f *Follower) Newest() objectstore.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newestRevision
+	return f.newest
 }
 
-// HandlePeerRevision records that another process has seen an object of a revision. If
-// the follower does not read up to that revision soon, its watch is assumed to be
+// HandlePeerPosition records that another process has seen an object at a position. If
+// the follower does not read up to that position soon, its watch is assumed to be
 // dead and is repeated.
-func (f *Follower) HandlePeerRevision(revision int64) {
+func (f *Follower) HandlePeerPosition(at objectstore.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case revision <= f.readRevision:
+	case at <= f.readTo:
 		f.maybeStale = false
 	case !f.maybeStale:
 		f.maybeStale, f.maybeStaleSince = true, time.Now()
@@ -115,32 +118,33 @@
 
 // Run lists and watches the objects until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	for began := time.Now(); f.knownRevision() == 0 && time.Since(began) < f.InitialWait && ctx.Err() == nil; {
+	for began := time.Now(); f.known() == 0 && time.Since(began) < f.InitialWait && ctx.Err() == nil; {
 		pause.For(ctx, activePollInterval)
 	}
-	var revision int64
+	var at objectstore.Position
 	listed := false
-	retryDelay := minRetryDelay
+	retryDelay, relistDelay := minRetryDelay, time.Duration(0)
 	for ctx.Err() == nil {
 		if listed && f.Active != nil && !f.Active() {
 			pause.For(ctx, activePollInterval)
 			continue
 		}
-		if knownRevision := f.knownRevision(); knownRevision > revision {
-			revision, listed = knownRevision, true
+		if known := f.known(); known > at {
+			at, listed = known, true
 		}
 		var err error
 		callCtx, cancel := context.WithCancel(ctx)
 		f.callStarted(cancel)
-		if !listed {
-			revision, err = f.list(callCtx)
-			listed = err == nil
+		watching := listed
+		if watching {
+			at, err = f.watch(callCtx, at)
 		} else {
-			revision, err = f.watch(callCtx, revision)
+			at, err = f.list(callCtx, at)
+			listed = err == nil
 		}
 		interrupted := callCtx.Err() != nil
 		cancel()
-		f.callEnded(revision, err)
+		f.callEnded(at, err)
 		if interrupted {
 			continue
 		}
@@ -148,9 +152,16 @@
 		switch {
 		case err == nil:
 			retryDelay = minRetryDelay
+			if watching {
+				relistDelay = 0
+			}
 			continue
 		case errs.Is(err, errs.HistoryGone):
+			// All processes notice a restored store at the same time, and one that is
+			// restored again and again must not be listed without a pause.
 			listed = false
+			pause.For(ctx, relistDelay/2+rand.N(relistDelay+relistJitter))
+			relistDelay = min(max(2*relistDelay, minRetryDelay), maxRetryDelay)
 			continue
 		}
 		pause.For(ctx, retryDelay/2+rand.N(retryDelay))
@@ -158,26 +169,30 @@
 	}
 }
 
-func (f *Follower) knownRevision() int64 {
-	if f.KnownRevision == nil {
+func (f *Follower) known() objectstore.Position {
+	if f.Known == nil {
 		return 0
 	}
-	return f.KnownRevision()
+	return f.Known()
 }
 
-// list reads all pages and returns the revision of the first one. The watch starts
-// from that revision, so it also returns changes made between two pages.
-func (f *Follower) list(ctx context.Context) (int64, error) {
+// list reads all pages and returns the position of the first one. The watch starts
+// from that position, so it also returns changes made between two pages. If it fails, it
+// returns the position before.
+func (f *Follower) list(ctx context.Context, before objectstore.Position) (objectstore.Position, error) {
 	var all []objectstore.Object
 	prefix, after := f.Kind+"/", ""
-	revision := int64(-1)
+	first := objectstore.Position(-1)
 	for {
 		page, err := f.Store.List(ctx, prefix, after, pageLimit, 0)
 		if err != nil {
-			return 0, err
+			return before, err
+		}
+		if first < 0 {
+			first = page.Position()
 		}
-		if revision < 0 {
-			revision = page.Revision
+		if page.Position().Era() != first.Era() {
+			return before, errs.New(errs.HistoryGone, "the store was restored between two pages of a list of "+f.Kind)
 		}
 		all = append(all, page.Objects...)
 		if !page.More || len(page.Objects) == 0 {
@@ -186,15 +201,15 @@
 		after = page.Objects[len(page.Objects)-1].Key
 	}
 	f.updateNewest(all)
-	f.Handler.Replace(all, revision)
-	return revision, nil
+	f.Handler.Replace(all, first)
+	return first, nil
 }
 
 func (f *Follower) updateNewest(objects []objectstore.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, o := range objects {
-		f.newestRevision = max(f.newestRevision, o.Revision)
+	for i := range objects {
+		f.newest = max(f.newest, objects[i].Position())
 	}
 }
 
@@ -204,11 +219,11 @@
 	f.cancel = cancel
 }
 
-func (f *Follower) callEnded(revision int64, err error) {
+func (f *Follower) callEnded(at objectstore.Position, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = nil
-	f.readRevision = max(f.readRevision, revision)
+	f.readTo = max(f.readTo, at)
 	f.lastCallFailed = err != nil && !errs.Is(err, errs.HistoryGone)
 }
 
@@ -223,23 +238,23 @@
 	return f.WatchTimeout
 }
 
-func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
+func (f *Follower) watch(ctx context.Context, since objectstore.Position) (objectstore.Position, error) {
 	began := time.Now()
-	changes, err := f.Store.Watch(ctx, f.Kind+"/", revision, f.watchTimeout())
+	changes, err := f.Store.Watch(ctx, f.Kind+"/", int64(since), f.watchTimeout())
 	if err != nil {
-		return revision, err
+		return since, err
 	}
 	for _, c := range changes.Changes {
 		f.updateNewest([]objectstore.Object{c.Object})
 	}
-	f.Handler.Change(changes.Changes, changes.Revision)
+	f.Handler.Change(changes.Changes, changes.Position())
 	if len(changes.Changes) > 0 {
 		f.mu.Lock()
-		f.readRevision = max(f.readRevision, changes.Revision)
+		f.readTo = max(f.readTo, changes.Position())
 		f.mu.Unlock()
 		pause.For(ctx, f.PauseAfterChanges)
 	} else if time.Since(began) < minWatchDuration {
 		pause.For(ctx, minRetryDelay)
 	}
-	return changes.Revision, nil
+	return changes.Position(), nil
 }
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -47,7 +47,11 @@
 //   - errs.TooLarge if the value exceeds MaxValueBytes;
 //   - errs.StoreUnavailable if the call failed and certainly had no effect;
 //   - errs.StoreAmbiguous if a write may have taken effect or may still do so;
-//   - errs.StoreStale if the replica that answered has not reached minRevision.
+//   - errs.StoreStale if the replica that answered has not reached minRevision;
+//   - errs.HistoryGone if a watch cannot go on from its revision, because the store no
+//     longer has the changes since, or was restored from a copy.
+//
+// The versions and revisions of a store that may be restored from a copy are Positions.
 type Store interface {
 	// Get reads one object at a revision of at least minRevision.
 	Get(ctx context.Context, key string, minRevision int64) (Object, error)
