--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -23,7 +23,7 @@
 	d := newDeployment(settings, time.Now(), func() ratelimit.Position { return ratelimit.Position{VMs: 1} }, func(string) {}, nil, metrics.NewWith(metrics.EdgeDefinitions))
 	list := func(born int64) {
 		d.updateRegistry(func(r *fleet.Registry, _ time.Time) {
-			r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: born}, Revision: objectstore.Position(born)})
+			r.Put(time.Now(), fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: born}, Revision: objectstore.Position(born)})
 		})
 	}
 	list(7)
@@ -65,7 +65,7 @@
 		kind targetChangeKind
 	}{
 		"starts anew": {own: true, kind: targetRestarted, end: func(_ *deployment, r *fleet.Registry, _ time.Duration) {
-			r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 9}, Revision: 9})
+			r.Put(time.Now(), fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 9}, Revision: 9})
 		}},
 		"is gone": {kind: targetGone, end: func(_ *deployment, r *fleet.Registry, _ time.Duration) { r.Remove(time.Now(), "t", 9) }},
 		"its answer does not say so": {kind: targetStaying, end: func(d *deployment, _ *fleet.Registry, told time.Duration) {
@@ -77,7 +77,7 @@
 			const age = time.Second
 			d := newDeployment(&Settings{DataCentre: "d"}, time.Now().Add(-time.Minute), func() ratelimit.Position { return ratelimit.Position{VMs: 1} }, func(string) {}, nil, metrics.NewWith(metrics.EdgeDefinitions))
 			d.updateRegistry(func(r *fleet.Registry, _ time.Time) {
-				r.Put(fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 7}, Revision: 7})
+				r.Put(time.Now(), fleet.StoredTarget{Target: fleet.Target{ID: "t", Service: "s", Born: 7}, Revision: 7})
 			})
 			d.takeChanges()
 			told, source := d.now(), sourceOwner
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -246,7 +246,7 @@
 				continue
 			}
 			if t, ok := h.decode(c.Object); ok {
-				r.Put(t)
+				r.Put(now, t)
 			}
 		}
 		r.AdvanceTo(at)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -32,13 +32,13 @@
 	g := gomega.NewWithT(t)
 	r := fleet.NewRegistry()
 	now := time.Unix(100, 0)
-	r.Put(stored(target("a", 1, 5, true), 1))
-	g.Expect(r.Put(stored(target("a", 1, 4, false), 2))).To(gomega.BeFalse())
-	r.Put(stored(target("a", 1, 6, false), 3))
+	r.Put(now, stored(target("a", 1, 5, true), 1))
+	g.Expect(r.Put(now, stored(target("a", 1, 4, false), 2))).To(gomega.BeFalse())
+	r.Put(now, stored(target("a", 1, 6, false), 3))
 	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeTrue())
-	r.Put(stored(target("a", 2, 1, false), 4)) // restarted with the same ID
+	r.Put(now, stored(target("a", 2, 1, false), 4)) // restarted with the same ID
 	g.Expect(r.Targets(now)[0].Leaving).To(gomega.BeFalse())
-	g.Expect(r.Put(stored(target("a", 1, 9, true), 5))).To(gomega.BeFalse())
+	g.Expect(r.Put(now, stored(target("a", 1, 9, true), 5))).To(gomega.BeFalse())
 }
 
 // Guards against an old description that is written again after its target was
@@ -47,11 +47,11 @@
 	g := gomega.NewWithT(t)
 	r := fleet.NewRegistry()
 	now := time.Unix(100, 0)
-	r.Put(stored(target("a", 1, 5, false), 1))
+	r.Put(now, stored(target("a", 1, 5, false), 1))
 	r.Remove(now, "a", 2)
-	r.Put(stored(target("a", 1, 3, false), 3))
+	r.Put(now, stored(target("a", 1, 3, false), 3))
 	g.Expect(r.Targets(now)).To(gomega.BeEmpty())
-	r.Put(stored(target("a", 1, 6, false), 4))
+	r.Put(now, stored(target("a", 1, 6, false), 4))
 	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a"}))
 }
 
@@ -69,7 +69,7 @@
 	r.SetOutage(now, false)
 	r.Replace(now, nil, 9)
 	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a", "b"}), "a leaving target is removed without grace")
-	r.Put(stored(target("a", 1, 2, false), 10))
+	r.Put(now, stored(target("a", 1, 2, false), 10))
 	g.Expect(r.RetainsMissing(now)).To(gomega.BeTrue())
 	now = now.Add(3 * time.Second)
 	g.Expect(ids(r.Targets(now))).To(gomega.Equal([]string{"a"}))
--- a/internal/fleet/registry_exchange_test.go
+++ b/internal/fleet/registry_exchange_test.go
@@ -82,7 +82,7 @@
 	g.Expect(reader.Targets(now)).To(gomega.BeEmpty())
 	other.Apply(now, reader.ChangesSince(now, other.AsOf()))
 	g.Expect(other.Targets(now)).To(gomega.BeEmpty())
-	other.Put(stored(target("a", 2, 1, false), 9))
+	other.Put(now, stored(target("a", 2, 1, false), 9))
 	g.Expect(ids(other.Targets(now))).To(gomega.Equal([]string{"a"}))
 
 	// The same, for a target whose earlier removal the reader knows.
@@ -131,7 +131,7 @@
 			since := r.AsOf()
 			for _, d := range storedTargets(store) {
 				if d.Revision > since {
-					r.Put(d)
+					r.Put(now, d)
 				}
 			}
 			for id, removedAt := range removed {
