--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -305,13 +305,13 @@
 type groupHandler struct{ d *Daemon }
 
 // Replace implements kindwatch.Handler.
-func (h *groupHandler) Replace(objects []objectstore.Object, _ objectstore.Position) {
-	h.d.groups.Replace(slices.DeleteFunc(objects, h.d.quarantine.takeObject))
+func (h *groupHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
+	h.d.groups.Replace(slices.DeleteFunc(objects, h.d.quarantine.takeObject), at)
 }
 
 // Change implements kindwatch.Handler.
-func (h *groupHandler) Change(changes []objectstore.Change, _ objectstore.Position) {
-	h.d.groups.Change(slices.DeleteFunc(changes, h.d.quarantine.takeChange))
+func (h *groupHandler) Change(changes []objectstore.Change, at objectstore.Position) {
+	h.d.groups.Change(slices.DeleteFunc(changes, h.d.quarantine.takeChange), at)
 }
 
 // StoreCalled implements kindwatch.Handler.
--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -369,7 +369,9 @@
 	stop = c.load()
 	time.Sleep(2 * time.Second)
 	stop()
-	c.g.Eventually(func() []byte { return c.store.Spec(groupserver.Kind, groupserver.GroupName(llm, 0)) }).
+	c.g.Eventually(func() []byte {
+		return c.store.Spec(groupserver.Kind, groupserver.ObjectName(groupserver.GroupName(llm, 0), c.store.Era()))
+	}).
 		WithTimeout(limit).ShouldNot(gomega.BeNil(), "record of the group")
 	c.g.Eventually(c.owners).WithTimeout(limit).Should(gomega.Equal(1), "owners")
 	before := c.checkEpochs()
--- a/internal/groupclient/position_test.go
+++ b/internal/groupclient/position_test.go
@@ -47,7 +47,7 @@
 		VM: "vm1", Incarnation: 1, Address: "127.0.0.1:1", Store: memstore.New(), Engines: noEngines{}, Observer: noObserver{}, SettleDelay: time.Millisecond,
 		TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{}}}, []fleet.Target{{ID: "t", Service: "s"}})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/groupclient/silence_test.go
+++ b/internal/groupclient/silence_test.go
@@ -146,7 +146,7 @@
 		VM: vm, Incarnation: 1, Address: vm, Store: memstore.New(), Engines: engines, Observer: noObserver{}, SettleDelay: time.Millisecond,
 		TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	m.SetFleet(service, []fleet.Target{target})
 	gomega.NewWithT(t).Eventually(m.Status).Should(gomega.HaveLen(1))
 	return m
--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -94,9 +94,10 @@
 		c.opt.HandlePeerRevisions(reply.Seen)
 		c.opt.Quarantine.Merge(reply.Quarantine)
 		c.opt.MergeLeaving(reply.LeavingTargets)
-		if reply.NotOwner {
+		if reply.NotOwner || reply.Epoch > epoch {
 			c.opt.Groups.SetRecord(request.Group, reply.Record, reply.At)
-		} else {
+		}
+		if !reply.NotOwner {
 			c.opt.HandleReply(owner, address, &reply)
 		}
 	}
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -124,8 +124,8 @@
 	Known    StoreRevisions // store revisions up to which the owner knows the deployment
 	Config   uint64         // version of the configuration in force at the owner
 	NotOwner bool
-	Record   tenure.Record                   // if NotOwner: the group's newest record known to the receiver
-	At       int64                           // if NotOwner: store version of the object that holds Record
+	Record   tenure.Record                   // if NotOwner, or if the caller knows an older epoch: the group's newest record known to the receiver
+	At       objectstore.Position            // store version of the object that holds Record
 	Seen     map[string]objectstore.Position // newest object position that the owner has seen, by kind of object
 	Epoch    int64                           // epoch of the owner
 	Blind    bool                            // the owner cannot reach the store
@@ -150,7 +150,7 @@
 type AnnounceRequest struct {
 	Group   string
 	Record  tenure.Record
-	Version int64 // store version of the object that holds Record
+	Version objectstore.Position // of the object that holds Record
 }
 
 // AnnounceReply tells a new owner whether the receiver sends no orders any more.
--- a/internal/groupserver/contain_test.go
+++ b/internal/groupserver/contain_test.go
@@ -55,7 +55,7 @@
 		VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: memstore.New(), Engines: engines, Observer: observer, SettleDelay: time.Millisecond,
 		TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
 		[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,7 +100,7 @@
 				Engines:            &panickingEngines{promptEngines: promptEngines{sequence: map[string]int64{}, readyAt: map[string]time.Time{}}},
 				TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 			})
-			m.Replace(nil)
+			m.Replace(nil, 0)
 			m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
 				[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/tenure"
 )
@@ -26,7 +27,7 @@
 	mu       sync.Mutex
 	tenure   *tenure.StateMachine
 	orders   orderGate
-	version  int64 // store version of the group's object
+	version  objectstore.Position // of the group's object in the current era, or of the last list without it
 	params   placer.Params
 	targets  []fleet.Target
 	versions map[placer.Adapter]int64
@@ -52,7 +53,7 @@
 	}
 	g.tenure = tenure.New(g.candidate())
 	if manager.objectsRead.Load() {
-		g.tenure.SetAbsent(manager.now())
+		g.tenure.SetAbsent(manager.now(), objectstore.Position(manager.listedAt.Load()).Era())
 		g.objectsRead.Store(true)
 	}
 	return g
@@ -109,25 +110,32 @@
 	return s
 }
 
-func (g *group) setAbsent() {
+// setAbsent records that the group had no object of the position's era in the store.
+func (g *group) setAbsent(at objectstore.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tenure.SetAbsent(g.manager.now())
-	g.version = 0
+	if at < g.version {
+		return
+	}
+	g.version = at
+	g.tenure.SetAbsent(g.manager.now(), at.Era())
 	g.updateCore()
 }
 
-func (g *group) setRecord(r tenure.Record, version int64) {
+func (g *group) setRecord(r tenure.Record, version objectstore.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if version < g.version {
+	former := !tenure.OfEra(r, version.Era()) // from the object of an earlier era
+	if version < g.version && !former {
 		return
 	}
 	before, _ := g.tenure.Record()
-	g.version = version
-	g.tenure.SetRecord(g.manager.now(), r)
-	if before.Epoch != r.Epoch || before.Released != r.Released {
-		g.manager.opt.Observer.GroupChanged(g.name, r, tenure.NoAction, nil)
+	if !former {
+		g.version = version
+	}
+	g.tenure.SetRecord(g.manager.now(), r, version.Era())
+	if after, _ := g.tenure.Record(); before.Epoch != after.Epoch || before.Released != after.Released {
+		g.manager.opt.Observer.GroupChanged(g.name, after, tenure.NoAction, nil)
 	}
 	g.updateCore()
 }
@@ -137,8 +145,10 @@
 func (g *group) updateCore() {
 	record, _ := g.tenure.Record()
 	switch {
-	case g.tenure.Owns() && g.core == nil:
+	case g.tenure.Owns() && g.tenure.Confirmed() && g.core == nil:
 		g.startCore(record)
+	case g.tenure.Owns() && g.tenure.Confirmed() && record.Epoch != g.epoch:
+		g.continueCore(record)
 	case g.core == nil || g.tenure.Owns():
 	case record.Epoch == g.epoch && record.Released:
 		g.halted = true // requests for resident adapters are served until the next owner is known
@@ -149,7 +159,7 @@
 
 func (g *group) startCore(record tenure.Record) {
 	params := g.params
-	params.FirstOwner = record.Epoch == 1 && g.epoch != record.Epoch
+	params.FirstOwner = tenure.IsFirst(record.Epoch) && g.epoch != record.Epoch
 	g.orders.permission = tenure.Permission{}
 	g.core, g.epoch, g.halted, g.fenced = placer.New(params), record.Epoch, false, false
 	now := g.manager.now()
@@ -165,6 +175,13 @@
 	g.timer = time.AfterFunc(0, g.timerFired)
 }
 
+// continueCore goes on with the core under an epoch that replaces one of before the store was
+// restored.
+func (g *group) continueCore(record tenure.Record) {
+	g.orders.permission = tenure.Permission{}
+	g.epoch, g.halted, g.fenced = record.Epoch, false, false
+}
+
 // stopCore stops the core and refuses its waiting requests, so that the front ends ask
 // the next owner.
 func (g *group) stopCore() {
@@ -243,9 +260,14 @@
 		g.halt(ctx)
 	}
 	g.mu.Lock()
-	previous, exists := g.tenure.Record()
+	if action == tenure.Release && !g.tenure.Confirmed() {
+		g.mu.Unlock()
+		return // nobody owns the group in the current era of the store
+	}
+	previous, _ := g.tenure.Record()
+	stored := g.tenure.Stored()
 	record := g.tenure.RecordAfter(action, g.manager.opt.Address)
-	version := g.version
+	version, key := g.version, objectKey(g.name, g.tenure.Era())
 	g.mu.Unlock()
 	sentAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -255,14 +277,13 @@
 		g.manager.opt.Observer.GroupChanged(g.name, record, action, errs.Wrap(err, errs.Internal, "encode the record of a group"))
 		return
 	}
-	key := Kind + "/" + g.name
-	if exists {
-		object, failure := g.manager.opt.Store.Update(ctx, key, value, version)
-		err, version = failure, object.Version
+	var object objectstore.Object
+	if stored {
+		object, err = g.manager.opt.Store.Update(ctx, key, value, int64(version))
 	} else {
-		object, failure := g.manager.opt.Store.Create(ctx, key, value)
-		err, version = failure, object.Version
+		object, err = g.manager.opt.Store.Create(ctx, key, value)
 	}
+	version = objectstore.Position(object.Version)
 	g.manager.opt.Observer.GroupChanged(g.name, record, action, err)
 	if err != nil {
 		g.readRecord()
@@ -277,7 +298,7 @@
 
 // announce informs the previous owner about the takeover. Its reply shortens the time for
 // which this VM sends no orders.
-func (g *group) announce(previous, record tenure.Record, version int64) {
+func (g *group) announce(previous, record tenure.Record, version objectstore.Position) {
 	reply, err := g.manager.opt.Announce(previous.Address, grouprpc.AnnounceRequest{Group: g.name, Record: record, Version: version})
 	if err != nil || !reply.Stopped {
 		return
@@ -295,11 +316,22 @@
 func (g *group) readRecord() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	object, err := g.manager.opt.Store.Get(ctx, Kind+"/"+g.name, 0)
-	if err != nil {
-		return // the watch delivers the object once the store is reachable again
+	key, before := g.object()
+	object, err := g.manager.opt.Store.Get(ctx, key, 0)
+	switch {
+	case errs.Is(err, errs.NotFound):
+		g.setAbsent(before)
+	case err == nil:
+		g.manager.setObject(object)
 	}
-	g.manager.setObject(object)
+	// Otherwise the watch delivers the object once the store is reachable again.
+}
+
+// object returns the key of the group's object and the newest version of it that is known.
+func (g *group) object() (key string, version objectstore.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return objectKey(g.name, g.tenure.Era()), g.version
 }
 
 // kill stops the core without releasing the group, as if the process had died.
--- a/internal/groupserver/layout_test.go
+++ b/internal/groupserver/layout_test.go
@@ -51,7 +51,7 @@
 		},
 		StoreCalled: func(error) {},
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	services := map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}
 	var targets []fleet.Target
 	for i := range 140 {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,9 +104,10 @@
 	layoutPending map[string]bool           // services whose layout is being decided or has been written by this VM
 	groups        map[string]*group
 
-	draining          atomic.Bool // this VM takes over no group any more and sends no orders
-	objectsRead       atomic.Bool // the objects of all groups were read
-	ownershipVerified atomic.Bool // the owned groups' objects were read after the last pause of the process
+	draining          atomic.Bool  // this VM takes over no group any more and sends no orders
+	objectsRead       atomic.Bool  // the objects of all groups were read
+	listedAt          atomic.Int64 // objectstore.Position of the last list of the groups' objects
+	ownershipVerified atomic.Bool  // the owned groups' objects were read after the last pause of the process
 	lastCheck         time.Time
 }
 
@@ -246,12 +248,14 @@
 	}
 }
 
-// Replace replaces the records of all groups by those of the listed objects. It
-// serves as the Replace method of a kindwatch.Handler.
-func (m *Manager) Replace(objects []objectstore.Object) {
+// Replace replaces the records of all groups by those of the objects that were listed at a
+// position. It serves as the Replace method of a kindwatch.Handler.
+func (m *Manager) Replace(objects []objectstore.Object, at objectstore.Position) {
+	m.listedAt.Store(int64(at))
 	listed := map[string]bool{}
 	for _, o := range objects {
-		listed[groupNameOf(o.Key)] = true
+		name, era := parseObjectKey(o.Key)
+		listed[name] = listed[name] || era == keyEra(at.Era())
 		m.setObject(o)
 	}
 	defer func() {
@@ -261,7 +265,7 @@
 	}()
 	for _, g := range m.allGroups() {
 		if !listed[g.name] {
-			g.setAbsent()
+			g.setAbsent(at)
 		}
 	}
 	m.mu.Lock()
@@ -272,13 +276,14 @@
 	m.objectsRead.Store(true)
 }
 
-// Change applies changes of the groups' objects. It serves as the Change method of a
-// kindwatch.Handler.
-func (m *Manager) Change(changes []objectstore.Change) {
+// Change applies changes of the groups' objects up to a position. It serves as the Change
+// method of a kindwatch.Handler.
+func (m *Manager) Change(changes []objectstore.Change, at objectstore.Position) {
 	for _, c := range changes {
 		if c.Deleted {
-			if g := m.lookup(groupNameOf(c.Object.Key)); g != nil {
-				g.setAbsent()
+			name, era := parseObjectKey(c.Object.Key)
+			if g := m.lookup(name); g != nil && era == keyEra(at.Era()) {
+				g.setAbsent(c.Object.Position())
 			}
 			continue
 		}
@@ -290,7 +295,7 @@
 }
 
 // SetRecord sets a group's record that was received from another VM.
-func (m *Manager) SetRecord(group string, r tenure.Record, version int64) {
+func (m *Manager) SetRecord(group string, r tenure.Record, version objectstore.Position) {
 	if g := m.lookup(group); g != nil && r.Epoch > 0 {
 		g.setRecord(r, version)
 	}
@@ -306,24 +311,57 @@
 	return g.stoppedBefore(request.Record.Epoch)
 }
 
-func groupNameOf(key string) string { return key[len(Kind)+1:] }
+// eraSeparator separates the name of a group from the era of the store in the key of its
+// object. Objects of a store that was never restored have no era in their keys.
+const eraSeparator = "@"
+
+// keyEra returns the era in the keys of the objects that belong to an era of the store, 0 if
+// they have none.
+func keyEra(era int64) int64 {
+	if era <= objectstore.FirstEra {
+		return 0
+	}
+	return era
+}
+
+// ObjectName returns the name of a group's object in an era of the store.
+func ObjectName(group string, era int64) string {
+	if era = keyEra(era); era > 0 {
+		return group + eraSeparator + strconv.FormatInt(era, 10)
+	}
+	return group
+}
+
+func objectKey(group string, era int64) string { return Kind + "/" + ObjectName(group, era) }
+
+// parseObjectKey returns the name of the group or layout and the keyEra of an object.
+func parseObjectKey(key string) (name string, era int64) {
+	name = key[len(Kind)+1:]
+	if i := strings.LastIndex(name, eraSeparator); i >= 0 {
+		if era, err := strconv.ParseInt(name[i+1:], 10, 64); err == nil && era > 0 {
+			return name[:i], era
+		}
+	}
+	return name, 0
+}
 
 // setObject sets the record or layout that an object holds. It returns the record, if
 // the object holds one.
 func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
-	if service, found := strings.CutPrefix(groupNameOf(o.Key), layoutPrefix); found {
+	name, _ := parseObjectKey(o.Key)
+	if service, found := strings.CutPrefix(name, layoutPrefix); found {
 		m.setLayout(service, o.Value)
 		return tenure.Record{}, false
 	}
 	var r tenure.Record
 	if err := json.Unmarshal(o.Value, &r); err != nil {
-		m.opt.Observer.GroupChanged(groupNameOf(o.Key), r, tenure.NoAction, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
+		m.opt.Observer.GroupChanged(name, r, tenure.NoAction, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
 		return tenure.Record{}, false
 	}
 	m.mu.Lock()
-	g := m.group(groupNameOf(o.Key))
+	g := m.group(name)
 	m.mu.Unlock()
-	g.setRecord(r, o.Version)
+	g.setRecord(r, objectstore.Position(o.Version))
 	return r, true
 }
 
--- a/internal/groupserver/ordergate.go
+++ b/internal/groupserver/ordergate.go
@@ -133,8 +133,9 @@
 	defer g.manager.contain("confirmation")
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	key, _ := g.object()
 	sentAt := bootclock.Now()
-	object, err := g.manager.opt.Store.Get(ctx, Kind+"/"+g.name, 0)
+	object, err := g.manager.opt.Store.Get(ctx, key, 0)
 	g.manager.opt.StoreCalled(err)
 	if err == nil {
 		if r, ok := g.manager.setObject(object); ok {
--- a/internal/groupserver/owner_bench_test.go
+++ b/internal/groupserver/owner_bench_test.go
@@ -65,7 +65,7 @@
 		VM: "vm0", Incarnation: 1, Address: "127.0.0.1:1", Store: store, Engines: engines, Observer: nopObserver{}, SettleDelay: time.Millisecond,
 		TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	var all []fleet.Target
 	for i := range targets {
 		all = append(all, fleet.Target{ID: fmt.Sprintf("t%d", i), Service: "llm", Slots: 24, DataCentre: "a", Models: []fleet.ResidentModel{{Name: "base", Version: 1}}})
--- a/internal/groupserver/pauses_test.go
+++ b/internal/groupserver/pauses_test.go
@@ -58,7 +58,7 @@
 		TargetsCheckFences: true, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
 		PausedFor: func(string) time.Duration { return time.Until(end) },
 	})
-	m.Replace(nil)
+	m.Replace(nil, 0)
 	m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
 		[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -131,7 +131,7 @@
 					return statements.TakeCall(time.Since(began), i)
 				},
 			})
-			m.Replace([]objectstore.Object{former})
+			m.Replace([]objectstore.Object{former}, 0)
 			m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
 				[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
 			ctx, cancel := context.WithCancel(context.Background())
@@ -220,7 +220,7 @@
 					statements.ObservePause(time.Since(began), advisory.Incarnation{Target: target, Born: from}, s.Pause)
 				},
 			})
-			m.Replace(former)
+			m.Replace(former, 0)
 			m.SetFleet(map[string]fleet.Service{"s": {Name: "s", Engine: &fleet.Engine{AdapterSlots: 2, Models: []fleet.BaseModel{{Name: "base"}}}}},
 				[]fleet.Target{{ID: "t", Service: "s", Slots: 8, Born: born, Models: []fleet.ResidentModel{{Name: "base", Version: 1}}}})
 			ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/groupserver/restore_test.go
@@ -0,0 +1,85 @@
+package groupserver
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/fleet"
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/objectstore/memstore"
+	"cicadaslip/internal/tenure"
+)
+
+// newTestManager returns a manager of a VM that reaches the store.
+func newTestManager(vm string, store objectstore.Store) *Manager {
+	return New(Options{
+		VM: vm, Incarnation: 1, Address: vm, Store: store, Engines: noEngines{}, Observer: nopObserver{}, TargetsCheckFences: true,
+		SettleDelay: 50 * time.Millisecond, StoreReachable: func() bool { return true }, StoreLost: func() bool { return false },
+		Announce: func(string, grouprpc.AnnounceRequest) (grouprpc.AnnounceReply, error) {
+			return grouprpc.AnnounceReply{}, nil
+		},
+		StoreCalled: func(error) {},
+	})
+}
+
+func at(era, revision int64) objectstore.Position {
+	p, err := objectstore.NewPosition(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+func objectAt(g *gomega.WithT, key string, value any, p objectstore.Position) objectstore.Object {
+	raw, err := json.Marshal(value)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	return objectstore.Object{Key: key, Version: int64(p), Revision: int64(p), Value: raw}
+}
+
+// Guards against an owner that loses its queue at a restore, or goes on under an epoch that
+// another VM may have.
+func TestOwnerGoesOnUnderAnEpochOfTheNewEra(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newTestManager("vm0", memstore.New())
+	m.SetFleet(map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}, []fleet.Target{{ID: "t", Service: "llm", Slots: 8}})
+	const name = "llm.0"
+	own := tenure.Record{Owner: "vm0", Incarnation: 1, Address: "vm0", Epoch: 7}
+	former := tenure.Record{Owner: "vm1", Incarnation: 1, Address: "vm1", Epoch: 6}
+	m.Replace([]objectstore.Object{objectAt(g, Kind+"/"+name, own, at(1, 10))}, at(1, 20))
+	group := m.lookup(name)
+	core := group.core
+	g.Expect(core).NotTo(gomega.BeNil())
+	m.Replace([]objectstore.Object{objectAt(g, Kind+"/"+name, former, at(2, 8))}, at(2, 8))
+	g.Expect(group.core).To(gomega.BeIdenticalTo(core))
+	g.Expect(group.tenure.NextAction(m.now(), true)).To(gomega.Equal(tenure.TakeOver))
+	group.runAction(context.Background(), tenure.TakeOver)
+	next, _ := group.tenure.Record()
+	g.Expect(next.Owner).To(gomega.Equal("vm0"))
+	g.Expect(next.Epoch).To(gomega.BeNumerically(">", own.Epoch))
+	object, err := m.opt.Store.Get(context.Background(), Kind+"/"+ObjectName(name, 2), 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var stored tenure.Record
+	g.Expect(json.Unmarshal(object.Value, &stored)).To(gomega.Succeed())
+	g.Expect(stored).To(gomega.Equal(next))
+	// memstore has no eras: the answer as the platform's store gives it.
+	m.Change([]objectstore.Change{{Object: objectAt(g, Kind+"/"+ObjectName(name, 2), next, at(2, 9))}}, at(2, 9))
+	g.Expect(group.core).To(gomega.BeIdenticalTo(core))
+	g.Expect(group.epoch).To(gomega.Equal(next.Epoch))
+}
+
+// Guards against objects of groups whose names are taken for those of another era.
+func TestObjectNamesTellTheEra(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range []string{"llm.0", "a@b.0", "llm@2x.1", "@", "layout.llm", "a@0"} {
+		for _, era := range []int64{0, 1, 2, 77} {
+			gotName, gotEra := parseObjectKey(objectKey(name, era))
+			g.Expect(gotName).To(gomega.Equal(name))
+			g.Expect(gotEra).To(gomega.Equal(keyEra(era)))
+		}
+	}
+}
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -168,6 +168,10 @@
 	}
 	g.view.fillReply(request.Since, &reply)
 	reply.Asks, reply.Stamp = g.orders.permission.NeedsPromises(stamp), stamp
+	if request.Epoch < g.epoch {
+		reply.Record, _ = g.tenure.Record()
+		reply.At = g.version
+	}
 	return reply
 }
 
--- a/internal/tenure/permission.go
+++ b/internal/tenure/permission.go
@@ -1,6 +1,10 @@
 package tenure
 
-import "time"
+import (
+	"time"
+
+	"cicadaslip/internal/objectstore"
+)
 
 const (
 	// permissionTime is how long an owner may order after it sent the call to the store
@@ -149,6 +153,20 @@
 // afterPredecessor returns the time from which a new owner may order, given the record
 // that it replaced.
 func (m *StateMachine) afterPredecessor(now Time, previous Record, existed bool) Time {
+	return max(m.afterRecorded(now, previous, existed), m.afterUnrecorded())
+}
+
+// afterUnrecorded returns the time by which the orders of owners have arrived whose takeover
+// a restored store has lost. The store has confirmed none of them since its era began.
+func (m *StateMachine) afterUnrecorded() Time {
+	if m.self.TargetsCheckFences || m.era <= objectstore.FirstEra {
+		return 0
+	}
+	return m.eraSeenAt + maxReliance + clockMargin
+}
+
+// afterRecorded is like afterPredecessor as far as the record tells.
+func (m *StateMachine) afterRecorded(now Time, previous Record, existed bool) Time {
 	wait := permissionTime + clockMargin
 	if !m.heard(now, previous.Reliant) {
 		// An earlier owner may rely on the promises of others, without one of this VM.
@@ -158,6 +176,8 @@
 	switch {
 	case m.self.TargetsCheckFences || !existed || previous.Released && previous.Closed:
 		return now
+	case previous.Owner == m.self.VM && previous.Incarnation == m.self.Incarnation && !previous.Released:
+		return max(now, m.ordersFrom) // this owner goes on after the store was restored
 	case previous.Owner == m.self.VM && previous.Reliant == previous.Epoch:
 		return max(now, m.self.StartedAt+OrderFlight) // an earlier process of this VM, which has ended
 	case previous.Released:
@@ -189,5 +209,5 @@
 // group in the epoch. An unanswered challenge revokes the permission, because the
 // challenger counts from it.
 func (m *StateMachine) Confirms(r Record, epoch int64) bool {
-	return r.Epoch == epoch && r.Owner == m.self.VM && r.Incarnation == m.self.Incarnation && !r.Released && r.Challenged <= r.Answered
+	return r.Epoch == epoch && OfEra(r, m.era) && r.Owner == m.self.VM && r.Incarnation == m.self.Incarnation && !r.Released && r.Challenged <= r.Answered
 }
--- a/internal/tenure/permission_test.go
+++ b/internal/tenure/permission_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/tenure"
 )
 
@@ -27,8 +29,10 @@
 	machine     *tenure.StateMachine
 	incarnation uint64
 	permission  tenure.Permission
-	epoch       int64 // epoch for which the permission is kept
-	version     int64 // version of the newest record that it knows
+	epoch       int64                // for which the host has a core, and the permission is kept
+	core        bool                 // it serves the group
+	version     objectstore.Position // of the newest record that it knows
+	storeEra    int64                // newest era in an answer of the store
 	pausedUntil time.Duration
 	storeCut    bool
 	peersCut    bool
@@ -42,13 +46,37 @@
 	ordersEnd   time.Duration // by when its last order has arrived
 }
 
+// state is the content of the store.
+type state struct {
+	objects  map[int64]stored // of the group, by the era to which they belong; never changed in place
+	revision int64
+}
+
+// stored is an object of the group.
+type stored struct {
+	record   tenure.Record
+	revision int64
+}
+
+// newest returns the record with the highest epoch.
+func (s state) newest() tenure.Record {
+	var newest tenure.Record
+	for _, o := range s.objects {
+		if o.record.Epoch > newest.Epoch {
+			newest = o.record
+		}
+	}
+	return newest
+}
+
 // race simulates VMs that own a group in turn, with calls to the store and orders that
 // take time. Everything random comes from draw.
 type race struct {
 	now         time.Duration
 	checkFences bool
-	record      tenure.Record
-	version     int64
+	state
+	era         int64
+	copies      map[time.Duration]state // of the store, by time
 	hosts       []*host
 	pending     []pendingEvent
 	arrivals    []arrival
@@ -64,7 +92,7 @@
 }
 
 func newRace(hosts int, checkFences bool, draw func(int, string) int) *race {
-	r := &race{now: time.Second, checkFences: checkFences, draw: draw, slowStore: 10 * time.Millisecond, firstOrders: map[int64]time.Duration{}}
+	r := &race{now: time.Second, checkFences: checkFences, draw: draw, era: objectstore.FirstEra, copies: map[time.Duration]state{}, slowStore: 10 * time.Millisecond, firstOrders: map[int64]time.Duration{}}
 	for i := range hosts {
 		name := fmt.Sprintf("vm%d", i)
 		h := &host{name: name, jitter: float64(i) / float64(hosts)}
@@ -101,6 +129,7 @@
 		r.now += 5 * time.Millisecond
 		r.runPending()
 		if r.now%step == 0 {
+			r.copies[r.now] = r.state
 			for _, h := range r.hosts {
 				if r.now >= h.pausedUntil {
 					r.runHost(h)
@@ -132,27 +161,75 @@
 	r.order(h)
 }
 
+// restore brings the store back from a copy of some time ago.
+func (r *race) restore(age time.Duration) {
+	r.state = r.copies[max(step, (r.now-age)/step*step)]
+	r.era++
+}
+
+func (r *race) position() objectstore.Position { return position(r.era, r.revision) }
+
+// answer is the group's objects as they are at a position of the store.
+type answer struct {
+	era     int64
+	objects map[int64]stored
+	at      objectstore.Position
+}
+
+func (r *race) read() answer { return answer{r.era, r.objects, r.position()} }
+
+func position(era, revision int64) objectstore.Position {
+	at, err := objectstore.NewPosition(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return at
+}
+
 // watch delivers a changed record to a host.
 func (r *race) watch(h *host) {
-	if h.storeCut || h.version == r.version && r.version > 0 {
+	if h.storeCut || h.version == r.position() && r.revision > 0 {
 		return
 	}
-	record, version := r.record, r.version
-	r.after(r.storeDelay(), h, func() { h.set(r.now, record, version) })
+	a := r.read()
+	r.after(r.storeDelay(), h, func() { h.receive(r.now, a) })
 }
 
-func (h *host) set(now time.Duration, record tenure.Record, version int64) {
-	if version < h.version {
+// receive handles an answer of the store, unless it is of an earlier era.
+func (h *host) receive(now time.Duration, a answer) {
+	if a.era < h.storeEra {
 		return
 	}
-	h.version = version
-	if version == 0 {
-		h.machine.SetAbsent(now)
-		return
+	h.storeEra = a.era
+	for _, o := range a.objects {
+		h.set(now, o.record, position(a.era, o.revision))
+	}
+	if _, found := a.objects[a.era]; !found && a.at >= h.version {
+		h.version = a.at
+		h.machine.SetAbsent(now, a.era)
+		h.updateCore()
+	}
+}
+
+// set handles a record that was read from the store by this host or another one.
+func (h *host) set(now time.Duration, record tenure.Record, at objectstore.Position) {
+	if tenure.OfEra(record, at.Era()) {
+		if at < h.version {
+			return
+		}
+		h.version = at
 	}
-	h.machine.SetRecord(now, record)
-	if h.machine.Owns() && h.epoch != record.Epoch {
-		h.epoch, h.permission, h.halted = record.Epoch, tenure.Permission{}, false
+	h.machine.SetRecord(now, record, at.Era())
+	h.updateCore()
+}
+
+func (h *host) updateCore() {
+	record, _ := h.machine.Record()
+	switch {
+	case !h.machine.Owns():
+		h.core = false
+	case h.machine.Confirmed() && (!h.core || h.epoch != record.Epoch):
+		h.core, h.epoch, h.permission, h.halted = true, record.Epoch, tenure.Permission{}, false
 	}
 }
 
@@ -163,8 +240,16 @@
 	}
 	owner := r.host(record.Owner)
 	ownerRecord, _ := owner.machine.Record()
-	if !owner.machine.Owns() || !r.reach(h, owner) || ownerRecord.Epoch != record.Epoch {
+	if !r.reach(h, owner) {
+		h.machine.OwnerCallFailed(r.now)
+		return
+	}
+	if !owner.core || owner.epoch != record.Epoch {
 		h.machine.OwnerCallFailed(r.now)
+		if ownerRecord.Epoch > record.Epoch {
+			at := owner.version
+			r.after(r.callDelay(), h, func() { h.set(r.now, ownerRecord, at) })
+		}
 		return
 	}
 	promise := tenure.Promise{}
@@ -178,8 +263,7 @@
 // answerCall handles a call of a process on a host at the owner of an epoch and sends the
 // reply, which a later process on the host does not get.
 func (r *race) answerCall(owner, h *host, caller host, epoch int64, promise tenure.Promise) {
-	record, _ := owner.machine.Record()
-	if !owner.machine.Owns() || record.Epoch != epoch {
+	if !owner.core || owner.epoch != epoch {
 		return
 	}
 	owner.machine.PeerCalled(r.now)
@@ -222,6 +306,7 @@
 	if action == tenure.NoAction || h.acting || h.leaving && acquires {
 		return
 	}
+	era := h.machine.Era()
 	if action == tenure.Release {
 		h.halted = true
 		h.machine.BeginRelease(r.now)
@@ -231,20 +316,33 @@
 	}
 	h.acting = true
 	previous, _ := h.machine.Record()
-	record, version, sentAt := h.machine.RecordAfter(action, h.name), h.version, r.now
+	record, version, creates, sentAt := h.machine.RecordAfter(action, h.name), h.version, !h.machine.Stored(), r.now
 	r.after(time.Second, h, func() { h.acting = false }) // also if the call gets no answer
+	if !creates && version.Era() < h.storeEra {
+		return // the client of the store refuses the call
+	}
 	r.after(r.storeDelay(), nil, func() {
-		if h.storeCut || version != r.version {
+		// The store compares revisions, whatever the era.
+		before, exists := r.objects[era]
+		if h.storeCut || creates == exists || exists && version.Revision() != before.revision {
 			return
 		}
-		r.record = record
-		r.version++
-		written := r.version
+		objects := maps.Clone(r.objects)
+		if objects == nil {
+			objects = map[int64]stored{}
+		}
+		objects[era] = stored{record, r.revision + 1}
+		r.state = state{objects, r.revision + 1}
+		written := r.position()
 		if r.draw(10, "answer") == 0 {
 			return // the answer is lost
 		}
 		r.after(r.storeDelay(), h, func() {
 			h.acting = false
+			if !creates && written.Era() != version.Era() || written.Era() < h.storeEra {
+				return // without a usable answer
+			}
+			h.storeEra = written.Era()
 			h.set(r.now, record, written)
 			h.renew(record, sentAt)
 			if action == tenure.TakeOver && previous.Owner != "" && previous.Owner != h.name {
@@ -261,14 +359,14 @@
 }
 
 // announce tells the previous owner of a takeover, and the new one that it has stopped.
-func (r *race) announce(h, previousOwner *host, previous, record tenure.Record, version int64) {
+func (r *race) announce(h, previousOwner *host, previous, record tenure.Record, written objectstore.Position) {
 	if !r.reach(h, previousOwner) {
 		return
 	}
 	incarnation := previousOwner.incarnation
 	r.after(r.callDelay(), previousOwner, func() {
 		closed := previousOwner.epoch == previous.Epoch && r.now >= previousOwner.machine.OrdersFrom()
-		previousOwner.set(r.now, record, version)
+		previousOwner.set(r.now, record, written)
 		within := max(0, previousOwner.ordersEnd-r.now)
 		if !closed || previousOwner.incarnation != incarnation {
 			return
@@ -286,28 +384,44 @@
 	if h.storeCut {
 		return
 	}
-	sentAt := r.now
+	sentAt, era := r.now, h.machine.Era()
 	r.after(r.storeDelay(), nil, func() {
-		record, version := r.record, r.version
+		a := r.read()
 		r.after(r.storeDelay(), h, func() {
-			h.set(r.now, record, version)
-			h.renew(record, sentAt)
+			if a.era < h.storeEra {
+				return
+			}
+			h.receive(r.now, a)
+			if o, found := a.objects[era]; found {
+				h.renew(o.record, sentAt)
+			}
 		})
 	})
 }
 
 // order sends an order if the host may.
 func (r *race) order(h *host) {
-	if !h.machine.Owns() || h.halted || h.leaving || !r.checkFences && (r.now < h.machine.OrdersFrom() || !h.permission.AllowsOrder(r.now)) {
+	if !h.core || h.halted || h.leaving || !r.checkFences && (r.now < h.machine.OrdersFrom() || !h.permission.AllowsOrder(r.now)) {
 		return
 	}
-	record, _ := h.machine.Record()
-	if _, found := r.firstOrders[record.Epoch]; !found {
-		r.firstOrders[record.Epoch] = r.now
+	if _, found := r.firstOrders[h.epoch]; !found {
+		r.firstOrders[h.epoch] = r.now
 	}
 	flight := time.Duration(r.draw(int(tenure.OrderFlight/time.Millisecond), "flight")) * time.Millisecond
 	h.ordersEnd = max(h.ordersEnd, r.now+tenure.OrderFlight)
-	r.arrivals = append(r.arrivals, arrival{r.now + flight, h.name, record.Epoch})
+	r.arrivals = append(r.arrivals, arrival{r.now + flight, h.name, h.epoch})
+}
+
+// sharedEpoch returns an epoch that two hosts have used, empty if there is none.
+func (r *race) sharedEpoch() string {
+	ownerOf := map[int64]string{}
+	for _, a := range r.arrivals {
+		if owner, found := ownerOf[a.epoch]; found && owner != a.vm {
+			return fmt.Sprintf("%v: epoch %d belongs to %s and to %s", a.at, a.epoch, owner, a.vm)
+		}
+		ownerOf[a.epoch] = a.vm
+	}
+	return ""
 }
 
 // violation returns how the orders broke the rules of ownership, empty if they did not.
@@ -333,61 +447,81 @@
 // fencing tokens, while VMs pause and lose their links, the store is slow, and its
 // answers are lost.
 func TestOrdersOfTwoOwnersNeverOverlap(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		r := newRace(rapid.IntRange(2, 6).Draw(t, "hosts"), false, func(limit int, label string) int {
-			return rapid.IntRange(0, max(0, limit-1)).Draw(t, label)
+	rapid.Check(t, func(t *rapid.T) { checkOwnersUnderFaults(t, false, false) })
+}
+
+// Guards against an epoch of two owners, and against orders that overlap, after the store was
+// restored from a copy without the newest takeovers.
+func TestOrdersOfTwoOwnersNeverOverlapAfterRestores(t *testing.T) {
+	for _, checkFences := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fences checked %v", checkFences), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkOwnersUnderFaults(t, true, checkFences) })
 		})
-		r.run(2 * time.Second)
-		for range rapid.IntRange(10, 40).Draw(t, "steps") {
-			h := r.hosts[rapid.IntRange(0, len(r.hosts)-1).Draw(t, "host")]
-			if rapid.Bool().Draw(t, "owner") && r.record.Owner != "" {
-				h = r.host(r.record.Owner)
+	}
+}
+
+// checkOwnersUnderFaults checks a race with drawn faults, and with restores of the store if set.
+func checkOwnersUnderFaults(t *rapid.T, restores, checkFences bool) {
+	r := newRace(rapid.IntRange(2, 6).Draw(t, "hosts"), checkFences, func(limit int, label string) int {
+		return rapid.IntRange(0, max(0, limit-1)).Draw(t, label)
+	})
+	r.run(2 * time.Second)
+	for range rapid.IntRange(10, 40).Draw(t, "steps") {
+		h := r.hosts[rapid.IntRange(0, len(r.hosts)-1).Draw(t, "host")]
+		if owner := r.newest().Owner; rapid.Bool().Draw(t, "owner") && owner != "" {
+			h = r.host(owner)
+		}
+		switch rapid.IntRange(0, 10).Draw(t, "fault") {
+		case 9, 10:
+			if restores {
+				r.restore(time.Duration(rapid.IntRange(0, 15000).Draw(t, "age")) * time.Millisecond)
 			}
-			switch rapid.IntRange(0, 8).Draw(t, "fault") {
-			case 0:
-				h.pausedUntil = r.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause"))*time.Millisecond
-			case 1:
-				h.storeCut = !h.storeCut
-			case 2:
-				h.peersCut = !h.peersCut
-			case 3:
-				r.slowStore = time.Duration(rapid.SampledFrom([]int{10, 300, 1500}).Draw(t, "slow")) * time.Millisecond
-			case 4:
-				h.storeCut, h.peersCut = true, true
-			case 5:
-				r.restart(h)
-			case 7:
-				h.leaving = true
-				r.after(time.Duration(rapid.IntRange(500, 4000).Draw(t, "drain"))*time.Millisecond, nil, func() {
-					if h.leaving {
-						r.restart(h)
-					}
-				})
-			case 6:
-				for _, h := range r.hosts {
-					h.storeCut = true // the store is down
-				}
-			default:
-				r.slowStore = 10 * time.Millisecond
-				for _, h := range r.hosts {
-					h.storeCut, h.peersCut = false, false
+		case 0:
+			h.pausedUntil = r.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "pause"))*time.Millisecond
+		case 1:
+			h.storeCut = !h.storeCut
+		case 2:
+			h.peersCut = !h.peersCut
+		case 3:
+			r.slowStore = time.Duration(rapid.SampledFrom([]int{10, 300, 1500}).Draw(t, "slow")) * time.Millisecond
+		case 4:
+			h.storeCut, h.peersCut = true, true
+		case 5:
+			r.restart(h)
+		case 7:
+			h.leaving = true
+			r.after(time.Duration(rapid.IntRange(500, 4000).Draw(t, "drain"))*time.Millisecond, nil, func() {
+				if h.leaving {
+					r.restart(h)
 				}
+			})
+		case 6:
+			for _, h := range r.hosts {
+				h.storeCut = true // the store is down
+			}
+		default:
+			r.slowStore = 10 * time.Millisecond
+			for _, h := range r.hosts {
+				h.storeCut, h.peersCut = false, false
 			}
-			r.run(time.Duration(rapid.IntRange(300, 4000).Draw(t, "time")) * time.Millisecond)
-		}
-		if v := r.violation(); v != "" {
-			t.Fatal(v)
-		}
-		r.slowStore = 10 * time.Millisecond
-		for _, h := range r.hosts {
-			h.storeCut, h.peersCut, h.pausedUntil = false, false, 0
-		}
-		before := len(r.arrivals)
-		r.run(recoveryTime)
-		if len(r.arrivals) == before {
-			t.Fatal("nobody orders although all VMs and the store work")
 		}
-	})
+		r.run(time.Duration(rapid.IntRange(300, 4000).Draw(t, "time")) * time.Millisecond)
+	}
+	if v := r.sharedEpoch(); v != "" {
+		t.Fatal(v)
+	}
+	if v := r.violation(); v != "" && !checkFences {
+		t.Fatal(v)
+	}
+	r.slowStore = 10 * time.Millisecond
+	for _, h := range r.hosts {
+		h.storeCut, h.peersCut, h.pausedUntil = false, false, 0
+	}
+	before := len(r.arrivals)
+	r.run(recoveryTime)
+	if len(r.arrivals) == before {
+		t.Fatal("nobody orders although all VMs and the store work")
+	}
 }
 
 // recoveryTime is the time after which a deployment must serve again (recovery_s).
@@ -413,8 +547,8 @@
 				g := gomega.NewWithT(t)
 				r := newRace(6, checkFences, func(limit int, _ string) int { return limit / 2 })
 				r.run(3 * time.Second)
-				epoch, lostAt := r.record.Epoch, r.now
-				lose(r, r.host(r.record.Owner))
+				epoch, lostAt := r.newest().Epoch, r.now
+				lose(r, r.host(r.newest().Owner))
 				r.run(6 * time.Second)
 				first, found := r.firstOrders[epoch+1]
 				g.Expect(found).To(gomega.BeTrue())
@@ -439,9 +573,9 @@
 			random := rand.New(rand.NewPCG(seed, 0))
 			r := newRace(6, checkFences, func(limit int, _ string) int { return random.IntN(max(1, limit)) })
 			r.run(3 * time.Second)
-			r.host(r.record.Owner).storeCut = true
+			r.host(r.newest().Owner).storeCut = true
 			r.run(6 * time.Second)
-			g.Expect(r.record.Epoch).To(gomega.BeNumerically(">", 1), "a takeover")
+			g.Expect(r.newest().Epoch).To(gomega.BeNumerically(">", 1), "a takeover")
 			if r.violation() != "" {
 				found++
 			}
@@ -455,15 +589,15 @@
 func TestUnsettledReleaseDoesNotShortenTheWait(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := tenure.New(tenure.Candidate{VM: "c", Incarnation: 1})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1}, 0)
 	takenOver := tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2}
-	m.SetRecord(time.Second, takenOver)
+	m.SetRecord(time.Second, takenOver, 0)
 	takenOver.Released = true
 	releasedAt := time.Second + 100*time.Millisecond
-	m.SetRecord(releasedAt, takenOver)
+	m.SetRecord(releasedAt, takenOver, 0)
 	g.Expect(m.NextAction(releasedAt+time.Second, true)).To(gomega.Equal(tenure.TakeOver))
 	now := releasedAt + 50*time.Millisecond
-	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"))
+	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"), 0)
 	g.Expect(m.OrdersFrom()).To(gomega.BeNumerically(">", releasedAt+time.Second))
 }
 
@@ -472,14 +606,14 @@
 func TestReleaseWithoutAnswerIsRepeated(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1, TargetsCheckFences: true})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1}, 0)
 	m.PeerCalled(0)
 	isolated := 3 * time.Second
 	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.Release))
 	m.BeginRelease(isolated)
 	m.PeerCalled(isolated)
 	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.Release))
-	m.SetRecord(isolated, m.RecordAfter(tenure.Release, ""))
+	m.SetRecord(isolated, m.RecordAfter(tenure.Release, ""), 0)
 	g.Expect(m.NextAction(isolated, true)).To(gomega.Equal(tenure.NoAction))
 }
 
@@ -487,9 +621,9 @@
 func TestPlannedHandoverNeedsNoWait(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := tenure.New(tenure.Candidate{VM: "b", Incarnation: 1})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Closed: true, Released: true})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Closed: true, Released: true}, 0)
 	now := 200 * time.Millisecond
-	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"))
+	m.SetRecord(now, m.RecordAfter(tenure.TakeOver, "x"), 0)
 	g.Expect(m.OrdersFrom()).To(gomega.Equal(now))
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -17,8 +17,16 @@
 // nobody can reach the store, the owner goes on if all VMs that call it have promised not
 // to order meanwhile.
 //
+// A store that is restored from a copy loses takeovers that it has acknowledged, and its
+// conditional writes do not tell a restored object from a lost one with the same revision.
+// The group therefore has an object of its own in each era of the store, and the epochs of an
+// era are greater than those of all earlier eras. A record of an earlier era only tells who
+// owned the group last. That owner goes on by taking the group over in the new era; other VMs
+// give it some time to do so.
+//
 // Invariants:
-//   - the epoch of a group increases with each takeover;
+//   - the epoch of a group increases with each takeover, and no two takeovers have the same
+//     epoch, whatever the store has lost;
 //   - an owner stops acting when it learns of an epoch newer than its own;
 //   - no order of an owner reaches a target after one of a later owner, unless the
 //     targets check fencing tokens;
@@ -31,6 +39,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cicadaslip/internal/objectstore"
 )
 
 // Time is the time elapsed since an arbitrary start point.
@@ -99,8 +109,31 @@
 	// storeLostWait is how long an owner may be unable to reach the store, while
 	// other VMs can, before it is replaced.
 	storeLostWait = 300 * time.Millisecond
+	// restoreWait is how long other VMs leave a group to its last owner after they have seen
+	// that the store was restored. The owner sees it with its next call to the store, at the
+	// latest when its watch is cut and repeated.
+	restoreWait = 2 * time.Second
+	// epochsPerEra is the number of epochs of one era of the store.
+	epochsPerEra = 1_000_000_000
 )
 
+// firstEpoch returns the first epoch of an era of the store. Those of a store that was never
+// restored begin with 1.
+func firstEpoch(era int64) int64 {
+	if era <= objectstore.FirstEra {
+		return 1
+	}
+	return era*epochsPerEra + 1
+}
+
+// OfEra reports whether a record was first written in an era of the store.
+func OfEra(r Record, era int64) bool {
+	return r.Epoch >= firstEpoch(era) && r.Epoch < firstEpoch(max(era, objectstore.FirstEra)+1)
+}
+
+// IsFirst reports whether no VM can have owned the group before the owner of an epoch.
+func IsFirst(epoch int64) bool { return epoch == firstEpoch(objectstore.FirstEra) }
+
 // Candidate describes this VM as a candidate for the ownership of one group.
 type Candidate struct {
 	VM          string
@@ -118,9 +151,12 @@
 // safe for concurrent use.
 type StateMachine struct {
 	self       Candidate
-	record     Record
-	recordRead bool // the record was read from the store, or found not to exist there
+	record     Record // newest one, which a restored store may lack
+	recordRead bool   // the record was read from the store, or found not to exist there
 	exists     bool
+	stored     bool  // the group has an object of the current era in the store
+	era        int64 // of the store, as last seen
+	eraSeenAt  Time  // when this VM saw that the era began, or started in it
 
 	ownershipChangedAt Time // when the epoch, release or existence of the record last changed
 	unresponsive       bool // the last call to the owner failed
@@ -149,11 +185,21 @@
 	return &StateMachine{self: self, heardAt: map[int64]Time{}}
 }
 
-// Record returns the newest record and whether the group's object exists.
+// Record returns the newest record, and whether there is one.
 func (m *StateMachine) Record() (Record, bool) { return m.record, m.exists }
 
+// Stored reports whether the group has an object of the current era of the store.
+func (m *StateMachine) Stored() bool { return m.stored }
+
+// Era returns the current era of the store.
+func (m *StateMachine) Era() int64 { return m.era }
+
+// Confirmed reports whether the newest record is of the current era of the store, so that its
+// epoch belongs to nobody else.
+func (m *StateMachine) Confirmed() bool { return m.exists && OfEra(m.record, m.era) }
+
 // Owns reports whether this incarnation of the VM is the owner in the newest record
-// and has not released the group.
+// and has not released the group. The ownership may be one that a restored store lacks.
 func (m *StateMachine) Owns() bool {
 	return m.exists && !m.record.Released && m.record.Owner == m.self.VM && m.record.Incarnation == m.self.Incarnation
 }
@@ -161,18 +207,33 @@
 // SetJitter replaces the fraction of the maximum jitter delay.
 func (m *StateMachine) SetJitter(jitter float64) { m.self.Jitter = jitter }
 
-// SetAbsent records that the group has no object in the store.
-func (m *StateMachine) SetAbsent(now Time) {
+// enterEra records the era of the store in which something was read.
+func (m *StateMachine) enterEra(now Time, era int64) {
+	if era > m.era {
+		m.era, m.eraSeenAt = era, now
+		m.stored = m.stored && m.Confirmed()
+	}
+}
+
+// SetAbsent records that the group has no object of an era of the store.
+func (m *StateMachine) SetAbsent(now Time, era int64) {
+	m.enterEra(now, era)
+	m.stored = false
+	if m.exists && !m.Confirmed() {
+		return // lost with a restore
+	}
 	if !m.recordRead || m.exists {
 		m.ownershipChangedAt = now
 	}
-	m.recordRead, m.exists, m.record = true, false, Record{}
+	m.recordRead, m.exists, m.record = true, false, Record{Epoch: m.record.Epoch}
 }
 
-// SetRecord sets the record that was read from or written to the group's object.
-// Records older than the current one are ignored.
-func (m *StateMachine) SetRecord(now Time, r Record) {
-	if m.exists && (r.Epoch < m.record.Epoch || r.Epoch == m.record.Epoch && r.Challenged < m.record.Challenged) {
+// SetRecord sets the record that was read from or written to an object of the group in an era
+// of the store. Records older than the current one are ignored.
+func (m *StateMachine) SetRecord(now Time, r Record, era int64) {
+	m.enterEra(now, era)
+	m.stored = m.stored || OfEra(r, m.era)
+	if m.exists && older(r, m.record) {
 		return
 	}
 	old := m.record
@@ -200,6 +261,14 @@
 	}
 }
 
+// older reports whether a record precedes another one, by what it says of the ownership.
+func older(r, other Record) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch < other.Epoch
+	}
+	return r.Challenged < other.Challenged || other.Released && !r.Released
+}
+
 // OwnerResponded records that the owner responded to a call. If storeLost is true,
 // the owner reported that it cannot reach the store.
 func (m *StateMachine) OwnerResponded(now Time, storeLost bool) {
@@ -238,12 +307,16 @@
 	switch {
 	case !m.recordRead || !storeReachable:
 		return NoAction
+	case m.exists && !m.Confirmed():
+		return m.nextAfterRestore(now)
 	case m.Owns():
 		return m.nextAsOwner(now)
 	case m.exists && m.record.Owner == m.self.VM && m.record.Incarnation < m.self.Incarnation:
 		return TakeOver // the owner was an earlier process on this VM
 	case m.ownershipLost && now-m.ownershipLostAt < m.self.Lease+leaseMargin, m.ownedBeforeStart(now):
 		return NoAction
+	case !m.exists && m.era > objectstore.FirstEra:
+		return m.takeOverAfter(now, m.ownershipChangedAt, restoreWait) // there may be an owner whose record is lost
 	case !m.exists || m.record.Released:
 		return m.takeOverAfter(now, m.ownershipChangedAt, 0)
 	case m.storeLost:
@@ -261,6 +334,23 @@
 	return NoAction
 }
 
+// nextAfterRestore returns the action while the newest record is of an earlier era.
+func (m *StateMachine) nextAfterRestore(now Time) Action {
+	switch {
+	case m.Owns() && !m.releasing && !m.Isolated(now):
+		return TakeOver
+	case m.Owns(), m.ownershipLost && now-m.ownershipLostAt < m.self.Lease+leaseMargin, m.startedWithinLease(now):
+		return NoAction
+	}
+	return m.takeOverAfter(now, m.eraSeenAt, restoreWait)
+}
+
+// startedWithinLease reports whether an earlier process of this VM may have ordered within
+// the lease. The copy of a restored store need not name it among the past owners.
+func (m *StateMachine) startedWithinLease(now Time) bool {
+	return !m.self.TargetsCheckFences && !m.ownershipLost && now-m.self.StartedAt < m.self.Lease+leaseMargin
+}
+
 func (m *StateMachine) nextAsOwner(now Time) Action {
 	switch {
 	case m.releasing || m.Isolated(now):
@@ -283,8 +373,7 @@
 // ownedBeforeStart reports whether an earlier process of this VM owned the group and may
 // have ordered within the lease.
 func (m *StateMachine) ownedBeforeStart(now Time) bool {
-	return !m.self.TargetsCheckFences && !m.ownershipLost && slices.Contains(m.record.Past, m.self.VM) &&
-		now-m.self.StartedAt < m.self.Lease+leaseMargin
+	return slices.Contains(m.record.Past, m.self.VM) && m.startedWithinLease(now)
 }
 
 // pastOwners returns the past owners of a record after a takeover.
@@ -316,7 +405,7 @@
 	switch action {
 	case TakeOver:
 		return Record{
-			Owner: m.self.VM, Incarnation: m.self.Incarnation, Address: address, Epoch: r.Epoch + 1,
+			Owner: m.self.VM, Incarnation: m.self.Incarnation, Address: address, Epoch: max(r.Epoch+1, firstEpoch(m.era)),
 			Challenged: r.Challenged, Answered: r.Challenged,
 			Reliant: r.Reliant, Past: pastOwners(r),
 		}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -68,10 +68,10 @@
 	}
 	v.version = c.version
 	if c.version == 0 {
-		v.machine.SetAbsent(c.now)
+		v.machine.SetAbsent(c.now, 0)
 		return
 	}
-	v.machine.SetRecord(c.now, c.record)
+	v.machine.SetRecord(c.now, c.record, 0)
 }
 
 // callOwner makes a VM call the owner named in its last record.
@@ -98,7 +98,7 @@
 	c.record = v.machine.RecordAfter(action, v.name)
 	c.version++
 	v.version = c.version
-	v.machine.SetRecord(c.now, c.record)
+	v.machine.SetRecord(c.now, c.record, 0)
 	if action == tenure.TakeOver {
 		c.takeovers = append(c.takeovers, takeover{v.name, c.record.Epoch, c.now})
 	}
@@ -176,7 +176,7 @@
 func TestRestartedOwnerTakesOverImmediately(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 2, Jitter: 1})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 4})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 4}, 0)
 	g.Expect(m.NextAction(0, true)).To(gomega.Equal(tenure.TakeOver))
 	g.Expect(m.RecordAfter(tenure.TakeOver, "x").Epoch).To(gomega.Equal(int64(5)))
 	g.Expect(m.NextAction(0, false)).To(gomega.Equal(tenure.NoAction), "no takeover without access to the store")
@@ -190,11 +190,11 @@
 func TestRetakeDelayStartsAtNextTakeover(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
-	m.SetRecord(time.Second, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Released: true})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1}, 0)
+	m.SetRecord(time.Second, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1, Released: true}, 0)
 	takenOverAt := 4 * time.Second
-	m.SetRecord(takenOverAt, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2})
-	m.SetRecord(takenOverAt+100*time.Millisecond, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true})
+	m.SetRecord(takenOverAt, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2}, 0)
+	m.SetRecord(takenOverAt+100*time.Millisecond, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true}, 0)
 	g.Expect(m.NextAction(takenOverAt+lease, true)).To(gomega.Equal(tenure.NoAction))
 	g.Expect(m.NextAction(takenOverAt+2*lease, true)).To(gomega.Equal(tenure.TakeOver))
 }
@@ -204,9 +204,9 @@
 	g := gomega.NewWithT(t)
 	longLease := 3 * lease
 	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1, Lease: longLease})
-	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1})
-	m.SetRecord(time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2})
-	m.SetRecord(2*time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 1}, 0)
+	m.SetRecord(time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2}, 0)
+	m.SetRecord(2*time.Second, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 2, Released: true}, 0)
 	g.Expect(m.NextAction(time.Second+longLease, true)).To(gomega.Equal(tenure.NoAction))
 	g.Expect(m.NextAction(time.Second+2*longLease, true)).To(gomega.Equal(tenure.TakeOver))
 }
@@ -257,3 +257,66 @@
 		}
 	})
 }
+
+// eraStart is the first epoch of the second era of the store.
+const eraStart = 2_000_000_001
+
+// Guards against a restore that interrupts the orders of a sound owner, or makes other VMs
+// replace it before it can go on.
+func TestLastOwnerGoesOnAfterARestore(t *testing.T) {
+	for name, restored := range map[string]func(*tenure.StateMachine, time.Duration){
+		"its record": func(m *tenure.StateMachine, now time.Duration) {
+			m.SetRecord(now, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5}, 2)
+		},
+		"that of a former one": func(m *tenure.StateMachine, now time.Duration) {
+			m.SetRecord(now, tenure.Record{Owner: "b", Incarnation: 1, Epoch: 4}, 2)
+		},
+		"no record": func(m *tenure.StateMachine, now time.Duration) { m.SetAbsent(now, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			machines := map[string]*tenure.StateMachine{}
+			for _, vm := range []string{"a", "b", "c"} {
+				m := tenure.New(tenure.Candidate{VM: vm, Incarnation: 1, TargetsCheckFences: true})
+				m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5}, 1)
+				restored(m, 10*time.Second)
+				machines[vm] = m
+			}
+			owner := machines["a"]
+			g.Expect(owner.Owns()).To(gomega.BeTrue())
+			g.Expect(owner.Confirmed()).To(gomega.BeFalse())
+			g.Expect(owner.NextAction(10*time.Second, true)).To(gomega.Equal(tenure.TakeOver))
+			for _, vm := range []string{"b", "c"} {
+				g.Expect(machines[vm].NextAction(11*time.Second, true)).To(gomega.Equal(tenure.NoAction), vm)
+				g.Expect(machines[vm].NextAction(13*time.Second, true)).To(gomega.Equal(tenure.TakeOver), vm)
+				g.Expect(machines[vm].Stored()).To(gomega.BeFalse(), "the group has no object of the new era")
+			}
+			next := owner.RecordAfter(tenure.TakeOver, "x")
+			g.Expect(next.Epoch).To(gomega.Equal(int64(eraStart)))
+			for _, m := range machines {
+				m.SetRecord(10*time.Second, next, 2)
+				g.Expect(m.Confirmed()).To(gomega.BeTrue())
+				g.Expect(m.Stored()).To(gomega.BeTrue())
+			}
+			g.Expect(owner.NextAction(13*time.Second, true)).To(gomega.Equal(tenure.NoAction))
+			g.Expect(owner.RecordAfter(tenure.TakeOver, "x").Epoch).To(gomega.Equal(int64(eraStart + 1)))
+		})
+	}
+}
+
+// Guards against a released group that is taken for an owned one because the copy is older than
+// the release, and against the release of a group that nobody owns in the new era.
+func TestReleaseHoldsAcrossARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1, TargetsCheckFences: true})
+	m.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5}, 1)
+	m.BeginRelease(time.Second)
+	m.SetRecord(time.Second, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5, Released: true}, 1)
+	m.SetRecord(2*time.Second, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5}, 2)
+	g.Expect(m.Owns()).To(gomega.BeFalse())
+	releasing := tenure.New(tenure.Candidate{VM: "a", Incarnation: 1, TargetsCheckFences: true})
+	releasing.SetRecord(0, tenure.Record{Owner: "a", Incarnation: 1, Epoch: 5}, 1)
+	releasing.BeginRelease(time.Second)
+	releasing.SetAbsent(2*time.Second, 2)
+	g.Expect(releasing.NextAction(2*time.Second, true)).To(gomega.Equal(tenure.NoAction))
+}
