groupserver: The number of groups survives a restore of the store

A VM that starts after a restore to a copy without the layout of a service would decide anew how many groups its targets form, while the others kept the number of the lost history: targets would belong to two groups. Seen by reading, as another place where an order within one history was relied on.

VMs write a layout that the restored store lacks again, spread over half of the settle delay, and all follow the layout of the newest era if one was decided there. TestLayoutIsWrittenAgainAfterARestore and TestLayoutOfTheNewestEraHolds fail without the change (nothing is written; 5 groups instead of 3).

--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/tenure"
 )
 
@@ -33,6 +35,12 @@
 	Shards int `json:"shards"`
 }
 
+// storedLayout is a layout and where it was read or written.
+type storedLayout struct {
+	layout
+	at objectstore.Position
+}
+
 // GroupName returns the name of a group of a service's targets.
 func GroupName(service string, shard int) string { return service + "." + strconv.Itoa(shard) }
 
@@ -53,7 +61,7 @@
 // adapter usually go to its first group, so that few copies are needed.
 func (m *Manager) RankedGroups(service, adapter string) []string {
 	m.mu.Lock()
-	shards := m.layouts[service]
+	shards := m.layouts[service].Shards
 	m.mu.Unlock()
 	names := make([]string, shards)
 	weights := make(map[string]uint64, shards)
@@ -89,25 +97,26 @@
 	if current > targets {
 		m.scheduleLayout(service, current)
 	}
-	grown, decided := current > targets, m.layouts[service] > 0
+	grown, decided := current > targets, m.layouts[service].Shards > 0
 	m.layoutPending[service] = true
 	m.mu.Unlock()
 	if !grown && !decided {
-		m.writeLayout(service, current)
+		m.writeLayout(service, layout{Shards: shardCount(current)})
 	}
 }
 
-func (m *Manager) writeLayout(service string, targets int) {
+func (m *Manager) writeLayout(service string, l layout) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	key := Kind + "/" + layoutPrefix + service
-	value, err := json.Marshal(layout{Shards: shardCount(targets)})
+	value, err := json.Marshal(l)
+	var object objectstore.Object
 	if err == nil {
-		_, err = m.opt.Store.Create(ctx, key, value)
+		object, err = m.opt.Store.Create(ctx, key, value)
 	}
 	if err != nil {
-		object, failure := m.opt.Store.Get(ctx, key, 0)
-		value, err = object.Value, failure
+		object, err = m.opt.Store.Get(ctx, key, 0)
+		value = object.Value
 	}
 	if err != nil {
 		m.opt.Observer.GroupChanged(layoutPrefix+service, tenure.Record{}, tenure.NoAction, err)
@@ -116,13 +125,15 @@
 		m.layoutPending[service] = false // allows another attempt at the next change
 		return
 	}
-	m.setLayout(service, value)
+	m.setLayout(service, value, object.Position())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.assignTargets()
 }
 
-func (m *Manager) setLayout(service string, value []byte) {
+// setLayout sets the number of groups of a service from its object. The number changes only
+// if the store was restored and another VM has decided anew.
+func (m *Manager) setLayout(service string, value []byte, at objectstore.Position) {
 	var l layout
 	if err := json.Unmarshal(value, &l); err != nil || l.Shards < 1 {
 		err = errs.New(errs.InvalidMessage, "layout object of service "+service+" is invalid: it must hold a number of groups of at least 1")
@@ -131,11 +142,48 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.layouts[service] == 0 {
-		m.layouts[service] = l.Shards
+	if known := m.layouts[service]; known.Shards == 0 || at.Era() > known.at.Era() {
+		m.layouts[service] = storedLayout{layout: l, at: at}
+	}
+}
+
+// restoreLayouts writes the layouts again that a restored store lacks, before a VM that has
+// started since decides on its own. The caller holds the lock.
+func (m *Manager) restoreLayouts(listed map[string]bool, at objectstore.Position) {
+	for service, known := range m.layouts {
+		if !listed[layoutPrefix+service] && at.Era() > known.at.Era() {
+			m.scheduleRestore(service, at.Era())
+		}
 	}
 }
 
+func (m *Manager) scheduleRestore(service string, era int64) {
+	time.AfterFunc(rand.N(m.opt.SettleDelay/2), func() { m.restoreLayout(service, era) })
+}
+
+// restoreLayout writes a layout again in an era of the store, unless another VM has done so or
+// the store has been restored again. After a failure it is tried again.
+func (m *Manager) restoreLayout(service string, era int64) {
+	if m.draining.Load() || !m.lacksLayout(service, era) {
+		return
+	}
+	m.mu.Lock()
+	known := m.layouts[service].layout
+	m.mu.Unlock()
+	m.writeLayout(service, known)
+	if m.lacksLayout(service, era) {
+		m.scheduleRestore(service, era)
+	}
+}
+
+// lacksLayout reports whether the layout of a service is not known to be in the store in its
+// newest era, if that is the given one.
+func (m *Manager) lacksLayout(service string, era int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return objectstore.Position(m.listedAt.Load()).Era() == era && m.layouts[service].at.Era() < era
+}
+
 // AllOwned reports whether all groups of all known services have an owner, so that
 // requests for model engines can be placed.
 func (m *Manager) AllOwned() bool {
@@ -145,13 +193,13 @@
 		return false
 	}
 	for service := range m.targets {
-		for shard := range m.layouts[service] {
+		for shard := range m.layouts[service].Shards {
 			g := m.groups[GroupName(service, shard)]
 			if g == nil || !g.hasOwner() {
 				return false
 			}
 		}
-		if m.layouts[service] == 0 {
+		if m.layouts[service].Shards == 0 {
 			return false
 		}
 	}
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -100,7 +100,7 @@
 	mu            sync.Mutex
 	services      map[string]fleet.Service
 	targets       map[string][]fleet.Target // by service
-	layouts       map[string]int            // shards by service
+	layouts       map[string]storedLayout   // by service
 	layoutPending map[string]bool           // services whose layout is being decided or has been written by this VM
 	groups        map[string]*group
 
@@ -116,7 +116,7 @@
 	if opt.SettleDelay <= 0 {
 		opt.SettleDelay = DefaultSettleDelay
 	}
-	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, layouts: map[string]int{}, layoutPending: map[string]bool{}, lastCheck: time.Now()}
+	m := &Manager{opt: opt, start: time.Now(), groups: map[string]*group{}, layouts: map[string]storedLayout{}, layoutPending: map[string]bool{}, lastCheck: time.Now()}
 	m.ownershipVerified.Store(true)
 	return m
 }
@@ -142,8 +142,8 @@
 func (m *Manager) assignTargets() {
 	members := map[string][]fleet.Target{}
 	for service, targets := range m.targets {
-		shards, known := m.layouts[service]
-		if !known {
+		shards := m.layouts[service].Shards
+		if shards == 0 {
 			m.scheduleLayout(service, len(targets))
 			continue
 		}
@@ -270,6 +270,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.restoreLayouts(listed, at)
 	for _, g := range m.groups {
 		g.objectsRead.Store(true)
 	}
@@ -350,7 +351,7 @@
 func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
 	name, _ := parseObjectKey(o.Key)
 	if service, found := strings.CutPrefix(name, layoutPrefix); found {
-		m.setLayout(service, o.Value)
+		m.setLayout(service, o.Value, o.Position())
 		return tenure.Record{}, false
 	}
 	var r tenure.Record
--- a/internal/groupserver/restore_test.go
+++ b/internal/groupserver/restore_test.go
@@ -41,6 +41,35 @@
 	return objectstore.Object{Key: key, Version: int64(p), Revision: int64(p), Value: raw}
 }
 
+// Guards against targets that belong to two groups: a restored store lacks the number of groups,
+// and a VM that starts decides anew.
+func TestLayoutIsWrittenAgainAfterARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := memstore.New()
+	m := newTestManager("vm0", store)
+	defer m.draining.Store(true)
+	key := Kind + "/" + layoutPrefix + "llm"
+	m.Replace([]objectstore.Object{objectAt(g, key, layout{Shards: 5}, at(1, 10))}, at(1, 20))
+	m.Replace(nil, at(2, 8))
+	g.Eventually(func() string {
+		object, _ := store.Get(context.Background(), key, 0)
+		return string(object.Value)
+	}).WithTimeout(10 * time.Second).Should(gomega.Equal(`{"shards":5}`))
+}
+
+// Guards against VMs that keep different numbers of groups after another VM has decided anew in
+// a restored store.
+func TestLayoutOfTheNewestEraHolds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newTestManager("vm0", memstore.New())
+	key := Kind + "/" + layoutPrefix + "llm"
+	m.Replace([]objectstore.Object{objectAt(g, key, layout{Shards: 5}, at(1, 10))}, at(1, 20))
+	m.Replace([]objectstore.Object{objectAt(g, key, layout{Shards: 3}, at(2, 8))}, at(2, 8))
+	g.Expect(m.RankedGroups("llm", "a")).To(gomega.HaveLen(3))
+	m.Change([]objectstore.Change{{Object: objectAt(g, key, layout{Shards: 4}, at(2, 9))}}, at(2, 9))
+	g.Expect(m.RankedGroups("llm", "a")).To(gomega.HaveLen(3), "the number is decided once in an era")
+}
+
 // Guards against an owner that loses its queue at a restore, or goes on under an epoch that
 // another VM may have.
 func TestOwnerGoesOnUnderAnEpochOfTheNewEra(t *testing.T) {
