edge: Quarantined parts are stored again after a restore of the store

The object that keeps the quarantined parts for VMs that start may be missing from the copy from which the store comes back; the VMs took it for stored. It is now written again by an owner. Found by reading; no test plays it.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -152,6 +152,16 @@
 	return true
 }
 
+// handleAbsence handles a list of the groups' objects at a position without the object. If
+// the store was restored since the object was seen, the parts are to be stored again.
+func (k *quarantineKeeper) handleAbsence(at objectstore.Position) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at.Era() > objectstore.Position(k.stored.Version).Era() {
+		k.stored, k.parts = objectstore.Object{}, nil
+	}
+}
+
 // takeChange is like takeObject. An operator removes the object to end the quarantine of its
 // parts.
 func (k *quarantineKeeper) takeChange(c objectstore.Change) bool {
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -306,7 +306,11 @@
 
 // Replace implements kindwatch.Handler.
 func (h *groupHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
-	h.d.groups.Replace(slices.DeleteFunc(objects, h.d.quarantine.takeObject), at)
+	others := slices.DeleteFunc(objects, h.d.quarantine.takeObject)
+	if len(others) == len(objects) {
+		h.d.quarantine.handleAbsence(at)
+	}
+	h.d.groups.Replace(others, at)
 }
 
 // Change implements kindwatch.Handler.
