edge: The newest configuration and versions are passed on, not the latest written

After a restore, a VM that knew version 14 of the configuration held the copy's version 11 ready for others, at the later position, and never passed on version 14 to a VM that had started from the copy. A version of an adapter that was announced again kept its old position at VMs that knew it, so those that heard of versions from them never did.

The operator's objects are ordered by the version that they state: the cache keeps the highest one, VMs tell each other which one is in force, and the same version at a later position counts as written there.

--- a/internal/edge/configcache.go
+++ b/internal/edge/configcache.go
@@ -13,17 +13,19 @@
 	mu       sync.Mutex
 	asOf     objectstore.Position // up to which all changes have been applied
 	revision objectstore.Position // at which value was written
+	version  uint64               // of the configuration in value
 	value    []byte
 	deflated []byte // value, compressed when it is first asked for
 }
 
-// set stores the object as it was written at a position, unless a newer one is stored
-// already.
-func (c *configCache) set(value []byte, at objectstore.Position) {
+// set stores a version of the configuration as it was written at a position, unless a newer
+// one is stored already. A restored store holds older versions at later positions until the
+// operator has written the newest one again.
+func (c *configCache) set(value []byte, version uint64, at objectstore.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at > c.revision {
-		c.value, c.revision, c.deflated = value, at, nil
+	if version > c.version || version == c.version && at > c.revision {
+		c.value, c.version, c.revision, c.deflated = value, version, at, nil
 	}
 }
 
@@ -45,12 +47,13 @@
 }
 
 // updateSince returns the update for a VM that has applied all changes up to the given
-// position. It contains the configuration only if that was written later.
-func (c *configCache) updateSince(at objectstore.Position) grouprpc.ConfigUpdate {
+// position, and has the given version in force, 0 if that is unknown. It contains the
+// configuration only if that was written later or is newer.
+func (c *configCache) updateSince(at objectstore.Position, version uint64) grouprpc.ConfigUpdate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	update := grouprpc.ConfigUpdate{Since: at, AsOf: c.asOf, Revision: c.revision}
-	if c.revision > at {
+	if c.revision > at || version > 0 && c.version > version {
 		update.Value = c.value
 	}
 	return update
--- a/internal/edge/configfetch.go
+++ b/internal/edge/configfetch.go
@@ -30,8 +30,8 @@
 }
 
 // deflatedSince returns the update of updateSince with a compressed configuration.
-func (c *configCache) deflatedSince(at objectstore.Position) (grouprpc.ConfigReply, error) {
-	reply := grouprpc.ConfigReply{Update: c.updateSince(at)}
+func (c *configCache) deflatedSince(at objectstore.Position, version uint64) (grouprpc.ConfigReply, error) {
+	reply := grouprpc.ConfigReply{Update: c.updateSince(at, version)}
 	value := reply.Update.Value
 	if reply.Update.Value = nil; len(value) == 0 {
 		return reply, nil
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
 	defer cancel()
 	var reply grouprpc.ConfigReply
-	request := grouprpc.ConfigRequest{Known: d.config.appliedRevision()}
+	request := grouprpc.ConfigRequest{Known: d.config.appliedRevision(), Version: d.configVersion()}
 	if err := d.peerClient.Call(ctx, address, grouprpc.ConfigMethod, request, &reply); err != nil {
 		return err
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -109,10 +109,12 @@
 func (d *Daemon) followsStore() bool { return d.groups.OwnsAny() || !d.relay.replacesStore() }
 
 // appliedRevisions returns the positions up to which this VM has applied the changes of
-// each kind of object, whether it read them itself or received them.
+// each kind of object, whether it read them itself or received them, and the version of the
+// configuration in force.
 func (d *Daemon) appliedRevisions() grouprpc.StoreRevisions {
 	return grouprpc.StoreRevisions{
 		Config: d.config.appliedRevision(), Targets: d.deployment.appliedTargetRevision(), Versions: d.versions.appliedRevision(),
+		ConfigVersion: d.configVersion(),
 	}
 }
 
@@ -123,7 +125,7 @@
 		return grouprpc.DeploymentUpdate{}
 	}
 	return grouprpc.DeploymentUpdate{
-		Told: true, Config: d.config.updateSince(applied.Config), Targets: d.deployment.targetUpdateSince(applied.Targets),
+		Told: true, Config: d.config.updateSince(applied.Config, applied.ConfigVersion), Targets: d.deployment.targetUpdateSince(applied.Targets),
 		Versions: d.versions.updateSince(applied.Versions),
 	}
 }
--- /dev/null
+++ b/internal/edge/restore_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
+	"cicadaslip/internal/placer"
+)
+
+// at returns a position in the history of the store.
+func at(t *testing.T, era, revision int64) objectstore.Position {
+	p, err := objectstore.NewPosition(era, revision)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return p
+}
+
+// Guards against a VM that passes on the older configuration of a restored store, and against
+// one that does not pass on the newest one because its revision is of the lost history.
+func TestNewestConfigurationIsKeptAcrossRestores(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var cache configCache
+	cache.set([]byte("v14"), 14, at(t, 1, 80))
+	cache.advance(0, at(t, 1, 85))
+	cache.set([]byte("v11"), 11, at(t, 2, 55))
+	cache.advance(0, at(t, 2, 60))
+	g.Expect(string(cache.updateSince(0, 0).Value)).To(gomega.Equal("v14"))
+	g.Expect(string(cache.updateSince(at(t, 2, 60), 11).Value)).To(gomega.Equal("v14"), "a VM that only knows the copy")
+	g.Expect(cache.updateSince(at(t, 2, 60), 14).Value).To(gomega.BeEmpty())
+	g.Expect(cache.updateSince(at(t, 2, 60), 0).Value).To(gomega.BeEmpty(), "a VM that does not tell its version")
+	cache.set([]byte("v14"), 14, at(t, 2, 65))
+	g.Expect(string(cache.updateSince(at(t, 2, 60), 0).Value)).To(gomega.Equal("v14"))
+	cache.advance(at(t, 1, 85), at(t, 1, 99))
+	g.Expect(cache.appliedRevision()).To(gomega.Equal(at(t, 2, 60)))
+}
+
+// Guards against an announced version that other VMs never hear of, because it was announced
+// again after a restore and the VM from which they hear of it knew it already.
+func TestVersionAnnouncedAgainIsPassedOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newVersionTable()
+	a := placer.Adapter{Model: "m", Name: "a"}
+	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 3, Revision: at(t, 1, 80)})).To(gomega.BeTrue())
+	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 2, Revision: at(t, 2, 55)})).To(gomega.BeFalse(), "from the copy")
+	table.advance(0, at(t, 2, 60))
+	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.BeEmpty())
+	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 3, Revision: at(t, 2, 65)})).To(gomega.BeFalse())
+	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.Equal([]grouprpc.AdapterVersion{{Adapter: a, Version: 3, Revision: at(t, 2, 65)}}))
+	g.Expect(table.all()).To(gomega.Equal(map[placer.Adapter]int64{a: 3}))
+}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -58,7 +58,7 @@
 // Config implements grouprpc.ConfigMethod.
 func (s *groupService) Config(request grouprpc.ConfigRequest, reply *grouprpc.ConfigReply) (err error) {
 	defer s.d.contain("config", &err)
-	*reply, err = s.d.config.deflatedSince(request.Known)
+	*reply, err = s.d.config.deflatedSince(request.Known, request.Version)
 	return err
 }
 
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -31,11 +31,17 @@
 }
 
 // set records an announcement. It reports whether the version is newer than the one
-// recorded before.
+// recorded before. The same version may be announced again after the store was restored; it
+// is then passed on to VMs that do not know it.
 func (t *versionTable) set(v grouprpc.AdapterVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if v.Version <= t.byAdapter[v.Adapter].version {
+	known := t.byAdapter[v.Adapter]
+	if v.Version <= known.version {
+		if v.Version == known.version {
+			known.revision = max(known.revision, v.Revision)
+			t.byAdapter[v.Adapter] = known
+		}
 		return false
 	}
 	t.byAdapter[v.Adapter] = announcedVersion{version: v.Version, revision: v.Revision, receivedAt: time.Now()}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -203,7 +203,7 @@
 		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
 		return
 	}
-	d.config.set(value, at)
+	d.config.set(value, c.Version, at)
 	if !d.deployment.setConfig(c) {
 		return
 	}
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -166,6 +166,9 @@
 	Config   objectstore.Position
 	Targets  objectstore.Position
 	Versions objectstore.Position
+	// ConfigVersion is the version of the configuration in force at the VM, 0 if it has none
+	// or does not tell. A restored store may have lost a version that other VMs still know.
+	ConfigVersion uint64
 }
 
 // DeploymentUpdate holds the changes of the deployment that the sender knows and the
@@ -189,7 +192,8 @@
 
 // ConfigRequest asks an owner for its configuration.
 type ConfigRequest struct {
-	Known objectstore.Position // up to which the caller knows all changes
+	Known   objectstore.Position // up to which the caller knows all changes
+	Version uint64               // as StoreRevisions.ConfigVersion
 }
 
 // ConfigReply holds the configuration if it has changed after the caller's revision.
