edge: Logs and metrics of a store that was restored

Nothing told that the store had gone back: the log of a play only had store_lost and store_regained. Each VM writes one line when it learns of a new era (store_restored: both eras, the position before, the configuration in force, from whom it heard) and one when all that it follows is of that era (store_caught_up: targets in use, those that have time to register again, how long it took), and repeats its watches at once. Metrics: edge_store_restores, edge_store_catch_up.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -70,6 +70,7 @@
 	config   configCache
 	// fetchingConfig is set while a configuration is fetched from an owner.
 	fetchingConfig atomic.Bool
+	restores       restoreTracker
 
 	requestLogSampler sampler
 	grantLogSampler   sampler
@@ -103,6 +104,9 @@
 	}
 	d := &Daemon{settings: s, log: log, startedAt: time.Now(), kinds: deps.ObjectKinds, store: deps.Store, versions: newVersionTable(), metrics: metrics.NewWith(metrics.EdgeDefinitions), followers: map[string]*kindwatch.Follower{}}
 	d.health.onChange = d.storeHealthChanged
+	if store, ok := deps.Store.(objectstore.Restorable); ok {
+		store.OnRestore(d.storeRestored)
+	}
 	incarnation := uint64(time.Now().UnixNano())
 	clock := timeline.NewClock(time.Now)
 	d.log = log.Hook(stampHook{clock})
--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -118,6 +118,14 @@
 	d.registry.AdvanceTo(at)
 }
 
+// countTargets returns the number of targets in use, and of those among them whose
+// descriptions are missing from the store.
+func (d *deployment) countTargets() (used, missing int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.targets), d.registry.CountMissing(time.Now())
+}
+
 // appliedTargetRevision returns the position up to which all changes of targets have been
 // applied.
 func (d *deployment) appliedTargetRevision() objectstore.Position {
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -46,4 +46,8 @@
 	fieldLimitWait    = "limit_wait_ms"
 	fieldPausedBy     = "paused_by"
 	fieldPauseWait    = "pause_wait_ms"
+	fieldEra          = "era"
+	fieldEraBefore    = "era_before"
+	fieldRevision     = "revision"
+	fieldMissing      = "missing"
 )
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -177,4 +177,6 @@
 		d.setVersion(v)
 	}
 	d.versions.advance(n.Versions.Since, n.Versions.AsOf)
+	d.enterEra(newestEra(n), sourceRelay)
+	d.checkCaughtUp()
 }
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -50,3 +50,25 @@
 	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.Equal([]grouprpc.AdapterVersion{{Adapter: a, Version: 3, Revision: at(t, 2, 65)}}))
 	g.Expect(table.all()).To(gomega.Equal(map[placer.Adapter]int64{a: 3}))
 }
+
+// Guards against a restore that is logged more than once, or by a VM that starts after it.
+func TestRestoreIsTrackedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var tracker restoreTracker
+	restored := func(era int64) bool {
+		_, restored := tracker.enter(era)
+		return restored
+	}
+	caughtUp := func(era int64) bool {
+		_, caughtUp := tracker.caughtUp(era)
+		return caughtUp
+	}
+	g.Expect(restored(3)).To(gomega.BeFalse(), "the first era that a VM hears of")
+	g.Expect(caughtUp(3)).To(gomega.BeFalse())
+	g.Expect(restored(4)).To(gomega.BeTrue())
+	g.Expect(restored(4)).To(gomega.BeFalse())
+	g.Expect(restored(3)).To(gomega.BeFalse())
+	g.Expect(caughtUp(3)).To(gomega.BeFalse())
+	g.Expect(caughtUp(4)).To(gomega.BeTrue())
+	g.Expect(caughtUp(4)).To(gomega.BeFalse())
+}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -157,6 +157,7 @@
 func (d *Daemon) recordStoreCall(kind string, err error) {
 	d.metrics.Count(metrics.EdgeStoreCalls, kind+" "+metrics.Label(err))
 	d.health.record(err)
+	d.checkCaughtUp()
 }
 
 // objectHandler applies each object of a kind by itself and ignores removals. It
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -22,6 +22,8 @@
 	EdgeOrders            Name = "edge_orders"
 	EdgeOrderTime         Name = "edge_order_time"
 	EdgeStoreLost         Name = "edge_store_lost"
+	EdgeStoreRestores     Name = "edge_store_restores"
+	EdgeStoreCatchUp      Name = "edge_store_catch_up"
 	EdgeOwnersSilent      Name = "edge_owners_silent"
 	EdgeConfigVersion     Name = "edge_config_version"
 	EdgeStoreCalls        Name = "edge_store_calls"
@@ -77,6 +79,8 @@
 	{EdgeOrders, ByLabel, "orders", "sent to targets, by operation and result"},
 	{EdgeOrderTime, Latency, microseconds, "answers of targets to orders"},
 	{EdgeStoreLost, Counter, "times", "the store could not be reached any more"},
+	{EdgeStoreRestores, Counter, "times", "the store was restored from a copy"},
+	{EdgeStoreCatchUp, Latency, "microseconds", "from hearing of a restored store until this VM follows all of it"},
 	{EdgeOwnersSilent, Counter, "times", "an owner did not answer any more"},
 	{EdgeConfigVersion, Gauge, "version", "configuration in force"},
 	{EdgeStoreCalls, ByLabel, "calls", "lists and watches of the store, by kind and error code"},
