platform: One entry that can't be read hides no others

Another writer leaves one entry among those of a kind that is nested 12,000 levels deep, or whose revision or name has the wrong type or range. Callers saw 503: no VM learned of a target that started, or of one that left, any more.

Cause: an answer to a list or a watch was decoded as one JSON document. encoding/json refuses all of it for one value beyond its 10,000 levels or one number beyond its type, so the follower made the same call again and again.

One that isn't so is handed on as invalid, by its name if that can be read; it is counted in edge_entries_ignored and each version of it is logged once.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -66,6 +66,7 @@
 
 	health   storeHealth
 	metrics  *metrics.Registry
+	ignored  ignoredEntries
 	upstream *upstream.Client
 	config   configCache
 	// fetchingConfig is set while a configuration is fetched from an owner.
--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -46,4 +46,6 @@
 	fieldLimitWait    = "limit_wait_ms"
 	fieldPausedBy     = "paused_by"
 	fieldPauseWait    = "pause_wait_ms"
+	fieldEntry        = "entry"
+	fieldRevision     = "revision"
 )
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -75,6 +75,9 @@
 
 // setObject takes over the parts of the stored object.
 func (k *quarantineKeeper) setObject(o objectstore.Object) {
+	if o.Invalid != nil {
+		return
+	}
 	var value quarantineObject
 	if err := json.Unmarshal(o.Value, &value); err != nil {
 		k.d.log.Warn().Err(err).Str(fieldEvent, "quarantine_ignored").Send()
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -118,7 +118,10 @@
 
 // newObjectHandler returns a handler of a kind that applies each object by itself.
 func (d *Daemon) newObjectHandler(kind string, apply func(objectstore.Object), advance func(since, asOf int64)) kindwatch.Handler {
-	return &objectHandler{apply: apply, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) }}
+	return &objectHandler{
+		apply: apply, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) },
+		ignore: func(o objectstore.Object) { d.ignoreObject("entry_ignored", o, o.Invalid) },
+	}
 }
 
 // newestRevisions returns the newest store revision that this VM has seen of each kind.
@@ -158,18 +161,20 @@
 	d.health.record(err)
 }
 
-// objectHandler applies each object of a kind by itself and ignores removals. It
-// implements kindwatch.Handler.
+// objectHandler applies each object of a kind by itself and ignores removals. What is known
+// of an object stays in force when its entry becomes invalid. It implements
+// kindwatch.Handler.
 type objectHandler struct {
 	apply           func(objectstore.Object)
 	advance         func(since, asOf int64) // records that all changes between two revisions have been applied
-	recordStoreCall func(error)             // records the result of a call to the store
+	ignore          func(objectstore.Object)
+	recordStoreCall func(error) // records the result of a call to the store
 }
 
 // Replace implements kindwatch.Handler.
 func (h *objectHandler) Replace(objects []objectstore.Object, revision int64) {
 	for _, o := range objects {
-		h.apply(o)
+		h.applyOne(o)
 	}
 	h.advance(0, revision)
 }
@@ -178,12 +183,20 @@
 func (h *objectHandler) Change(changes []objectstore.Change, revision int64) {
 	for _, c := range changes {
 		if !c.Deleted {
-			h.apply(c.Object)
+			h.applyOne(c.Object)
 		}
 	}
 	h.advance(0, revision)
 }
 
+func (h *objectHandler) applyOne(o objectstore.Object) {
+	if o.Invalid != nil {
+		h.ignore(o)
+		return
+	}
+	h.apply(o)
+}
+
 // StoreCalled implements kindwatch.Handler.
 func (h *objectHandler) StoreCalled(err error) { h.recordStoreCall(err) }
 
@@ -253,14 +266,24 @@
 	h.d.publishFleet(sourceStore)
 }
 
-// decode decodes the description of a target. It logs descriptions that are invalid.
-func (h *targetHandler) decode(o objectstore.Object) (fleet.StoredTarget, bool) {
-	t, err := h.d.kinds.DecodeTarget(objectName(o.Key), o.Value)
-	if err != nil {
-		h.d.log.Warn().Err(err).Str(fieldEvent, "target_ignored").Str(fieldTarget, objectName(o.Key)).Send()
-		return fleet.StoredTarget{}, false
+// decode decodes the description of a target. It returns false for one that can't be used,
+// also if its decoder panics.
+func (h *targetHandler) decode(o objectstore.Object) (t fleet.StoredTarget, ok bool) {
+	var err error
+	defer func() {
+		if err != nil {
+			h.d.ignoreObject("target_ignored", o, err)
+			t, ok = fleet.StoredTarget{}, false
+		}
+	}()
+	defer h.d.contain("target", &err)
+	if o.Invalid != nil {
+		err = o.Invalid
+		return t, false
 	}
-	return fleet.StoredTarget{Target: t, Revision: o.Revision}, true
+	t.Revision = o.Revision
+	t.Target, err = h.d.kinds.DecodeTarget(objectName(o.Key), o.Value)
+	return t, err == nil
 }
 
 // StoreCalled implements kindwatch.Handler.
@@ -275,15 +298,20 @@
 
 // objectName returns the name of an object: its key without the kind.
 func objectName(key string) string {
-	_, name, _ := strings.Cut(key, "/")
+	_, name := splitKey(key)
 	return name
 }
 
+func splitKey(key string) (kind, name string) {
+	kind, name, _ = strings.Cut(key, "/")
+	return kind, name
+}
+
 // handleVersionObject applies an announced version of an adapter.
 func (d *Daemon) handleVersionObject(o objectstore.Object) {
 	a, version, err := d.kinds.DecodeVersion(o.Value)
 	if err != nil {
-		d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
+		d.ignoreObject("version_ignored", o, err)
 		return
 	}
 	d.setVersion(grouprpc.AdapterVersion{Adapter: a, Version: version, Revision: o.Revision})
@@ -305,13 +333,25 @@
 
 // Replace implements kindwatch.Handler.
 func (h *groupHandler) Replace(objects []objectstore.Object, _ int64) {
+	for _, o := range objects {
+		h.ignoreInvalid(o)
+	}
 	h.d.groups.Replace(slices.DeleteFunc(objects, h.d.quarantine.takeObject))
 }
 
 // Change implements kindwatch.Handler.
 func (h *groupHandler) Change(changes []objectstore.Change, _ int64) {
+	for _, c := range changes {
+		h.ignoreInvalid(c.Object)
+	}
 	h.d.groups.Change(slices.DeleteFunc(changes, h.d.quarantine.takeChange))
 }
 
+func (h *groupHandler) ignoreInvalid(o objectstore.Object) {
+	if o.Invalid != nil {
+		h.d.ignoreObject("entry_ignored", o, o.Invalid)
+	}
+}
+
 // StoreCalled implements kindwatch.Handler.
 func (h *groupHandler) StoreCalled(err error) { h.d.recordStoreCall(groupserver.Kind, err) }
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,6 +50,7 @@
 	t       *testing.T
 	g       *gomega.WithT
 	store   *metastore.Store
+	storeAt string // address at which the VMs reach the store, that of store if empty
 	engines []*engine.Target
 	apps    []*engine.Target
 	vms     []*vm
@@ -152,7 +154,7 @@
 	for _, d := range dataCentres {
 		regions[d] = "region-" + d
 	}
-	link, err := linkproxy.New(c.store.Address())
+	link, err := linkproxy.New(cmp.Or(c.storeAt, c.store.Address()))
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
 	c.t.Cleanup(link.Close)
 	s := &edge.Settings{
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -309,8 +309,11 @@
 func groupNameOf(key string) string { return key[len(Kind)+1:] }
 
 // setObject sets the record or layout that an object holds. It returns the record, if
-// the object holds one.
+// the object holds one. What is known of a group stays when its object becomes invalid.
 func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
+	if o.Invalid != nil {
+		return tenure.Record{}, false
+	}
 	if service, found := strings.CutPrefix(groupNameOf(o.Key), layoutPrefix); found {
 		m.setLayout(service, o.Value)
 		return tenure.Record{}, false
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -42,6 +42,7 @@
 	EdgeLimitHeld         Name = "edge_limit_held"
 	EdgeLimitSent         Name = "edge_limit_sent"
 	EdgeUngranted         Name = "edge_ungranted"
+	EdgeEntriesIgnored    Name = "edge_entries_ignored"
 )
 
 // EdgeDefinitions lists the metrics of an entry VM on the users' platform.
@@ -68,6 +69,7 @@
 	{EdgeLimitHeld, ByLabel, "requests", "held up by limits of targets, as owner: granted or refused after it; no_share: this VM's shares of the limits left none, plain services"},
 	{EdgeLimitSent, ByLabel, "requests and orders", "to targets known to be limited: granted by this VM as owner, chosen by it without an owner, likewise _repeat after another target; order"},
 	{EdgeUngranted, Counter, "requests", "placed at engines without an owner's grant"},
+	{EdgeEntriesIgnored, ByLabel, "entries", "left out as unusable, by kind of the store, report of a target or peer, each time they are read"},
 	{EdgeTargetConnections, Gauge, "connections", "opened to targets since the start"},
 	{EdgeGroupsOwned, Gauge, "groups", "target groups that this VM owns"},
 	{EdgeGroupChanges, ByLabel, "actions", "of this VM on the objects of groups, with the error code"},
