edge: A target whose entry becomes unusable is withdrawn

Another writer replaces the entry of a target by one with a port out of range, a number too large or no description at all.

Cause: what could not be decoded was passed over in a watch, as if the entry had not changed; only a list took the target out of use, and beside an outage not before 2.5 s.

Such an entry now withdraws its target at the revision of the answer, also with VMs that hear of it from others. The target is back with the next sound version of its entry.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -233,13 +233,19 @@
 // Replace implements kindwatch.Handler.
 func (h *targetHandler) Replace(objects []objectstore.Object, revision int64) {
 	var targets []fleet.StoredTarget
+	var invalid []string
 	for _, o := range objects {
 		if t, ok := h.decode(o); ok {
 			targets = append(targets, t)
+		} else {
+			invalid = append(invalid, objectName(o.Key))
 		}
 	}
 	h.d.deployment.updateRegistry(func(r *fleet.Registry, now time.Time) {
 		r.Replace(now, targets, revision)
+		for _, id := range invalid {
+			r.Withdraw(now, id, revision)
+		}
 		h.d.deployment.targetsListed = true
 	})
 	h.d.publishFleet(sourceStore)
@@ -259,6 +265,8 @@
 			}
 			if t, ok := h.decode(c.Object); ok {
 				r.Put(t)
+			} else {
+				r.Withdraw(now, objectName(c.Object.Key), revision)
 			}
 		}
 		r.AdvanceTo(revision)
--- a/internal/edgetest/oddentries_test.go
+++ b/internal/edgetest/oddentries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"log"
 	"net/http"
@@ -91,3 +92,22 @@
 		})
 	}
 }
+
+// Guards against a target that stays in use after its entry has become unusable.
+func TestTargetWhoseEntryBecomesOddIsNotUsed(t *testing.T) {
+	for name, spec := range map[string]string{
+		"port out of range": `{"service":"counter","address":"127.0.0.1:70000","zone":"riga-a","state":"ready","slots":6}`,
+		"slots too large":   `{"service":"counter","address":"127.0.0.1:7000","zone":"riga-a","state":"ready","slots":1e400}`,
+		"no text":           `7`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, 3)
+			c.apps[0].Crash() // so that it does not write its entry again
+			c.g.Expect(c.store.Put("servers", "a0", json.RawMessage(spec))).To(gomega.Succeed())
+			c.g.Eventually(func() int {
+				return strings.Count(c.logs.text(), `"event":"target_gone","target":"a0"`)
+			}).WithTimeout(drainBound).Should(gomega.Equal(len(c.vms)))
+			c.g.Expect(strings.Count(c.logs.text(), `"event":"target_ignored"`)).To(gomega.BeNumerically("<=", len(c.vms)), "one line of each VM")
+		})
+	}
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Withdraw removes a target whose description, as of a revision, can't be used. Unlike one whose
+// description is missing, it has not lapsed in an outage of the store and is not kept.
+func (r *Registry) Withdraw(now time.Time, id string, revision int64) {
+	if id == "" {
+		return
+	}
+	r.Remove(now, id, revision)
+	if e := r.rows[id]; e.Missing {
+		e.retainUntil = time.Time{}
+	}
+}
+
 // Replace replaces the table by the full list of targets that was read at a revision.
 func (r *Registry) Replace(now time.Time, targets []StoredTarget, revision int64) {
 	listed := make(map[string]bool, len(targets))
