platform: What can't be used by its description is no target

Another writer describes a target with port 0, slots -3 or 2^63-1, a start of 2^63-1 or 1e300 ms left. VMs took it for a target. With so many slots it got nearly all requests of its service; after such a start or sequence each sound description of the target counted as old for as long as the VM remembered it, so it stayed out of use or at the wrong address.

Cause: DecodeTarget checked types and the syntax of the address, and no value. Conversions cut a time off at 24 h instead of refusing it.

fleet.Target.Check holds the bounds, each a constant with its reason in internal/fleet/bounds.go; those of internal/placer and of header fields are the same constants now.

--- a/internal/placer/bounds.go
+++ b/internal/placer/bounds.go
@@ -4,18 +4,15 @@
 	"math"
 	"slices"
 	"time"
-)
 
-// Bounds of the values that other VMs send. Sums and products of values within them do not
-// overflow, and nothing that depends on them lasts for ever.
-const (
-	maxDuration = 24 * time.Hour
-	maxCount    = 1 << 30
+	"cicadaslip/internal/fleet"
 )
 
-func boundedDuration(d time.Duration) time.Duration { return max(-maxDuration, min(maxDuration, d)) }
+func boundedDuration(d time.Duration) time.Duration {
+	return max(-fleet.MaxDuration, min(fleet.MaxDuration, d))
+}
 
-func boundedCount(n int) int { return max(0, min(maxCount, n)) }
+func boundedCount(n int) int { return max(0, min(fleet.MaxCount, n)) }
 
 // boundedRate returns a rate limit, 0 if there is none.
 func boundedRate(perSecond float64) float64 {
