edge: A service that no configuration names costs nothing

Entries of other writers may name any service. Each name got a balancer for as long as the process runs, a line in metrics by service, and its targets counted as in use.

Targets of services that neither the list of services nor a route of the configuration in force names stay in the table, because a later configuration may name them, but are not in use. They are counted and logged like other entries that can't be used.

--- a/internal/edge/deployment.go
+++ b/internal/edge/deployment.go
@@ -157,6 +157,9 @@
 	listed := d.registry.Targets(time.Now())
 	told := map[string]bool{} // targets that are only known to leave because they have said so
 	for _, t := range listed {
+		if !d.knowsService(t.Service) {
+			continue
+		}
 		if !t.Leaving && d.statements.Leaving(advisory.Incarnation{Target: t.ID, Born: t.Born}) {
 			t.Leaving, told[t.ID] = true, true
 		}
@@ -182,6 +185,21 @@
 	}
 }
 
+// knowsService reports whether the configuration in force names a service. Without a
+// configuration any service may be named later.
+func (d *deployment) knowsService(service string) bool {
+	routes := d.routes.Load()
+	if routes == nil {
+		return true
+	}
+	if _, found := routes.Config.Services[service]; found {
+		return true
+	}
+	return slices.ContainsFunc(routes.Config.Routes, func(r fleet.Route) bool {
+		return slices.ContainsFunc(r.Backends, func(b fleet.Backend) bool { return b.Service == service })
+	})
+}
+
 // balancer returns the balancer of a service, and creates it if there is none. The
 // caller holds d.mu.
 func (d *deployment) balancer(service string) *balance.Balancer {
--- a/internal/edge/deployment_test.go
+++ b/internal/edge/deployment_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,32 @@
 		})
 	}
 }
+
+// Guards against entries of other writers whose services, which no configuration names, are kept
+// for ever.
+func TestTargetsOfUnknownServicesAreNotUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDeployment(&Settings{DataCentre: "d"}, time.Now(), func() ratelimit.Position { return ratelimit.Position{VMs: 1} }, func(string) {}, nil, metrics.NewWith(metrics.EdgeDefinitions))
+	configure := func(version uint64, services ...string) {
+		c := &fleet.Config{Version: version, Services: map[string]fleet.Service{}}
+		for _, name := range services {
+			c.Services[name] = fleet.Service{Name: name}
+		}
+		c.Routes = []fleet.Route{{Name: "r", Host: "h", PathPrefix: "/", Backends: []fleet.Backend{{Service: "routed"}}}}
+		g.Expect(d.setConfig(c)).To(gomega.BeTrue())
+	}
+	configure(1, "named")
+	for i := range 1000 {
+		d.updateRegistry(func(r *fleet.Registry, _ time.Time) {
+			for _, service := range []string{"named", "routed", fmt.Sprint("unknown", i)} {
+				r.Put(fleet.StoredTarget{Target: fleet.Target{ID: service, Service: service, Sequence: int64(i)}, Revision: int64(1 + i)})
+			}
+		})
+	}
+	g.Expect(d.leavingByService()).To(gomega.Equal(map[string]int64{"named": 0, "routed": 0}))
+	_, usable := d.usableTarget("unknown7")
+	g.Expect(usable).To(gomega.BeFalse())
+	configure(2, "named", "unknown7")
+	_, usable = d.usableTarget("unknown7")
+	g.Expect(usable).To(gomega.BeTrue())
+}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -291,6 +291,9 @@
 	}
 	t.Revision = o.Revision
 	t.Target, err = h.d.kinds.DecodeTarget(objectName(o.Key), o.Value)
+	if err == nil && !h.d.deployment.knowsService(t.Target.Service) { // a later configuration may name it
+		h.d.ignoreObject("target_ignored", o, errs.New(errs.InvalidMessage, "no service of the configuration has the name "+t.Target.Service))
+	}
 	return t, err == nil
 }
 
