groupserver: An odd layout or record does not end the process

Another writer leaves an object among those of the groups whose number of groups is 10^12: each VM that read it ended for lack of memory, again after each start. A record with the epoch 2^63-1 could have no successor (its next epoch overflows), and one under any name made up a group.

Cause: setLayout checked the lower bound only; records were decoded and not checked.

A service has at most 1,024 groups (18,000 targets), a record an owner, an epoch from 1 to 2^53-1 and the name of a group. An object beyond that is ignored, counted and logged once a version; what is known of the group stays. The decision on a layout runs in a timer and is contained now.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -17,6 +17,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/tenure"
 )
@@ -92,6 +93,11 @@
 		Bool("released", r.Released).Str(fieldAction, string(action)).Err(err).Send()
 }
 
+// ObjectIgnored implements groupserver.Observer.
+func (o groupObserver) ObjectIgnored(object objectstore.Object, err error) {
+	o.d.ignoreObject("group_ignored", object, err)
+}
+
 // Ordered implements groupserver.Observer. Polls for the end of a load, and unloads of
 // adapters, are logged at debug level if they had the expected result. All other orders
 // are logged at info level.
--- a/internal/groupclient/position_test.go
+++ b/internal/groupclient/position_test.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/groupserver"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
@@ -24,6 +25,7 @@
 }
 func (noObserver) Panicked(string, *errs.Error)               {}
 func (noObserver) Reported(string, string, error)             {}
+func (noObserver) ObjectIgnored(objectstore.Object, error)    {}
 func (noObserver) Granted(string, int64, placer.GrantRequest) {}
 func (noObserver) Refused(string, int64, placer.RefuseRequest) {
 }
--- a/internal/groupserver/contain_test.go
+++ b/internal/groupserver/contain_test.go
@@ -11,6 +11,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/objectstore/memstore"
 	"cicadaslip/internal/placer"
 )
@@ -84,6 +85,7 @@
 
 func (o *panickingObserver) Granted(string, int64, placer.GrantRequest) { o.maybePanic("a grant") }
 func (o *panickingObserver) Reported(string, string, error)             { o.maybePanic("a report") }
+func (o *panickingObserver) ObjectIgnored(objectstore.Object, error)    {}
 func (o *panickingObserver) Ordered(string, int64, placer.Order, placer.OrderResult, time.Duration) {
 	o.maybePanic("an order")
 }
--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/tenure"
 )
 
@@ -26,6 +28,8 @@
 	singleGroupTargets = 32
 	// targetsPerGroup is the usual size of a group in services with more targets.
 	targetsPerGroup = 18
+	// maxShards is the number of groups of 18,000 targets. Each group costs memory on each VM.
+	maxShards = 1024
 )
 
 // layout is the stored number of groups of a service.
@@ -36,6 +40,16 @@
 // GroupName returns the name of a group of a service's targets.
 func GroupName(service string, shard int) string { return service + "." + strconv.Itoa(shard) }
 
+// isGroupName reports whether a name is one that GroupName returns.
+func isGroupName(name string) bool {
+	dot := strings.LastIndexByte(name, '.')
+	if dot < 1 {
+		return false
+	}
+	shard, err := strconv.Atoi(name[dot+1:])
+	return err == nil && shard >= 0 && shard < maxShards && name == GroupName(name[:dot], shard)
+}
+
 func shardOf(target string, shards int) int {
 	return int(xxhash.Sum64String(target) % uint64(shards))
 }
@@ -77,7 +91,10 @@
 		return
 	}
 	m.layoutPending[service] = true
-	time.AfterFunc(m.opt.SettleDelay, func() { m.decideLayout(service, targets) })
+	time.AfterFunc(m.opt.SettleDelay, func() {
+		defer m.contain("layout")
+		m.decideLayout(service, targets)
+	})
 }
 
 // decideLayout writes the number of groups, or schedules a new decision if targets were
@@ -105,9 +122,9 @@
 	if err == nil {
 		_, err = m.opt.Store.Create(ctx, key, value)
 	}
+	object := objectstore.Object{Key: key, Value: value}
 	if err != nil {
-		object, failure := m.opt.Store.Get(ctx, key, 0)
-		value, err = object.Value, failure
+		object, err = m.opt.Store.Get(ctx, key, 0)
 	}
 	if err != nil {
 		m.opt.Observer.GroupChanged(layoutPrefix+service, tenure.Record{}, tenure.NoAction, err)
@@ -116,17 +133,17 @@
 		m.layoutPending[service] = false // allows another attempt at the next change
 		return
 	}
-	m.setLayout(service, value)
+	m.setLayout(service, object)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.assignTargets()
 }
 
-func (m *Manager) setLayout(service string, value []byte) {
+func (m *Manager) setLayout(service string, o objectstore.Object) {
 	var l layout
-	if err := json.Unmarshal(value, &l); err != nil || l.Shards < 1 {
-		err = errs.New(errs.InvalidMessage, "layout object of service "+service+" is invalid: it must hold a number of groups of at least 1")
-		m.opt.Observer.GroupChanged(layoutPrefix+service, tenure.Record{}, tenure.NoAction, err)
+	if err := json.Unmarshal(o.Value, &l); err != nil || l.Shards < 1 || l.Shards > maxShards {
+		err = errs.New(errs.InvalidMessage, "layout object of service "+service+" is invalid: it must hold a number of groups from 1 to "+strconv.Itoa(maxShards))
+		m.opt.Observer.ObjectIgnored(o, err)
 		return
 	}
 	m.mu.Lock()
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -37,9 +37,10 @@
 // Its methods must not block.
 type Observer interface {
 	// GroupChanged is called with NoAction when a record with another epoch or release
-	// is seen, with the action and its result after each action of this VM, and with
-	// the error when an object of a group or layout cannot be used.
+	// is seen, and with the action and its result after each action of this VM.
 	GroupChanged(group string, record tenure.Record, action tenure.Action, err error)
+	// ObjectIgnored is called with an object of a group or layout that can't be used.
+	ObjectIgnored(o objectstore.Object, err error)
 	// Ordered is called with the result of an order and the time that it took.
 	Ordered(group string, epoch int64, order placer.Order, result placer.OrderResult, took time.Duration)
 	// Reported is called when a report of a target was received or has failed.
@@ -291,7 +292,7 @@
 
 // SetRecord sets a group's record that was received from another VM.
 func (m *Manager) SetRecord(group string, r tenure.Record, version int64) {
-	if g := m.lookup(group); g != nil && r.Epoch > 0 {
+	if g := m.lookup(group); g != nil && r.Check() == nil {
 		g.setRecord(r, version)
 	}
 }
@@ -315,12 +316,12 @@
 		return tenure.Record{}, false
 	}
 	if service, found := strings.CutPrefix(groupNameOf(o.Key), layoutPrefix); found {
-		m.setLayout(service, o.Value)
+		m.setLayout(service, o)
 		return tenure.Record{}, false
 	}
-	var r tenure.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		m.opt.Observer.GroupChanged(groupNameOf(o.Key), r, tenure.NoAction, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
+	r, err := decodeRecord(o)
+	if err != nil {
+		m.opt.Observer.ObjectIgnored(o, err)
 		return tenure.Record{}, false
 	}
 	m.mu.Lock()
@@ -330,6 +331,16 @@
 	return r, true
 }
 
+func decodeRecord(o objectstore.Object) (r tenure.Record, err error) {
+	if !isGroupName(groupNameOf(o.Key)) {
+		return r, errs.New(errs.InvalidMessage, "the object is no group's")
+	}
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return r, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group")
+	}
+	return r, r.Check()
+}
+
 const (
 	// checkInterval is the time between two checks of all groups.
 	checkInterval = 50 * time.Millisecond
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -17,8 +17,8 @@
 	Version  int64  `json:"version"`  // version of this object; 1 after its creation
 	Revision int64  `json:"revision"` // revision of the store at the last write of this object
 	Value    []byte `json:"value"`
-	// Invalid tells why an object in a list or a watch can't be read, nil if it can. It then has
-	// no value, and its key ends with the slash if the name can't be read either.
+	// Invalid tells why an object that was read can't be decoded, nil if it can. It then has no
+	// value, and in lists and watches its key ends with the slash if it has no name either.
 	Invalid *errs.Error `json:"-"`
 }
 
