platform: Parts of a configuration are decoded one by one

A number out of range or a wrong type in one route, service, base model or quarantined part made the whole configuration or quarantine unreadable, so every other change in it was not in force. Other such numbers (a weight of 1e300, a negative time, two services of one name, a version of 2^63) were used: after that version no later configuration is newer. An announced adapter version of 2^63-1, or one under another adapter's name, left the adapter refused for ever.

A part that can't be used is left out, counted and logged once a version (config_part_ignored); the others are in force. The version and the limits hold for all parts, so a configuration without valid ones is refused as before, and the former one stays. An object of the quarantine that can't be decoded is replaced by the next write; before, VMs tried to create it again every 500 ms.

--- a/cmd/cicadaslipd/edge.go
+++ b/cmd/cicadaslipd/edge.go
@@ -55,8 +55,8 @@
 	return edge.ObjectKinds{
 		Config: platform.ConfigKind, MainConfigKey: platform.ConfigKey, Targets: platform.TargetKind, Versions: platform.VersionKind,
 		DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
-		DecodeVersion: func(value []byte) (placer.Adapter, int64, error) {
-			v, err := platform.DecodeVersion(value)
+		DecodeVersion: func(name string, value []byte) (placer.Adapter, int64, error) {
+			v, err := platform.DecodeVersion(name, value)
 			return placer.Adapter{Model: v.Model, Name: v.Adapter}, v.Version, err
 		},
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -10,12 +10,14 @@
 
 	"cicadaslip/internal/bootclock"
 	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/groupserver"
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/pause"
 	"cicadaslip/internal/quarantine"
+	"cicadaslip/internal/rawjson"
 )
 
 const (
@@ -73,22 +75,48 @@
 	})
 }
 
-// setObject takes over the parts of the stored object.
+// setObject takes over the parts of the stored object. The next write replaces one that can't be
+// decoded.
 func (k *quarantineKeeper) setObject(o objectstore.Object) {
-	if o.Invalid != nil {
-		return
-	}
-	var value quarantineObject
-	if err := json.Unmarshal(o.Value, &value); err != nil {
-		k.d.log.Warn().Err(err).Str(fieldEvent, "quarantine_ignored").Send()
-		return
+	var parts []quarantine.Quarantined
+	if o.Invalid == nil {
+		parts = decodeQuarantine(o.Value, func(err error) { k.d.ignoreObject("quarantine_ignored", o, err) })
 	}
 	k.mu.Lock()
 	if o.Version > k.stored.Version {
-		k.stored, k.parts = o, value.Parts
+		k.stored, k.parts = o, parts
 	}
 	k.mu.Unlock()
-	k.Merge(quarantine.Delta{Quarantined: value.Parts})
+	k.Merge(quarantine.Delta{Quarantined: parts})
+}
+
+// decodeQuarantine returns the parts that can be used, and calls ignore with why another one, or
+// the whole object, can't.
+func decodeQuarantine(value []byte, ignore func(error)) (parts []quarantine.Quarantined) {
+	var object struct {
+		Parts json.RawMessage `json:"parts"`
+	}
+	if err := json.Unmarshal(value, &object); err != nil {
+		ignore(errs.Wrap(err, errs.InvalidMessage, "decode the object of the quarantine"))
+		return nil
+	}
+	if len(object.Parts) == 0 || string(object.Parts) == "null" {
+		return nil
+	}
+	if err := rawjson.Array(object.Parts, func(element rawjson.Value) error {
+		var q quarantine.Quarantined
+		if err := json.Unmarshal(element.Raw, &q); err != nil {
+			ignore(errs.Wrap(err, errs.InvalidMessage, "decode a quarantined part"))
+		} else if !fleet.ValidName(q.Part.Service) || !fleet.ValidName(q.Part.ID) {
+			ignore(errs.New(errs.InvalidMessage, "a quarantined part has no valid name"))
+		} else {
+			parts = append(parts, q)
+		}
+		return nil
+	}); err != nil {
+		ignore(err)
+	}
+	return parts
 }
 
 // missing returns the quarantined parts if the stored object lacks one of them.
@@ -134,7 +162,7 @@
 		k.d.log.Warn().Err(err).Str(fieldEvent, "quarantine_not_stored").Send()
 		return
 	}
-	k.setObject(objectstore.Object{Key: quarantineKey, Version: object.Version, Value: valueOr(object.Value, value)})
+	k.setObject(objectstore.Object{Key: quarantineKey, Version: object.Version, Value: valueOr(object.Value, value), Invalid: object.Invalid})
 }
 
 // valueOr returns value, or fallback if a write returned the object without its value.
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -48,7 +48,7 @@
 	DecodeConfig func(value []byte) (*fleet.Config, error)
 	DecodeTarget func(id string, value []byte) (fleet.Target, error)
 	// DecodeVersion returns an adapter and its announced version.
-	DecodeVersion func(value []byte) (placer.Adapter, int64, error)
+	DecodeVersion func(name string, value []byte) (placer.Adapter, int64, error)
 }
 
 // storeHealth tracks whether calls to the store fail.
@@ -212,9 +212,12 @@
 func (d *Daemon) applyConfig(value []byte, revision int64, source string) {
 	c, err := d.kinds.DecodeConfig(value)
 	if err != nil {
-		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
+		d.ignoreEntry("config_rejected", d.kinds.Config, d.kinds.MainConfigKey, revision, err)
 		return
 	}
+	for _, part := range c.Ignored {
+		d.ignoreEntry("config_part_ignored", d.kinds.Config, d.kinds.MainConfigKey, revision, part)
+	}
 	d.config.set(value, revision)
 	if !d.deployment.setConfig(c) {
 		return
@@ -320,7 +323,7 @@
 
 // handleVersionObject applies an announced version of an adapter.
 func (d *Daemon) handleVersionObject(o objectstore.Object) {
-	a, version, err := d.kinds.DecodeVersion(o.Value)
+	a, version, err := d.kinds.DecodeVersion(objectName(o.Key), o.Value)
 	if err != nil {
 		d.ignoreObject("version_ignored", o, err)
 		return
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -171,8 +171,8 @@
 		ObjectKinds: edge.ObjectKinds{
 			Config: platform.ConfigKind, MainConfigKey: platform.ConfigKey, Targets: platform.TargetKind, Versions: platform.VersionKind,
 			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
-			DecodeVersion: func(value []byte) (placer.Adapter, int64, error) {
-				v, err := platform.DecodeVersion(value)
+			DecodeVersion: func(name string, value []byte) (placer.Adapter, int64, error) {
+				v, err := platform.DecodeVersion(name, value)
 				return placer.Adapter{Model: v.Model, Name: v.Adapter}, v.Version, err
 			},
 		},
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -80,4 +80,5 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	Ignored  []error // parts that were left out because they can't be used
 }
