platform: One odd row of a report hides no others

A model or adapter of the wrong type in a target's report made the owner refuse the whole report: it knew nothing of the target and granted it to no request until the next one was read.

Models, their adapters and those in transit are decoded one by one; one that can't be read is left out, counted and logged (report_part_ignored). The other fields are the report's own: if one is out of range, there is none.

--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -123,6 +123,11 @@
 	o.d.log.Info().Str(fieldEvent, "report").Str(fieldGroup, group).Str(fieldTarget, target).Err(err).Send()
 }
 
+// ReportPartIgnored implements groupserver.Observer.
+func (o groupObserver) ReportPartIgnored(target string, err error) {
+	o.d.ignoreEntry("report_part_ignored", "report", target, 0, err)
+}
+
 // Granted implements groupserver.Observer.
 func (o groupObserver) Granted(group string, epoch int64, command placer.GrantRequest) {
 	o.d.metrics.Add(metrics.EdgeGrants, 1)
--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -85,13 +85,16 @@
 
 func (m *ResidentModel) valid() bool {
 	for _, a := range m.Adapters {
-		if !ValidName(a.Name) || !ValidVersion(a.Version) {
+		if !a.Valid() {
 			return false
 		}
 	}
 	return ValidName(m.Name) && ValidVersion(m.Version)
 }
 
+// Valid reports whether the adapter has a name and a possible version.
+func (a ResidentAdapter) Valid() bool { return ValidName(a.Name) && ValidVersion(a.Version) }
+
 // ValidVersion reports whether a number can be a version of a model or adapter, or 0 for an
 // unknown one.
 func ValidVersion(version int64) bool { return version >= 0 && version <= MaxVersion }
--- a/internal/groupclient/position_test.go
+++ b/internal/groupclient/position_test.go
@@ -25,6 +25,7 @@
 }
 func (noObserver) Panicked(string, *errs.Error)               {}
 func (noObserver) Reported(string, string, error)             {}
+func (noObserver) ReportPartIgnored(string, error)            {}
 func (noObserver) ObjectIgnored(objectstore.Object, error)    {}
 func (noObserver) Granted(string, int64, placer.GrantRequest) {}
 func (noObserver) Refused(string, int64, placer.RefuseRequest) {
--- a/internal/groupserver/contain_test.go
+++ b/internal/groupserver/contain_test.go
@@ -85,6 +85,7 @@
 
 func (o *panickingObserver) Granted(string, int64, placer.GrantRequest) { o.maybePanic("a grant") }
 func (o *panickingObserver) Reported(string, string, error)             { o.maybePanic("a report") }
+func (o *panickingObserver) ReportPartIgnored(string, error)            {}
 func (o *panickingObserver) ObjectIgnored(objectstore.Object, error)    {}
 func (o *panickingObserver) Ordered(string, int64, placer.Order, placer.OrderResult, time.Duration) {
 	o.maybePanic("an order")
--- a/internal/groupserver/layout_test.go
+++ b/internal/groupserver/layout_test.go
@@ -25,6 +25,7 @@
 }
 func (nopObserver) Panicked(string, *errs.Error)               {}
 func (nopObserver) Reported(string, string, error)             {}
+func (nopObserver) ReportPartIgnored(string, error)            {}
 func (nopObserver) ObjectIgnored(objectstore.Object, error)    {}
 func (nopObserver) Granted(string, int64, placer.GrantRequest) {}
 func (nopObserver) Refused(string, int64, placer.RefuseRequest) {
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -45,6 +45,8 @@
 	Ordered(group string, epoch int64, order placer.Order, result placer.OrderResult, took time.Duration)
 	// Reported is called when a report of a target was received or has failed.
 	Reported(group, target string, err error)
+	// ReportPartIgnored is called with a part of a target's report that can't be read.
+	ReportPartIgnored(target string, err error)
 	// Granted and Refused are called with the core's decisions on requests.
 	Granted(group string, epoch int64, command placer.GrantRequest)
 	Refused(group string, epoch int64, command placer.RefuseRequest)
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -340,6 +340,11 @@
 	askedAt := g.manager.now()
 	report, err := g.manager.callReport(c)
 	g.manager.opt.Observer.Reported(g.name, c.Target, err)
+	if err == nil {
+		for _, part := range report.Ignored {
+			g.manager.opt.Observer.ReportPartIgnored(c.Target, part)
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.core == core {
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -97,6 +97,7 @@
 	Models   map[string]int64  // versions of the loaded base models, by name
 	Ready    map[Adapter]int64 // versions of the loaded adapters
 	Loading  []Adapter         // adapters that are being loaded
+	Ignored  []error           // parts that were left out because they can't be read
 }
 
 // Outcome describes how a granted request ended.
