edge: Rows of other VMs are checked where they are received

A VM of another version, or one with a fault, sends a row that can't be used: no address, slots of -2^63, a start, sequence, revision or version of 2^63-1, a missing target that is kept for 292 years. VMs used it as it was and passed it on; after such a start or revision each later row of the target counted as old.

Cause: only what a VM itself reads from the store was checked.

Rows of targets get the same check as descriptions; one that can't be used counts as missing, or is left out if it has no name or revision that can be one. Announced versions and statements of leaving are checked likewise, ages, positions and times cut to their bounds. What is left out is counted under "peer" and logged (row_ignored); the update's own revisions hold as before, so later updates go on from there. net/rpc with gob gives all rows their static types, so a row of another type fails its whole call, which the caller repeats.

A reply of an owner was applied in a goroutine without a guard, so a panic there ended the process; it is contained and the owner counts as heard.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -123,7 +123,7 @@
 	d.placement = groupclient.New(groupclient.Options{
 		VM: s.VM, DataCentre: s.DataCentre, Groups: d.groups, Peers: d.peerClient,
 		Observer: ownerObserver{d}, Target: d.usableTarget, SeenRevisions: d.newestRevisions, HandlePeerRevisions: d.compareNewestRevisions,
-		KnownRevisions: d.appliedRevisions, UpdateFor: d.updateForOwner, HandleReply: d.handleSyncReply, ConfigVersion: d.configVersion,
+		KnownRevisions: d.appliedRevisions, UpdateFor: d.updateForOwner, HandleReply: d.handleSyncReply, Contain: d.contain, ConfigVersion: d.configVersion,
 		RequiredVersion: d.versions.required, Quarantine: d.quarantine,
 		LeavingSince: d.leavingSince, MergeLeaving: d.mergeLeaving, Pauses: d.pauses,
 		RateLimits: d.rateLimits, TakeFromLimit: d.takeFromLimit, CountAgainstLimit: d.countAgainstLimit,
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -56,7 +57,18 @@
 	return d.deployment.leavingSince(version, own)
 }
 
-func (d *Daemon) mergeLeaving(delta advisory.Delta) { d.deployment.mergeLeaving(delta) }
+// mergeLeaving passes on what another VM has heard, without what can't be used.
+func (d *Daemon) mergeLeaving(delta advisory.Delta) {
+	now := time.Now()
+	delta.Leaving = slices.DeleteFunc(slices.Clone(delta.Leaving), func(l advisory.LeavingTarget) bool {
+		if fleet.ValidName(l.Target) && fleet.ValidStart(l.Born, now) {
+			return false
+		}
+		d.ignoreEntry("row_ignored", "peer", "leaving", l.Born, errs.New(errs.InvalidMessage, "the name or start of a target that leaves is invalid"))
+		return true
+	})
+	d.deployment.mergeLeaving(delta)
+}
 
 func (d *Daemon) rateLimits() map[string]float64 { return d.deployment.rateLimits() }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
 )
 
@@ -165,13 +168,31 @@
 	}
 }
 
-// applyUpdate applies an update received from another VM.
+// checkVersion returns why an announcement that another VM has sent can't be used.
+func checkVersion(v grouprpc.AdapterVersion) error {
+	if !fleet.ValidName(v.Adapter.Model) || !fleet.ValidName(v.Adapter.Name) || v.Version < 1 || !fleet.ValidVersion(v.Version) || v.Revision < 0 || v.Revision > fleet.MaxVersion {
+		return errs.New(errs.InvalidMessage, "an announcement of "+strconv.Quote(v.Adapter.Name)+" has the version "+strconv.FormatInt(v.Version, 10))
+	}
+	return nil
+}
+
+// applyUpdate applies an update received from another VM. A row that can't be used hides no
+// others.
 func (d *Daemon) applyUpdate(n *grouprpc.DeploymentUpdate) {
 	d.applyConfigUpdate(&n.Config)
+	var ignored []error
+	n.Targets.Rows, ignored = fleet.CheckRows(time.Now(), n.Targets.Rows)
+	for _, err := range ignored {
+		d.ignoreEntry("row_ignored", "peer", d.kinds.Targets, n.Targets.AsOf, err)
+	}
 	if d.deployment.applyTargets(n.Targets) {
 		d.publishFleet(sourceRelay)
 	}
 	for _, v := range n.Versions.Rows {
+		if err := checkVersion(v); err != nil {
+			d.ignoreEntry("row_ignored", "peer", d.kinds.Versions, v.Revision, err)
+			continue
+		}
 		d.setVersion(v)
 	}
 	d.versions.advance(n.Versions.Since, n.Versions.AsOf)
--- a/internal/fleet/bounds.go
+++ b/internal/fleet/bounds.go
@@ -50,7 +50,7 @@
 		return invalidTarget(t.ID, "data centre")
 	case t.Slots < 1 || t.Slots > MaxSlots:
 		return invalidTarget(t.ID, "number of slots, "+strconv.Itoa(t.Slots))
-	case t.Born < 0 || t.Born > now.Add(MaxStartAhead).UnixMilli():
+	case !ValidStart(t.Born, now):
 		return invalidTarget(t.ID, "start, "+strconv.FormatInt(t.Born, 10))
 	case t.Sequence < 0 || t.Sequence > MaxSequence:
 		return invalidTarget(t.ID, "sequence, "+strconv.FormatInt(t.Sequence, 10))
@@ -98,3 +98,29 @@
 // ValidVersion reports whether a number can be a version of a model or adapter, or 0 for an
 // unknown one.
 func ValidVersion(version int64) bool { return version >= 0 && version <= MaxVersion }
+
+// ValidStart reports whether a number can be the start of a target in Unix milliseconds, or 0 for
+// an unknown one.
+func ValidStart(born int64, now time.Time) bool {
+	return born >= 0 && born <= now.Add(MaxStartAhead).UnixMilli()
+}
+
+// CheckRows returns the rows that another VM has sent as they can be used, and why others can't. A
+// target that can't be used is missing, as if its description were read here.
+func CheckRows(now time.Time, rows []Row) (usable []Row, ignored []error) {
+	for _, row := range rows {
+		if !ValidName(row.Target.ID) || row.Revision < 0 || row.Revision > MaxVersion {
+			ignored = append(ignored, invalidTarget(row.Target.ID, "name or revision, "+strconv.FormatInt(row.Revision, 10)))
+			continue
+		}
+		row.Kept = max(0, min(row.Kept, reregistrationGrace))
+		if !row.Missing || row.Kept > 0 {
+			if err := row.Target.Check(now); err != nil {
+				ignored = append(ignored, err)
+				row.Missing, row.Kept, row.Target = true, 0, Target{ID: row.Target.ID}
+			}
+		}
+		usable = append(usable, row)
+	}
+	return usable, ignored
+}
--- a/internal/groupclient/client.go
+++ b/internal/groupclient/client.go
@@ -118,6 +118,8 @@
 	CountAgainstLimit func(target string)
 	// Quarantine is the table of parts that crash targets. VMs exchange it with their calls.
 	Quarantine Quarantine
+	// Contain, deferred, reports a panic while a reply of an owner is applied. Nil contains none.
+	Contain func(place string, failure *error)
 	// ConfigVersion returns the version of the configuration in force here.
 	ConfigVersion func() uint64
 }
--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -4,11 +4,15 @@
 	"context"
 	"time"
 
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/ratelimit"
 )
 
+// maxVMs is more VMs than any deployment has. Limits and budgets are divided by their number.
+const maxVMs = 1 << 16
+
 // updateOwners updates the owners of the groups from the group manager.
 func (c *Client) updateOwners() {
 	status := c.opt.Groups.Status()
@@ -91,14 +95,7 @@
 	var reply grouprpc.SyncReply
 	err := c.opt.Peers.Call(ctx, address, grouprpc.SyncMethod, request, &reply)
 	if err == nil {
-		c.opt.HandlePeerRevisions(reply.Seen)
-		c.opt.Quarantine.Merge(reply.Quarantine)
-		c.opt.MergeLeaving(reply.LeavingTargets)
-		if reply.NotOwner {
-			c.opt.Groups.SetRecord(request.Group, reply.Record, reply.At)
-		} else {
-			c.opt.HandleReply(owner, address, &reply)
-		}
+		c.applyReply(request.Group, owner, address, &reply)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +120,7 @@
 	}
 	c.ownerResponded(o)
 	now := c.now()
-	o.report = ownerReport{receivedAt: now, vms: reply.VMs, rank: reply.Rank, backlog: reply.Backlog}
+	o.report = ownerReport{receivedAt: now, vms: max(0, min(reply.VMs, maxVMs)), rank: max(0, min(reply.Rank, maxVMs)), backlog: max(0, min(reply.Backlog, fleet.MaxDuration))}
 	o.applySync(reply)
 	c.estimateVMs(now)
 	c.opt.Groups.OwnerResponded(o.name, epoch, &reply)
@@ -132,6 +129,23 @@
 	}
 }
 
+// applyReply applies what a reply tells of the deployment. The owner has answered, whatever that
+// is.
+func (c *Client) applyReply(group, owner, address string, reply *grouprpc.SyncReply) {
+	if c.opt.Contain != nil {
+		var failure error // Contain reports it
+		defer c.opt.Contain("sync_reply", &failure)
+	}
+	c.opt.HandlePeerRevisions(reply.Seen)
+	c.opt.Quarantine.Merge(reply.Quarantine)
+	c.opt.MergeLeaving(reply.LeavingTargets)
+	if reply.NotOwner {
+		c.opt.Groups.SetRecord(group, reply.Record, reply.At)
+	} else {
+		c.opt.HandleReply(owner, address, reply)
+	}
+}
+
 // ownerCallFailed records a failed sync call. The waits at the owner are cancelled, so
 // that their requests go to other owners or targets. The caller holds the lock.
 func (c *Client) ownerCallFailed(o *ownerState) {
