edge: A panic over one object of the store hides no other

A panic while an object was handled ended the follower's goroutine, which began anew with a list that held the same object, and so on: the VM no longer followed the kind.

Evidence: without the guards TestPanicOverAnObjectHidesNoOther ends with the panic.

Each object of the configuration's, the versions' and the groups' kinds is handled behind a guard of its own, like each description of a target since, and the revision counts in any case.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -118,8 +118,13 @@
 
 // newObjectHandler returns a handler of a kind that applies each object by itself.
 func (d *Daemon) newObjectHandler(kind string, apply func(objectstore.Object), advance func(since, asOf int64)) kindwatch.Handler {
+	contained := func(o objectstore.Object) {
+		var failure error // contain reports it
+		defer d.contain("object", &failure)
+		apply(o)
+	}
 	return &objectHandler{
-		apply: apply, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) },
+		apply: contained, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) },
 		ignore: func(o objectstore.Object) { d.ignoreObject("entry_ignored", o, o.Invalid) },
 	}
 }
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -314,6 +314,7 @@
 // setObject sets the record or layout that an object holds. It returns the record, if
 // the object holds one. What is known of a group stays when its object becomes invalid.
 func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
+	defer m.contain("object")
 	if o.Invalid != nil {
 		return tenure.Record{}, false
 	}
