--- a/internal/edge/fields.go
+++ b/internal/edge/fields.go
@@ -50,4 +50,5 @@
 	fieldEraBefore    = "era_before"
 	fieldRevision     = "revision"
 	fieldMissing      = "missing"
+	fieldEntry        = "entry"
 )
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/gateway"
 	"cicadaslip/internal/metrics"
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/placer"
 	"cicadaslip/internal/tenure"
 )
@@ -55,7 +57,18 @@
 	return d.deployment.leavingSince(version, own)
 }
 
-func (d *Daemon) mergeLeaving(delta advisory.Delta) { d.deployment.mergeLeaving(delta) }
+// mergeLeaving passes on what another VM has heard, without what can't be used.
+func (d *Daemon) mergeLeaving(delta advisory.Delta) {
+	now := time.Now()
+	delta.Leaving = slices.DeleteFunc(slices.Clone(delta.Leaving), func(l advisory.LeavingTarget) bool {
+		if fleet.ValidName(l.Target) && fleet.ValidStart(l.Born, now) {
+			return false
+		}
+		d.ignoreEntry("row_ignored", "peer", "leaving", 0, errs.New(errs.InvalidMessage, "a target that leaves has an invalid name, or the start "+strconv.FormatInt(l.Born, 10)))
+		return true
+	})
+	d.deployment.mergeLeaving(delta)
+}
 
 func (d *Daemon) rateLimits() map[string]float64 { return d.deployment.rateLimits() }
 
@@ -92,6 +105,11 @@
 		Bool("released", r.Released).Str(fieldAction, string(action)).Err(err).Send()
 }
 
+// ObjectIgnored implements groupserver.Observer.
+func (o groupObserver) ObjectIgnored(object objectstore.Object, err error) {
+	o.d.ignoreObject("group_ignored", object, err)
+}
+
 // Ordered implements groupserver.Observer. Polls for the end of a load, and unloads of
 // adapters, are logged at debug level if they had the expected result. All other orders
 // are logged at info level.
@@ -117,6 +135,11 @@
 	o.d.log.Info().Str(fieldEvent, "report").Str(fieldGroup, group).Str(fieldTarget, target).Err(err).Send()
 }
 
+// ReportPartIgnored implements groupserver.Observer.
+func (o groupObserver) ReportPartIgnored(target string, err error) {
+	o.d.ignoreEntry("report_part_ignored", "report", target, 0, err)
+}
+
 // Granted implements groupserver.Observer.
 func (o groupObserver) Granted(group string, epoch int64, command placer.GrantRequest) {
 	o.d.metrics.Add(metrics.EdgeGrants, 1)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"cicadaslip/internal/errs"
+	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
+	"cicadaslip/internal/objectstore"
 )
 
 const (
@@ -167,13 +171,31 @@
 	}
 }
 
-// applyUpdate applies an update received from another VM.
+// checkVersion returns why an announcement that another VM has sent can't be used.
+func checkVersion(v grouprpc.AdapterVersion, asOf objectstore.Position) error {
+	if !fleet.ValidName(v.Adapter.Model) || !fleet.ValidName(v.Adapter.Name) || v.Version < 1 || !fleet.ValidVersion(v.Version) || v.Revision < 0 || v.Revision.Era() > asOf.Era() {
+		return errs.New(errs.InvalidMessage, "an announcement of "+strconv.Quote(v.Adapter.Name)+" has the version "+strconv.FormatInt(v.Version, 10))
+	}
+	return nil
+}
+
+// applyUpdate applies an update received from another VM. A row that can't be used hides no
+// others.
 func (d *Daemon) applyUpdate(n *grouprpc.DeploymentUpdate) {
 	d.applyConfigUpdate(&n.Config)
+	var ignored []error
+	n.Targets.Rows, ignored = fleet.CheckRows(time.Now(), n.Targets.AsOf, n.Targets.Rows)
+	for _, err := range ignored {
+		d.ignoreEntry("row_ignored", "peer", d.kinds.Targets, n.Targets.AsOf, err)
+	}
 	if d.deployment.applyTargets(n.Targets) {
 		d.publishFleet(sourceRelay)
 	}
 	for _, v := range n.Versions.Rows {
+		if err := checkVersion(v, n.Versions.AsOf); err != nil {
+			d.ignoreEntry("row_ignored", "peer", d.kinds.Versions, v.Revision, err)
+			continue
+		}
 		d.setVersion(v)
 	}
 	d.versions.advance(n.Versions.Since, n.Versions.AsOf)
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -48,7 +48,7 @@
 	DecodeConfig func(value []byte) (*fleet.Config, error)
 	DecodeTarget func(id string, value []byte) (fleet.Target, error)
 	// DecodeVersion returns an adapter and its announced version.
-	DecodeVersion func(value []byte) (placer.Adapter, int64, error)
+	DecodeVersion func(name string, value []byte) (placer.Adapter, int64, error)
 }
 
 // storeHealth tracks whether calls to the store fail.
@@ -118,7 +118,15 @@
 
 // newObjectHandler returns a handler of a kind that applies each object by itself.
 func (d *Daemon) newObjectHandler(kind string, apply func(objectstore.Object), advance func(since, asOf objectstore.Position)) kindwatch.Handler {
-	return &objectHandler{apply: apply, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) }}
+	contained := func(o objectstore.Object) {
+		var failure error // contain reports it
+		defer d.contain("object", &failure)
+		apply(o)
+	}
+	return &objectHandler{
+		apply: contained, advance: advance, recordStoreCall: func(err error) { d.recordStoreCall(kind, err) },
+		ignore: func(o objectstore.Object) { d.ignoreObject("entry_ignored", o, o.Invalid) },
+	}
 }
 
 // newestRevisions returns the newest position of an object that this VM has seen of each
@@ -160,18 +168,20 @@
 	d.checkCaughtUp()
 }
 
-// objectHandler applies each object of a kind by itself and ignores removals. It
-// implements kindwatch.Handler.
+// objectHandler applies each object of a kind by itself and ignores removals. What is known
+// of an object stays in force when its entry becomes invalid. It implements
+// kindwatch.Handler.
 type objectHandler struct {
 	apply           func(objectstore.Object)
 	advance         func(since, asOf objectstore.Position) // records that all changes between two positions have been applied
-	recordStoreCall func(error)                            // records the result of a call to the store
+	ignore          func(objectstore.Object)
+	recordStoreCall func(error) // records the result of a call to the store
 }
 
 // Replace implements kindwatch.Handler.
 func (h *objectHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
 	for _, o := range objects {
-		h.apply(o)
+		h.applyOne(o)
 	}
 	h.advance(0, at)
 }
@@ -180,12 +190,20 @@
 func (h *objectHandler) Change(changes []objectstore.Change, at objectstore.Position) {
 	for _, c := range changes {
 		if !c.Deleted {
-			h.apply(c.Object)
+			h.applyOne(c.Object)
 		}
 	}
 	h.advance(0, at)
 }
 
+func (h *objectHandler) applyOne(o objectstore.Object) {
+	if o.Invalid != nil {
+		h.ignore(o)
+		return
+	}
+	h.apply(o)
+}
+
 // StoreCalled implements kindwatch.Handler.
 func (h *objectHandler) StoreCalled(err error) { h.recordStoreCall(err) }
 
@@ -201,9 +219,12 @@
 func (d *Daemon) applyConfig(value []byte, at objectstore.Position, source string) {
 	c, err := d.kinds.DecodeConfig(value)
 	if err != nil {
-		d.log.Error().Err(err).Str(fieldEvent, "config_rejected").Str(fieldSource, source).Send()
+		d.ignoreEntry("config_rejected", d.kinds.Config, d.kinds.MainConfigKey, at, err)
 		return
 	}
+	for _, part := range c.Ignored {
+		d.ignoreEntry("config_part_ignored", d.kinds.Config, d.kinds.MainConfigKey, at, part)
+	}
 	d.config.set(value, c.Version, at)
 	if !d.deployment.setConfig(c) {
 		return
@@ -222,13 +243,19 @@
 // Replace implements kindwatch.Handler.
 func (h *targetHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
 	var targets []fleet.StoredTarget
+	var invalid []string
 	for _, o := range objects {
 		if t, ok := h.decode(o); ok {
 			targets = append(targets, t)
+		} else {
+			invalid = append(invalid, objectName(o.Key))
 		}
 	}
 	h.d.deployment.updateRegistry(func(r *fleet.Registry, now time.Time) {
 		r.Replace(now, targets, at)
+		for _, id := range invalid {
+			r.Withdraw(now, id, at)
+		}
 		h.d.deployment.targetsListed = true
 	})
 	h.d.publishFleet(sourceStore)
@@ -248,6 +275,8 @@
 			}
 			if t, ok := h.decode(c.Object); ok {
 				r.Put(now, t)
+			} else {
+				r.Withdraw(now, objectName(c.Object.Key), at)
 			}
 		}
 		r.AdvanceTo(at)
@@ -255,14 +284,27 @@
 	h.d.publishFleet(sourceStore)
 }
 
-// decode decodes the description of a target. It logs descriptions that are invalid.
-func (h *targetHandler) decode(o objectstore.Object) (fleet.StoredTarget, bool) {
-	t, err := h.d.kinds.DecodeTarget(objectName(o.Key), o.Value)
-	if err != nil {
-		h.d.log.Warn().Err(err).Str(fieldEvent, "target_ignored").Str(fieldTarget, objectName(o.Key)).Send()
-		return fleet.StoredTarget{}, false
+// decode decodes the description of a target. It returns false for one that can't be used,
+// also if its decoder panics.
+func (h *targetHandler) decode(o objectstore.Object) (t fleet.StoredTarget, ok bool) {
+	var err error
+	defer func() {
+		if err != nil {
+			h.d.ignoreObject("target_ignored", o, err)
+			t, ok = fleet.StoredTarget{}, false
+		}
+	}()
+	defer h.d.contain("target", &err)
+	if o.Invalid != nil {
+		err = o.Invalid
+		return t, false
+	}
+	t.Revision = o.Position()
+	t.Target, err = h.d.kinds.DecodeTarget(objectName(o.Key), o.Value)
+	if err == nil && !h.d.deployment.knowsService(t.Target.Service) { // a later configuration may name it
+		h.d.ignoreObject("target_ignored", o, errs.New(errs.InvalidMessage, "no service of the configuration has the name "+t.Target.Service))
 	}
-	return fleet.StoredTarget{Target: t, Revision: o.Position()}, true
+	return t, err == nil
 }
 
 // StoreCalled implements kindwatch.Handler.
@@ -277,15 +319,20 @@
 
 // objectName returns the name of an object: its key without the kind.
 func objectName(key string) string {
-	_, name, _ := strings.Cut(key, "/")
+	_, name := splitKey(key)
 	return name
 }
 
+func splitKey(key string) (kind, name string) {
+	kind, name, _ = strings.Cut(key, "/")
+	return kind, name
+}
+
 // handleVersionObject applies an announced version of an adapter.
 func (d *Daemon) handleVersionObject(o objectstore.Object) {
-	a, version, err := d.kinds.DecodeVersion(o.Value)
+	a, version, err := d.kinds.DecodeVersion(objectName(o.Key), o.Value)
 	if err != nil {
-		d.log.Warn().Err(err).Str(fieldEvent, "version_ignored").Send()
+		d.ignoreObject("version_ignored", o, err)
 		return
 	}
 	d.setVersion(grouprpc.AdapterVersion{Adapter: a, Version: version, Revision: o.Position()})
@@ -307,6 +354,9 @@
 
 // Replace implements kindwatch.Handler.
 func (h *groupHandler) Replace(objects []objectstore.Object, at objectstore.Position) {
+	for _, o := range objects {
+		h.ignoreInvalid(o)
+	}
 	others := slices.DeleteFunc(objects, h.d.quarantine.takeObject)
 	if len(others) == len(objects) {
 		h.d.quarantine.handleAbsence(at)
@@ -316,8 +366,17 @@
 
 // Change implements kindwatch.Handler.
 func (h *groupHandler) Change(changes []objectstore.Change, at objectstore.Position) {
+	for _, c := range changes {
+		h.ignoreInvalid(c.Object)
+	}
 	h.d.groups.Change(slices.DeleteFunc(changes, h.d.quarantine.takeChange), at)
 }
 
+func (h *groupHandler) ignoreInvalid(o objectstore.Object) {
+	if o.Invalid != nil {
+		h.d.ignoreObject("entry_ignored", o, o.Invalid)
+	}
+}
+
 // StoreCalled implements kindwatch.Handler.
 func (h *groupHandler) StoreCalled(err error) { h.d.recordStoreCall(groupserver.Kind, err) }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// Withdraw removes a target whose description, as of a position, can't be used. Unlike one whose
+// description is missing, it has not lapsed in an outage of the store and is not kept.
+func (r *Registry) Withdraw(now time.Time, id string, at objectstore.Position) {
+	if id == "" {
+		return
+	}
+	r.Remove(now, id, at)
+	if e := r.rows[id]; e.Missing {
+		e.retainUntil = time.Time{}
+	}
+}
+
 // Replace replaces the table by the full list of targets that was read at a position.
 func (r *Registry) Replace(now time.Time, targets []StoredTarget, at objectstore.Position) {
 	r.enterEra(now, at)
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -38,13 +38,16 @@
 // Its methods must not block.
 type Observer interface {
 	// GroupChanged is called with NoAction when a record with another epoch or release
-	// is seen, with the action and its result after each action of this VM, and with
-	// the error when an object of a group or layout cannot be used.
+	// is seen, and with the action and its result after each action of this VM.
 	GroupChanged(group string, record tenure.Record, action tenure.Action, err error)
+	// ObjectIgnored is called with an object of a group or layout that can't be used.
+	ObjectIgnored(o objectstore.Object, err error)
 	// Ordered is called with the result of an order and the time that it took.
 	Ordered(group string, epoch int64, order placer.Order, result placer.OrderResult, took time.Duration)
 	// Reported is called when a report of a target was received or has failed.
 	Reported(group, target string, err error)
+	// ReportPartIgnored is called with a part of a target's report that can't be read.
+	ReportPartIgnored(target string, err error)
 	// Granted and Refused are called with the core's decisions on requests.
 	Granted(group string, epoch int64, command placer.GrantRequest)
 	Refused(group string, epoch int64, command placer.RefuseRequest)
@@ -297,7 +300,7 @@
 
 // SetRecord sets a group's record that was received from another VM.
 func (m *Manager) SetRecord(group string, r tenure.Record, version objectstore.Position) {
-	if g := m.lookup(group); g != nil && r.Epoch > 0 {
+	if g := m.lookup(group); g != nil && r.Check() == nil {
 		g.setRecord(r, version)
 	}
 }
@@ -347,16 +350,20 @@
 }
 
 // setObject sets the record or layout that an object holds. It returns the record, if
-// the object holds one.
+// the object holds one. What is known of a group stays when its object becomes invalid.
 func (m *Manager) setObject(o objectstore.Object) (tenure.Record, bool) {
+	defer m.contain("object")
+	if o.Invalid != nil {
+		return tenure.Record{}, false
+	}
 	name, _ := parseObjectKey(o.Key)
 	if service, found := strings.CutPrefix(name, layoutPrefix); found {
-		m.setLayout(service, o.Value, o.Position())
+		m.setLayout(service, o)
 		return tenure.Record{}, false
 	}
-	var r tenure.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		m.opt.Observer.GroupChanged(name, r, tenure.NoAction, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group"))
+	r, err := decodeRecord(o)
+	if err != nil {
+		m.opt.Observer.ObjectIgnored(o, err)
 		return tenure.Record{}, false
 	}
 	m.mu.Lock()
@@ -366,6 +373,16 @@
 	return r, true
 }
 
+func decodeRecord(o objectstore.Object) (r tenure.Record, err error) {
+	if name, _ := parseObjectKey(o.Key); !isGroupName(name) {
+		return r, errs.New(errs.InvalidMessage, "the object is no group's")
+	}
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return r, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group")
+	}
+	return r, r.Check()
+}
+
 const (
 	// checkInterval is the time between two checks of all groups.
 	checkInterval = 50 * time.Millisecond
--- a/internal/objectstore/position.go
+++ b/internal/objectstore/position.go
@@ -10,7 +10,8 @@
 	// revisionBits is the number of bits of a Position that hold the revision: at 1,000
 	// writes per second it lasts for 34 years.
 	revisionBits = 40
-	maxRevision  = 1<<revisionBits - 1
+	// MaxRevision is the largest revision that a Position can hold.
+	MaxRevision = 1<<revisionBits - 1
 	// MaxEra is the largest era that a Position can hold.
 	MaxEra = 1<<(63-revisionBits) - 1
 	// FirstEra is the era of a store that was never restored from a copy. A store that
@@ -27,7 +28,7 @@
 
 // NewPosition returns the position of a revision in an era.
 func NewPosition(era, revision int64) (Position, error) {
-	if era < 0 || era > MaxEra || revision < 0 || revision > maxRevision {
+	if era < 0 || era > MaxEra || revision < 0 || revision > MaxRevision {
 		return 0, errs.New(errs.InvalidMessage, "era "+strconv.FormatInt(era, 10)+" or revision "+strconv.FormatInt(revision, 10)+" is out of range")
 	}
 	return Position(era<<revisionBits | revision), nil
@@ -37,7 +38,7 @@
 func (p Position) Era() int64 { return int64(p) >> revisionBits }
 
 // Revision returns the revision, which is only meaningful in the position's era.
-func (p Position) Revision() int64 { return int64(p) & maxRevision }
+func (p Position) Revision() int64 { return int64(p) & MaxRevision }
 
 // Position returns the position of the last write of the object.
 func (o *Object) Position() Position { return Position(o.Revision) }
