soak: The store comes back from older copies

The operator and the targets write again what was lost, at once or within 3 s, in any order.

New checks: 404 for the newest configuration later than config_apply_ms (2.5 s; with outer_ms, 6 s, where the store was disturbed before) after its acknowledgement in the current era; no epoch has two owners, at any targets; after the last fault a configuration is written to the stable store and must be in force in time.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	Seeds       int    `long:"seeds" default:"1" description:"number of seeds"`
 	Seconds     int    `long:"seconds" default:"12" description:"duration of the fault injection in a run, in seconds"`
 	Planned     bool   `long:"planned" description:"no other faults than silent targets, changed configurations, SIGHUP and SIGTERM"`
+	Restores    bool   `long:"restores" description:"the store comes back from older copies in all seeds, not in one of four"`
 	VMs         int    `long:"processes" default:"4" description:"number of entry VMs in a run"`
 	Concurrency int    `long:"at-once" default:"2" description:"number of concurrent runs"`
 	LogDir      string `long:"keep" default:"soak-logs" description:"directory for the logs of runs with violations"`
@@ -64,7 +65,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	result, err := soak.Run(soak.Options{Seed: seed, Seconds: o.Seconds, VMs: o.VMs, Planned: o.Planned, Program: o.Program, Dir: dir})
+	result, err := soak.Run(soak.Options{Seed: seed, Seconds: o.Seconds, VMs: o.VMs, Planned: o.Planned, Restores: o.Restores, Program: o.Program, Dir: dir})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "seed", seed, err)
 		return false
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -27,7 +27,8 @@
 	written  time.Time // the last byte of the request, zero if it was not sent whole
 	head     time.Time // of the answer, zero if there was none
 	done     time.Time
-	config   int // of a probe: the version whose route was asked for
+	config   int       // of a probe: the version whose route was asked for
+	configAt time.Time // of a probe: when the store had acknowledged that version, zero if it has lost it
 }
 
 func (a answer) String() string {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -100,7 +100,7 @@
 	t.Crash()
 	r.engines = append(r.engines[:i], r.engines[i+1:]...)
 	return func() {
-		r.store.Remove("servers", t.Settings.ID)
+		r.removeEntry(t)
 		_ = r.addEngine(i) // the run shows that it is missing
 	}
 }
@@ -113,7 +113,7 @@
 	_ = t.Leave()
 	r.engines = append(r.engines[:i], r.engines[i+1:]...)
 	time.AfterFunc(5*time.Second, func() {
-		r.store.Remove("servers", t.Settings.ID)
+		r.removeEntry(t)
 		t.Crash()
 	})
 	return nil
@@ -121,14 +121,22 @@
 
 func (r *run) announce(rng *rand.Rand) func() {
 	name := fmt.Sprintf("a%d", rng.IntN(adapters))
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.versions[name] = max(1, r.versions[name]) + 1
 	for _, t := range r.engines {
 		t.Announce(name, r.versions[name])
 	}
-	_ = r.store.Put("versions", model+"."+name, map[string]any{"model": model, "adapter": name, "version": r.versions[name]})
+	r.writeVersion(name)
 	return nil
 }
 
+// writeVersion writes the newest version of an adapter. The caller holds the lock.
+func (r *run) writeVersion(name string) {
+	spec := map[string]any{"model": model, "adapter": name, "version": r.versions[name]}
+	_ = r.store.Put("versions", model+"."+name, spec) // cannot fail on a value of this package
+}
+
 // series is a sequence of faults, with a schedule of its own.
 type series struct {
 	kinds []fault
@@ -170,7 +178,11 @@
 	if r.options.Planned {
 		return calm
 	}
-	return append(calm, &series{kinds: faults, rng: r.rng, pause: maxPause})
+	all := append(calm, &series{kinds: faults, rng: r.rng, pause: maxPause})
+	if r.options.Restores || seed%restoringSeeds == 0 {
+		all = append(all, &series{kinds: restoreFaults, rng: rand.New(rand.NewPCG(seed, seed+5)), pause: 4 * maxPause})
+	}
+	return all
 }
 
 // disturb injects faults for a time. They come in series and overlap.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,7 +54,9 @@
 	VMs     int    // processes
 	Program string // cicadaslipd
 	Dir     string // for settings and logs
-	Planned bool   // no other faults than silences, changes of the configuration, SIGHUP and SIGTERM
+	// Restores lets the store come back from older copies. Without it, some seeds do so.
+	Restores bool
+	Planned  bool // no other faults than silences, changes of the configuration, SIGHUP and SIGTERM
 }
 
 // Result is the report of a run.
@@ -85,6 +87,9 @@
 	apps     []*engine.Target
 	others   []*engine.Target // of the second plain service
 	config   int
+	written  map[string]any  // the configuration with number config
+	configAt time.Time       // when the store had acknowledged that number, zero while it has lost it
+	removed  map[string]bool // targets whose entries were removed
 	terms    terms
 	limits   map[*engine.Target]*limited
 	versions map[string]int64
@@ -94,7 +99,7 @@
 
 func newRun(o Options) *run {
 	r := &run{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), checker: newChecker(), versions: map[string]int64{}, faults: map[string]int{},
+		options: o, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), checker: newChecker(), versions: map[string]int64{}, removed: map[string]bool{}, faults: map[string]int{},
 		limits: map[*engine.Target]*limited{},
 	}
 	r.terms = firstTerms(r)
@@ -118,6 +123,7 @@
 	r.rolls.Wait()
 	r.heal()
 	r.awaitService()
+	r.checkNewConfig()
 	cancel()
 	wait.Wait()
 	r.checker.finish(r.allTargets())
@@ -127,6 +133,8 @@
 	r.checkReportedLeaving()
 	r.checkPauses()
 	r.checkLimits()
+	r.checkConfigs()
+	r.checkOwners()
 	return r.result(), nil
 }
 
@@ -254,7 +262,7 @@
 	for n := 1; n <= r.config; n++ {
 		routes = append(routes, r.route(fmt.Sprintf("probe%d", n), "idempotent", plainService, false))
 	}
-	return r.store.Put("config", "main", map[string]any{
+	r.written = map[string]any{
 		"version": r.config, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "llm", "max_connections": 200, "engine": map[string]any{
@@ -265,7 +273,12 @@
 			map[string]any{"name": otherService, "max_connections": 200},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": r.terms.idle.Milliseconds()},
-	})
+	}
+	if err := r.store.Put("config", "main", r.written); err != nil {
+		return err
+	}
+	r.configAt = time.Now()
+	return nil
 }
 
 // call sends requests until ctx ends. Its connections stay open until the process
@@ -353,7 +366,7 @@
 	path := "/" + kind + "/x"
 	if kind == kindProbe {
 		r.mu.Lock()
-		a.config = r.config
+		a.config, a.configAt = r.config, r.configAt
 		r.mu.Unlock()
 		path = fmt.Sprintf("/probe%d/x", a.config)
 	}
@@ -424,7 +437,7 @@
 	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
-	r.checker.fail("%s %s is not served %v after the last fault", v.name, kind, calm)
+	r.checker.fail("%s %s is not served in time after the last fault, until %s", v.name, kind, end.Format(clock))
 }
 
 func (r *run) result() Result {
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -72,7 +72,7 @@
 		time.AfterFunc(delay, func() { _ = t.Leave() })
 	}
 	time.AfterFunc(farewell, func() {
-		r.store.Remove("servers", t.Settings.ID)
+		r.removeEntry(t)
 		t.End(lastRuns)
 	})
 	return nil
