edgetest: Targets and owners of a lost history

A target that registered in the lost history and again after the restore: its removal from the store is ignored by VMs on which its revision is higher (20 requests later than drain_ms after it), and its next process is not used for 30 s. A group whose owner ends after the restore: nobody can take it over, because the conflict with the older record counts as the answer to another call; callers get 503 for 30 s.

--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -540,3 +540,85 @@
 	c.awaitProbe(3, configBound, "written to the stable store")
 	c.g.Expect(strings.Count(c.logs.text(), `"level":"error"`)).To(gomega.BeZero())
 }
+
+// Guards against changes of a target that are ignored after a restore, because their revision is
+// lower than the one at which the target was known in the lost history.
+func TestChangesOfATargetFromALostHistoryAreNoticed(t *testing.T) {
+	settings := engine.Settings{ID: "late", Service: app, Zone: dataCentres[0], Slots: 6, Pause: 5 * time.Millisecond}
+	registered := func(t *testing.T) (*cluster, *engine.Target) {
+		c := start(t, 5)
+		c.awaitFollowers()
+		copied := c.store.Snapshot()
+		c.loseHistory(1)
+		late := c.target(settings)
+		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(late.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+		c.restore(copied)
+		c.configureAgain()
+		c.rewrite()
+		c.g.Expect(late.Beat()).To(gomega.Succeed())
+		time.Sleep(stabilityWindow)
+		return c, late
+	}
+	ask := func(c *cluster, d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); {
+			c.statuses(lookup + "x")
+		}
+	}
+	t.Run("leaves", func(t *testing.T) {
+		c, late := registered(t)
+		c.g.Expect(late.Leave()).To(gomega.Succeed())
+		left := time.Now()
+		ask(c, drainBound+2*time.Second)
+		c.g.Expect(runsAfter(late, left.Add(drainBound))).To(gomega.BeEmpty())
+	})
+	t.Run("entry_removed", func(t *testing.T) {
+		c, late := registered(t)
+		c.store.Remove("servers", late.Settings.ID)
+		left := time.Now()
+		ask(c, drainBound+2*time.Second)
+		c.g.Expect(runsAfter(late, left.Add(drainBound))).To(gomega.BeEmpty())
+	})
+	t.Run("starts_anew_elsewhere", func(t *testing.T) {
+		c, late := registered(t)
+		late.Crash()
+		time.Sleep(2 * time.Millisecond) // its time of start differs
+		next := c.target(settings)
+		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(next.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+	})
+}
+
+// Guards against a group that nobody can take over after a restore, because its record has a
+// lower revision than the one that the VMs know.
+func TestKilledOwnerIsReplacedAfterARestore(t *testing.T) {
+	c := start(t, 5)
+	c.awaitFollowers()
+	copied := c.store.Snapshot()
+	for range lostWrites {
+		c.configureProbes(1)
+	}
+	c.stopVM(c.owner())
+	c.g.Eventually(c.owner).WithTimeout(limit).ShouldNot(gomega.BeNil())
+	time.Sleep(followTime)
+	c.restore(copied)
+	c.configureAgain()
+	c.rewrite()
+	time.Sleep(stabilityWindow)
+	owner := c.owner()
+	c.g.Expect(owner).NotTo(gomega.BeNil(), "an owner after the restore")
+	owner.daemon.Kill()
+	for i, v := range c.vms {
+		if v == owner {
+			c.vms = append(append([]*vm{}, c.vms[:i]...), c.vms[i+1:]...)
+			break
+		}
+	}
+	n := 50
+	for _, v := range c.vms {
+		c.g.Eventually(func() int {
+			n++
+			return c.ask(v, request{path: quote + "x", adapter: fmt.Sprintf("a%d", n)}).status
+		}).WithTimeout(limit).Should(gomega.Equal(http.StatusOK), "an adapter that has to be loaded")
+	}
+	c.checkEpochs()
+	c.g.Eventually(c.owners).WithTimeout(limit).Should(gomega.Equal(1), "owners")
+}
