--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -179,7 +179,7 @@
 		return calm
 	}
 	all := append(calm, &series{kinds: faults, rng: r.rng, pause: maxPause})
-	if r.options.Restores || seed%restoringSeeds == 0 {
+	if r.restores() {
 		all = append(all, &series{kinds: restoreFaults, rng: rand.New(rand.NewPCG(seed, seed+5)), pause: 4 * maxPause})
 	}
 	return all
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -18,12 +18,20 @@
 	maxCopyAge = 10 * time.Second
 	// maxRewriteDelay is the longest time after a restore until a writer notices the loss.
 	maxRewriteDelay = 3 * time.Second
+	// lostConfigs and the number of targets is how many configurations a restore undoes at the
+	// end of a run.
+	lostConfigs = 20
 	// configBound is the time in which a configuration is in force at VMs in touch, and
 	// outerBound what is added where the store has been disturbed before.
 	configBound = 2500 * time.Millisecond
 	outerBound  = 6 * time.Second
 )
 
+// restores reports whether the store comes back from older copies in this run.
+func (r *run) restores() bool {
+	return !r.options.Planned && (r.options.Restores || r.options.Seed%restoringSeeds == 0)
+}
+
 var restoreFaults = []fault{{"restore", (*run).restoreStore}}
 
 // restoreStore takes the store away. It comes back from an older copy, and the operator and the
@@ -36,23 +44,43 @@
 	}
 	age := minCopyAge + time.Duration(rng.Int64N(int64(maxCopyAge-minCopyAge)))
 	return func() {
-		r.mu.Lock()
-		r.store.Restore(age)
-		r.configAt = time.Time{}
-		writers := []func(){r.rewriteConfig, r.rewriteVersions}
-		for _, t := range r.allTargets() {
-			writers = append(writers, func() { r.rewriteEntry(t) })
-		}
-		r.mu.Unlock()
-		r.store.SetFault(metastore.None)
+		r.comeBack(rng, func() { r.store.Restore(age) })
 		end()
-		slowest := time.Duration(rng.IntN(2)) * maxRewriteDelay
-		for _, write := range writers {
-			time.AfterFunc(time.Duration(rng.Int64N(int64(slowest)+1)), write)
-		}
 	}
 }
 
+// comeBack ends an absence of the store with an older copy. What was lost is written again.
+func (r *run) comeBack(rng *rand.Rand, restore func()) {
+	r.mu.Lock()
+	restore()
+	r.configAt = time.Time{}
+	writers := []func(){r.rewriteConfig, r.rewriteVersions}
+	for _, t := range r.allTargets() {
+		writers = append(writers, func() { r.rewriteEntry(t) })
+	}
+	r.mu.Unlock()
+	r.store.SetFault(metastore.None)
+	slowest := time.Duration(rng.IntN(2)) * maxRewriteDelay
+	for _, write := range writers {
+		time.AfterFunc(time.Duration(rng.Int64N(int64(slowest)+1)), write)
+	}
+}
+
+// loseConfigs makes the store lose configurations that are in force. It has more revisions
+// before than after the restore.
+func (r *run) loseConfigs() {
+	copied := r.store.Snapshot()
+	r.mu.Lock()
+	for range lostConfigs + len(r.allTargets()) {
+		_ = r.configure() // cannot fail on a value of this package
+	}
+	r.mu.Unlock()
+	time.Sleep(configBound)
+	defer r.storeTimeline.begin(disrupted)()
+	r.comeBack(r.rng, func() { r.store.RestoreTo(copied) })
+	time.Sleep(maxRewriteDelay)
+}
+
 // rewriteConfig writes the newest configuration again.
 func (r *run) rewriteConfig() {
 	r.mu.Lock()
@@ -116,9 +144,12 @@
 		len(a.vm.timeline.between(a.configAt.Add(-stabilityWindow), a.done)) == 0 && len(r.storeTimeline.between(a.configAt, a.done)) == 0
 }
 
-// checkNewConfig writes a configuration to the stable store and checks that all VMs serve its
-// route within the bound.
+// checkNewConfig writes a configuration to the stable store, after a restore in some runs, and
+// checks that all VMs serve its route within the bound.
 func (r *run) checkNewConfig() {
+	if r.restores() {
+		r.loseConfigs()
+	}
 	time.Sleep(stabilityWindow)
 	r.mu.Lock()
 	_ = r.configure() // cannot fail on a value of this package
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -11,13 +11,13 @@
 	"cicadaslip/internal/standin/metastore"
 )
 
-// Guards against one epoch of two owners, and configurations that are late, after the store has
-// come back from an older copy.
+// Guards against epochs with two owners, groups without one, and configurations that are late or
+// missing, after the store has come back from an older copy.
 func TestSeedWithRestores(t *testing.T) {
 	g := gomega.NewWithT(t)
 	program := filepath.Join(t.TempDir(), "cicadaslipd")
 	buildDaemon(g, program)
-	result, err := Run(Options{Seed: 2002, Seconds: 12, VMs: 4, Restores: true, Program: program, Dir: t.TempDir()})
+	result, err := Run(Options{Seed: 2044, Seconds: 8, VMs: 5, Restores: true, Program: program, Dir: t.TempDir()})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Logf("%+v", result)
 	g.Expect(result.Violations).To(gomega.BeEmpty())
