edge, gateway, explain: Requests that the end of the process cuts leave their lines

What was missing: steps and 'finished' of a request are written when it ends. One that is still in flight when a stopped process ends left nothing but a 1 in the count of 'stopped', so nobody could tell whether it had been sent, when, and to which target. 'stopped' also counted no request that is being read or whose answer is being sent, and 'malformed' did not tell whether anything had been read.

Change: at the end of a drain each request in flight leaves its steps and an 'unanswered' line (at most 50 requests; 'stopped' and edge_unanswered count all), with its arrival relative to the start of the drain, kind, target, time of the first sending and of the last event. 'finished' names kind and sending too. 'stopped' has the connections in use, 'malformed' the bytes read and the number of the request on its connection. The trace has a lock, because attempts and the end of the process use it beside the handler; summaries hold a copy.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -27,7 +27,8 @@
 	idle      atomic.Bool // no byte of the next request has been read
 	unread    atomic.Bool // a Read waits for the next request, of which nothing has arrived
 	idleSince time.Time   // when the wait for it began
-	used      bool        // a request has begun
+	requests  int         // that have begun
+	received  int64       // bytes read since the last answer
 	lateInput bool        // the current time limit has ended while input was there
 }
 
@@ -56,6 +57,7 @@
 	}
 	c.idle.Store(true)
 	c.lateInput = false
+	c.received = 0
 	c.idleSince = time.Now()
 	_ = c.Conn.SetReadDeadline(c.idleEnd())
 }
@@ -63,7 +65,7 @@
 // idleEnd returns the end of the current wait under the current limits.
 func (c *Conn) idleEnd() time.Time {
 	limits := c.listener.Limits()
-	if c.used {
+	if c.requests > 0 {
 		return c.idleSince.Add(limits.Idle)
 	}
 	return c.idleSince.Add(limits.First)
@@ -76,7 +78,7 @@
 		return
 	}
 	c.idle.Store(false)
-	c.used = true
+	c.requests++
 	c.lateInput = false
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.Limits().Header))
 }
@@ -95,6 +97,7 @@
 		switch {
 		case n > 0:
 			c.idle.Store(false)
+			c.received += int64(n)
 			return n, err
 		case err == nil:
 			return n, err
@@ -182,6 +185,10 @@
 	_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
 }
 
+// Received returns how many requests have begun on the connection, and the number of bytes that
+// were read since the last answer. Only the goroutine that reads may call it.
+func (c *Conn) Received() (requests int, bytes int64) { return c.requests, c.received }
+
 // Disconnected reports whether the caller has closed its sending side, the
 // connection has failed, or Close was called. It peeks at the socket, because
 // the HTTP server does not read while a request is in progress.
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -115,6 +115,19 @@
 	return nil
 }
 
+// Busy returns the number of open connections of which no Read waits for the next request.
+func (l *Listener) Busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	busy := 0
+	for c := range l.conns {
+		if !c.unread.Load() {
+			busy++
+		}
+	}
+	return busy
+}
+
 // closeIdle closes the idle connections and returns the number of the others.
 func (l *Listener) closeIdle() int {
 	l.mu.Lock()
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -42,6 +42,8 @@
 	case <-released:
 	case <-ctx.Done():
 	}
-	d.log.Info().Str(fieldEvent, "stopped").Int(fieldCount, d.gateway.InFlight()).
-		Dur(fieldTook, time.Since(began)).Send()
+	unanswered := d.gateway.Unanswered()
+	requestObserver{d}.unanswered(unanswered, began)
+	d.log.Info().Str(fieldEvent, "stopped").Int(fieldCount, len(unanswered)).
+		Int(fieldConnections, d.gateway.BusyConnections()).Dur(fieldTook, time.Since(began)).Send()
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -178,14 +178,49 @@
 	if o.d.log.GetLevel() > level {
 		return
 	}
-	for i := range s.Trace.Steps {
-		o.logStep(level, &s, &s.Trace.Steps[i])
+	o.logSteps(level, &s)
+	line := o.describe(o.d.log.WithLevel(level).Str(fieldEvent, "finished"), &s)
+	if s.Trace.Failure != nil {
+		line.Str(fieldReason, s.Trace.Failure.Error()).Str(fieldRan, string(s.Trace.Failure.Ran))
+	}
+	line.Send()
+}
+
+// maxUnanswered is the number of requests whose lines are written when the process ends without
+// an answer to them. All lines of a stop must fit in the log's buffer.
+const maxUnanswered = 50
+
+// unanswered logs and counts the requests that the end of the process cuts, after a drain that
+// began at a time.
+func (o requestObserver) unanswered(requests []gateway.Summary, drainBegan time.Time) {
+	for i := range requests {
+		s := &requests[i]
+		sent, ran := "sent", errs.RanUnknown
+		if s.Trace.Sent == 0 {
+			sent, ran = "not_sent", errs.RanUnset
+		}
+		o.d.metrics.Count(metrics.EdgeUnanswered, string(s.Kind)+" "+sent)
+		if i >= maxUnanswered {
+			continue
+		}
+		o.logSteps(zerolog.InfoLevel, s)
+		o.describe(o.d.log.Info().Str(fieldEvent, "unanswered"), s).
+			Dur(fieldArrived, s.Arrived.Sub(drainBegan)).Str(fieldReason, string(errs.Draining)+": the process ends before the request").
+			Str(fieldRan, string(ran)).Send()
 	}
-	line := o.d.log.WithLevel(level).Str(fieldEvent, "finished").Str(fieldRequest, s.ID).Str(fieldRoute, s.Route).
+}
+
+// describe adds the fields of a request to a line about its end.
+func (o requestObserver) describe(line *zerolog.Event, s *gateway.Summary) *zerolog.Event {
+	line.Str(fieldRequest, s.ID).Str(fieldRoute, s.Route).Str(fieldKind, string(s.Kind)).
 		Str(fieldService, s.Service).Str(fieldAdapter, s.Adapter).Uint64(fieldConfig, s.ConfigVersion).
 		Int(fieldStatus, s.Trace.Status).Str(fieldTarget, s.Trace.Target).Dur(fieldTook, s.Elapsed).Dur(fieldTimeLeft, s.TimeLeft)
+	if s.Trace.Sent > 0 {
+		line.Int(fieldSent, s.Trace.Sent).Dur(fieldSentAt, s.Trace.FirstSent).Str(fieldSentTo, s.Trace.LastSentTo)
+	}
 	if s.Trace.EventCount > 0 {
-		line.Dur(fieldFirstEvent, s.Trace.TimeToFirstEvent).Dur(fieldGap, s.Trace.LongestGap).Int(fieldCount, s.Trace.EventCount)
+		line.Dur(fieldFirstEvent, s.Trace.TimeToFirstEvent).Dur(fieldGap, s.Trace.LongestGap).Int(fieldCount, s.Trace.EventCount).
+			Dur(fieldLastEvent, s.Trace.LastEvent)
 	}
 	if s.CallerLeft {
 		line.Bool(fieldCallerLeft, true)
@@ -193,10 +228,7 @@
 	if s.Trace.Cut {
 		line.Bool(fieldCut, true)
 	}
-	if s.Trace.Failure != nil {
-		line.Str(fieldReason, s.Trace.Failure.Error()).Str(fieldRan, string(s.Trace.Failure.Ran))
-	}
-	line.Send()
+	return line
 }
 
 // Panicked implements gateway.Observer.
@@ -221,6 +253,13 @@
 	}
 }
 
+// logSteps writes the log lines of the steps of a request.
+func (o requestObserver) logSteps(level zerolog.Level, s *gateway.Summary) {
+	for i := range s.Trace.Steps {
+		o.logStep(level, s, &s.Trace.Steps[i])
+	}
+}
+
 // logStep writes the log line of one step of a request.
 func (o requestObserver) logStep(level zerolog.Level, s *gateway.Summary, step *gateway.Step) {
 	line := o.d.log.WithLevel(level).Str(fieldEvent, step.Name).Str(fieldRequest, s.ID).Str(fieldTarget, step.Target).Dur(fieldAt, step.At)
@@ -281,9 +320,10 @@
 }
 
 // Malformed implements gateway.Observer.
-func (o requestObserver) Malformed(status int, err error) {
-	o.d.metrics.Count(metrics.EdgeMalformed, strconv.Itoa(status))
-	o.d.log.Info().Str(fieldEvent, "malformed").Int(fieldStatus, status).Err(err).Send()
+func (o requestObserver) Malformed(input gateway.MalformedInput) {
+	o.d.metrics.Count(metrics.EdgeMalformed, strconv.Itoa(input.Status))
+	o.d.log.Info().Str(fieldEvent, "malformed").Int(fieldStatus, input.Status).Int64(fieldBytesRead, input.BytesRead).
+		Int(fieldNumber, input.Request).Err(input.Err).Send()
 }
 
 // acceptFailed logs that a connection could not be accepted for lack of resources.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -180,7 +180,7 @@
 	for _, l := range allLines {
 		loggedVMs[l.VM] = true
 	}
-	if !events["finished"] {
+	if !events["finished"] && !events["unanswered"] {
 		gaps = append(gaps, "no line for the end of the request: the VM that served it was killed, or the log of that VM was not supplied")
 	}
 	for vm := range involvedVMs(requestLines) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,7 +62,7 @@
 	arrived        time.Time
 	deadline       time.Time // when the gateway gives up on the request
 	limitedByRoute bool      // the deadline follows from the route's timeout
-	trace          Trace
+	trace          traceRecorder
 	excluded       []string  // IDs of targets that must not be tried again
 	unavailable    []string  // IDs of targets that have not run the stream and may take it later; awaitPlacement clears them
 	possibleRuns   int       // number of targets that run or may have run the request
@@ -77,7 +77,7 @@
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := &call{server: s, http: ctx, arrived: time.Now()}
-	c.trace.start(c.arrived)
+	c.trace.arrivedAt = c.arrived
 	defer c.contain()
 	callerconn.SendAtOnce(ctx)
 	if s.draining.Load() {
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -48,7 +48,7 @@
 	noRetries    bool                            // the retry budget is used up
 	estimate     time.Duration                   // of the time until the first event, 1 s if 0
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
-	malformed    chan int                        // status of each answer to malformed input
+	malformed    chan gateway.MalformedInput     // input that was no request
 	newestStart  int64                           // of the target, as this VM knows it
 	leaving      []string                        // targets that leave and are granted nevertheless
 	grants       []grant                         // of the first placements; all others are of w.target
@@ -217,7 +217,7 @@
 }
 func (w *world) Release(gateway.Lease, placer.Outcome)  { w.maybePanic("Release") }
 func (w *world) Finished(s gateway.Summary)             { w.summaries <- s }
-func (w *world) Malformed(status int, _ error)          { w.malformed <- status }
+func (w *world) Malformed(i gateway.MalformedInput)     { w.malformed <- i }
 func (w *world) Panicked(request string, _ *errs.Error) { w.panicked <- request }
 
 func (w *world) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
@@ -260,7 +260,7 @@
 			}()
 		}
 	}()
-	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan int, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
+	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan gateway.MalformedInput, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
 		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
 	}}
 	w.upstream = &upstream.Client{Dial: w.dialTarget}
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/placer"
 )
@@ -30,11 +28,11 @@
 		c.mayHaveRun = true
 	}
 	c.server.opt.Placement.Release(lease, outcome)
-	step := Step{At: time.Since(c.trace.arrivedAt), Name: StepFailed, Target: lease.Grant.Target, Detail: string(failure.Code)}
+	step := Step{At: c.trace.elapsed(), Name: StepFailed, Target: lease.Grant.Target, Detail: string(failure.Code)}
 	if c.mayHaveCrashed(failure) {
 		step.Break = c.inspectBreak(lease, eventCount)
 	}
-	c.trace.Steps = append(c.trace.Steps, step)
+	c.trace.addSteps(step)
 	return failure.WithDetails(lease.Grant.Target)
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// Guards against a report of malformed input that does not tell whether anything of a request had
+// been read.
+func TestMalformedInputNamesTheBytesRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newLimitedWorld(t, fleet.Limits{IdleTimeout: 300 * time.Millisecond, HeaderTimeout: 200 * time.Millisecond})
+	conn := connect(t, address, 0, callerRequest+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.Copy(io.Discard, resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(conn, callerRequest)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	readToEnd(g, conn)
+	input := <-w.malformed
+	g.Expect(input.Status).To(gomega.Equal(http.StatusRequestTimeout))
+	g.Expect(input.Request).To(gomega.Equal(2))
+	g.Expect(input.BytesRead).To(gomega.Equal(int64(len(callerRequest))))
+}
+
 // Guards against a header that the configuration allows and that is cut off or refused.
 func TestHeaderLimitsOfTheConfigurationApply(t *testing.T) {
 	const long = 3500 * time.Millisecond // longer than the limit without a configuration
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -245,7 +245,9 @@
 	r.request.Connected = func() bool {
 		r.target.Born = c.server.opt.Fleet.NewestStart(r.target.ID, r.target.Born)
 		r.withheld = c.pauses(r.target.ID, r.target.Born) // since the target was picked
-		r.sent = ctx.Err() == nil && !r.withheld
+		if r.sent = ctx.Err() == nil && !r.withheld; r.sent {
+			c.trace.addSent(r.target.ID)
+		}
 		return r.sent
 	}
 	r.sentAt = time.Now()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -175,7 +175,11 @@
 	ctx.Response.Reset()
 	ctx.SetStatusCode(status)
 	ctx.SetConnectionClose()
-	s.opt.Observer.Malformed(status, err)
+	input := MalformedInput{Status: status, Err: err}
+	if conn, ok := ctx.Conn().(*callerconn.Conn); ok {
+		input.Request, input.BytesRead = conn.Received()
+	}
+	s.opt.Observer.Malformed(input)
 }
 
 // register adds a call to those that cancelAbandonedCalls checks.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -139,6 +139,7 @@
 		return false
 	}
 	s.sent, s.sentAt = true, time.Now()
+	c.trace.addSent(s.lease.Grant.Target)
 	s.born = c.server.opt.Fleet.NewestStart(s.lease.Grant.Target, s.lease.Grant.Born)
 	c.possibleRuns++
 	c.arrivals++
--- a/internal/gateway/streambody.go
+++ b/internal/gateway/streambody.go
@@ -31,7 +31,7 @@
 		b.lastEventID = e.ID
 	}
 	b.hasEvents = b.hasEvents || !e.Comment
-	b.call.trace.addEvent(time.Now())
+	b.call.trace.addEvent()
 }
 
 // mayMove reports whether another target can continue the stream.
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"cicadaslip/internal/errs"
@@ -44,70 +45,116 @@
 
 // Trace records the handling of a request.
 type Trace struct {
-	arrivedAt        time.Time
 	Steps            []Step
-	Status           int    // HTTP status code of the response
-	Target           string // ID of the target whose response was forwarded
+	Sent             int           // attempts that were sent to a target
+	FirstSent        time.Duration // of the first of them, since the arrival of the request
+	LastSentTo       string        // ID of the target of the last of them
+	Status           int           // HTTP status code of the response
+	Target           string        // ID of the target whose response was forwarded
 	Failure          *errs.Error
 	TimeToFirstEvent time.Duration // since the arrival of the request, 0 if there was no event
 	LongestGap       time.Duration // longest pause between two events
 	EventCount       int
-	Cut              bool // the response ended after its head without its end
-	lastEventAt      time.Time
+	LastEvent        time.Duration // of the last event, since the arrival of the request
+	Cut              bool          // the response ended after its head without its end
+}
+
+// traceRecorder records the trace of a call. Attempts and the end of the process use it at
+// the same time as the handler.
+type traceRecorder struct {
+	arrivedAt time.Time
+
+	mu    sync.Mutex
+	trace Trace
+}
+
+// snapshot returns the trace as it is now. Later changes do not affect it, because recorded
+// steps do not change.
+func (r *traceRecorder) snapshot() *Trace {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.trace
+	return &t
 }
 
 // addEvent records an event of a stream.
-func (t *Trace) addEvent(now time.Time) {
+func (r *traceRecorder) addEvent() {
+	at := r.elapsed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &r.trace
 	if t.EventCount == 0 {
-		t.TimeToFirstEvent = now.Sub(t.arrivedAt)
+		t.TimeToFirstEvent = at
 	} else {
-		t.LongestGap = max(t.LongestGap, now.Sub(t.lastEventAt))
+		t.LongestGap = max(t.LongestGap, at-t.LastEvent)
 	}
 	t.EventCount++
-	t.lastEventAt = now
+	t.LastEvent = at
 }
 
-// start sets the time of arrival, to which the times of steps and events
-// relate.
-func (t *Trace) start(at time.Time) { t.arrivedAt = at }
+// elapsed returns the time since the request arrived.
+func (r *traceRecorder) elapsed() time.Duration { return time.Since(r.arrivedAt) }
+
+// addSteps records steps.
+func (r *traceRecorder) addSteps(steps ...Step) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace.Steps = append(r.trace.Steps, steps...)
+}
 
 // addStep records a step at the current time.
-func (t *Trace) addStep(name, target, detail string) {
-	t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: name, Target: target, Detail: detail})
+func (r *traceRecorder) addStep(name, target, detail string) {
+	r.addSteps(Step{At: r.elapsed(), Name: name, Target: target, Detail: detail})
 }
 
 // addPlacement records the lease that the placement granted.
-func (t *Trace) addPlacement(l Lease) {
+func (r *traceRecorder) addPlacement(l Lease) {
+	var steps []Step
+	at := r.elapsed()
 	if l.Hold != nil {
-		t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: StepLimited, Target: l.Hold.Target, Hold: l.Hold})
+		steps = append(steps, Step{At: at, Name: StepLimited, Target: l.Hold.Target, Hold: l.Hold})
 	}
 	if l.Pause != nil {
-		t.Steps = append(t.Steps, Step{At: time.Since(t.arrivedAt), Name: StepPaused, Target: l.Pause.Target, Pause: l.Pause})
+		steps = append(steps, Step{At: at, Name: StepPaused, Target: l.Pause.Target, Pause: l.Pause})
 	}
-	t.Steps = append(t.Steps, Step{
-		At: time.Since(t.arrivedAt), Name: StepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version,
-	})
+	r.addSteps(append(steps, Step{At: at, Name: StepPlaced, Target: l.Grant.Target, Owner: l.Owner, Estimate: l.Estimate, Version: l.Grant.Version})...)
+}
+
+// addSent records that the request is being sent to a target.
+func (r *traceRecorder) addSent(target string) {
+	at := r.elapsed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.trace.Sent == 0 {
+		r.trace.FirstSent = at
+	}
+	r.trace.Sent++
+	r.trace.LastSentTo = target
 }
 
 // setFailure records the error with which the request ends, and its HTTP
 // status code.
-func (t *Trace) setFailure(e *errs.Error) {
-	t.Failure = e
-	t.Status = httpStatus(e)
+func (r *traceRecorder) setFailure(e *errs.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace.Failure, r.trace.Status = e, httpStatus(e)
 }
 
 // setCut records the error with which a response ends after its head.
-func (t *Trace) setCut(e *errs.Error) {
-	t.Cut = true
-	t.setFailure(e)
+func (r *traceRecorder) setCut(e *errs.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace.Cut, r.trace.Failure, r.trace.Status = true, e, httpStatus(e)
 }
 
 // setResponse records that the response of a target is forwarded.
-func (t *Trace) setResponse(status int, target string) {
-	t.Status, t.Target = status, target
+func (r *traceRecorder) setResponse(status int, target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace.Status, r.trace.Target = status, target
 }
 
-// Summary describes a finished request.
+// Summary describes a request that has finished, or that the end of the process cuts.
 type Summary struct {
 	ID            string
 	Route         string
@@ -144,7 +191,7 @@
 func (c *call) summary() Summary {
 	s := Summary{
 		ID: c.meta.ID, Service: c.service, ConfigVersion: c.configVersion, Adapter: c.meta.Adapter.Name, Arrived: c.arrived,
-		Elapsed: time.Since(c.arrived), CallerLeft: c.callerLeft.Load(), Trace: &c.trace,
+		Elapsed: time.Since(c.arrived), CallerLeft: c.callerLeft.Load(), Trace: c.trace.snapshot(),
 	}
 	if c.route != nil {
 		s.Route, s.TimeLeft, s.Kind = c.route.Name, c.timeLeft(), c.route.Kind
@@ -155,12 +202,20 @@
 	return s
 }
 
+// MalformedInput describes input that is not a valid HTTP request.
+type MalformedInput struct {
+	Status    int
+	Err       error
+	BytesRead int64 // of the request, 0 if nothing of it has been read
+	Request   int   // its number on the connection, from 1
+}
+
 // Observer receives notifications about requests. Its methods must not block.
 type Observer interface {
 	// Finished reports the end of a request.
 	Finished(Summary)
 	// Malformed reports input that is not a valid HTTP request.
-	Malformed(status int, err error)
+	Malformed(MalformedInput)
 	// Panicked reports that a panic has ended a request.
 	Panicked(request string, failure *errs.Error)
 }
@@ -168,7 +223,6 @@
 // noopObserver ignores all notifications.
 type noopObserver struct{}
 
-func (noopObserver) Finished(Summary)     {}
-func (noopObserver) Malformed(int, error) {}
-
+func (noopObserver) Finished(Summary)             {}
+func (noopObserver) Malformed(MalformedInput)     {}
 func (noopObserver) Panicked(string, *errs.Error) {}
--- a/internal/metrics/edge.go
+++ b/internal/metrics/edge.go
@@ -11,6 +11,7 @@
 	EdgeLate              Name = "edge_late"
 	EdgeStreamsResumed    Name = "edge_streams_resumed"
 	EdgeStreamsCut        Name = "edge_streams_cut"
+	EdgeUnanswered        Name = "edge_unanswered"
 	EdgeAttemptsFailed    Name = "edge_attempts_failed"
 	EdgeMalformed         Name = "edge_malformed"
 	EdgeTargetConnections Name = "edge_target_connections"
@@ -55,6 +56,7 @@
 	{EdgeLate, ByLabel, "streams", "first event or a pause over the route's objective"},
 	{EdgeStreamsResumed, Counter, "streams", "continued at another target"},
 	{EdgeStreamsCut, ByLabel, "streams", "ended after their head without their end, by error code; cancelled: the caller left"},
+	{EdgeUnanswered, ByLabel, "requests", "cut by the end of the process after a drain, by kind of route and whether a target may have received them"},
 	{EdgeAttemptsFailed, ByLabel, "attempts", "requests to a target that failed, by reason"},
 	{EdgeMalformed, ByLabel, "requests", "input that is no request, or not a whole one in time, by status"},
 	{EdgePanics, ByLabel, "panics", "unexpected errors that ended a request, a call or a step, by place"},
