callerconn: A shutdown misses no connection that is accepted meanwhile

What callers could see: a whole request on a new connection gets no answer, although the process has read it.

Cause: Shutdown closes the listener, and then each known connection that carries no request. A connection that Accept had taken from the kernel and not yet added to the known ones was in neither set: Shutdown returned, the HTTP server read the request, and the process ended under it.

Evidence: TestShutdownMissesNoConnection holds a connection between the two steps; before, it was served after the shutdown had ended (its caller waited until the test's deadline).

Change: once Shutdown was called, Accept closes what it takes. Nothing has been read from it, so the caller sees a reset and knows that its request was not passed on, as with a request that crosses the close of an idle connection.

--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -75,6 +75,60 @@
 	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
 }
 
+// handoffListener hands out one connection after resume is closed, and then reports that it is
+// closed.
+type handoffListener struct {
+	net.Listener
+	conn   net.Conn
+	taken  chan struct{} // closed when Accept has the connection
+	resume chan struct{}
+	calls  int
+}
+
+func (l *handoffListener) Accept() (net.Conn, error) {
+	if l.calls++; l.calls > 1 {
+		return nil, net.ErrClosed
+	}
+	close(l.taken)
+	<-l.resume
+	return l.conn, nil
+}
+
+// Guards against a connection that is accepted while the listener is being shut down, and on which
+// a request is read that the end of the process cuts.
+func TestShutdownMissesNoConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener := listen(t, callerconn.Limits{First: time.Minute, Idle: time.Minute, Header: time.Minute})
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = caller.Close() })
+	accepted, err := listener.Listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(caller, "request")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() socketstate.State { return socketstate.Of(accepted) }).Should(gomega.Equal(socketstate.Readable))
+	handoff := &handoffListener{Listener: listener.Listener, conn: accepted, taken: make(chan struct{}), resume: make(chan struct{})}
+	listener.Listener = handoff
+	served := make(chan net.Conn, 1)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				close(served)
+				return
+			}
+			served <- conn
+		}
+	}()
+	<-handoff.taken
+	g.Expect(listener.Shutdown(context.Background())).To(gomega.Succeed())
+	close(handoff.resume)
+	g.Eventually(served).Should(gomega.BeClosed())
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = caller.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET), "the caller cannot tell that its request was not read")
+}
+
 // Guards against a shutdown that closes a connection from which a request is being read, or
 // that does not end because of one from which none is.
 func TestShutdownClosesConnectionsWithoutARequest(t *testing.T) {
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -50,6 +50,7 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{} // not closed yet
+	ended bool               // Shutdown was called
 }
 
 // closePollInterval is the time between two looks of Shutdown for idle connections.
@@ -69,8 +70,11 @@
 		if l.openConns.Add(1) <= l.Limit {
 			conn := &Conn{Conn: c, listener: l}
 			conn.BeginIdle()
-			l.add(conn)
-			return conn, nil
+			if l.add(conn) {
+				return conn, nil
+			}
+			_ = conn.Close() // nothing has been read from it
+			continue
 		}
 		l.openConns.Add(-1)
 		l.refuse(c)
@@ -84,13 +88,18 @@
 	_ = c.Close()
 }
 
-func (l *Listener) add(c *Conn) {
+// add records an accepted connection. It returns false if Shutdown was called, which may miss it.
+func (l *Listener) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ended {
+		return false
+	}
 	if l.conns == nil {
 		l.conns = map[*Conn]struct{}{}
 	}
 	l.conns[c] = struct{}{}
+	return true
 }
 
 func (l *Listener) remove(c *Conn) {
@@ -104,6 +113,9 @@
 //
 // The HTTP library's own shutdown drops a request that it has read but not begun to handle.
 func (l *Listener) Shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
 	_ = l.Close() // it may be closed already
 	for l.closeIdle() > 0 {
 		select {
