--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -56,7 +56,9 @@
 	dropped map[string]bool // routes that are not in force
 	idleMs  int             // idle limit of callers
 	engine2 bool            // there is a second service of model engines
-	logs    logBuffer
+	// noServices leaves all services out of the configuration.
+	noServices bool
+	logs       logBuffer
 }
 
 type vm struct {
@@ -96,6 +98,9 @@
 	if c.engine2 {
 		services = append(services, engineService(llm2))
 	}
+	if c.noServices {
+		services = []any{}
+	}
 	c.g.Expect(c.store.Put("config", "main", map[string]any{
 		"version": c.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": c.idleMs},
