explain: Tells how the end of a process cut a request

An 'unanswered' line has its times relative to the arrival. The report adds them up: when the request came and was sent after SIGTERM, and how long its target had been silent at the end, which decides whether the cut was excused.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,7 +38,9 @@
 	Limits       []string `json:"limits"`  // how rate limits of targets held the request up
 	Leaving      []string `json:"leaving"` // which targets the request did not get because they leave
 	Pauses       []string `json:"pauses"`  // how pauses of targets held the request up
-	Missing      []string `json:"missing"` // descriptions of the lines and logs that are missing
+	// Unanswered tells how the end of a process cut the request.
+	Unanswered []string `json:"unanswered"`
+	Missing    []string `json:"missing"` // descriptions of the lines and logs that are missing
 }
 
 // Window selects lines by their time, both ends included. A zero end sets no limit.
@@ -153,6 +155,7 @@
 	report.Limits = describeLimits(report.Lines)
 	report.Leaving = describeLeaving(report.Lines, lines)
 	report.Pauses = describePauses(report.Lines)
+	report.Unanswered = describeUnanswered(report.Lines)
 	report.Missing = describeGaps(report.Lines, lines)
 	return report, nil
 }
@@ -221,6 +224,9 @@
 	for _, pause := range report.Pauses {
 		fmt.Fprintf(&b, "pause: %s\n", pause)
 	}
+	for _, cut := range report.Unanswered {
+		fmt.Fprintf(&b, "unanswered: %s\n", cut)
+	}
 	for _, gap := range report.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", gap)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -165,3 +165,30 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(report.Pauses).To(gomega.BeEmpty())
 }
+
+const unansweredLogs = `{"vm":"vm1","event":"draining","count":2,"stamp":"1000000000.0"}
+{"vm":"vm1","event":"placed","request":"q1","target":"t1","stamp":"8700000000.0"}
+{"vm":"vm1","event":"unanswered","request":"q1","kind":"streaming","arrived_ms":-500,"took_ms":8200,"sent":1,"sent_ms":120,"sent_to":"t1","count":12,"last_event_ms":8100,"stamp":"8700000000.1"}
+{"vm":"vm1","event":"unanswered","request":"q2","kind":"non_idempotent","arrived_ms":6500,"took_ms":1200,"sent":1,"sent_ms":2,"sent_to":"t2","stamp":"8700000000.2"}
+{"vm":"vm1","event":"unanswered","request":"q3","kind":"streaming","arrived_ms":1900,"took_ms":5800,"stamp":"8700000000.3"}
+`
+
+// Guards against a report that does not tell when a request that the end of a process cut had come
+// and been sent, and whether its target was still at work.
+func TestReportTellsHowTheEndOfAProcessCutARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := explain.Read(strings.NewReader(unansweredLogs), explain.Window{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for id, want := range map[string]string{
+		"q1": "unanswered: vm1 ended 7.7s after its stop began; the request came -500ms after that, was first sent -380ms after it, and last to t1; 12 events, the last 100ms before the end\n",
+		"q2": "unanswered: vm1 ended 7.7s after its stop began; the request came 6.5s after that, was first sent 6.502s after it, and last to t2\n",
+		"q3": "unanswered: vm1 ended 7.7s after its stop began; the request came 1.9s after that and was sent to no target\n",
+	} {
+		report, err := explain.BuildReport(id, lines)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Missing).To(gomega.BeEmpty(), id)
+		var b strings.Builder
+		g.Expect(explain.Write(&b, report)).To(gomega.Succeed())
+		g.Expect(b.String()).To(gomega.ContainSubstring(want))
+	}
+}
