edgetest, gateway: Tests of unanswered requests do not depend on what a shutdown answers

A change of the shutdown answers requests of which the caller has got nothing before the process ends.

--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -70,6 +70,8 @@
 	dialed       func(address string) // likewise
 	picks        []grant              // of the first picks; all others are of w.target
 	outcome      chan balance.Outcome // recorded of requests at plain targets, unless it is nil
+	unanswered   func() []gateway.Summary
+	busy         func() int // connections
 }
 
 // grant is a target of a placement.
@@ -271,6 +273,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
 	go func() { _ = server.Serve(wrap(l)) }()
+	w.unanswered, w.busy = server.Unanswered, server.BusyConnections
 	return w, l.Addr().String()
 }
 
