tenure: The end of an outage of the store moves no group

Callers saw, beside an outage of the store or its restore from a copy and with new configurations: for two to five seconds after it, requests at a few VMs ended without an answer in time, or with 503 and 502. These VMs opened no connection to targets, to the store or to other VMs within 300 ms, and their requests ended up to 120 ms after their deadline.

Cause: an owner that cannot reach the store is replaced 300 ms (and up to 0.7 s by the size of the VM) after it has said so, because other VMs can. The wait ran while the other VM could not reach the store either. After an outage of more than a second for all, the VM whose call to the store came through first took over groups at once, whatever its size: 7 of 8 groups went to one VM with 0.19 cores and 10 Mbit/s. It had to answer 82 VMs, ask most of 140 targets for reports and order loads, and starved its own callers.

Class: a wait that stands for 'others can do it meanwhile' and that counts time in which nobody could.

Evidence: TestOutageForAllVMsMovesNoGroup failed (takeover at the moment of the first call), and TestOutageOfTheStoreMovesNoGroup in 3 of 4 runs (5 VMs; a second takeover). Both pass now, the second in 4 of 4 with -race. The models of internal/tenure and the tests of groupserver and groupclient pass.

Change: if this VM reaches the store again since the owner said that it does not, the owner has 2 s from there: each VM repeats its calls within 1.5 s. It has served its group all the time. One that has died is challenged as before, and one that alone is cut off is replaced as before.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -99,6 +99,9 @@
 	// storeLostWait is how long an owner may be unable to reach the store, while
 	// other VMs can, before it is replaced.
 	storeLostWait = 300 * time.Millisecond
+	// outageWait is how long an owner may take to reach the store again after another VM
+	// does, at the end of an outage for both. Each repeats its calls after up to 1.5 s.
+	outageWait = 2 * time.Second
 )
 
 // Candidate describes this VM as a candidate for the ownership of one group.
@@ -130,6 +133,8 @@
 	answerSeen         bool
 	storeLostSince     Time
 	storeLost          bool
+	reachable          bool // this VM can reach the store
+	reachableSince     Time
 	ownershipLost      bool
 	ownershipLostAt    Time
 	peerSeenAt         Time           // as owner: last call from another VM
@@ -235,6 +240,10 @@
 // NextAction returns the action that is due now. It returns NoAction unless
 // storeReachable says that this VM can reach the store.
 func (m *StateMachine) NextAction(now Time, storeReachable bool) Action {
+	if storeReachable && !m.reachable {
+		m.reachableSince = now
+	}
+	m.reachable = storeReachable
 	switch {
 	case !m.recordRead || !storeReachable:
 		return NoAction
@@ -246,6 +255,8 @@
 		return NoAction
 	case !m.exists || m.record.Released:
 		return m.takeOverAfter(now, m.ownershipChangedAt, 0)
+	case m.storeLost && m.reachableSince > m.storeLostSince:
+		return m.takeOverAfter(now, m.reachableSince, outageWait)
 	case m.storeLost:
 		return m.takeOverAfter(now, m.storeLostSince, storeLostWait)
 	case m.answerSeen && now-m.answerSeenAt < answerValidity:
