edge: The lines about unanswered requests come before their steps

The lines that tell which requests were cut come first now, then 'stopped', then the steps, which are the greater part.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -43,7 +43,9 @@
 	case <-ctx.Done():
 	}
 	unanswered := d.gateway.Unanswered()
-	requestObserver{d}.unanswered(unanswered, began)
+	observer := requestObserver{d}
+	observer.unanswered(unanswered, began)
 	d.log.Info().Str(fieldEvent, "stopped").Int(fieldCount, len(unanswered)).
 		Int(fieldConnections, d.gateway.BusyConnections()).Dur(fieldTook, time.Since(began)).Send()
+	observer.unansweredSteps(unanswered) // last, because the end of the process may cut the log
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -203,13 +203,19 @@
 		if i >= maxUnanswered {
 			continue
 		}
-		o.logSteps(zerolog.InfoLevel, s)
 		o.describe(o.d.log.Info().Str(fieldEvent, "unanswered"), s).
 			Dur(fieldArrived, s.Arrived.Sub(drainBegan)).Str(fieldReason, string(errs.Draining)+": the process ends before the request").
 			Str(fieldRan, string(ran)).Send()
 	}
 }
 
+// unansweredSteps logs the steps of the requests that the end of the process cuts.
+func (o requestObserver) unansweredSteps(requests []gateway.Summary) {
+	for i := range requests[:min(len(requests), maxUnanswered)] {
+		o.logSteps(zerolog.InfoLevel, &requests[i])
+	}
+}
+
 // describe adds the fields of a request to a line about its end.
 func (o requestObserver) describe(line *zerolog.Event, s *gateway.Summary) *zerolog.Event {
 	line.Str(fieldRequest, s.ID).Str(fieldRoute, s.Route).Str(fieldKind, string(s.Kind)).
