--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -54,6 +54,7 @@
 	engines []*engine.Target
 	apps    []*engine.Target
 	vms     []*vm
+	bare    bool // the configuration has no services
 	version uint64
 	config  map[string]any  // that was written last
 	dropped map[string]bool // routes that are not in force
@@ -99,6 +100,9 @@
 	if c.engine2 {
 		services = append(services, engineService(llm2))
 	}
+	if c.bare {
+		services = []any{}
+	}
 	c.config = map[string]any{
 		"version": c.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": c.idleMs},
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -48,7 +48,7 @@
 	noRetries    bool                            // the retry budget is used up
 	estimate     time.Duration                   // of the time until the first event, 1 s if 0
 	limits       atomic.Pointer[fleet.Limits]    // of the configuration, none if nil
-	malformed    chan int                        // status of each answer to malformed input
+	malformed    chan gateway.MalformedInput     // input that was no request
 	newestStart  int64                           // of the target, as this VM knows it
 	leaving      []string                        // targets that leave and are granted nevertheless
 	grants       []grant                         // of the first placements; all others are of w.target
@@ -70,6 +70,8 @@
 	dialed       func(address string) // likewise
 	picks        []grant              // of the first picks; all others are of w.target
 	outcome      chan balance.Outcome // recorded of requests at plain targets, unless it is nil
+	unanswered   func() []gateway.Summary
+	busy         func() int // connections
 }
 
 // grant is a target of a placement.
@@ -217,7 +219,7 @@
 }
 func (w *world) Release(gateway.Lease, placer.Outcome)  { w.maybePanic("Release") }
 func (w *world) Finished(s gateway.Summary)             { w.summaries <- s }
-func (w *world) Malformed(status int, _ error)          { w.malformed <- status }
+func (w *world) Malformed(i gateway.MalformedInput)     { w.malformed <- i }
 func (w *world) Panicked(request string, _ *errs.Error) { w.panicked <- request }
 
 func (w *world) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
@@ -260,7 +262,7 @@
 			}()
 		}
 	}()
-	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan int, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
+	w := &world{target: target.Addr().String(), panicked: make(chan string, 8), malformed: make(chan gateway.MalformedInput, 64), summaries: make(chan gateway.Summary, 64), stopTarget: func() { _ = target.Close() }, route: fleet.Route{
 		Name: "r", Host: "h", PathPrefix: "/", Kind: kind, MaxAttempts: 1, Backends: []fleet.Backend{{Service: "s", Weight: 1}},
 	}}
 	w.upstream = &upstream.Client{Dial: w.dialTarget}
@@ -271,6 +273,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
 	go func() { _ = server.Serve(wrap(l)) }()
+	w.unanswered, w.busy = server.Unanswered, server.BusyConnections
 	return w, l.Addr().String()
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -115,6 +115,9 @@
 	restoreWait = 2 * time.Second
 	// epochsPerEra is the number of epochs of one era of the store.
 	epochsPerEra = 1_000_000_000
+	// outageWait is how long an owner may take to reach the store again after another VM
+	// does, at the end of an outage for both. Each repeats its calls after up to 1.5 s.
+	outageWait = 2 * time.Second
 )
 
 // firstEpoch returns the first epoch of an era of the store. Those of a store that was never
@@ -166,6 +169,8 @@
 	answerSeen         bool
 	storeLostSince     Time
 	storeLost          bool
+	reachable          bool // this VM can reach the store
+	reachableSince     Time
 	ownershipLost      bool
 	ownershipLostAt    Time
 	peerSeenAt         Time           // as owner: last call from another VM
@@ -304,6 +309,10 @@
 // NextAction returns the action that is due now. It returns NoAction unless
 // storeReachable says that this VM can reach the store.
 func (m *StateMachine) NextAction(now Time, storeReachable bool) Action {
+	if storeReachable && !m.reachable {
+		m.reachableSince = now
+	}
+	m.reachable = storeReachable
 	switch {
 	case !m.recordRead || !storeReachable:
 		return NoAction
@@ -319,6 +328,8 @@
 		return m.takeOverAfter(now, m.ownershipChangedAt, restoreWait) // there may be an owner whose record is lost
 	case !m.exists || m.record.Released:
 		return m.takeOverAfter(now, m.ownershipChangedAt, 0)
+	case m.storeLost && m.reachableSince > m.storeLostSince:
+		return m.takeOverAfter(now, m.reachableSince, outageWait)
 	case m.storeLost:
 		return m.takeOverAfter(now, m.storeLostSince, storeLostWait)
 	case m.answerSeen && now-m.answerSeenAt < answerValidity:
