gateway, edge: Requests of a planned stop are answered before its end

Cause: only streams were refused late in a drain. Plain requests were passed on whenever they came, also on connections that callers had kept, and nothing answered what was in flight when the wait for it ended 0.3 s before the end of the grace period. With a grace period under 3.2 s the drain did not end before the process was killed.

Change: a drain has a schedule. From 3 s on, plain requests whose time limit lies behind the end of the stop are refused as not run; those that end in time are served. 0.6 s before the end of the grace period the work on all requests ends of which the callers have got nothing: 502 where a target may have run it, 503 where none has, each with Connection: close, and 0.3 s to write them. Begun streams go on. All times shrink with a grace period under 8 s.

It works for each kind of request because the end of the work is the same as that at a time limit, and a stream begins only if the shutdown has not ended its call before.

--- a/cmd/cicadaslipd/signals_test.go
+++ b/cmd/cicadaslipd/signals_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"cicadaslip/platform"
 )
@@ -43,3 +44,15 @@
 		})
 	}
 }
+
+// Guards against a second SIGTERM, or a SIGHUP, that ends a process which drains.
+func TestFurtherSignalsDoNotEndADrain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	signals, stop := make(chan os.Signal), make(chan struct{})
+	defer close(signals)
+	go handleSignals(zerolog.Nop(), filepath.Join(t.TempDir(), "none"), signals, stop)
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		g.Eventually(signals).Should(gomega.BeSent(s)) // once the one before has been handled
+	}
+	g.Expect(stop).To(gomega.BeClosed())
+}
--- a/internal/edgetest/cluster_test.go
+++ b/internal/edgetest/cluster_test.go
@@ -56,6 +56,7 @@
 	dropped map[string]bool // routes that are not in force
 	idleMs  int             // idle limit of callers
 	engine2 bool            // there is a second service of model engines
+	grace   time.Duration   // of a shutdown
 	logs    logBuffer
 }
 
@@ -105,7 +106,7 @@
 // start starts VMs, and as many engines and plain targets, one of each in each
 // data centre. The functions in prepare are called before the VMs start.
 func start(t *testing.T, n int, prepare ...func(*cluster)) *cluster {
-	c := &cluster{t: t, g: gomega.NewWithT(t), dropped: map[string]bool{}, idleMs: 15000}
+	c := &cluster{t: t, g: gomega.NewWithT(t), dropped: map[string]bool{}, idleMs: 15000, grace: shutdownGrace}
 	var err error
 	c.store, err = metastore.Start("127.0.0.1:0")
 	c.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -158,7 +159,7 @@
 	s := &edge.Settings{
 		VM: fmt.Sprintf("vm%d", i), IP: "127.0.0.1", DataCentre: dataCentres[i%3], Regions: regions,
 		CallerAddress: c.address(), ReadyAddress: c.address(), ReadyPath: platform.ReadyPath, PeerAddress: c.address(),
-		StoreAddress: link.Address(), ShutdownGrace: shutdownGrace, TargetDrainTime: 2500 * time.Millisecond, Lease: 3 * time.Second, GroupSettleTime: 200 * time.Millisecond,
+		StoreAddress: link.Address(), ShutdownGrace: c.grace, TargetDrainTime: 2500 * time.Millisecond, Lease: 3 * time.Second, GroupSettleTime: 200 * time.Millisecond,
 		Budget: retrybudget.Settings{Ratio: 0.2, Extra: 54, Window: 10 * time.Second},
 	}
 	c.g.Expect(s.Validate()).To(gomega.Succeed())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,7 +46,8 @@
 	callerConn     *callerconn.Conn
 	ctx            context.Context
 	cancel         context.CancelFunc
-	callerLeft     atomic.Bool // whether the caller has disconnected
+	callerLeft     atomic.Bool  // whether the caller has disconnected
+	stage          atomic.Int32 // stageOpen, stageStreaming or stageEnded
 	meta           RequestMeta
 	sharedParts    []string        // IDs of the parts of the prompt that other requests may have, too
 	ownPart        string          // ID of the last part, which belongs to the request or its session
@@ -74,6 +75,34 @@
 	finished       bool      // finish was called
 }
 
+// Stages of a call.
+const (
+	stageOpen      int32 = iota // the caller has got nothing
+	stageStreaming              // the caller is sent a stream
+	stageEnded                  // the shutdown of this VM has ended the work on the request
+)
+
+// endForShutdown ends the work on the request, unless the caller has got the beginning of a
+// stream.
+func (c *call) endForShutdown() {
+	if c.stage.CompareAndSwap(stageOpen, stageEnded) {
+		c.cancel()
+	}
+}
+
+// endedByShutdown reports whether endForShutdown has ended the work on the request.
+func (c *call) endedByShutdown() bool { return c.stage.Load() == stageEnded }
+
+// shutdownError returns the error for a request that is not served because this VM is
+// shutting down.
+func shutdownError(ran errs.Ran) *errs.Error {
+	e := errs.New(errs.Draining, "this VM is shutting down").WithRan(ran)
+	if ran == errs.RanNo {
+		e = e.WithRetry(drainRetryAfter)
+	}
+	return e
+}
+
 // handle serves one request of a caller.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := &call{server: s, http: ctx, arrived: time.Now()}
@@ -87,8 +116,8 @@
 		c.respondError(failure)
 		return
 	}
-	if c.route.Kind == fleet.Streaming && s.refusesStreams() {
-		c.respondError(errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetryAfter))
+	if s.refusesNew(c) {
+		c.respondError(shutdownError(errs.RanNo))
 		return
 	}
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), c.deadline)
@@ -282,15 +311,18 @@
 	}
 }
 
-// contextError returns the error for a call whose deadline has passed or whose
-// caller has disconnected.
+// contextError returns the error for a call whose deadline has passed, whose caller has
+// disconnected, or that endForShutdown has ended.
 func (c *call) contextError() *errs.Error {
 	ran := errs.RanNo
 	if c.mayHaveRun {
 		ran = errs.RanUnknown
 	}
-	if errors.Is(c.ctx.Err(), context.Canceled) {
+	if !errors.Is(c.ctx.Err(), context.Canceled) {
+		return errs.New(errs.Timeout, "the deadline of the request has passed").WithRan(ran)
+	}
+	if c.callerLeft.Load() || !c.endedByShutdown() {
 		return errs.New(errs.Cancelled, "the caller closed the connection").WithRan(ran)
 	}
-	return errs.New(errs.Timeout, "the deadline of the request has passed").WithRan(ran)
+	return shutdownError(ran)
 }
--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -33,6 +33,7 @@
 	target       string // address
 	panicIn      string // function that panics
 	panicked     chan string
+	server       *gateway.Server
 	inFlight     func() int
 	shutdown     func(context.Context)
 	drain        func(acceptStreams time.Duration)
@@ -266,7 +267,11 @@
 	w.upstream = &upstream.Client{Dial: w.dialTarget}
 	server := gateway.New(gateway.Options{Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: w.upstream})
 	w.inFlight, w.shutdown = server.InFlight, server.Shutdown
-	w.drain, w.refuse = server.Drain, server.RefuseWaiting
+	w.drain = func(acceptStreams time.Duration) {
+		now := time.Now()
+		server.Drain(gateway.DrainSchedule{RefuseStreams: now.Add(acceptStreams), RefuseLong: now.Add(acceptStreams), AnswerAll: now.Add(time.Minute)})
+	}
+	w.refuse, w.server = server.RefuseWaiting, server
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -18,7 +18,7 @@
 	}
 	outcome := placer.Failed
 	switch {
-	case c.callerLeft.Load():
+	case c.callerLeft.Load(), c.endedByShutdown():
 		outcome = placer.Cancelled
 	case failure.Ran == errs.RanNo:
 		outcome = placer.Unsent
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -53,11 +53,11 @@
 
 // Server handles the requests of callers. It is safe for concurrent use.
 type Server struct {
-	opt             Options
-	http            *fasthttp.Server
-	callers         atomic.Pointer[callerconn.Listener]
-	draining        atomic.Bool
-	refuseStreamsAt atomic.Int64 // Unix time in nanoseconds from which a draining server refuses streams
+	opt      Options
+	http     *fasthttp.Server
+	callers  atomic.Pointer[callerconn.Listener]
+	draining atomic.Bool
+	schedule atomic.Pointer[DrainSchedule] // nil until the server drains
 	// waits ends when a shutdown refuses the streams that wait for a target.
 	waits         context.Context
 	refuseWaiting context.CancelFunc
@@ -67,6 +67,7 @@
 	mu       sync.Mutex
 	calls    map[*call]struct{}
 	watching bool // cancelAbandonedCalls is running
+	ending   bool // AnswerAll was called
 }
 
 // New returns a server.
@@ -134,11 +135,22 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Drain makes the server close each connection after its next response.
-// Streams that would begin later than acceptStreams from now are refused,
-// because the end of the process could cut them.
-func (s *Server) Drain(acceptStreams time.Duration) {
-	s.refuseStreamsAt.Store(time.Now().Add(acceptStreams).UnixNano())
+// DrainSchedule says which requests a draining server accepts, so that the end of the process
+// cuts none of them.
+type DrainSchedule struct {
+	// RefuseStreams is the time from which new streams are refused.
+	RefuseStreams time.Time
+	// RefuseLong is the time from which other new requests are refused if their time limit
+	// ends after AnswerAll. Until then they are expected to end much earlier.
+	RefuseLong time.Time
+	// AnswerAll is the time at which the method AnswerAll is called.
+	AnswerAll time.Time
+}
+
+// Drain makes the server close each connection after its next response, and refuse requests
+// by a schedule.
+func (s *Server) Drain(schedule DrainSchedule) {
+	s.schedule.Store(&schedule)
 	s.draining.Store(true)
 }
 
@@ -147,9 +159,29 @@
 // caller would get no answer. A target that is at work on one of them goes on.
 func (s *Server) RefuseWaiting() { s.refuseWaiting() }
 
-// refusesStreams reports whether new streams are refused.
-func (s *Server) refusesStreams() bool {
-	return s.draining.Load() && time.Now().UnixNano() > s.refuseStreamsAt.Load()
+// AnswerAll ends the work on all requests of which the callers have got nothing, and answers
+// them: a target that is at work would otherwise keep its caller waiting until the process
+// ends, without an answer. Streams that have begun go on.
+func (s *Server) AnswerAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	for c := range s.calls {
+		c.endForShutdown()
+	}
+}
+
+// refusesNew reports whether a new request is refused because it might not end before the
+// process does.
+func (s *Server) refusesNew(c *call) bool {
+	d := s.schedule.Load()
+	switch {
+	case d == nil:
+		return false
+	case c.route.Kind == fleet.Streaming:
+		return c.arrived.After(d.RefuseStreams)
+	}
+	return c.arrived.After(d.RefuseLong) && c.deadline.After(d.AnswerAll)
 }
 
 // Shutdown closes the listener and the idle connections, and waits until all requests that
@@ -184,6 +216,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[c] = struct{}{}
+	if s.ending {
+		c.endForShutdown()
+	}
 	if !s.watching {
 		s.watching = true
 		go s.cancelAbandonedCalls()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,6 +19,13 @@
 		c.finish()
 		return
 	}
+	if stream.exchange.Status == fasthttp.StatusOK && !c.stage.CompareAndSwap(stageOpen, stageStreaming) {
+		stream.release(c, placer.Cancelled)
+		c.mayHaveRun = true
+		c.respondError(c.contextError())
+		c.finish()
+		return
+	}
 	c.copyResponseHead(stream.answer)
 	if stream.exchange.Status != fasthttp.StatusOK {
 		c.http.SetBody(stream.body)
--- a/internal/gateway/streamplacement.go
+++ b/internal/gateway/streamplacement.go
@@ -83,7 +83,7 @@
 			switch {
 			case ctx.Err() == nil || c.ctx.Err() != nil:
 			case c.refusesWaiting():
-				failure = errs.NotRun(errs.Draining, "this VM is shutting down").WithRetry(drainRetryAfter)
+				failure = shutdownError(errs.RanNo)
 			default:
 				failure = errs.NotRun(errs.DeadlineUnreachable, "no target could start the request before the caller leaves").WithRetry(refusalRetryAfter)
 			}
