soak: Late requests in a planned stop, and no wider excuse than the rule's

The check of lost requests let pass what the rule does not: it measured all requests by the shortest timeout that any run may use, and counted those whose body ends later than 3 s after SIGTERM from their first byte. Nor were there requests that could show it: no target worked until the end of a grace period, and no caller sent anything on a connection that a shutdown was to close.

The time limit of a request is the shortest that may have been in force; the excuse counts from its last byte.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -145,7 +145,7 @@
 }
 
 func (c *checker) checkRuns(a answer, runs []engine.Run) {
-	once := a.kind == kindBooking || a.kind == kindNotes
+	once := a.kind == kindBooking || a.kind == kindNotes || a.kind == kindExport
 	if once && len(runs) > 1 {
 		c.fail("%s %s ran %d times", a.kind, a.id, len(runs))
 	}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -16,7 +16,7 @@
 	// lossMargin is the time before the end of a request's time at which its end is no loss.
 	lossMargin = 100 * time.Millisecond
 	// lateWork is the time after SIGTERM from which requests that are still at work may end,
-	// if they were sent within lateSends of it.
+	// if they were sent whole within lateSends of it.
 	lateWork  = grace * 5 / 6
 	lateSends = 3 * time.Second
 	// lossesInTouch are the requests that VMs in touch may lose in a run with disruptions.
@@ -50,7 +50,7 @@
 	for _, a := range r.checker.answers {
 		arrived := len(arrivals[a.id]) > 0
 		brokeOff, known := unsound[a.id]
-		if !a.lost(arrived, min(r.patience(), r.leastTimeout())) || known && brokeOff.Before(a.done) {
+		if !a.lost(arrived, r.timeLimit(a)) || known && brokeOff.Before(a.done) {
 			continue
 		}
 		switch {
@@ -86,11 +86,11 @@
 
 // lost reports whether a request that was read whole ended without a complete answer, though
 // there was time left. A close may cross a request that reached no target.
-func (a answer) lost(arrived bool, least time.Duration) bool {
+func (a answer) lost(arrived bool, limit time.Duration) bool {
 	if a.whole || a.written.IsZero() || !arrived && a.done.Sub(a.written) < lossSlack {
 		return false
 	}
-	return a.done.Sub(a.sent) < least-lossMargin
+	return a.done.Sub(a.sent) < limit-lossMargin
 }
 
 // lateAfterTerm reports whether the end of the grace period of a SIGTERM excuses the loss: a
@@ -99,7 +99,7 @@
 	for _, s := range a.vm.timeline.between(a.sent, a.done, restarted) {
 		late := s.from.Add(lateWork)
 		atWork := slices.ContainsFunc(runs, func(run engine.Run) bool { return run.EndedAt.IsZero() || run.EndedAt.After(late) })
-		if a.done.After(late) && a.sent.Sub(s.from) < lateSends && atWork {
+		if a.done.After(late) && a.written.Sub(s.from) < lateSends && atWork {
 			return true
 		}
 	}
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -28,6 +28,9 @@
 	unsent := closed(v, "q1", 2*time.Second)
 	unsent.written = time.Time{}
 	frozenOnce := &vm{name: "vm2", timeline: timeline{spans: []*span{{kind: frozen, from: now.Add(-5 * time.Second), to: now.Add(-3 * time.Second)}}}}
+	lateBody := closed(terminated, "q1", 5*time.Second)
+	lateBody.written = lateBody.sent.Add(1200 * time.Millisecond)
+	const timeout = 7 * time.Second
 	four := func(v *vm) []answer {
 		return []answer{
 			closed(v, "q1", time.Second), closed(v, "q2", time.Second), closed(v, "q3", time.Second), closed(v, "q4", time.Second),
@@ -43,7 +46,9 @@
 		"closed, long unread":            {true, []answer{closed(v, "q9", 2*time.Second)}, 1},
 		"closed while it was sent":       {true, []answer{closed(v, "q9", lossSlack/2)}, 0},
 		"not sent whole":                 {true, []answer{unsent}, 0},
-		"no time left":                   {true, []answer{closed(v, "q1", 6*time.Second)}, 0},
+		"no time left":                   {true, []answer{closed(v, "q1", timeout)}, 0},
+		"time left":                      {true, []answer{closed(v, "q1", timeout-2*lossMargin)}, 1},
+		"sent whole long after SIGTERM":  {true, []answer{lateBody}, 1},
 		"at the end of the grace":        {true, []answer{closed(terminated, "q1", 5*time.Second)}, 0},
 		"no target at work":              {true, []answer{idle}, 1},
 		"sent long after SIGTERM":        {true, []answer{closed(terminated, "q1", 2*time.Second)}, 1},
@@ -54,6 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRun(Options{Planned: c.planned})
 			r.targets = []*engine.Target{target}
+			r.history = []termsInForce{{now.Add(-time.Hour), terms{timeout: timeout}}}
 			r.checker.answers = c.answers
 			r.checkLost()
 			gomega.NewWithT(t).Expect(r.checker.violations).To(gomega.HaveLen(c.lost))
@@ -72,3 +78,27 @@
 	r.checkLost()
 	gomega.NewWithT(t).Expect(r.checker.violations).To(gomega.BeEmpty())
 }
+
+// Guards against a checker that takes requests with time left for those whose time has ended,
+// or blames a VM for the end of a time limit.
+func TestTheTimeLimitIsTheShortestThatMayBeInForce(t *testing.T) {
+	now := time.Now()
+	r := newRun(Options{Planned: true})
+	for i, timeout := range []time.Duration{6 * time.Second, 7 * time.Second, 6500 * time.Millisecond, time.Minute} {
+		r.history = append(r.history, termsInForce{now.Add(time.Duration(i) * 10 * time.Second), terms{timeout: timeout}})
+	}
+	for name, c := range map[string]struct {
+		sent, done, limit time.Duration
+	}{
+		"first terms":                  {5 * time.Second, 9 * time.Second, 6 * time.Second},
+		"before the next ones apply":   {10*time.Second + applyBound/2, 14 * time.Second, 6 * time.Second},
+		"after they apply":             {11*time.Second + applyBound, 15 * time.Second, 7 * time.Second},
+		"shorter terms come meanwhile": {18 * time.Second, 21 * time.Second, 6500 * time.Millisecond},
+		"of the caller":                {45 * time.Second, 46 * time.Second, r.patience()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limit := r.timeLimit(answer{sent: now.Add(c.sent), done: now.Add(c.done)})
+			gomega.NewWithT(t).Expect(limit).To(gomega.Equal(c.limit))
+		})
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -23,6 +23,12 @@
 	idle        time.Duration // of callers' connections
 }
 
+// termsInForce are terms and the time at which the store got them.
+type termsInForce struct {
+	at    time.Time
+	terms terms
+}
+
 func firstTerms(r *run) terms {
 	return terms{timeout: r.leastTimeout() + 500*time.Millisecond, idle: 15 * time.Second}
 }
@@ -44,6 +50,25 @@
 	}
 }
 
+// applyBound is the time in which VMs apply a configuration.
+const applyBound = 2500 * time.Millisecond
+
+// timeLimit returns the shortest time limit that a request may have had from its route and its
+// caller. Beside disruptions, VMs may use older terms for any time.
+func (r *run) timeLimit(a answer) time.Duration {
+	if !r.options.Planned {
+		return min(r.patience(), r.leastTimeout())
+	}
+	limit := r.patience()
+	for i, t := range r.history {
+		replaced := i+1 < len(r.history) && r.history[i+1].at.Add(applyBound).Before(a.sent)
+		if t.at.Before(a.done) && !replaced {
+			limit = min(limit, t.terms.timeout)
+		}
+	}
+	return limit
+}
+
 // plannedFaults are those that end no request of a sound system.
 var plannedFaults = []fault{
 	{"silence", (*run).silenceTargets},
@@ -119,6 +144,18 @@
 	return nil
 }
 
+// addSlow starts a target of the slow service.
+func (r *run) addSlow(i int) error {
+	t, err := engine.Start(engine.Settings{
+		ID: fmt.Sprintf("c%d", i), Service: slowService, Zone: zones[i%3], Slots: 200, Pause: longWork,
+	}, r.store)
+	if err != nil {
+		return err
+	}
+	r.others = append(r.others, t)
+	return nil
+}
+
 func (r *run) allTargets() []*engine.Target {
 	return append(append([]*engine.Target(nil), r.targets...), r.others...)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,12 +27,14 @@
 	kindBooking = "booking" // non-idempotent
 	kindLookup  = "lookup"  // idempotent
 	kindProbe   = "probe"   // asks which configuration is in force
+	kindExport  = "export"  // non-idempotent, takes longWork; with Options.Planned
 )
 
 const (
 	host         = "counter.example"
 	plainService = "app"
 	otherService = "other"
+	slowService  = "slow"
 	gapAim       = 800 * time.Millisecond // longest pause between events that callers find good
 	model        = "base"
 	streamEvents = 12
@@ -45,6 +47,9 @@
 	finalCallers = 24               // that ask at the same time whether all is served
 	calm         = 13 * time.Second // after the last fault, until all must be served
 	startLimit   = 20 * time.Second
+	longWork     = 4 * time.Second         // of the targets of the slow service
+	lateBodies   = 6                       // one in so many requests sends its body late
+	maxBodyDelay = 2500 * time.Millisecond // shorter than the limits of the configurations
 )
 
 // Options of a run.
@@ -80,12 +85,13 @@
 	rolls         sync.WaitGroup // rolling restarts under way
 
 	mu       sync.Mutex
-	targets  []*engine.Target // all that ever were, but those of the second plain service
+	targets  []*engine.Target // all that ever were, but others
 	engines  []*engine.Target // that live
 	apps     []*engine.Target
-	others   []*engine.Target // of the second plain service
+	others   []*engine.Target // of the second plain service and the slow one
 	config   int
 	terms    terms
+	history  []termsInForce
 	limits   map[*engine.Target]*limited
 	versions map[string]int64
 	faults   map[string]int
@@ -151,6 +157,12 @@
 		if err := r.addOther(i); err != nil {
 			return err
 		}
+		if !r.options.Planned {
+			continue
+		}
+		if err := r.addSlow(i); err != nil {
+			return err
+		}
 	}
 	for i := range r.options.VMs {
 		v, err := newVM(r.options.Seed, i, r.checkFences(), r.extraRetries(), r.options.Program, r.options.Dir, r.store.Address())
@@ -251,6 +263,10 @@
 		r.route(kindQuote, "streaming", "llm", true), r.route(kindNotes, "streaming", "llm", false),
 		r.route(kindBooking, "non_idempotent", plainService, false), r.route(kindLookup, "idempotent", plainService, false),
 	}
+	if r.options.Planned {
+		routes = append(routes, r.route(kindExport, "non_idempotent", slowService, false))
+	}
+	r.history = append(r.history, termsInForce{time.Now(), r.terms})
 	for n := 1; n <= r.config; n++ {
 		routes = append(routes, r.route(fmt.Sprintf("probe%d", n), "idempotent", plainService, false))
 	}
@@ -263,6 +279,7 @@
 			}},
 			map[string]any{"name": plainService, "max_connections": 200},
 			map[string]any{"name": otherService, "max_connections": 200},
+			map[string]any{"name": slowService, "max_connections": 200},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": r.terms.idle.Milliseconds()},
 	})
@@ -275,9 +292,16 @@
 	defer client.CloseIdleConnections()
 	vms := r.vmsOf(rng)
 	kinds := []string{kindQuote, kindQuote, kindNotes, kindBooking, kindBooking, kindLookup, kindProbe}
+	if r.options.Planned {
+		kinds = append(kinds, kindExport)
+	}
 	for ctx.Err() == nil {
 		v := vms[rng.IntN(len(vms))]
-		r.checker.note(r.ask(client, v, kinds[rng.IntN(len(kinds))], rng.IntN(adapters)))
+		q := r.next(kinds[rng.IntN(len(kinds))], rng.IntN(adapters))
+		if r.options.Planned && rng.IntN(lateBodies) == 0 {
+			q.bodyDelay = time.Duration(rng.Int64N(int64(maxBodyDelay)))
+		}
+		r.checker.note(r.send(client, v, q))
 		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
 	}
 }
@@ -299,13 +323,48 @@
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
+// outgoing is a request that a caller sends.
+type outgoing struct {
+	kind, id  string
+	adapter   int
+	bodyDelay time.Duration // after the head of the request
+}
+
+// next returns a request with an ID of its own.
+func (r *run) next(kind string, adapter int) outgoing {
+	return outgoing{kind: kind, adapter: adapter, id: fmt.Sprintf("q%d", r.number.Add(1))}
+}
+
 func (r *run) ask(client *http.Client, v *vm, kind string, adapter int) answer {
-	return r.send(client, v, kind, adapter, fmt.Sprintf("q%d", r.number.Add(1)))
+	return r.send(client, v, r.next(kind, adapter))
 }
 
 // askAs sends a request under an identifier.
 func (r *run) askAs(client *http.Client, v *vm, kind, id string) answer {
-	return r.send(client, v, kind, 0, id)
+	return r.send(client, v, outgoing{kind: kind, id: id})
+}
+
+// body returns the body of the request. The HTTP client sends the head before a body that
+// comes late.
+func (q outgoing) body() io.Reader {
+	text := bytes.NewBufferString("body of " + q.id)
+	if q.bodyDelay == 0 {
+		return text
+	}
+	return &lateBody{Buffer: text, delay: q.bodyDelay}
+}
+
+// lateBody is a body whose first byte comes after a delay.
+type lateBody struct {
+	*bytes.Buffer
+	delay time.Duration
+}
+
+// Read implements io.Reader.
+func (b *lateBody) Read(p []byte) (int, error) {
+	time.Sleep(b.delay)
+	b.delay = 0
+	return b.Buffer.Read(p)
 }
 
 // patience is the time that callers give their requests.
@@ -348,10 +407,10 @@
 	return 10 * time.Millisecond
 }
 
-func (r *run) send(client *http.Client, v *vm, kind string, adapter int, id string) answer {
-	a := answer{id: id, kind: kind, vm: v, start: v.incarnation(), sent: time.Now()}
-	path := "/" + kind + "/x"
-	if kind == kindProbe {
+func (r *run) send(client *http.Client, v *vm, q outgoing) answer {
+	a := answer{id: q.id, kind: q.kind, vm: v, start: v.incarnation(), sent: time.Now()}
+	path := "/" + q.kind + "/x"
+	if q.kind == kindProbe {
 		r.mu.Lock()
 		a.config = r.config
 		r.mu.Unlock()
@@ -369,14 +428,14 @@
 			}
 		},
 	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.caller+path, bytes.NewBufferString("body of "+a.id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.caller+path, q.body())
 	if err != nil {
 		return a
 	}
 	req.Host = host
 	call := engine.Call{ID: a.id, Deadline: r.patience()}
-	if kind == kindQuote || kind == kindNotes {
-		call.Model, call.Prompt, call.Answer = fmt.Sprintf("%s/a%d", model, adapter), 900, 48
+	if q.kind == kindQuote || q.kind == kindNotes {
+		call.Model, call.Prompt, call.Answer = fmt.Sprintf("%s/a%d", model, q.adapter), 900, 48
 	}
 	call.Describe(req.Header)
 	resp, err := client.Do(req)
