gateway, soak: More tests of the end of a planned stop

A stream whose first event comes while the work on it is ended, and a request that is accepted while the others are answered.

--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -323,6 +323,22 @@
 	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
 }
 
+// Guards against a request that is accepted just before all others are answered, and that is
+// not among them.
+func TestRequestThatBeginsWhileOthersAreAnsweredIsAnswered(t *testing.T) {
+	for name, kind := range map[string]fleet.Kind{"plain": fleet.NonIdempotent, "stream": fleet.Streaming} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w, address := newWorld(t, kind, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+			w.server.AnswerAll()
+			status, _, err := get(g, address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable))
+			g.Expect((<-w.summaries).Trace.Failure.Code).To(gomega.Equal(errs.Draining))
+		})
+	}
+}
+
 // Guards against a shutdown that cuts begun streams together with the requests of which the
 // callers have got nothing.
 func TestBegunStreamGoesOnWhileOthersAreAnswered(t *testing.T) {
@@ -344,6 +360,19 @@
 	g.Expect(string(body)).To(gomega.Equal("id: 1\n\nid: 2\n\n"))
 }
 
+// Guards against a stream that begins after the work on it was ended, and is cut.
+func TestStreamThatBeginsWhileOthersAreAnsweredIsNotCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, address := newWorld(t, fleet.Streaming, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, streamHead+chunk("id: 1\n\n"))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	w.started = func() { w.server.AnswerAll() }
+	status, _, err := get(g, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusBadGateway))
+}
+
 // Guards against a request that is answered twice, or not at all, where the answer of its
 // target and the end of the process meet.
 func TestAnswerThatMeetsTheEndOfTheProcessIsWhole(t *testing.T) {
