--- a/internal/gateway/contain_test.go
+++ b/internal/gateway/contain_test.go
@@ -33,6 +33,8 @@
 	target       string // address
 	panicIn      string // function that panics
 	panicked     chan string
+	server       *gateway.Server
+	started      func() // is called when the first event of a stream has come, unless it is nil
 	inFlight     func() int
 	shutdown     func(context.Context)
 	drain        func(acceptStreams time.Duration)
@@ -208,10 +210,16 @@
 	}
 	return gateway.Lease{Grant: placer.Grant{Target: "t", Address: w.target}, Estimate: cmp.Or(w.estimate, time.Second)}, nil
 }
-func (w *world) Started(gateway.Lease, gateway.TargetStatement) { w.maybePanic("Started") }
-func (w *world) Stated(gateway.Lease, gateway.TargetStatement)  {}
-func (w *world) IgnoreStatement(string)                         { w.ignored.Add(1) }
-func (w *world) Limited(string, []string) bool                  { return false }
+
+func (w *world) Started(gateway.Lease, gateway.TargetStatement) {
+	w.maybePanic("Started")
+	if w.started != nil {
+		w.started()
+	}
+}
+func (w *world) Stated(gateway.Lease, gateway.TargetStatement) {}
+func (w *world) IgnoreStatement(string)                        { w.ignored.Add(1) }
+func (w *world) Limited(string, []string) bool                 { return false }
 func (w *world) RecordStatement(_ string, s gateway.TargetStatement) {
 	if w.statements != nil {
 		w.statements <- s
@@ -268,7 +276,11 @@
 	w.upstream = &upstream.Client{Dial: w.dialTarget}
 	server := gateway.New(gateway.Options{Fleet: w, Placement: w, Dialect: w, Observer: w, Quarantine: &w.quarantine, Upstream: w.upstream})
 	w.inFlight, w.shutdown = server.InFlight, server.Shutdown
-	w.drain, w.refuse = server.Drain, server.RefuseWaiting
+	w.drain = func(acceptStreams time.Duration) {
+		now := time.Now()
+		server.Drain(gateway.DrainSchedule{RefuseStreams: now.Add(acceptStreams), RefuseLong: now.Add(acceptStreams), AnswerAll: now.Add(time.Minute)})
+	}
+	w.refuse, w.server = server.RefuseWaiting, server
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = l.Close() })
