--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,8 @@
 	Limits       []string `json:"limits"`  // how rate limits of targets held the request up
 	Leaving      []string `json:"leaving"` // which targets the request did not get because they leave
 	Pauses       []string `json:"pauses"`  // how pauses of targets held the request up
+	// Restores tells when the VMs involved learned of a restore of the store, and caught up.
+	Restores []string `json:"restores"`
 	// Unanswered tells how the end of a process cut the request.
 	Unanswered []string `json:"unanswered"`
 	Missing    []string `json:"missing"` // descriptions of the lines and logs that are missing
@@ -54,7 +56,7 @@
 // or the state of the VM or its log.
 var stateChangeEvents = map[string]bool{
 	"config_in_force": true, "group": true, "owner_silent": true, "owner_heard": true, "store_lost": true, "store_regained": true,
-	"adapter_version": true, "started": true, "draining": true, "stopped": true, "log_lines_dropped": true,
+	"store_restored": true, "store_caught_up": true, "adapter_version": true, "started": true, "draining": true, "stopped": true, "log_lines_dropped": true,
 }
 
 // stateChangeLookback is how long before the first line of a request state changes are
@@ -155,6 +157,7 @@
 	report.Limits = describeLimits(report.Lines)
 	report.Leaving = describeLeaving(report.Lines, lines)
 	report.Pauses = describePauses(report.Lines)
+	report.Restores = describeRestores(first, last, involved, lines)
 	report.Unanswered = describeUnanswered(report.Lines)
 	report.Missing = describeGaps(report.Lines, lines)
 	return report, nil
@@ -224,6 +227,9 @@
 	for _, pause := range report.Pauses {
 		fmt.Fprintf(&b, "pause: %s\n", pause)
 	}
+	for _, restore := range report.Restores {
+		fmt.Fprintf(&b, "restore: %s\n", restore)
+	}
 	for _, cut := range report.Unanswered {
 		fmt.Fprintf(&b, "unanswered: %s\n", cut)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -192,3 +192,24 @@
 		g.Expect(b.String()).To(gomega.ContainSubstring(want))
 	}
 }
+
+// Guards against a 404 after a restore of the store that cannot be explained from its ID.
+func TestRestoresOfTheStoreAreReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	log := `{"vm":"a","event":"store_restored","era_before":1,"era":2,"source":"store","revision":89,"config":7,"stamp":"13100000000.0"}
+{"vm":"b","event":"store_restored","era_before":1,"era":2,"source":"relay","revision":89,"config":7,"stamp":"13200000000.0"}
+{"vm":"a","event":"store_caught_up","era":2,"revision":49,"config":7,"count":12,"missing":0,"took_ms":400,"stamp":"13500000000.0"}
+{"vm":"a","event":"finished","request":"q","status":404,"config":7,"stamp":"20000000000.0"}
+`
+	lines, err := explain.Read(strings.NewReader(log), explain.Window{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	report, err := explain.BuildReport("q", lines)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(report.Restores).To(gomega.Equal([]string{
+		"-6.900 s: a learned (store) that the store was restored from a copy, era 1 to 2; it knew revision 89 and configuration 7",
+		"-6.500 s: a had caught up with era 2 at revision 49, configuration 7, after 400 ms",
+	}))
+	var text strings.Builder
+	g.Expect(explain.Write(&text, report)).To(gomega.Succeed())
+	g.Expect(text.String()).To(gomega.ContainSubstring("restore: -6.900 s: a learned"))
+}
