edge: A target that restarts within one answer of the store is used

A target whose entry was removed and created again between two watches, with any later change in the same answer, stayed out of use until its entry changed again. The removal counted as of the position up to which the answer goes, and the new description, which is older than that, was refused.

Only the last change of an entry counts as of the answer's position. TestTargetThatRestartsWithinOneBatchIsUsed failed before.

--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -267,15 +267,24 @@
 		h.d.deployment.advanceTargets(at)
 		return
 	}
+	last := make(map[string]int, len(changes)) // index of the last change, by key
+	for i := range changes {
+		last[changes[i].Object.Key] = i
+	}
 	h.d.deployment.updateRegistry(func(r *fleet.Registry, now time.Time) {
-		for _, c := range changes {
-			if c.Deleted {
-				r.Remove(now, objectName(c.Object.Key), at)
-				continue
+		for i, c := range changes {
+			var target fleet.StoredTarget
+			usable := false
+			if !c.Deleted {
+				target, usable = h.decode(c.Object)
 			}
-			if t, ok := h.decode(c.Object); ok {
-				r.Put(now, t)
-			} else {
+			switch {
+			case usable:
+				r.Put(now, target)
+			case last[c.Object.Key] > i: // at counts for the state after all changes
+			case c.Deleted:
+				r.Remove(now, objectName(c.Object.Key), at)
+			default:
 				r.Withdraw(now, objectName(c.Object.Key), at)
 			}
 		}
