objectstore: Positions of the first era are plain revisions

A VM with the program of the last landing takes positions from other VMs as revisions. With the era in them, it would have watched a store that was never restored from a revision far in the future: 410, list and so on without a pause, for as long as both programs run.

In the first era, and where a store states none, a position now equals its revision.

--- a/internal/objectstore/position.go
+++ b/internal/objectstore/position.go
@@ -12,30 +12,30 @@
 	revisionBits = 40
 	// MaxRevision is the largest revision that a Position can hold.
 	MaxRevision = 1<<revisionBits - 1
-	// MaxEra is the largest era that a Position can hold.
-	MaxEra = 1<<(63-revisionBits) - 1
-	// FirstEra is the era of a store that was never restored from a copy. A store that
-	// states no era stays in era 0.
+	// FirstEra is the era of a store that was never restored from a copy, or states no era.
 	FirstEra = 1
+	// MaxEra is the largest era that a Position can hold.
+	MaxEra = FirstEra + 1<<(63-revisionBits) - 1
 )
 
 // Position is a point in the history of the store: a revision, and the era of the store in
 // which it was given out. A store that is restored from a copy begins a new era and gives
 // the revisions after the copy out again, so revisions of two eras have no order by
 // themselves. Positions are ordered by era first, and may be compared with the operators of
-// Go. The zero Position precedes all others. In era 0 a position equals its revision.
+// Go. The zero Position precedes all others. In the first era a position equals its revision,
+// so that VMs with earlier versions of the program understand it.
 type Position int64
 
 // NewPosition returns the position of a revision in an era.
 func NewPosition(era, revision int64) (Position, error) {
-	if era < 0 || era > MaxEra || revision < 0 || revision > MaxRevision {
+	if era < FirstEra || era > MaxEra || revision < 0 || revision > MaxRevision {
 		return 0, errs.New(errs.InvalidMessage, "era "+strconv.FormatInt(era, 10)+" or revision "+strconv.FormatInt(revision, 10)+" is out of range")
 	}
-	return Position(era<<revisionBits | revision), nil
+	return Position((era-FirstEra)<<revisionBits | revision), nil
 }
 
 // Era returns the era of the store.
-func (p Position) Era() int64 { return int64(p) >> revisionBits }
+func (p Position) Era() int64 { return int64(p)>>revisionBits + FirstEra }
 
 // Revision returns the revision, which is only meaningful in the position's era.
 func (p Position) Revision() int64 { return int64(p) & MaxRevision }
