edgetest: Tests of restores run three at a time

One after another they take some six minutes on the current code, and the package would come near the limit of ten minutes for its tests. No bound, no check changes.

--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -30,8 +30,19 @@
 	maxLists = 2
 	// followedKinds is the number of kinds of objects that VMs follow in the store.
 	followedKinds = 4
+	// clustersAtOnce bounds the load on the machine, which the bounds of the tests assume.
+	clustersAtOnce = 3
 )
 
+var slots = make(chan struct{}, clustersAtOnce)
+
+// takeSlot lets a test, most of whose time is waiting, run beside some others.
+func takeSlot(t *testing.T) {
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+}
+
 // probeRoute is a route that each later configuration of the test keeps.
 func probeRoute(n int) map[string]any {
 	return route(fmt.Sprintf("probe%d", n), fmt.Sprintf("/probe%d/", n), "idempotent", app, 2, false, 1000)
@@ -108,11 +119,13 @@
 // Guards against VMs on which a configuration that was written after a restore is late, or does
 // not come into force, because its revision is lower than those of the lost history.
 func TestConfigurationsComeIntoForceAfterARestore(t *testing.T) {
+	t.Parallel()
 	for name, prepare := range map[string]func(*cluster){
 		"watches_answered": func(*cluster) {},
 		"watches_cut":      func(c *cluster) { c.store.CutWatches() },
 	} {
 		t.Run(name, func(t *testing.T) {
+			takeSlot(t)
 			c := start(t, 5, prepare)
 			c.awaitFollowers()
 			copied := c.store.Snapshot()
@@ -133,6 +146,7 @@
 // Guards against VMs that miss configurations after two restores within seconds, the second
 // from a copy that is older than the first restore.
 func TestConfigurationsComeIntoForceAfterTwoRestores(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	older := c.store.Snapshot()
@@ -155,6 +169,7 @@
 // Guards against a VM that goes back to the configuration of the copy before the operator has
 // written the newest one again.
 func TestConfigurationNeverGoesBackAtARestore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
@@ -191,6 +206,7 @@
 // Guards against a target that has left and is used again because the copy has its entry as it
 // was before.
 func TestLeftTargetIsNotUsedAfterARestore(t *testing.T) {
+	t.Parallel()
 	for name, leave := range map[string]func(*cluster, *engine.Target) error{
 		"draining": func(_ *cluster, target *engine.Target) error { return target.Leave() },
 		"entry_removed": func(c *cluster, target *engine.Target) error {
@@ -199,6 +215,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			takeSlot(t)
 			c := start(t, 5)
 			c.awaitFollowers()
 			copied := c.store.Snapshot()
@@ -222,6 +239,7 @@
 // Guards against a target whose entry was lost with the history and that is not used although
 // it has written its entry again, and against one that is used after it has left since.
 func TestTargetsThatRegisterAgainAreUsedAfterARestore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
@@ -309,6 +327,7 @@
 // Guards against an epoch that is given to two VMs: the copy does not know of a takeover, and
 // the former owner, started anew, takes the group over with the epoch of the acting owner.
 func TestNoEpochHasTwoOwnersAfterARestore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	stop := c.load()
@@ -350,6 +369,7 @@
 // Guards against a group that has no owner, or two, because its record is gone from the copy,
 // and against a gap in service meanwhile.
 func TestGroupWhoseRecordIsGoneHasAnOwner(t *testing.T) {
+	takeSlot(t)
 	var empty metastore.Snapshot
 	c := start(t, 5, func(c *cluster) { empty = c.store.Snapshot() })
 	c.awaitFollowers()
@@ -417,6 +437,7 @@
 // Guards against versions of adapters that are announced after a restore, or written again, and
 // not used because their revision is lower than one of the lost history.
 func TestAnnouncedVersionsAreUsedAfterARestore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	c.announce("a1", 2)
@@ -440,8 +461,10 @@
 // Guards against a VM that was cut off from the store during a restore, comes back and goes on
 // with what it knows from the lost history.
 func TestVMThatIsCutOffAcrossARestoreCatchesUp(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"owner", "another_VM", "all_but_one"} {
 		t.Run(name, func(t *testing.T) {
+			takeSlot(t)
 			c := start(t, 5)
 			c.awaitFollowers()
 			copied := c.store.Snapshot()
@@ -476,6 +499,7 @@
 // Guards against VMs that were started after a restore and get from the others, or tell them,
 // what the lost history had.
 func TestVMStartedAfterARestoreAgreesWithTheOthers(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
@@ -498,6 +522,7 @@
 // Guards against VMs that list a kind and watch it in turn without an end, because the store
 // does not have the revision that they know.
 func TestRestoreCostsFewCallsToTheStore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
@@ -522,6 +547,7 @@
 // Guards against answers of the former era that arrive late and replace what a VM knows of the
 // current one.
 func TestLateAnswersOfALostHistoryAreNotUsed(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
@@ -544,6 +570,7 @@
 // Guards against changes of a target that are ignored after a restore, because their revision is
 // lower than the one at which the target was known in the lost history.
 func TestChangesOfATargetFromALostHistoryAreNoticed(t *testing.T) {
+	t.Parallel()
 	settings := engine.Settings{ID: "late", Service: app, Zone: dataCentres[0], Slots: 6, Pause: 5 * time.Millisecond}
 	registered := func(t *testing.T) (*cluster, *engine.Target) {
 		c := start(t, 5)
@@ -565,6 +592,7 @@
 		}
 	}
 	t.Run("leaves", func(t *testing.T) {
+		takeSlot(t)
 		c, late := registered(t)
 		c.g.Expect(late.Leave()).To(gomega.Succeed())
 		left := time.Now()
@@ -572,6 +600,7 @@
 		c.g.Expect(runsAfter(late, left.Add(drainBound))).To(gomega.BeEmpty())
 	})
 	t.Run("entry_removed", func(t *testing.T) {
+		takeSlot(t)
 		c, late := registered(t)
 		c.store.Remove("servers", late.Settings.ID)
 		left := time.Now()
@@ -579,6 +608,7 @@
 		c.g.Expect(runsAfter(late, left.Add(drainBound))).To(gomega.BeEmpty())
 	})
 	t.Run("starts_anew_elsewhere", func(t *testing.T) {
+		takeSlot(t)
 		c, late := registered(t)
 		late.Crash()
 		time.Sleep(2 * time.Millisecond) // its time of start differs
@@ -590,6 +620,7 @@
 // Guards against a group that nobody can take over after a restore, because its record has a
 // lower revision than the one that the VMs know.
 func TestKilledOwnerIsReplacedAfterARestore(t *testing.T) {
+	takeSlot(t)
 	c := start(t, 5)
 	c.awaitFollowers()
 	copied := c.store.Snapshot()
