edgetest: The late target of a test is the nearest one

TestChangesOfATargetFromALostHistoryAreNoticed waited up to 30 s for requests at a target that is like another one of its data centre, whose ID sorts before it: the balancer takes the first of equals, so only a slower answer brought any (3 of 3 subtests failed before the restore, run at once and alone). The other target has now ended before; the checks are the same. All pass with -race, 1 run.

--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -575,7 +575,11 @@
 	t.Parallel()
 	settings := engine.Settings{ID: "late", Service: app, Zone: dataCentres[0], Slots: 6, Pause: 5 * time.Millisecond}
 	registered := func(t *testing.T) (*cluster, *engine.Target) {
-		c := start(t, 5)
+		c := start(t, 5, func(c *cluster) {
+			// Its VMs take the nearest target: the late one.
+			c.apps[0].Crash()
+			c.apps = c.apps[1:]
+		})
 		c.awaitFollowers()
 		copied := c.store.Snapshot()
 		c.loseHistory(1)
