edgetest: The only target of a service changes after a restore

TestChangesOfATargetFromALostHistoryAreNoticed asked until the new target got a request, which the balance between targets does not promise: in a run without a restore it failed at that point, and what it had said of targets that start anew was not shown. The target is the only one of its service now, so that each request goes to it; the bounds and the checks stay.

--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -575,10 +575,16 @@
 	registered := func(t *testing.T) (*cluster, *engine.Target) {
 		c := start(t, 5)
 		c.awaitFollowers()
+		for _, target := range c.apps { // so that all requests go to the target of the test
+			c.g.Expect(target.Leave()).To(gomega.Succeed())
+		}
+		time.Sleep(drainBound)
 		copied := c.store.Snapshot()
-		c.loseHistory(1)
+		for range lostWrites {
+			c.configureProbes(1)
+		}
 		late := c.target(settings)
-		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(late.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+		c.awaitProbe(1, limit, "at the only target")
 		c.restore(copied)
 		c.configureAgain()
 		c.rewrite()
