--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -575,16 +575,18 @@
 	t.Parallel()
 	settings := engine.Settings{ID: "late", Service: app, Zone: dataCentres[0], Slots: 6, Pause: 5 * time.Millisecond}
 	registered := func(t *testing.T) (*cluster, *engine.Target) {
-		c := start(t, 5, func(c *cluster) {
-			// Its VMs take the nearest target: the late one.
-			c.apps[0].Crash()
-			c.apps = c.apps[1:]
-		})
+		c := start(t, 5)
 		c.awaitFollowers()
+		for _, target := range c.apps { // so that all requests go to the target of the test
+			c.g.Expect(target.Leave()).To(gomega.Succeed())
+		}
+		time.Sleep(drainBound)
 		copied := c.store.Snapshot()
-		c.loseHistory(1)
+		for range lostWrites {
+			c.configureProbes(1)
+		}
 		late := c.target(settings)
-		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(late.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+		c.awaitProbe(1, limit, "at the only target")
 		c.restore(copied)
 		c.configureAgain()
 		c.rewrite()
