tenure: A record of an earlier era does not replace a removed one

An epoch of the current era could be given twice, and targets get orders of two owners under one fencing token: the group's object of the era is removed, and a list of the store still has the object of an earlier era. That record was taken over because none existed, and the next epoch was counted from it.

Evidence: TestFormerRecordDoesNotReplaceARemovedOne failed (the epoch twice) and passes.

Change: a record of an earlier era with a lower epoch than the last one known is ignored whether a record exists or not. One of the current era still counts, as another VM may have created it without knowing the removed one.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -239,7 +239,7 @@
 func (m *StateMachine) SetRecord(now Time, r Record, era int64) {
 	m.EnterEra(now, era)
 	m.stored = m.stored || OfEra(r, m.era)
-	if m.exists && older(r, m.record) {
+	if m.exists && older(r, m.record) || !OfEra(r, m.era) && r.Epoch < m.record.Epoch {
 		return
 	}
 	old := m.record
