groupserver: A panic while a layout is written again does not end the process

The number of groups that a restored store lacks is written by a timer of its own, without the containment that the decision on the number has: a panic there would end the process and cut its requests. Found by reading; no panic is known, and no test makes one. Now contained like scheduleLayout's timer.

--- a/internal/groupserver/layout.go
+++ b/internal/groupserver/layout.go
@@ -175,7 +175,10 @@
 }
 
 func (m *Manager) scheduleRestore(service string, era int64) {
-	time.AfterFunc(rand.N(m.opt.SettleDelay/2), func() { m.restoreLayout(service, era) })
+	time.AfterFunc(rand.N(m.opt.SettleDelay/2), func() {
+		defer m.contain("layout")
+		m.restoreLayout(service, era)
+	})
 }
 
 // restoreLayout writes a layout again in an era of the store, unless another VM has done so or
