edgetest: Targets of a lost history are asked for by several requests at once

Nothing is wrong with the target. One request at a time goes to the target that is expected to answer first; on a quiet machine that is always one of those that have answered before. For the same reason the later check, that a target that has left gets no more requests, could hold because nobody would have chosen it.

Each VM now gets 16 requests at once, so that all four targets are used. All expectations and bounds are as before.

--- a/internal/edgetest/restore_test.go
+++ b/internal/edgetest/restore_test.go
@@ -543,6 +543,21 @@
 	c.g.Expect(strings.Count(c.logs.text(), `"level":"error"`)).To(gomega.BeZero())
 }
 
+// atOnce is the number of requests at a VM that make it use all of four targets.
+const atOnce = 16
+
+// askAtOnce sends several requests to each VM at the same time. One at a time may all go to the
+// target that has answered fastest.
+func (c *cluster) askAtOnce(path string) {
+	var asked sync.WaitGroup
+	for _, v := range c.vms {
+		for range atOnce {
+			asked.Go(func() { c.ask(v, request{method: http.MethodGet, path: path}) })
+		}
+	}
+	asked.Wait()
+}
+
 // Guards against changes of a target that are ignored after a restore, because their revision is
 // lower than the one at which the target was known in the lost history.
 func TestChangesOfATargetFromALostHistoryAreNoticed(t *testing.T) {
@@ -553,7 +568,7 @@
 		copied := c.store.Snapshot()
 		c.loseHistory(1)
 		late := c.target(settings)
-		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(late.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+		c.g.Eventually(func() int { c.askAtOnce(lookup + "x"); return len(late.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
 		c.restore(copied)
 		c.configureAgain()
 		c.rewrite()
@@ -563,7 +578,7 @@
 	}
 	ask := func(c *cluster, d time.Duration) {
 		for end := time.Now().Add(d); time.Now().Before(end); {
-			c.statuses(lookup + "x")
+			c.askAtOnce(lookup + "x")
 		}
 	}
 	t.Run("leaves", func(t *testing.T) {
@@ -585,7 +600,7 @@
 		late.Crash()
 		time.Sleep(2 * time.Millisecond) // its time of start differs
 		next := c.target(settings)
-		c.g.Eventually(func() int { c.statuses(lookup + "x"); return len(next.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
+		c.g.Eventually(func() int { c.askAtOnce(lookup + "x"); return len(next.Runs()) }).WithTimeout(limit).Should(gomega.BeNumerically(">", 0))
 	})
 }
 
