groupserver: A record of a later era of the store names no owner

Another writer could leave a record with an epoch of an era that the store has not reached: VMs took it for the newest one, and since no epoch of the current era is higher, nobody could own the group any more. Such records are now left out like other odd entries, also from other VMs. TestRecordOfALaterEraIsIgnored failed before.

--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -308,7 +308,7 @@
 
 // SetRecord sets a group's record that was received from another VM.
 func (m *Manager) SetRecord(group string, r tenure.Record, version objectstore.Position) {
-	if g := m.lookup(group); g != nil && r.Check() == nil {
+	if g := m.lookup(group); g != nil && r.Check() == nil && !tenure.OfLaterEra(r, version.Era()) {
 		g.setRecord(r, version)
 	}
 }
@@ -388,6 +388,9 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return r, errs.Wrap(err, errs.InvalidMessage, "decode the object of a group")
 	}
+	if position := objectstore.Position(o.Version); tenure.OfLaterEra(r, position.Era()) {
+		return r, errs.New(errs.InvalidMessage, "the epoch of a group is of a later era of the store")
+	}
 	return r, r.Check()
 }
 
--- a/internal/groupserver/restore_test.go
+++ b/internal/groupserver/restore_test.go
@@ -145,3 +145,18 @@
 	_, err := store.Get(context.Background(), Kind+"/"+ObjectName("llm.0", 2), 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred(), "the owner takes the group over in the new era")
 }
+
+// Guards against a group that nobody can own any more, because another writer left a record with
+// an epoch of an era that the store has not reached.
+func TestRecordOfALaterEraIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newTestManager("vm0", memstore.New())
+	m.SetFleet(map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}, []fleet.Target{{ID: "t", Service: "llm", Slots: 8}})
+	known := tenure.Record{Owner: "vm1", Incarnation: 1, Address: "vm1", Epoch: 7}
+	odd := tenure.Record{Owner: "vm2", Incarnation: 1, Address: "vm2", Epoch: 5_000_000_001}
+	m.Replace([]objectstore.Object{objectAt(g, Kind+"/llm.0", known, at(1, 10))}, at(1, 20))
+	m.Change([]objectstore.Change{{Object: objectAt(g, Kind+"/llm.0@5", odd, at(1, 21))}}, at(1, 21))
+	m.SetRecord("llm.0", odd, at(1, 22))
+	record, _ := m.lookup("llm.0").tenure.Record()
+	g.Expect(record).To(gomega.Equal(known))
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -131,7 +131,12 @@
 
 // OfEra reports whether a record was first written in an era of the store.
 func OfEra(r Record, era int64) bool {
-	return r.Epoch >= firstEpoch(era) && r.Epoch < firstEpoch(max(era, objectstore.FirstEra)+1)
+	return r.Epoch >= firstEpoch(era) && !OfLaterEra(r, era)
+}
+
+// OfLaterEra reports whether a record can't have been written by an era of the store.
+func OfLaterEra(r Record, era int64) bool {
+	return r.Epoch >= firstEpoch(max(era, objectstore.FirstEra)+1)
 }
 
 // IsFirst reports whether no VM can have owned the group before the owner of an epoch.
