--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -110,13 +110,6 @@
 	return s
 }
 
-// enterEra records an era of the store of which this VM has heard.
-func (g *group) enterEra(era int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tenure.EnterEra(g.manager.now(), era)
-}
-
 // setAbsent records that the group had no object of the position's era in the store.
 func (g *group) setAbsent(at objectstore.Position) {
 	g.mu.Lock()
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -298,14 +298,6 @@
 	m.assignTargets()
 }
 
-// EnterEra records an era of the store of which this VM has heard. Its objects need not have
-// been read yet.
-func (m *Manager) EnterEra(era int64) {
-	for _, g := range m.allGroups() {
-		g.enterEra(era)
-	}
-}
-
 // SetRecord sets a group's record that was received from another VM.
 func (m *Manager) SetRecord(group string, r tenure.Record, version objectstore.Position) {
 	if g := m.lookup(group); g != nil && r.Check() == nil {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -212,9 +212,8 @@
 // SetJitter replaces the fraction of the maximum jitter delay.
 func (m *StateMachine) SetJitter(jitter float64) { m.self.Jitter = jitter }
 
-// EnterEra records an era of the store: that in which something was read, or of which this VM
-// has heard.
-func (m *StateMachine) EnterEra(now Time, era int64) {
+// enterEra records the era of the store in which something was read.
+func (m *StateMachine) enterEra(now Time, era int64) {
 	if era > m.era {
 		m.era, m.eraSeenAt = era, now
 		m.stored = m.stored && m.Confirmed()
@@ -223,7 +222,7 @@
 
 // SetAbsent records that the group has no object of an era of the store.
 func (m *StateMachine) SetAbsent(now Time, era int64) {
-	m.EnterEra(now, era)
+	m.enterEra(now, era)
 	m.stored = false
 	if m.exists && !m.Confirmed() {
 		return // lost with a restore
@@ -237,7 +236,7 @@
 // SetRecord sets the record that was read from or written to an object of the group in an era
 // of the store. Records older than the current one are ignored.
 func (m *StateMachine) SetRecord(now Time, r Record, era int64) {
-	m.EnterEra(now, era)
+	m.enterEra(now, era)
 	m.stored = m.stored || OfEra(r, m.era)
 	if m.exists && older(r, m.record) || !OfEra(r, m.era) && r.Epoch < m.record.Epoch {
 		return
