edge: Versions of adapters that a restored store lacks are passed on

A VM that had started from the copy used, for requests and as the owner of a group, the version of an adapter that the copy holds, until the operator had announced the newer one again. Other VMs knew it, and never told.

Cause: VMs pass on the announcements that were made after the position up to which the receiver knows all. The newer version was announced in the lost history, so its position precedes all those of the new era. For configurations compares the version in force as well; for adapters nothing did.

Change: when a VM has applied the restored store, versions that it knows and the store lacks count as announced right after the position of the list, as rows of targets do (fleet.after).

TestVersionAnnouncedAgainIsPassedOn expected that nothing is passed on in this state, before the version is announced again. It now expects exactly the one row; the rest of it is as before.

--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -45,12 +45,38 @@
 	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 3, Revision: at(t, 1, 80)})).To(gomega.BeTrue())
 	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 2, Revision: at(t, 2, 55)})).To(gomega.BeFalse(), "from the copy")
 	table.advance(0, at(t, 2, 60))
-	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.BeEmpty())
+	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.Equal([]grouprpc.AdapterVersion{{Adapter: a, Version: 3, Revision: at(t, 2, 61)}}), "to a VM that only knows the copy")
 	g.Expect(table.set(grouprpc.AdapterVersion{Adapter: a, Version: 3, Revision: at(t, 2, 65)})).To(gomega.BeFalse())
 	g.Expect(table.updateSince(at(t, 2, 60)).Rows).To(gomega.Equal([]grouprpc.AdapterVersion{{Adapter: a, Version: 3, Revision: at(t, 2, 65)}}))
 	g.Expect(table.all()).To(gomega.Equal(map[placer.Adapter]int64{a: 3}))
 }
 
+// Guards against a VM that starts from the copy and uses the version of an adapter that it holds,
+// although other VMs know a later one from the lost history.
+func TestVersionThatARestoredStoreLacksIsPassedOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, started := newVersionTable(), newVersionTable()
+	a, b := placer.Adapter{Model: "m", Name: "a"}, placer.Adapter{Model: "m", Name: "b"}
+	table.set(grouprpc.AdapterVersion{Adapter: a, Version: 4, Revision: at(t, 1, 80)})
+	table.set(grouprpc.AdapterVersion{Adapter: b, Version: 7, Revision: at(t, 1, 40)})
+	table.advance(0, at(t, 1, 85))
+	for _, listing := range []*versionTable{table, started} {
+		listing.set(grouprpc.AdapterVersion{Adapter: a, Version: 3, Revision: at(t, 2, 55)})
+		listing.set(grouprpc.AdapterVersion{Adapter: b, Version: 7, Revision: at(t, 2, 40)})
+		listing.advance(0, at(t, 2, 60))
+	}
+	update := table.updateSince(started.appliedRevision())
+	g.Expect(update.Rows).To(gomega.HaveLen(1))
+	for _, row := range update.Rows {
+		g.Expect(checkVersion(row, update.AsOf)).To(gomega.Succeed())
+		started.set(row)
+	}
+	started.advance(update.Since, update.AsOf)
+	g.Expect(started.all()).To(gomega.Equal(map[placer.Adapter]int64{a: 4, b: 7}))
+	table.advance(at(t, 2, 60), at(t, 2, 61))
+	g.Expect(table.updateSince(at(t, 2, 61)).Rows).To(gomega.BeEmpty(), "once all know")
+}
+
 // Guards against a restore that is logged more than once, or by a VM that starts after it.
 func TestRestoreIsTrackedOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -49,13 +49,23 @@
 }
 
 // advance records that all announcements after position since, up to and including
-// position asOf, have been applied. It has no effect if earlier ones may be missing.
+// position asOf, have been applied. It has no effect if earlier ones may be missing. Versions
+// that a restored store lacks are passed on to VMs that only know the copy.
 func (t *versionTable) advance(since, asOf objectstore.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if since <= t.asOf {
-		t.asOf = max(t.asOf, asOf)
+	if since > t.asOf || asOf <= t.asOf {
+		return
 	}
+	if asOf.Era() > t.asOf.Era() {
+		for a, row := range t.byAdapter {
+			if row.revision.Era() < asOf.Era() {
+				row.revision = asOf + 1
+				t.byAdapter[a] = row
+			}
+		}
+	}
+	t.asOf = asOf
 }
 
 // appliedRevision returns the position up to which all announcements have been applied.
