tenure: Refused calls do not keep an owner that is cut off from the store

A group whose owner alone was cut off from the store was never taken over, if the store refused a call of each other VM about once a second (429 or 503): without fencing tokens nobody may order its targets meanwhile.

Cause: since the wait for the owner is 2 s from when this VM reaches the store again, and one refused call counts as an outage and its end. The wait began anew with each.

--- a/internal/tenure/outage_test.go
+++ b/internal/tenure/outage_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/objectstore"
 	"cicadaslip/internal/tenure"
 )
 
@@ -46,3 +47,22 @@
 		})
 	}
 }
+
+// Guards against a group whose owner is cut off from the store and is never replaced, because the
+// store refuses a call of the other VM now and then.
+func TestRefusedCallsDoNotKeepACutOwner(t *testing.T) {
+	const lostAt, refusedFor = time.Second, 100 * time.Millisecond
+	for _, every := range []time.Duration{300 * time.Millisecond, time.Second, 1900 * time.Millisecond} {
+		g := gomega.NewWithT(t)
+		m := tenure.New(tenure.Candidate{VM: "b", Jitter: 1})
+		m.SetRecord(0, tenure.Record{Owner: "a", Epoch: 1}, objectstore.FirstEra)
+		took := time.Duration(0)
+		for now := time.Duration(0); now < lostAt+recoveryTime && took == 0; now += 50 * time.Millisecond {
+			m.OwnerResponded(now, now >= lostAt)
+			if m.NextAction(now, now%every >= refusedFor) == tenure.TakeOver {
+				took = now
+			}
+		}
+		g.Expect(took).To(gomega.BeNumerically(">", lostAt), "a refused call every %v", every)
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -175,7 +175,9 @@
 	storeLostSince     Time
 	storeLost          bool
 	reachable          bool // this VM can reach the store
-	reachableSince     Time
+	reachableSince     Time // later by the length of each interruption that was no outage
+	lostAt             Time // when this VM last could not reach the store any more
+	regainedAt         Time // when it last could again
 	ownershipLost      bool
 	ownershipLostAt    Time
 	peerSeenAt         Time           // as owner: last call from another VM
@@ -314,10 +316,7 @@
 // NextAction returns the action that is due now. It returns NoAction unless
 // storeReachable says that this VM can reach the store.
 func (m *StateMachine) NextAction(now Time, storeReachable bool) Action {
-	if storeReachable && !m.reachable {
-		m.reachableSince = now
-	}
-	m.reachable = storeReachable
+	m.trackReachability(now, storeReachable)
 	switch {
 	case !m.recordRead || !storeReachable:
 		return NoAction
@@ -333,8 +332,8 @@
 		return m.takeOverAfter(now, m.ownershipChangedAt, restoreWait) // there may be an owner whose record is lost
 	case !m.exists || m.record.Released:
 		return m.takeOverAfter(now, m.ownershipChangedAt, 0)
-	case m.storeLost && m.reachableSince > m.storeLostSince:
-		return m.takeOverAfter(now, m.reachableSince, outageWait)
+	case m.storeLost && m.regainedAt > m.storeLostSince:
+		return m.takeOverAfter(now, max(m.reachableSince, m.storeLostSince), outageWait)
 	case m.storeLost:
 		return m.takeOverAfter(now, m.storeLostSince, storeLostWait)
 	case m.answerSeen && now-m.answerSeenAt < answerValidity:
@@ -350,6 +349,21 @@
 	return NoAction
 }
 
+// trackReachability records whether this VM can reach the store. A store that refuses single
+// calls must not make the wait for its owner begin anew with each of them.
+func (m *StateMachine) trackReachability(now Time, reachable bool) {
+	switch {
+	case !reachable && m.reachable:
+		m.lostAt = now
+	case reachable && !m.reachable:
+		m.regainedAt = now
+		if m.reachableSince += now - m.lostAt; now-m.lostAt > storeLostWait {
+			m.reachableSince = now
+		}
+	}
+	m.reachable = reachable
+}
+
 // nextAfterRestore returns the action while the newest record is of an earlier era.
 func (m *StateMachine) nextAfterRestore(now Time) Action {
 	switch {
