groupserver: An owner whose write shows a restore keeps its queue

An owner that wrote its record, to answer a challenge say, before its watch had told of a restore read the object of the former era, found none and took its ownership for removed: requests in its queue were refused, and the group was taken over as if it had never had an owner.

The manager knows the newest era of which the VM has heard. A missing object of a former era now says nothing; the watch does. TestOwnerKeepsItsQueueIfItsWriteShowsARestore failed without the check.

--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -59,6 +59,7 @@
 	if !restored {
 		return
 	}
+	d.groups.EnterEra(era)
 	d.metrics.Add(metrics.EdgeStoreRestores, 1)
 	known := d.appliedRevisions()
 	d.log.Warn().Str(fieldEvent, "store_restored").Int64(fieldEraBefore, before).Int64(fieldEra, era).Str(fieldSource, source).
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -319,6 +319,8 @@
 	key, before := g.object()
 	object, err := g.manager.opt.Store.Get(ctx, key, 0)
 	switch {
+	case errs.Is(err, errs.NotFound) && before.Era() < g.manager.era.Load():
+		// The restored store lacks the object of the former era; the watch tells.
 	case errs.Is(err, errs.NotFound):
 		g.setAbsent(before)
 	case err == nil:
--- a/internal/groupserver/manager.go
+++ b/internal/groupserver/manager.go
@@ -109,6 +109,7 @@
 
 	draining          atomic.Bool  // this VM takes over no group any more and sends no orders
 	objectsRead       atomic.Bool  // the objects of all groups were read
+	era               atomic.Int64 // newest era of the store of which this VM has heard, 0 before a restore
 	listedAt          atomic.Int64 // objectstore.Position of the last list of the groups' objects
 	ownershipVerified atomic.Bool  // the owned groups' objects were read after the last pause of the process
 	lastCheck         time.Time
@@ -298,6 +299,10 @@
 	m.assignTargets()
 }
 
+// EnterEra records an era of the store of which this VM has heard. What the store holds in it
+// is read by the watch.
+func (m *Manager) EnterEra(era int64) { m.era.Store(era) }
+
 // SetRecord sets a group's record that was received from another VM.
 func (m *Manager) SetRecord(group string, r tenure.Record, version objectstore.Position) {
 	if g := m.lookup(group); g != nil && r.Check() == nil && !tenure.OfLaterEra(r, version.Era()) {
--- a/internal/groupserver/restore_test.go
+++ b/internal/groupserver/restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/grouprpc"
 	"cicadaslip/internal/objectstore"
@@ -127,3 +128,37 @@
 	record, _ := m.lookup("llm.0").tenure.Record()
 	g.Expect(record).To(gomega.Equal(known))
 }
+
+// lostObjectStore is a store that was restored from a copy without the objects of groups, and
+// tells so with its first answer.
+type lostObjectStore struct {
+	objectstore.Store
+	restored func()
+}
+
+func (s *lostObjectStore) Update(context.Context, string, []byte, int64) (objectstore.Object, error) {
+	s.restored()
+	return objectstore.Object{}, errs.New(errs.Conflict, "the store was restored")
+}
+
+// Guards against an owner that drops its queue because it writes its record before its watch has
+// told of a restore, and finds no object under the key of the former era.
+func TestOwnerKeepsItsQueueIfItsWriteShowsARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := &lostObjectStore{Store: memstore.New()}
+	m := newTestManager("vm0", store)
+	store.restored = func() { m.EnterEra(2) }
+	m.SetFleet(map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{AdapterSlots: 4}}}, []fleet.Target{{ID: "t", Service: "llm", Slots: 8}})
+	own := tenure.Record{Owner: "vm0", Incarnation: 1, Address: "vm0", Epoch: 7, Challenged: 1}
+	m.Replace([]objectstore.Object{objectAt(g, Kind+"/llm.0", own, at(1, 10))}, at(1, 20))
+	group := m.lookup("llm.0")
+	core := group.core
+	g.Expect(core).NotTo(gomega.BeNil())
+	group.runAction(context.Background(), tenure.Answer)
+	g.Expect(group.core).To(gomega.BeIdenticalTo(core))
+	m.Replace(nil, at(2, 8))
+	g.Expect(group.core).To(gomega.BeIdenticalTo(core))
+	group.runAction(context.Background(), group.tenure.NextAction(m.now(), true))
+	_, err := store.Get(context.Background(), Kind+"/"+ObjectName("llm.0", 2), 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the owner takes the group over in the new era")
+}
