--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -68,7 +68,7 @@
 	Row
 	missingAt    time.Time // when the target's description was found missing
 	retainUntil  time.Time // until when a missing target remains in the table
-	reappearedAt time.Time // when a restored store first listed a target that was gone before, zero if it does not
+	reappearedAt time.Time // when a target that was gone was first listed again without news of it, zero if it is not
 }
 
 // NewRegistry returns an empty registry.
@@ -337,7 +337,8 @@
 }
 
 // applyRow stores a row from another VM, which knows all changes up to a position, unless
-// this VM's row is at least as recent.
+// this VM's row is at least as recent. What this VM knows of an incarnation of the target that
+// has left or was gone, or of a later incarnation, outlasts a row that does not tell of it.
 func (r *Registry) applyRow(now time.Time, row Row, asOf objectstore.Position) {
 	current := r.rows[row.Target.ID]
 	if current != nil && !row.supersedes(&current.Row) {
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -125,12 +125,13 @@
 func (g *group) setRecord(r tenure.Record, version objectstore.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	former := !tenure.OfEra(r, version.Era()) // from the object of an earlier era
-	if version < g.version && !former {
+	// The object of an earlier era tells who owned the group last, but no write replaces it.
+	current := tenure.OfEra(r, version.Era())
+	if current && version < g.version {
 		return
 	}
 	before, _ := g.tenure.Record()
-	if !former {
+	if current {
 		g.version = version
 	}
 	g.tenure.SetRecord(g.manager.now(), r, version.Era())
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -159,12 +159,12 @@
 // safe for concurrent use.
 type StateMachine struct {
 	self       Candidate
-	record     Record // newest one, which a restored store may lack
+	record     Record // newest one that is known; if the store was restored since, it may lack it
+	exists     bool   // there is such a record
 	recordRead bool   // the record was read from the store, or found not to exist there
-	exists     bool
-	stored     bool  // the group has an object of the current era in the store
-	era        int64 // of the store, as last seen
-	eraSeenAt  Time  // when this VM saw that the era began, or started in it
+	stored     bool   // the store has an object of its current era, so that writes replace it
+	era        int64  // of the store, as last seen
+	eraSeenAt  Time   // when this VM saw that the era began, or started in it
 
 	ownershipChangedAt Time // when the epoch, release or existence of the record last changed
 	unresponsive       bool // the last call to the owner failed
