callerconn: Count what the fields of heads cost

Callers saw all connections of a VM end: clients whose heads, within the limit of 16 KiB, held nearly 4,000 short fields ended its process, which ran out of memory.

Cause: a connection was counted with 64 KiB whatever its head held. The HTTP server keeps a list entry of 56 bytes and a copy for each field, the gateway two lists and each attempt one, so that such a head takes about a megabyte. The server also keeps its lists for the next request, which may be one of another connection. Lists of prompt parts cost nearly as much, for two bytes each.

Change: a connection reserves what a head may take before the HTTP server parses it. It reads at most 2 KiB at once into the server's buffer and knows from the room that is left there how much is not parsed yet. A head that needed a reservation is dropped from the server once it was copied. What 24 KiB cover, as for all ordinary requests, is not reserved. No limit is added: TestSingleRequestsAtTheLimits has one such head served on the smallest VM.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -44,6 +44,10 @@
 	requests    int   // that have begun
 	received    int64 // bytes read since the last answer
 	lateInput   bool  // the current time limit has ended while input was there
+
+	unparsed   headSize // of the input that the HTTP server had buffered after the last read
+	headMemory int64    // reserved for the head of the current request
+	inBody     bool     // the body of the current request is being read
 }
 
 // TrackState tells a connection of a Listener when a request begins and ends. It is the
@@ -67,6 +71,7 @@
 // BeginIdle starts the wait for the next request. It is limited by the listener's Limits.
 func (c *Conn) BeginIdle() {
 	c.Memory.Release()
+	c.headMemory = 0
 	if c.targetCut.Load() != nil {
 		c.targetCut.Store(nil)
 	}
@@ -105,6 +110,7 @@
 // Read implements net.Conn. While no request has begun, any failure is io.EOF, so that the
 // HTTP server closes the connection without a response.
 func (c *Conn) Read(p []byte) (int, error) {
+	p, buffered := c.limitRead(p)
 	for {
 		n, err := 0, error(nil)
 		if c.idle.Load() {
@@ -122,6 +128,9 @@
 		case n > 0:
 			c.idle.Store(false)
 			c.received += int64(n)
+			if err := c.reserveInput(p[:n], buffered); err != nil {
+				return 0, err
+			}
 			return n, err
 		case err == nil:
 			return n, err
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -69,6 +69,9 @@
 	Limits func() Limits
 	// Memory limits what is held for the connections. If it is nil, there is no limit.
 	Memory *membudget.Budget
+	// ReadBufferBytes is the size of the HTTP server's read buffers. If it is 0, the memory that heads
+	// and trailers take is not limited.
+	ReadBufferBytes int
 
 	openConns  atomic.Int64
 	refused    atomic.Int64
--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -32,8 +32,12 @@
 	// memoryMB is the memory of the smallest VM of the deployments.
 	memoryMB = 144
 	// maxFDs is lower than on any VM of the deployments, so that a small crowd exceeds it.
-	maxFDs       = 600
+	maxFDs = 600
+	// usualFDs is the number of descriptors of the smallest VM.
+	usualFDs     = 3075
 	maxBodyBytes = 4 << 20
+	// maxHeadBytes is the limit of the deployments.
+	maxHeadBytes = 16 << 10
 	// limit ends a test that hangs. It is no bound on what is measured.
 	limit = 30 * time.Second
 )
@@ -94,6 +98,7 @@
 	g      *gomega.WithT
 	cmd    *exec.Cmd
 	caller string
+	maxFDs int
 	ended  chan struct{}
 	output bytes.Buffer // valid once ended is closed
 
@@ -102,7 +107,10 @@
 }
 
 // start starts a process with a target.
-func start(t *testing.T, settings engine.Settings) *process {
+func start(t *testing.T, settings engine.Settings) *process { return startWith(t, settings, maxFDs) }
+
+// startWith starts a process with a target and a number of descriptors.
+func startWith(t *testing.T, settings engine.Settings, maxFDs int) *process {
 	g := gomega.NewWithT(t)
 	store, err := metastore.Start("127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -114,13 +122,13 @@
 			"priority": 1, "service": service, "max_attempts": 1, "resumable": false, "gap_aim_ms": 600,
 		}},
 		"services": []any{map[string]any{"name": service, "max_connections": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": maxHeadBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})).To(gomega.Succeed())
 	settings.ID, settings.Service, settings.Zone, settings.Slots = "a0", service, "riga-a", 100
 	target, err := engine.Start(settings, store)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(target.Crash)
-	p := &process{g: g, caller: address(g), ended: make(chan struct{})}
+	p := &process{g: g, caller: address(g), maxFDs: maxFDs, ended: make(chan struct{})}
 	ready := address(g)
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(settingsText, p.caller, ready, address(g), memoryMB, maxFDs, store.Address())
@@ -261,11 +269,11 @@
 	}
 	p.countDescriptors()
 	memory, err := p.memory()
-	t.Logf("memory %.0f MB of %d, descriptors %d of %d, ordinary request %d", memory, memoryMB, p.highest, maxFDs, answered)
+	t.Logf("memory %.0f MB of %d, descriptors %d of %d, ordinary request %d", memory, memoryMB, p.highest, p.maxFDs, answered)
 	p.g.Expect(err).NotTo(gomega.HaveOccurred(), "the process has ended")
 	p.g.Expect(p.ended).NotTo(gomega.BeClosed())
 	p.g.Expect(p.cmd.Process.Signal(syscall.Signal(0))).To(gomega.Succeed())
 	p.g.Expect(answered).To(gomega.Equal(http.StatusOK), "an ordinary request beside the crowd")
 	p.g.Expect(memory).To(gomega.BeNumerically("<=", memoryMB))
-	p.g.Expect(p.highest).To(gomega.BeNumerically("<=", maxFDs))
+	p.g.Expect(p.highest).To(gomega.BeNumerically("<=", p.maxFDs))
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -57,6 +57,10 @@
 		return b, nil
 	}
 	conn, _ := ctx.Conn().(*callerconn.Conn)
+	if conn != nil {
+		conn.BeginBody()
+		defer conn.EndBody()
+	}
 	defer func() {
 		if err != nil {
 			b.release()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -117,6 +117,14 @@
 		s.handleMalformed(ctx, err)
 		return
 	}
+	c.callerConn, _ = ctx.Conn().(*callerconn.Conn)
+	if c.callerConn != nil {
+		if err := c.callerConn.ReserveHead(ctx.Request.Header.RawHeaders()); err != nil {
+			c.body.release()
+			s.handleMalformed(ctx, err)
+			return
+		}
+	}
 	c.arrived = time.Now()
 	c.trace.arrivedAt = c.arrived
 	if s.draining.Load() {
@@ -131,7 +139,6 @@
 		return
 	}
 	c.ctx, c.cancel = context.WithDeadline(context.Background(), c.deadline)
-	c.callerConn, _ = ctx.Conn().(*callerconn.Conn)
 	if len(c.body.rest) > 0 && c.callerConn != nil {
 		c.callerConn.OnTargetCut(c.cutForMemory)
 	}
@@ -182,6 +189,9 @@
 		return errs.As(err)
 	}
 	c.method, c.uri = string(h.Method()), string(h.RequestURI())
+	if c.callerConn != nil && c.callerConn.HasLargeHead() {
+		dropHead(&c.http.Request)
+	}
 	if c.meta, c.forwardFields, err = c.server.opt.Dialect.ParseRequest(fields); err != nil {
 		return errs.As(err)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -143,6 +143,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	callers := &callerconn.Listener{
 		Listener: l, Limit: int64(s.opt.MaxConnections), WriteTimeout: callerWriteTimeout, Limits: s.callerLimits, Memory: s.opt.Memory,
+		ReadBufferBytes: headBufferBytes,
 		RefusalResponse: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
 	}
 	s.callers.Store(callers)
@@ -238,10 +239,24 @@
 	input := MalformedInput{Status: status, Err: err}
 	if conn, ok := ctx.Conn().(*callerconn.Conn); ok {
 		input.Request, input.BytesRead = conn.Received()
+		if conn.HasLargeHead() {
+			dropHead(&ctx.Request)
+		}
 	}
 	s.opt.Observer.Malformed(input)
 }
 
+// dropHead drops the memory that the HTTP server keeps of a request's head for the next request, possibly one
+// on another connection. Only whether the connection is to be closed stays known.
+func dropHead(r *fasthttp.Request) {
+	closing := r.Header.ConnectionClose()
+	r.Header = fasthttp.RequestHeader{}
+	*r.URI() = fasthttp.URI{}
+	if closing {
+		r.Header.SetConnectionClose()
+	}
+}
+
 // register adds a call to those that cancelAbandonedCalls checks.
 func (s *Server) register(c *call) {
 	s.inFlight.Add(1)
