callerconn: Limit the trailers of chunked bodies

Callers saw all connections of a VM end: clients whose chunked bodies ended in trailers of many short fields ended its process, which ran out of memory. From one client that sends such a trailer byte by byte, the VM spent its time on parsing.

Cause: the HTTP server takes trailers of up to the size of its read buffer, 40 KiB, whatever the limits of the configuration, and keeps three list entries for each field, also for later requests. It parses all of a trailer anew whenever more of it arrives. Nothing uses the fields, and they are not passed on.

Change: trailers are limited to 4 KiB; a request with a longer one is refused with 431.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -111,6 +111,9 @@
 // HTTP server closes the connection without a response.
 func (c *Conn) Read(p []byte) (int, error) {
 	p, buffered := c.limitRead(p)
+	if err := c.checkTrailer(buffered); err != nil {
+		return 0, err
+	}
 	for {
 		n, err := 0, error(nil)
 		if c.idle.Load() {
--- a/internal/callerconn/input.go
+++ b/internal/callerconn/input.go
@@ -18,9 +18,17 @@
 	coveredHeadBytes = 24 << 10
 )
 
-// maxReadAhead limits what the HTTP server reads at once into its buffer. What lies there behind
-// the end of a request is parsed without a further read.
-const maxReadAhead = 2 << 10
+const (
+	// maxReadAhead limits what the HTTP server reads at once into its buffer. What lies there behind
+	// the end of a request is parsed without a further read.
+	maxReadAhead = 2 << 10
+	// maxTrailerBytes limits the trailer fields of a chunked body. The HTTP server parses all of them
+	// anew whenever more of them arrive, and nothing uses them.
+	maxTrailerBytes = 4 << 10
+)
+
+// ErrTrailerTooLarge is the error of a read that would exceed maxTrailerBytes.
+var ErrTrailerTooLarge = errs.New(errs.TooLarge, "the trailer of the request is too large")
 
 // headSize describes input by what it may take as a head.
 type headSize struct{ bytes, lines, items int }
@@ -49,6 +57,15 @@
 	return p[:min(len(p), maxReadAhead)], size - len(p)
 }
 
+// checkTrailer returns an error if the trailer of a body is too large. A trailer is the only part of
+// a body that is buffered as a whole.
+func (c *Conn) checkTrailer(buffered int) error {
+	if c.inBody && buffered > maxTrailerBytes {
+		return ErrTrailerTooLarge
+	}
+	return nil
+}
+
 // reserveInput reserves the memory that input takes if it is a part of a head or a trailer. Input in
 // front of which nothing is buffered begins a new one.
 func (c *Conn) reserveInput(input []byte, buffered int) error {
--- a/internal/callerconn/input_test.go
+++ b/internal/callerconn/input_test.go
@@ -99,3 +99,14 @@
 	g.Expect(budget.State().Used).To(gomega.BeNumerically("<", membudget.ConnectionBytes+32<<10))
 	g.Expect(conn.ReserveHead([]byte(head))).To(gomega.Succeed())
 }
+
+// Guards against a trailer that the HTTP server parses anew for each byte that arrives.
+func TestTrailersAreLimited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	caller, conn, _ := bounded(t, 8<<20)
+	_, err := io.WriteString(caller, shortFields(4000))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	conn.BeginBody()
+	_, err = fill(conn, "\r\n\r\n")
+	g.Expect(err).To(gomega.MatchError(callerconn.ErrTrailerTooLarge))
+}
--- a/internal/crowdtest/heads_test.go
+++ b/internal/crowdtest/heads_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// Guards against a process that is ended by the trailers of chunked bodies, which the HTTP library keeps
+// although nothing uses them, or that spends its time on parsing them anew for each byte that arrives.
+func TestTrailersOfShortFields(t *testing.T) {
+	for name, piece := range map[string]int{"at once": 32 << 10, "byte by byte": 1} {
+		t.Run(name, func(t *testing.T) {
+			p := startWith(t, engine.Settings{Pause: workTime}, usualFDs)
+			p.crowd(t, headCrowdSize, func(i int, conn net.Conn) {
+				_, _ = io.WriteString(conn, head(fmt.Sprint("t", i), "Transfer-Encoding: chunked")+"1\r\nx\r\n0\r\n")
+				trailers := shortFields(32<<10) + "\r\n"
+				for len(trailers) > 0 {
+					n := min(piece, len(trailers))
+					if _, err := io.WriteString(conn, trailers[:n]); err != nil {
+						return
+					}
+					trailers = trailers[n:]
+				}
+				readAnswers(conn)
+			})
+			p.check(t)
+		})
+	}
+}
+
 // readAnswers reads what a process answers, until it closes the connection or the patience of a caller
 // ends.
 func readAnswers(conn net.Conn) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -222,6 +222,8 @@
 	switch {
 	case errors.As(err, &typed) && typed.Ran == errs.RanNo:
 		status, retry = fasthttp.StatusServiceUnavailable, cmp.Or(typed.Retry, memoryRetryAfter)
+	case errors.Is(err, callerconn.ErrTrailerTooLarge):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case upstream.IsTimeout(err):
 		status = fasthttp.StatusRequestTimeout
 	case strings.Contains(err.Error(), "body size exceeds"):
