placer: Join the parts of long prompts

Callers of all VMs saw requests fail: the VM that owned the group ran out of memory and was killed, while the others had refused nothing.

Cause: the parts of a prompt, two bytes each in a head, were kept one by one, 40 bytes or more, and sent to the owner of the group, where they stayed while the request waited and ran. Each VM counts what its own callers send; nobody counted what the owner held for seven VMs.

No prompt is refused for it.

--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -29,6 +29,11 @@
 	host    = "counter.example"
 	lookup  = "/lookup/"
 	service = "counter"
+	chat    = "/chat/"
+	models  = "llm"
+	model   = "m0"
+	// modelSlots is low, so that a small crowd fills the queue for the target.
+	modelSlots = 4
 	// memoryMB is the memory of the smallest VM of the deployments.
 	memoryMB = 144
 	// maxFDs is lower than on any VM of the deployments, so that a small crowd exceeds it.
@@ -68,7 +73,7 @@
 	return m.Run(), nil
 }
 
-const settingsText = `node_name = "vm0"
+const settingsText = `node_name = %q
 ip = "127.0.0.1"
 zone = "riga-a"
 [zones]
@@ -93,11 +98,12 @@
 address = %q
 `
 
-// process is an entry VM with a plain service of one target.
+// process is an entry VM.
 type process struct {
 	g      *gomega.WithT
 	cmd    *exec.Cmd
 	caller string
+	ready  string
 	maxFDs int
 	ended  chan struct{}
 	output bytes.Buffer // valid once ended is closed
@@ -111,27 +117,55 @@
 
 // startWith starts a process with a target and a number of descriptors.
 func startWith(t *testing.T, settings engine.Settings, maxFDs int) *process {
+	return startAll(t, 1, settings, maxFDs)[0]
+}
+
+// startAll starts processes with a target of the plain service and one of the service of models.
+func startAll(t *testing.T, count int, settings engine.Settings, maxFDs int) []*process {
 	g := gomega.NewWithT(t)
 	store, err := metastore.Start("127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(store.Close)
+	route := func(name, prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 20000, "target_latency_ms": 1000,
+			"priority": 1, "service": service, "max_attempts": 1, "resumable": false, "gap_aim_ms": 600,
+		}
+	}
 	g.Expect(store.Put("config", "main", map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "lookup", "host": host, "path_prefix": lookup, "kind": "idempotent", "timeout_ms": 20000, "target_latency_ms": 1000,
-			"priority": 1, "service": service, "max_attempts": 1, "resumable": false, "gap_aim_ms": 600,
+		"routes":  []any{route("lookup", lookup, "idempotent", service), route("chat", chat, "streaming", models)},
+		"services": []any{map[string]any{"name": service, "max_connections": 100}, map[string]any{
+			"name": models, "max_connections": 100, "engine": map[string]any{
+				"slots": modelSlots, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": 4, "loads_per_s": 2.0,
+				"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
+			},
 		}},
-		"services": []any{map[string]any{"name": service, "max_connections": 100}},
-		"limits":   map[string]any{"max_header_bytes": maxHeadBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": maxHeadBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})).To(gomega.Succeed())
 	settings.ID, settings.Service, settings.Zone, settings.Slots = "a0", service, "riga-a", 100
-	target, err := engine.Start(settings, store)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(target.Crash)
-	p := &process{g: g, caller: address(g), maxFDs: maxFDs, ended: make(chan struct{})}
-	ready := address(g)
+	llm := engine.Settings{ID: "e0", Service: models, Zone: "riga-a", Model: model, Slots: modelSlots, Adapters: 4, Events: 2, Pause: time.Second, Load: 10 * time.Second}
+	for _, s := range []engine.Settings{settings, llm} {
+		target, err := engine.Start(s, store)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(target.Crash)
+	}
+	processes := make([]*process, count)
+	for i := range processes {
+		processes[i] = startProcess(t, fmt.Sprint("vm", i), store.Address(), maxFDs)
+	}
+	for _, p := range processes {
+		g.Eventually(func() int { return status("http://" + p.ready + platform.ReadyPath) }).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
+		g.Eventually(p.ask).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
+	}
+	return processes
+}
+
+func startProcess(t *testing.T, name, store string, maxFDs int) *process {
+	g := gomega.NewWithT(t)
+	p := &process{g: g, caller: address(g), ready: address(g), maxFDs: maxFDs, ended: make(chan struct{})}
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	text := fmt.Sprintf(settingsText, p.caller, ready, address(g), memoryMB, maxFDs, store.Address())
+	text := fmt.Sprintf(settingsText, name, p.caller, p.ready, address(g), memoryMB, maxFDs, store)
 	g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(gomega.Succeed())
 	p.cmd = exec.Command(program, "--edge")
 	p.cmd.Env = append(os.Environ(), platform.SettingsPathVariable+"="+path)
@@ -148,8 +182,6 @@
 			t.Log(p.output.String())
 		}
 	})
-	g.Eventually(func() int { return status("http://" + ready + platform.ReadyPath) }).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
-	g.Eventually(p.ask).WithTimeout(limit).Should(gomega.Equal(http.StatusOK))
 	return p
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/fleet"
 	"cicadaslip/internal/httpfields"
+	"cicadaslip/internal/placer"
 	"cicadaslip/internal/upstream"
 )
 
@@ -195,6 +196,7 @@
 	if c.meta, c.forwardFields, err = c.server.opt.Dialect.ParseRequest(fields); err != nil {
 		return errs.As(err)
 	}
+	c.meta.Parts = placer.JoinParts(c.meta.Parts)
 	routes := c.server.opt.Fleet.Routes()
 	if routes == nil {
 		return errs.NotRun(errs.NotReady, "no configuration is known yet").WithRetry(time.Second)
--- a/internal/placer/bounds.go
+++ b/internal/placer/bounds.go
@@ -28,6 +28,9 @@
 	r.OrganisationPriority, r.QuotaCost = boundedCount(r.OrganisationPriority), boundedCount(r.QuotaCost)
 	r.Objective, r.Deadline, r.Abandon = boundedDuration(r.Objective), boundedDuration(r.Deadline), boundedDuration(r.Abandon)
 	r.EventGap = max(0, boundedDuration(r.EventGap))
+	if len(r.Parts) > maxParts {
+		r.Parts = JoinParts(r.Parts)
+	}
 	if slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Tokens != boundedCount(p.Tokens) }) {
 		r.Parts = slices.Clone(r.Parts)
 		for i := range r.Parts {
