quarantine: Bound what prompts of many parts cost a table

Callers saw a VM stop to answer, or end: after some crashes of targets under prompts of many parts, it spent its time in the table of parts that crash targets. Without any crash, what the table remembered of sound prompts took 70 MB.

Each of 256 observations kept all parts of its prompt. For each part of each request that made progress, all observations were searched, and each judgement built two maps for each part.

Change: an observation has at most 256 parts and the table 4,096, the newest ones; prompts of up to 16 parts keep all 256 observations. The newest observation of a part is found in an index, and progress that changes nothing removes old observations once a second.

Evidence: TestMemoryOfATableIsBounded before: 73 and 71 MB of 16 after 6,000 sound requests; with crashes of 4,000 parts each it did not end within 120 s. After: it passes, and the whole package takes 1.3 s. TestPartOfALongPromptIsQuarantined: a part behind 151 others is found.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,11 +24,13 @@
 	version      uint64 // increases with each change
 	number       uint64 // of the last observation of this VM
 	observations []observation
-	progress     map[Part]*progress // of the parts in observations and quarantined parts
+	evidenceAt   map[Part]time.Duration // time of the newest observation of each part, nil if it must be made anew
+	progress     map[Part]*progress     // of the parts in observations and quarantined parts
 	quarantined  map[Part]*quarantined
 	recent       history
 	judged       uint64        // version at the last judgement
 	rejudgeAt    time.Duration // when a settleTime ends that the last judgement waited for
+	prunedAt     time.Duration
 }
 
 type observation struct {
@@ -113,17 +115,23 @@
 	defer t.mu.Unlock()
 	now := t.opt.Now()
 	for _, id := range parts {
-		t.recent.add(Part{service, id}, now)
+		if len(id) <= maxIDBytes {
+			t.recent.add(Part{service, id}, now)
+		}
 	}
 	if len(t.observations)+len(t.quarantined) == 0 {
 		return
 	}
+	changed := false
 	for _, id := range parts {
 		if part := (Part{service, id}); t.newestEvidence(part) > t.progressOf(part) {
 			t.ownProgress(part, now)
+			changed = true
 		}
 	}
-	t.prune(now)
+	if changed || now-t.prunedAt >= pruneInterval {
+		t.prune(now)
+	}
 }
 
 // Release ends the quarantine of a part, on all VMs.
@@ -141,6 +149,10 @@
 	t.setProgress(part, p, t.opt.Origin, p.counts[t.opt.Origin]+1, at)
 }
 
+// pruneInterval is the time after which progress that changes nothing leads to a look for what can be
+// removed.
+const pruneInterval = time.Second
+
 // never is the time of an event that has not happened, and forever one that will not.
 const (
 	never   = time.Duration(-1 << 62)
@@ -150,17 +162,43 @@
 // newestEvidence returns the time of the newest observation or quarantine of a part.
 func (t *Table) newestEvidence(part Part) time.Duration {
 	newest := never
-	for i := range t.observations {
-		if o := &t.observations[i]; o.Break.Service == part.Service && slices.Contains(o.Break.Parts, part.ID) {
-			newest = max(newest, o.at)
+	if t.evidenceAt == nil {
+		t.evidenceAt = map[Part]time.Duration{}
+		for i := range t.observations {
+			t.indexObservation(&t.observations[i])
 		}
 	}
+	if at, found := t.evidenceAt[part]; found {
+		newest = at
+	}
 	if q := t.quarantined[part]; q != nil {
 		newest = max(newest, q.at)
 	}
 	return newest
 }
 
+// indexObservation adds an observation to evidenceAt.
+func (t *Table) indexObservation(o *observation) {
+	for _, id := range o.Break.Parts {
+		part := Part{o.Break.Service, id}
+		if at, found := t.evidenceAt[part]; !found || at < o.at {
+			t.evidenceAt[part] = o.at
+		}
+	}
+}
+
+// bounded returns a break without parts that exceed the bounds.
+func (b Break) bounded() Break {
+	b.Parts = b.Parts[max(0, len(b.Parts)-maxBreakParts):]
+	if slices.ContainsFunc(b.Parts, isTooLong) {
+		b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), isTooLong)
+	}
+	b.Request = b.Request[:min(len(b.Request), maxIDBytes)]
+	return b
+}
+
+func isTooLong(id string) bool { return len(id) > maxIDBytes }
+
 // progressOf returns the time of the newest known progress of a part.
 func (t *Table) progressOf(part Part) time.Duration {
 	if p := t.progress[part]; p != nil && p.known {
@@ -205,6 +243,7 @@
 			return
 		}
 	}
+	o.Break = o.Break.bounded()
 	for _, id := range o.Break.Parts {
 		t.recallProgress(Part{o.Break.Service, id}, at)
 	}
@@ -215,11 +254,26 @@
 	t.version++
 	added.changed = t.version
 	t.observations = append(t.observations, added)
-	if excess := len(t.observations) - maxObservations; excess > 0 {
+	if t.evidenceAt != nil {
+		t.indexObservation(&added)
+	}
+	if excess := t.excess(); excess > 0 {
 		t.observations = slices.Delete(t.observations, 0, excess)
+		t.evidenceAt = nil
 	}
 }
 
+// excess returns the number of the oldest observations that exceed the bounds.
+func (t *Table) excess() int {
+	parts := 0
+	for i := len(t.observations) - 1; i >= 0; i-- {
+		if parts += len(t.observations[i].Break.Parts); parts > maxObservedParts || len(t.observations)-i > maxObservations {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // recallProgress lets other VMs know of the progress of a part that they may not have heard
 // of, because there was no evidence against the part: progress that this VM has seen, and
 // progress after an observation that arrives late.
@@ -241,7 +295,12 @@
 // prune removes observations that count for no part any more, and what is known of parts
 // without observations.
 func (t *Table) prune(now time.Duration) {
+	t.prunedAt = now
+	before := len(t.observations)
 	t.observations = slices.DeleteFunc(t.observations, func(o observation) bool { return now-o.at > Duration || t.cleared(&o) })
+	if len(t.observations) < before {
+		t.evidenceAt = nil
+	}
 	for part, q := range t.quarantined {
 		if now < q.at+Duration {
 			continue
--- a/internal/quarantine/types.go
+++ b/internal/quarantine/types.go
@@ -22,10 +22,17 @@
 	// Duration is how long a part is quarantined. Then its evidence starts anew, because
 	// the targets may have been repaired.
 	Duration = 10 * time.Minute
-	// maxObservations, maxParts and maxRecent bound the memory of a table.
-	maxObservations = 256
-	maxParts        = 1024
-	maxRecent       = 2048
+	// maxObservations, maxObservedParts, maxParts and maxRecent bound the memory of a table, and the time
+	// that it takes to judge.
+	maxObservations  = 256
+	maxObservedParts = 4096
+	maxParts         = 1024
+	maxRecent        = 2048
+	// maxBreakParts is the number of parts of a prompt that are observed. Of more, the last ones are:
+	// fewer requests share them. Front ends join the parts of long prompts, and name fewer.
+	maxBreakParts = 256
+	// maxIDBytes limits the IDs of parts and requests. Front ends use shorter ones.
+	maxIDBytes = 64
 )
 
 // Part identifies a part of the prompts of a service.
