gateway, groupserver: Keep long request IDs out of what is remembered

Callers saw all connections of a VM end: clients that sent requests with long IDs and left ended its process, which ran out of memory. A single request with an ID of more than 3 KiB got 502 although it had run.

Cause: an owner remembers the IDs of cancelled requests for ten seconds, whatever their length and number, and looked at all of them for each further one; queued events and running requests hold IDs, too. The head of a target's answer, which repeats the ID, was limited to 4 KiB.

The buffer for the head of an answer grows by what it repeats of the request.

TestSingleRequestsAtTheLimits, "long ID": 502 before, 200 now.

--- a/internal/crowdtest/single_test.go
+++ b/internal/crowdtest/single_test.go
@@ -33,6 +33,7 @@
 	}{
 		{"short fields", shortFields(fill), "", nil},
 		{"prompt parts", "X-Prompt-Prefix: " + repeated("a,", fill) + "\r\n", "", nil},
+		{"long ID", "X-Request-Id: " + repeated("i", fill) + "\r\n", "", nil},
 		{"long path", "", repeated("a/", fill), nil},
 		{"large body", length + "\r\n", "", whole},
 		{"large chunks", "Transfer-Encoding: chunked\r\n", "", inChunks(1 << 20)},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -299,6 +299,9 @@
 	}
 	fields = append(fields, c.server.opt.Dialect.AttemptFields(a)...)
 	request := upstream.Request{Address: address, Method: c.method, URI: c.uri, Fields: fields, Body: c.body.first, Rest: c.body.rest}
+	if len(c.meta.ID) > maxIDBytes {
+		request.EchoBytes = 2 * len(c.meta.ID) // targets may sign their responses with it, too
+	}
 	if len(c.body.rest) > 0 && c.callerConn != nil {
 		request.Writing, request.Written = c.callerConn.Memory.TargetReadsSlowly, c.callerConn.Memory.TargetHasRead
 	}
@@ -347,7 +350,7 @@
 func (c *call) recordLate(target string, born int64, sentAt time.Time, read upstream.LateHead) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			c.server.opt.Observer.Panicked(c.meta.ID, errs.FromPanic(cause))
+			c.server.opt.Observer.Panicked(shortID(c.meta.ID), errs.FromPanic(cause))
 		}
 	}()
 	status, fields, found := read()
--- a/internal/gateway/contain.go
+++ b/internal/gateway/contain.go
@@ -10,7 +10,7 @@
 		return
 	}
 	failure := errs.FromPanic(cause)
-	c.server.opt.Observer.Panicked(c.meta.ID, failure)
+	c.server.opt.Observer.Panicked(shortID(c.meta.ID), failure)
 	c.http.SetConnectionClose()
 	c.respondError(failure)
 	if c.ctx != nil {
@@ -23,7 +23,7 @@
 func (c *call) containAttempt(r *reply) {
 	if cause := recover(); cause != nil {
 		r.failure = errs.FromPanic(cause)
-		c.server.opt.Observer.Panicked(c.meta.ID, r.failure)
+		c.server.opt.Observer.Panicked(shortID(c.meta.ID), r.failure)
 	}
 }
 
@@ -31,7 +31,7 @@
 func (b *streamBody) contain() {
 	if cause := recover(); cause != nil {
 		failure := errs.FromPanic(cause)
-		b.call.server.opt.Observer.Panicked(b.call.meta.ID, failure)
+		b.call.server.opt.Observer.Panicked(shortID(b.call.meta.ID), failure)
 		b.call.trace.setCut(failure)
 		b.pending, b.endErr = nil, failure
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -154,7 +154,7 @@
 func (h *handover) contain() {
 	if cause := recover(); cause != nil {
 		h.failure = errs.FromPanic(cause)
-		h.call.server.opt.Observer.Panicked(h.call.meta.ID, h.failure)
+		h.call.server.opt.Observer.Panicked(shortID(h.call.meta.ID), h.failure)
 	}
 }
 
--- a/internal/gateway/streamplacement.go
+++ b/internal/gateway/streamplacement.go
@@ -171,7 +171,7 @@
 	}
 	request := placer.Request{
 		Abandon: abandon,
-		ID:      c.meta.ID + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: c.body.size, PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
+		ID:      shortID(c.meta.ID) + "/" + strconv.FormatUint(c.server.acquireCount.Add(1), 36), Adapter: c.meta.Adapter, Bytes: c.body.size, PromptTokens: c.meta.PromptTokens, OutputTokens: min(output, max(1, c.meta.MaxOutputTokens)),
 		Parts: c.meta.Parts, Priority: c.route.Priority, Objective: objective, EventGap: c.route.EventGapObjective,
 		Deadline: c.timeLeft(), Exclude: slices.Concat(c.excluded, c.unavailable), Hedge: o.hedge,
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -211,7 +211,7 @@
 // summary describes the call for the observer.
 func (c *call) summary() Summary {
 	s := Summary{
-		ID: c.meta.ID, Service: c.service, ConfigVersion: c.configVersion, Adapter: c.meta.Adapter.Name, Arrived: c.arrived,
+		ID: shortID(c.meta.ID), Service: c.service, ConfigVersion: c.configVersion, Adapter: c.meta.Adapter.Name, Arrived: c.arrived,
 		Elapsed: time.Since(c.arrived), CallerLeft: c.callerLeft.Load(), Trace: c.trace.snapshot(),
 	}
 	if c.organisation != nil {
--- a/internal/groupserver/group.go
+++ b/internal/groupserver/group.go
@@ -46,7 +46,7 @@
 	promise   tenure.Promise           // for the owner of promiseTo
 	promiseTo int64                    // epoch of the owner that last replied
 	closed    bool                     // when the core was last stopped, the orders of all earlier owners had arrived
-	cancelled map[string]time.Duration // time of cancellation by request ID, for calls that arrive after it
+	cancelled cancelledRequests        // for calls that arrive after the cancellation
 
 	ownedSince time.Duration         // when the core was started
 	formerGone bool                  // the former owner knows that it does not own the group
@@ -57,7 +57,7 @@
 func newGroup(manager *Manager, name string) *group {
 	g := &group{
 		manager: manager, name: name, versions: map[placer.Adapter]*placer.VersionHistory{},
-		waiters: map[string]chan grouprpc.AcquireReply{}, lastCalls: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, charges: map[string]heldCharge{},
+		waiters: map[string]chan grouprpc.AcquireReply{}, lastCalls: map[string]time.Duration{}, charges: map[string]heldCharge{},
 	}
 	g.tenure = tenure.New(g.candidate())
 	if manager.objectsRead.Load() {
--- a/internal/groupserver/quota.go
+++ b/internal/groupserver/quota.go
@@ -64,7 +64,7 @@
 func (g *group) holdCharge(r *placer.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, gone := g.cancelled[r.ID]; gone {
+	if g.cancelled.has(r.ID) {
 		return false
 	}
 	g.charges[r.ID] = heldCharge{request: r, timer: time.AfterFunc(unconfirmedTime, func() {
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -15,9 +15,6 @@
 const (
 	// callerRetention is how long after its last call a VM counts as active.
 	callerRetention = 3 * time.Second
-	// cancelledRetention is how long a cancelled request is remembered, in case its
-	// Acquire call arrives after the cancellation.
-	cancelledRetention = 10 * time.Second
 	// maxVerifyWait is the longest time that an order waits for the ownership to be
 	// verified after a pause of the process.
 	maxVerifyWait = time.Second
@@ -64,7 +61,7 @@
 		return false
 	}
 	id := request.Request.ID
-	if _, gone := g.cancelled[id]; gone {
+	if g.cancelled.has(id) {
 		reply <- grouprpc.AcquireReply{Err: errs.NotRun(errs.Cancelled, "the caller stopped waiting")}
 		return true
 	}
@@ -132,7 +129,7 @@
 			waiter <- grouprpc.AcquireReply{Err: errs.NotRun(errs.Cancelled, "the caller stopped waiting")}
 		}
 		delete(g.waiters, e.ID)
-		g.rememberCancelled(now, e.ID)
+		g.cancelled.add(now, e.ID)
 		g.core.Cancel(now, e.ID)
 		g.core.Release(now, e.ID, placer.Cancelled)
 	}
@@ -141,15 +138,6 @@
 	}
 }
 
-func (g *group) rememberCancelled(now time.Duration, id string) {
-	for known, at := range g.cancelled {
-		if now-at > cancelledRetention {
-			delete(g.cancelled, known)
-		}
-	}
-	g.cancelled[id] = now
-}
-
 // Sync returns the changes of a group since the version that the caller knows.
 func (m *Manager) Sync(request grouprpc.SyncRequest) grouprpc.SyncReply {
 	g := m.lookup(request.Group)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// readBufferBytes is the largest size of the head of a response, apart from what it repeats of the
+	// request.
 	readBufferBytes = 4 << 10
 	// receiveBufferBytes limits the kernel's receive buffer for a response that is not read because
 	// its caller reads slowly. Without a limit it grows to several megabytes.
@@ -62,6 +64,9 @@
 	Fields  httpfields.List // header fields; Content-Length is added
 	Body    []byte
 	Rest    [][]byte // further parts of the body, which are not copied
+	// EchoBytes is the length of what the head of the response repeats of the request, beyond what
+	// fits into the head of any response.
+	EchoBytes int
 	// Connected is called before the first byte of the request is sent, unless it is nil. If
 	// it returns false, nothing is sent.
 	Connected func() bool
@@ -141,7 +146,7 @@
 		return nil, errs.NotRun(errs.TargetUnavailable, "the target answered before the request, or closed the connection")
 	}
 	e := &Exchange{client: c, conn: conn, method: r.Method, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
-	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes)
+	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes+r.EchoBytes)
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
 	if r.Connected != nil && !r.Connected() {
@@ -184,7 +189,7 @@
 	_ = e.conn.SetReadDeadline(time.Now().Add(wait))
 	e.abortMu.Unlock()
 	next := &Exchange{method: e.method, input: input{conn: e.conn, unread: e.input.head}}
-	next.reader = bufio.NewReaderSize(&next.input, readBufferBytes)
+	next.reader = bufio.NewReaderSize(&next.input, e.reader.Size())
 	if next.readHead() != nil {
 		return 0, nil, false
 	}
