placer, gateway: Bound the adapters that requests name

Callers saw all connections of a VM end: clients that named a new adapter in each request ended its process, which ran out of memory.

Cause: an owner keeps the demand for each adapter that a request names, for a minute or more, whether it exists or not. Names were not limited, and there was no limit to their number.

Change: a request for a service of models whose model or adapter has a name that no configuration and no target can have (over 256 bytes, or not printable) is refused at once with 400.

--- a/internal/crowdtest/longnames_test.go
+++ b/internal/crowdtest/longnames_test.go
@@ -7,8 +7,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"cicadaslip/internal/standin/engine"
 )
 
 // stormTime is how long callers of a storm send requests one after another.
@@ -44,12 +42,13 @@
 	}
 	for name, request := range map[string]func(caller, n int) string{
 		"request IDs": func(caller, n int) string { return prompt(long(caller, n), "a1", "a:1,b:1", "") },
+		"adapters":    func(caller, n int) string { return prompt(fmt.Sprint(caller, "-", n), long(caller, n), "a:1,b:1", "") },
 		"parts": func(caller, n int) string {
 			return prompt(fmt.Sprint(caller, "-", n), "a1", "a:1,"+long(caller, n)+":1,own:1", "")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := startWith(t, engine.Settings{}, usualFDs)
+			p := startWithModel(t, 1)[0]
 			p.storm(callers, request)
 			p.check(t)
 		})
--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -117,11 +117,18 @@
 
 // startWith starts a process with a target and a number of descriptors.
 func startWith(t *testing.T, settings engine.Settings, maxFDs int) *process {
-	return startAll(t, 1, settings, maxFDs)[0]
+	return startAll(t, 1, maxFDs, settings)[0]
 }
 
-// startAll starts processes with a target of the plain service and one of the service of models.
-func startAll(t *testing.T, count int, settings engine.Settings, maxFDs int) []*process {
+// startWithModel starts processes with a target of the plain service and one of the service of models.
+func startWithModel(t *testing.T, count int) []*process {
+	return startAll(t, count, usualFDs, engine.Settings{}, engine.Settings{
+		ID: "e0", Service: models, Zone: "riga-a", Model: model, Slots: modelSlots, Adapters: 4, Events: 2, Pause: time.Second, Load: 10 * time.Second,
+	})
+}
+
+// startAll starts processes with a target of the plain service and further targets.
+func startAll(t *testing.T, count, maxFDs int, settings engine.Settings, further ...engine.Settings) []*process {
 	g := gomega.NewWithT(t)
 	store, err := metastore.Start("127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -132,20 +139,21 @@
 			"priority": 1, "service": service, "max_attempts": 1, "resumable": false, "gap_aim_ms": 600,
 		}
 	}
+	routes := []any{route("lookup", lookup, "idempotent", service)}
+	services := []any{map[string]any{"name": service, "max_connections": 100}}
+	if len(further) > 0 {
+		routes = append(routes, route("chat", chat, "streaming", models))
+		services = append(services, map[string]any{"name": models, "max_connections": 100, "engine": map[string]any{
+			"slots": modelSlots, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": 4, "loads_per_s": 2.0,
+			"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
+		}})
+	}
 	g.Expect(store.Put("config", "main", map[string]any{
-		"version": 1,
-		"routes":  []any{route("lookup", lookup, "idempotent", service), route("chat", chat, "streaming", models)},
-		"services": []any{map[string]any{"name": service, "max_connections": 100}, map[string]any{
-			"name": models, "max_connections": 100, "engine": map[string]any{
-				"slots": modelSlots, "kv_capacity_tokens": 200000, "stride": 4, "weights_mb": 75000.0, "adapter_slots": 4, "loads_per_s": 2.0,
-				"models": []any{map[string]any{"name": model, "weights_mb": 72000.0, "load_time_s": 0.5, "adapters": 100, "adapter_mb": 60.0}},
-			},
-		}},
+		"version": 1, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": maxHeadBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})).To(gomega.Succeed())
 	settings.ID, settings.Service, settings.Zone, settings.Slots = "a0", service, "riga-a", 100
-	llm := engine.Settings{ID: "e0", Service: models, Zone: "riga-a", Model: model, Slots: modelSlots, Adapters: 4, Events: 2, Pause: time.Second, Load: 10 * time.Second}
-	for _, s := range []engine.Settings{settings, llm} {
+	for _, s := range append(further, settings) {
 		target, err := engine.Start(s, store)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		t.Cleanup(target.Crash)
--- a/internal/crowdtest/prompts_test.go
+++ b/internal/crowdtest/prompts_test.go
@@ -6,8 +6,6 @@
 	"net"
 	"sync"
 	"testing"
-
-	"cicadaslip/internal/standin/engine"
 )
 
 // prompt returns a request for a stream, with further header lines.
@@ -20,7 +18,7 @@
 // several VMs: the owner holds their parts, and only the other VMs have counted them.
 func TestPromptsOfManyPartsAtAnOwner(t *testing.T) {
 	const vms, perVM = 7, 100
-	all := startAll(t, vms, engine.Settings{}, usualFDs)
+	all := startWithModel(t, vms)
 	parts := repeated("a,", maxHeadBytes-2*commonHeadBytes)
 	var done sync.WaitGroup
 	for n, p := range all {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -212,11 +212,18 @@
 	c.service = c.route.PickService()
 	c.quotaCost = c.costOfAttempt()
 	c.sharedParts, c.ownPart = splitParts(c.meta.Parts)
-	c.isEngine = routes.Config.Services[c.service].Engine != nil
+	if c.isEngine = routes.Config.Services[c.service].Engine != nil; c.isEngine && !validAdapter(c.meta.Adapter) {
+		return errs.New(errs.InvalidRequest, "the name of the model or adapter is invalid")
+	}
 	c.setDeadline()
 	return c.checkQuarantine()
 }
 
+// validAdapter reports whether an adapter may exist. Owners of groups keep the names of requested ones.
+func validAdapter(a placer.Adapter) bool {
+	return (a.Model == "" || fleet.ValidName(a.Model)) && (a.Name == "" || fleet.ValidName(a.Name))
+}
+
 // cutForMemory ends the work on the request because memory is short.
 func (c *call) cutForMemory() {
 	c.memoryCut.Store(true)
--- a/internal/placer/core.go
+++ b/internal/placer/core.go
@@ -51,6 +51,7 @@
 	anyStale          bool            // an adapter may be placed in an outdated version
 	lastRunExpiry     Time            // when expired runs were last removed
 	lastForgetting    Time            // when adapters were last forgotten
+	newAdapters       int             // adapters whose states were created since
 	lastSpareCheck    Time            // when spare slots were last freed
 	lastPauseEnd      Time            // when no target pauses for any VM any more
 }
@@ -203,6 +204,7 @@
 	if state == nil {
 		state = &adapterState{id: a}
 		c.adapters[a] = state
+		c.newAdapters++
 	}
 	return state
 }
@@ -248,19 +250,43 @@
 	forgetInterval = time.Minute
 	// forgottenDemand is the demand below which an adapter is forgotten.
 	forgottenDemand = 0.05
+	// maxIdleAdapters limits the adapters that are only known from past requests. The state of one takes
+	// some 250 bytes and its name.
+	maxIdleAdapters = 8192
 )
 
-// forgetAdapters removes the states of adapters that are not placed, announced or in demand.
-// Requests may name any number of adapters that do not exist.
+// forgetAdapters removes the states of adapters that are not placed, announced or in demand, and those
+// with the least demand if there are too many. Requests may name any number of adapters that do not exist.
 func (c *Core) forgetAdapters() {
-	if c.now-c.lastForgetting < forgetInterval {
+	if c.now-c.lastForgetting < forgetInterval && c.newAdapters < maxIdleAdapters/2 {
 		return
 	}
-	c.lastForgetting = c.now
+	c.lastForgetting, c.newAdapters = c.now, 0
 	c.forgetShares()
+	var idle []*adapterState
 	maps.DeleteFunc(c.adapters, func(_ Adapter, a *adapterState) bool {
-		return a.queued == 0 && len(a.placements) == 0 && a.newestVersion == 0 && !a.busy && a.noLoadUntil <= c.now && a.demandAt(c.now) < forgottenDemand
+		if !a.idle(c.now) {
+			return false
+		}
+		if a.demandAt(c.now) < forgottenDemand {
+			return true
+		}
+		idle = append(idle, a)
+		return false
 	})
+	if excess := len(idle) - maxIdleAdapters/2; excess > 0 {
+		slices.SortFunc(idle, func(a, b *adapterState) int {
+			return cmp.Or(cmp.Compare(a.demandAt(c.now), b.demandAt(c.now)), cmp.Compare(a.id.Name, b.id.Name))
+		})
+		for _, a := range idle[:excess] {
+			delete(c.adapters, a.id)
+		}
+	}
+}
+
+// idle reports whether an adapter is only known from past requests.
+func (a *adapterState) idle(now Time) bool {
+	return a.queued == 0 && len(a.placements) == 0 && a.newestVersion == 0 && !a.busy && a.noLoadUntil <= now
 }
 
 func (a *adapterState) countRequest(now Time) {
