callerconn: Refuse heads without memory at once

Ordinary callers were refused (503) while clients sent large heads and left: all connections of the VM were taken.

Cause: a head without memory waited for it for up to 1.5 s, in which its connection counted, also after its caller had left: what the caller has sent lies unread before the end of the connection. The memory is held by requests that take longer than that.

Change: a head that finds no memory is refused at once with 503 and Retry-After. The reservation still lets the slowest account be cut off, so that a later one finds memory.

--- a/internal/callerconn/input.go
+++ b/internal/callerconn/input.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/membudget"
@@ -92,7 +91,8 @@
 	if missing <= 0 {
 		return nil
 	}
-	if refusal := c.Memory.Reserve(context.Background(), missing); refusal != membudget.Granted {
+	// A wait would keep the connection from others, and the memory is held by requests that take longer.
+	if refusal := c.Memory.ReserveNow(missing); refusal != membudget.Granted {
 		return errs.NotRun(errs.Overloaded, "no memory for the head of the request: "+string(refusal)).WithRetry(membudget.CutAge)
 	}
 	c.headMemory = bytes
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -301,24 +301,54 @@
 	}
 }
 
+// ReserveNow is like Reserve, but refuses at once while memory is short. It may cut off an account, so
+// that a later reservation finds memory.
+func (a *Account) ReserveNow(bytes int64) Refusal {
+	if a.budget == nil {
+		return Granted
+	}
+	b := a.budget
+	now := time.Now()
+	b.mu.Lock()
+	refusal := b.tryTake(context.Background(), a, bytes, now)
+	var cut func()
+	if refusal == Short {
+		b.refused[Short]++
+		cut = b.chooseCut(&waiter{account: a, bytes: bytes}, now)
+	}
+	b.mu.Unlock()
+	if cut != nil {
+		cut()
+	}
+	return refusal
+}
+
 // reserve takes memory, or returns a reservation that waits for it and what cuts off an account
 // to get it. The caller holds the lock.
 func (b *Budget) reserve(ctx context.Context, a *Account, bytes int64, now time.Time) (w *waiter, refusal Refusal, cut func()) {
+	if refusal := b.tryTake(ctx, a, bytes, now); refusal != Short {
+		return nil, refusal, nil
+	}
+	w = &waiter{ctx: ctx, account: a, bytes: bytes, ended: make(chan struct{})}
+	b.waiters = append(b.waiters, w)
+	b.waited++
+	return w, Short, b.chooseCut(w, now)
+}
+
+// tryTake takes memory if there is enough, and returns Short if there is not. The caller holds the lock.
+func (b *Budget) tryTake(ctx context.Context, a *Account, bytes int64, now time.Time) Refusal {
 	a.holds.Store(true)
 	switch {
 	case a.ended, ctx.Err() != nil:
-		return nil, Released, nil
+		return Released
 	case a.held+bytes > b.limits.One:
 		b.refused[OverOne]++
-		return nil, OverOne, nil
+		return OverOne
 	case b.fits(a, bytes):
 		b.take(a, bytes, now)
-		return nil, Granted, nil
+		return Granted
 	}
-	w = &waiter{ctx: ctx, account: a, bytes: bytes, ended: make(chan struct{})}
-	b.waiters = append(b.waiters, w)
-	b.waited++
-	return w, Short, b.chooseCut(w, now)
+	return Short
 }
 
 // fits reports whether memory can be taken. Only accounts that stay small may take what is kept
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -454,3 +454,25 @@
 		g.Expect(Connections(descriptors)).To(gomega.BeNumerically(">=", 1000))
 	}
 }
+
+// Guards against a reservation that waits although it was not to, and against memory that stays with a
+// slow peer because only such reservations need it.
+func TestReserveNowDoesNotWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := New(Limits{Total: 1 << 20, Connections: 1 << 20, One: 800 << 10, Address: 1 << 20})
+	slow, cut := open(g, b, there)
+	now := time.Now()
+	b.take(slow, 700<<10, now.Add(-time.Minute))
+	slow.AwaitsCaller(now.Add(-time.Minute))
+	a, _ := open(g, b, here)
+	g.Expect(a.ReserveNow(750 << 10)).To(gomega.Equal(Short))
+	g.Expect(cut).To(gomega.BeEmpty(), "a large request cuts off no smaller one")
+	b.searchedAt = time.Time{}
+	g.Expect(a.ReserveNow(300 << 10)).To(gomega.Equal(Short))
+	g.Expect(cut).To(gomega.Receive(gomega.Equal(Sender)))
+	g.Expect(b.State().Waiting).To(gomega.BeZero())
+	g.Expect(b.State().Refused).To(gomega.HaveKeyWithValue(Short, int64(2)))
+	slow.Close()
+	g.Expect(a.ReserveNow(300 << 10)).To(gomega.Equal(Granted))
+	g.Expect(a.ReserveNow(600 << 10)).To(gomega.Equal(OverOne))
+}
