httpfields: Look up the options of the Connection field in a set

A VM spent its time on the heads of few callers, while others waited.

Cause: each field of a head was compared with each name in its Connection field. A head within the limit has 4,000 names and 2,000 fields.

Change: the names are looked up in a set.

Evidence: BenchmarkEndToEnd with such a head: 31 ms before, 0.23 ms after. The fields that are forwarded do not change (TestEndToEndKeepsForwardableFields).

--- a/internal/httpfields/fields.go
+++ b/internal/httpfields/fields.go
@@ -148,17 +148,17 @@
 // EndToEnd returns the fields to forward. It removes hop-by-hop fields, and
 // fields that the Connection field names unless they are protected.
 func (l List) EndToEnd(protected func(name string) bool) List {
-	var connectionOptions []string
+	options := map[string]bool{} // names in lower case; a caller may list thousands
 	for _, f := range l {
 		if strings.EqualFold(f.Name, "Connection") {
 			for name := range strings.SplitSeq(f.Value, ",") {
-				connectionOptions = append(connectionOptions, strings.TrimSpace(name))
+				options[strings.ToLower(strings.TrimSpace(name))] = true
 			}
 		}
 	}
 	kept := make(List, 0, len(l))
 	for _, f := range l {
-		if containsFold(hopByHopFields, f.Name) || containsFold(connectionOptions, f.Name) && !protected(f.Name) {
+		if containsFold(hopByHopFields, f.Name) || len(options) > 0 && options[strings.ToLower(f.Name)] && !protected(f.Name) {
 			continue
 		}
 		kept = append(kept, f)
