crowdtest: Count what sockets have received and nobody has read

The platform counts these bytes towards the memory of a VM. The tests looked at the memory of the process alone.

--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -108,8 +108,9 @@
 	ended  chan struct{}
 	output bytes.Buffer // valid once ended is closed
 
-	mu      sync.Mutex
-	highest int // number of open descriptors seen
+	mu       sync.Mutex
+	highest  int     // number of open descriptors seen
+	memoryMB float64 // highest memory seen, with what its sockets have received and it has not read
 }
 
 // start starts a process with a target.
@@ -257,7 +258,7 @@
 	go func() {
 		defer close(watched)
 		for {
-			p.countDescriptors()
+			p.sample()
 			select {
 			case <-stop:
 				return
@@ -270,29 +271,80 @@
 	<-watched
 }
 
-func (p *process) countDescriptors() {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+// sample records the open descriptors and the memory of the process. An error means that it has ended,
+// which check reports.
+func (p *process) sample() {
+	sockets, err := p.openSockets()
 	if err != nil {
-		return // the process has ended, which check reports
+		return
+	}
+	resident, err := p.status("VmRSS")
+	if err != nil {
+		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.highest = max(p.highest, len(entries))
+	p.highest = max(p.highest, sockets.descriptors)
+	p.memoryMB = max(p.memoryMB, resident+float64(sockets.unread)/1e6)
 }
 
-// memory returns the largest memory that the process has used, in MB.
-func (p *process) memory() (float64, error) {
+// sockets are the open descriptors of a process, and the bytes that its sockets have received and it has
+// not read.
+type sockets struct {
+	descriptors int
+	unread      int64
+}
+
+func (p *process) openSockets() (sockets, error) {
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	entries, err := os.ReadDir(dir + "fd")
+	if err != nil {
+		return sockets{}, err
+	}
+	all := sockets{descriptors: len(entries)}
+	own := map[string]bool{}
+	for _, e := range entries {
+		link, err := os.Readlink(dir + "fd/" + e.Name())
+		if inode, found := strings.CutPrefix(link, "socket:["); err == nil && found {
+			own[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	table, err := os.ReadFile(dir + "net/tcp")
+	if err != nil {
+		return sockets{}, err
+	}
+	for line := range strings.Lines(string(table)) {
+		const queues, inode = 4, 9 // columns
+		columns := strings.Fields(line)
+		if len(columns) <= inode || !own[columns[inode]] || columns[3] == listening {
+			continue
+		}
+		_, received, _ := strings.Cut(columns[queues], ":")
+		bytes, err := strconv.ParseInt(received, 16, 64)
+		if err != nil {
+			return sockets{}, err
+		}
+		all.unread += bytes
+	}
+	return all, nil
+}
+
+// listening is the state of a socket whose queue holds connections instead of bytes.
+const listening = "0A"
+
+// status returns a line about the memory of the process, in MB.
+func (p *process) status(name string) (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return 0, err
 	}
 	for line := range strings.Lines(string(text)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+		if value, found := strings.CutPrefix(line, name+":"); found {
 			kB, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 64)
 			return kB * 1024 / 1e6, err
 		}
 	}
-	return 0, errors.New("no VmHWM")
+	return 0, errors.New("no " + name)
 }
 
 // settleTime is how long a process goes on with what a crowd has sent, which may be more than it
@@ -302,13 +354,14 @@
 // check checks the process after a crowd, whose connections are still open.
 func (p *process) check(t *testing.T) {
 	answered := p.ask()
-	p.countDescriptors()
+	p.sample()
 	time.Sleep(settleTime)
 	if again := p.ask(); again != http.StatusOK {
 		answered = again
 	}
-	p.countDescriptors()
-	memory, err := p.memory()
+	p.sample()
+	memory, err := p.status("VmHWM")
+	memory = max(memory, p.memoryMB)
 	t.Logf("memory %.0f MB of %d, descriptors %d of %d, ordinary request %d", memory, memoryMB, p.highest, p.maxFDs, answered)
 	p.g.Expect(err).NotTo(gomega.HaveOccurred(), "the process has ended")
 	p.g.Expect(p.ended).NotTo(gomega.BeClosed())
