callerconn: Keep connections free of slow callers

Ordinary callers were refused (503) for up to 15 s, and again after that: a crowd that sent bodies of some kilobytes up to just short of their end took all connections of a VM.

Cause: slow callers were cut off only for memory, which such bodies do not take beyond that of their connections. Of the connections only idle ones gave way to others.

Change: while more than seven eighths of the connections that descriptors and memory allow are busy, callers that have lagged for 1 s are cut off, the slowest first, until an eighth is free. Those that send get 503 as not run, those that read a reset, as when memory is short.

In calm nothing is cut off: the limit counts busy connections only, and a single slow caller is served as before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -199,17 +199,18 @@
 	}
 }
 
-// ErrCutOff is the error of a read after the connection was cut off because memory is short.
-var ErrCutOff = errs.NotRun(errs.Overloaded, "the connection was cut off because memory is short")
+// ErrCutOff is the error of a read after the connection was cut off because memory or connections are
+// short.
+var ErrCutOff = errs.NotRun(errs.Overloaded, "the caller was slow, and memory or connections are short")
 
-// CutOff reports whether the connection was cut off because memory is short.
+// CutOff reports whether the connection was cut off because memory or connections are short.
 func (c *Conn) CutOff() bool { return c.cut.Load() }
 
 // OnTargetCut sets what ends the current request if memory is short and its target does not read
 // it. It holds until the end of the request.
 func (c *Conn) OnTargetCut(f func()) { c.targetCut.Store(&f) }
 
-// cutOff ends the connection, or its request, because memory is short. A caller that sends can still be answered.
+// cutOff ends the connection, or its request, because memory or connections are short. A caller that sends can still be answered.
 // The connection of one that reads is reset, so that its answer does not look complete.
 func (c *Conn) cutOff(peer membudget.Peer) {
 	if peer == membudget.Target {
--- a/internal/crowdtest/mixed_test.go
+++ b/internal/crowdtest/mixed_test.go
@@ -53,3 +53,30 @@
 		})
 	}
 }
+
+// Guards against callers that take all connections of a process with little that they send slowly or read
+// slowly, so that ordinary callers are refused for as long as the time limits of a request.
+func TestSlowCallersOnAllConnections(t *testing.T) {
+	const callers = 400
+	for name, act := range map[string]func(id string, conn net.Conn){
+		"small bodies": func(id string, conn net.Conn) {
+			_, _ = io.WriteString(conn, head(id, "Content-Length: 4096")+repeated("x", 4000))
+		},
+		"small chunks": func(id string, conn net.Conn) {
+			_, _ = io.WriteString(conn, head(id, "Transfer-Encoding: chunked"))
+			chunks(conn, 64<<10, 16)
+		},
+		"answers": func(id string, conn net.Conn) {
+			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+			_, _ = io.WriteString(conn, head(id, "Content-Length: 0"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, smallest, engine.Settings{AnswerBytes: 256 << 10})
+			p.path = lookup + "?" + engine.ShortAnswer
+			p.crowd(t, callers, func(i int, conn net.Conn) { act(fmt.Sprint("s", i), conn) })
+			time.Sleep(settleTime)
+			p.check(t)
+		})
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -147,6 +147,9 @@
 		RefusalResponse: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
 	}
 	s.callers.Store(callers)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go callers.Relieve(ctx)
 	if err := s.http.Serve(callers); err != nil {
 		return errs.Wrap(err, errs.Internal, "serving callers on the listener failed")
 	}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -478,15 +478,46 @@
 // slowness returns for whom the account holds memory, and for how long the peer has been slow while it
 // did. The caller holds the budget's lock.
 func (a *Account) slowness(now time.Time) (Peer, time.Duration) {
+	peer, lag := a.Lag(now)
+	if peer == "" {
+		return "", 0
+	}
+	return peer, min(lag, now.Sub(a.since))
+}
+
+// Lag returns for whom the connection waits, and since when this peer lags. Without a budget, no peer lags.
+func (a *Account) Lag(now time.Time) (Peer, time.Duration) {
 	slow := a.slow.Load()
 	if slow == slowNot {
 		return "", 0
 	}
-	since := time.Unix(0, slow&^(slowBits-1))
-	if a.since.After(since) {
-		since = a.since
+	return slowPeers[slow&(slowBits-1)], now.Sub(time.Unix(0, slow&^(slowBits-1)))
+}
+
+// CutOff cuts off the connection of a slow peer whose place others need, unless that was done before.
+func (a *Account) CutOff(peer Peer) {
+	b := a.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	ended := a.ended
+	if !ended {
+		a.ended = true
+		b.cut[peer]++
+	}
+	b.mu.Unlock()
+	if !ended {
+		a.cutOff(peer)
+	}
+}
+
+// MaxConnections returns how many connections may be open, 0 if there is no limit.
+func (b *Budget) MaxConnections() int64 {
+	if b == nil {
+		return 0
 	}
-	return slowPeers[slow&(slowBits-1)], now.Sub(since)
+	return b.limits.Connections / ConnectionBytes
 }
 
 // State is what a Budget holds and has decided since the start.
