--- a/internal/crowdtest/heads_test.go
+++ b/internal/crowdtest/heads_test.go
@@ -37,7 +37,7 @@
 // have bytes, while their requests are served and while their connections are idle afterwards.
 func TestHeadsWithinTheLimit(t *testing.T) {
 	const fill = maxHeadBytes - commonHeadBytes
-	for name, request := range map[string]func(id string) string{
+	playHeads(t, map[string]func(id string) string{
 		"short fields": func(id string) string { return head(id, shortFields(fill)+"Content-Length: 0") },
 		"prompt parts": func(id string) string {
 			return head(id, "X-Prompt-Prefix: "+repeated("a,", fill)+"\r\nContent-Length: 0")
@@ -48,7 +48,12 @@
 		"long path": func(id string) string {
 			return strings.Replace(head(id, "Content-Length: 0"), lookup, lookup+repeated("a/%41?", fill), 1)
 		},
-	} {
+	})
+}
+
+// playHeads has a crowd send each of the requests and keep its connections open.
+func playHeads(t *testing.T, requests map[string]func(id string) string) {
+	for name, request := range requests {
 		t.Run(name, func(t *testing.T) {
 			p := start(t, smallest, engine.Settings{Pause: workTime})
 			p.crowd(t, headCrowdSize, func(i int, conn net.Conn) {
@@ -64,7 +69,7 @@
 // in the same packet, or stop just short of their end.
 func TestHeadsOfShortFieldsInOtherPlaces(t *testing.T) {
 	const fill = maxHeadBytes - commonHeadBytes
-	for name, request := range map[string]func(id string) string{
+	playHeads(t, map[string]func(id string) string{
 		"behind a request": func(id string) string {
 			return head(id+"a", "Content-Length: 0") + head(id+"b", shortFields(fill)+"Content-Length: 0")
 		},
@@ -72,16 +77,7 @@
 			return head(id+"a", "Transfer-Encoding: chunked") + "1\r\nx\r\n0\r\n\r\n" + head(id+"b", shortFields(fill)+"Content-Length: 0")
 		},
 		"short of the end": func(id string) string { return strings.TrimSuffix(head(id, shortFields(fill)), "\r\n") },
-	} {
-		t.Run(name, func(t *testing.T) {
-			p := start(t, smallest, engine.Settings{Pause: workTime})
-			p.crowd(t, headCrowdSize, func(i int, conn net.Conn) {
-				_, _ = io.WriteString(conn, request(fmt.Sprint("h", i)))
-				readAnswers(conn)
-			})
-			p.check(t)
-		})
-	}
+	})
 }
 
 // Guards against a process that is ended by the trailers of chunked bodies, which the HTTP library keeps
