callerconn: Do not count the lines of bodies as fields of heads

A large body of many short lines took up to 16 MB of the memory for callers besides its own bytes, so that others were refused earlier than needed.

Cause: reads of bodies that bypass the HTTP server's buffer were told from others by the number of bytes that they returned, which may be low, instead of by the size of the read.

Change: limitRead tells such a read, and nothing is reserved for it.

--- a/internal/callerconn/input.go
+++ b/internal/callerconn/input.go
@@ -45,13 +45,16 @@
 	return max(0, int64(s.bytes)*bytesPerByte+int64(s.lines)*bytesPerField+int64(s.items)*bytesPerItem-coveredHeadBytes)
 }
 
+// bypassed stands for the number of buffered bytes in a read that bypasses the HTTP server's buffer.
+const bypassed = -1
+
 // limitRead returns the part of p to read into, and how many bytes the HTTP server has buffered and
 // not parsed yet: it fills its buffer from behind these bytes to the end. Larger reads are for bodies
 // and bypass the buffer.
 func (c *Conn) limitRead(p []byte) (limited []byte, buffered int) {
 	size := c.listener.ReadBufferBytes
 	if size == 0 || len(p) > size {
-		return p, 0
+		return p, bypassed
 	}
 	return p[:min(len(p), maxReadAhead)], size - len(p)
 }
@@ -68,7 +71,7 @@
 // reserveInput reserves the memory that input takes if it is a part of a head or a trailer. Input in
 // front of which nothing is buffered begins a new one.
 func (c *Conn) reserveInput(input []byte, buffered int) error {
-	if c.listener.ReadBufferBytes == 0 || len(input) > c.listener.ReadBufferBytes {
+	if buffered == bypassed {
 		return nil
 	}
 	size := sizeOf(input)
--- a/internal/callerconn/input_test.go
+++ b/internal/callerconn/input_test.go
@@ -87,13 +87,17 @@
 	_, err = fill(conn, "\r\n\r\n")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	conn.BeginBody()
-	body := strings.Repeat("[1, 2, 3, 4]\n", 10<<10)
-	go func() { _, _ = io.WriteString(caller, body) }()
-	buffer := make([]byte, bufferBytes)
-	for read := 0; read < len(body); {
-		n, err := conn.Read(buffer) // all that was read before has been parsed
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		read += n
+	for _, buffer := range [][]byte{make([]byte, bufferBytes), make([]byte, 2*bufferBytes)} { // of the server, and of a reader of bodies
+		piece := strings.Repeat("[1, 2, 3, 4]\n", 2<<10)
+		for range 10 {
+			_, err := io.WriteString(caller, piece)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			for read := 0; read < len(piece); {
+				n, err := conn.Read(buffer) // all that was read before has been parsed
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				read += n
+			}
+		}
 	}
 	conn.EndBody()
 	g.Expect(budget.State().Used).To(gomega.BeNumerically("<", membudget.ConnectionBytes+32<<10))
--- a/internal/crowdtest/single_test.go
+++ b/internal/crowdtest/single_test.go
@@ -38,6 +38,7 @@
 		{"large body", length + "\r\n", "", whole},
 		{"large chunks", "Transfer-Encoding: chunked\r\n", "", inChunks(1 << 20)},
 		{"small chunks", "Transfer-Encoding: chunked\r\n", "", inChunks(16)},
+		{"body of short lines", length + "\r\n", "", func(conn net.Conn) { _, _ = io.WriteString(conn, repeated("\n", maxBodyBytes)) }},
 		{"trailers", "Transfer-Encoding: chunked\r\n", "", func(conn net.Conn) {
 			_, _ = io.WriteString(conn, "1\r\nx\r\n0\r\n"+shortFields(2<<10)+"\r\n")
 		}},
