delivery, platform, target: Nothing of an order arrives after it was given up

A VM that is cut off orders for some tenths of a second more. 2.2 to 2.4 s after the end of the partition, about 5 s after its permission has ended, its orders reach 3 or 4 of 4 targets that check no fences, behind those of the next owner.

Cause: an order is given up after 100 ms, and its connection was closed in the usual way. The kernel keeps the bytes and sends them again until the path is back. tenure.OrderFlight counted on their arrival or loss within 500 ms.

Ruled out: orders that are written late (the lines of the replaced owner end with its permission), and a next owner that does not wait.

Change: connections of orders are reset when they are closed, also by the end of the process, and the kernel drops what was not acknowledged for 100 ms, also while the process is stopped (package delivery). internal/target uses it, too. linkproxy plays partitions whose bytes outlast a close and not a reset; engines of the soak may be listed by the address of a proxy.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"os/signal"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,8 @@
 
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/standin/engine"
+	"cicadaslip/internal/standin/linkproxy"
+	"cicadaslip/internal/standin/loopback"
 	"cicadaslip/internal/standin/metastore"
 )
 
@@ -106,6 +109,9 @@
 	versions map[string]int64
 	faults   map[string]int
 	started  int
+	// linked puts a proxy in front of each engine.
+	linked bool
+	links  []*linkproxy.Proxy
 	// organisations is nil without Options.HardLoad.
 	organisations *organisations
 }
@@ -227,6 +233,9 @@
 	for _, t := range r.allTargets() {
 		t.Crash()
 	}
+	for _, l := range r.links {
+		l.Close()
+	}
 	if r.store != nil {
 		r.store.Close()
 	}
@@ -237,11 +246,17 @@
 
 func (r *run) addEngine(i int) error {
 	r.started++
-	t, err := engine.Start(engine.Settings{
+	settings := engine.Settings{
 		ID: fmt.Sprintf("e%d-%d", i, r.started), Service: "llm", Zone: zones[i%3], Model: model, Slots: r.slots(), Adapters: places,
 		Events: streamEvents, Pause: r.eventPause(), Load: 50 * time.Millisecond, NoFences: !r.checkFences(),
 		HeadFirst: i%2 == 1,
-	}, r.store)
+	}
+	if r.linked {
+		if err := r.link(&settings); err != nil {
+			return err
+		}
+	}
+	t, err := engine.Start(settings, r.store)
 	if err != nil {
 		return err
 	}
@@ -252,6 +267,38 @@
 	return nil
 }
 
+// link lists an engine by the address of a proxy in front of it.
+func (r *run) link(s *engine.Settings) (err error) {
+	if s.Address, err = loopback.Reserve(); err != nil {
+		return errs.Wrap(err, errs.Internal, "reserve the address of an engine")
+	}
+	proxy, err := linkproxy.New(s.Address)
+	if err != nil {
+		return err
+	}
+	s.Listed = proxy.Address()
+	r.links = append(r.links, proxy)
+	return nil
+}
+
+// partition cuts a VM off from the store, and its orders from the engines. The function that it
+// returns ends that.
+func (r *run) partition(v *vm) (heal func()) {
+	end := v.timeline.begin(cut)
+	v.store.Set(true, false, 0)
+	holder := []byte(strconv.Quote(v.name))
+	for _, l := range r.links {
+		l.Partition(func(sent []byte) bool { return bytes.Contains(sent, holder) })
+	}
+	return func() {
+		for _, l := range r.links {
+			l.Partition(nil)
+		}
+		v.store.Set(false, false, 0)
+		end()
+	}
+}
+
 func (r *run) addApp(i int) error {
 	r.started++
 	t, err := engine.Start(engine.Settings{
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -66,6 +67,8 @@
 	// HeadFirst sends the heads of streams before the first event.
 	HeadFirst bool
 	Address   string // default: a free port of loopback
+	// Listed is the address in the target's description, Address by default. A proxy listens there.
+	Listed string
 	// RateLimit is named in each answer, in requests per second, 0 for none.
 	RateLimit float64
 	// AnswerBytes is the length of the answers to plain requests, their usual one if it is 0.
@@ -149,7 +152,7 @@
 	t.mu.Lock()
 	t.beats++
 	spec := map[string]any{
-		"service": t.Settings.Service, "address": t.Settings.Address, "zone": t.Settings.Zone, "version": "v1",
+		"service": t.Settings.Service, "address": cmp.Or(t.Settings.Listed, t.Settings.Address), "zone": t.Settings.Zone, "version": "v1",
 		"slots": t.Settings.Slots, "state": "ready", "sequence": t.beats, "cold_remaining_ms": 0, "born": t.born,
 	}
 	if t.leaving {
--- a/internal/standin/linkproxy/proxy.go
+++ b/internal/standin/linkproxy/proxy.go
@@ -1,11 +1,14 @@
 // Package linkproxy is a TCP proxy on loopback whose connections can be delayed,
-// silenced, cut one way and reset.
+// silenced, cut one way, partitioned and reset.
 package linkproxy
 
 import (
+	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +22,13 @@
 	silent bool // bytes are dropped in both directions
 	oneWay bool // bytes of answers are dropped
 	delay  time.Duration
+	cut    *partition // nil if there is none
+}
+
+// partition holds up what some clients send.
+type partition struct {
+	holds  func(sent []byte) bool
+	healed chan struct{} // closed at the end of the partition
 }
 
 // New returns a proxy to an address.
@@ -76,11 +86,15 @@
 		}
 		p.mu.Lock()
 		lost = lost || p.silent || p.oneWay && answers
-		delay := p.delay
+		delay, cut := p.delay, p.cut
 		p.mu.Unlock()
 		if lost {
 			continue
 		}
+		if cut != nil && !answers && cut.holds(buffer[:n]) {
+			deliverAfter(cut.healed, to, from, slices.Clone(buffer[:n]))
+			break
+		}
 		time.Sleep(delay)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
@@ -94,6 +108,37 @@
 	}
 }
 
+// deliverAfter passes bytes, and those that follow them, once a partition has healed. As in the
+// buffers of an operating system, they outlast the close of the connection but not its reset.
+func deliverAfter(healed <-chan struct{}, to io.Writer, from net.Conn, held []byte) {
+	ended := make(chan error, 1)
+	go func() {
+		more, err := io.ReadAll(from)
+		held = append(held, more...)
+		ended <- err
+	}()
+	<-healed
+	_ = from.SetReadDeadline(time.Now())
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		_, _ = to.Write(held)
+	}
+}
+
+// Partition begins a partition of the clients whose requests are held, none if holds is nil, and
+// ends the one before. What is held, and what follows it on its connection, arrives after the end
+// of the partition, unless the client has reset the connection. The connection is closed then.
+func (p *Proxy) Partition(holds func(sent []byte) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut != nil {
+		close(p.cut.healed)
+		p.cut = nil
+	}
+	if holds != nil {
+		p.cut = &partition{holds, make(chan struct{})}
+	}
+}
+
 // Set makes the connections misbehave from now on: silent drops what is passed in
 // both directions, oneWay the answers.
 func (p *Proxy) Set(silent, oneWay bool, delay time.Duration) {
@@ -118,5 +163,6 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.Partition(nil)
 	p.Reset()
 }
--- a/internal/target/config.go
+++ b/internal/target/config.go
@@ -33,7 +33,6 @@
 	contentTypeJSON            = "application/json"
 	userAgent                  = "cicadaslip"
 	networkTCP                 = "tcp"
-	lingerSeconds              = 0 // closing discards unsent bytes and resets the connection
 	expiredDeadlineUnixSeconds = 1 // a deadline in the past, which ends pending reads and writes at once
 	keepAliveDisabled          = -1
 	readBufferBytes            = 16 << 10
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cicadaslip/internal/delivery"
 	"cicadaslip/internal/errs"
 	"cicadaslip/internal/httpfields"
 	"cicadaslip/internal/socketstate"
@@ -40,6 +41,13 @@
 		_ = netConn.Close()
 		return nil, asNotRun(errs.New(errs.TargetUnavailable, "target answered before the request, or closed the connection"))
 	}
+	if tcp, ok := netConn.(*net.TCPConn); ok {
+		// Neither requests nor orders arrive once they were given up.
+		if err := delivery.Bound(tcp, c.cfg.WriteTimeout); err != nil {
+			_ = netConn.Close()
+			return nil, asNotRun(errs.Wrap(err, errs.TargetUnavailable, "the arrival of a request can't be bounded"))
+		}
+	}
 	conn := &trackedConn{Conn: netConn}
 	conn.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	conn.stopAbortOnCancel = context.AfterFunc(ctx, conn.abort)
@@ -84,9 +92,6 @@
 // target after the request was given up.
 func (conn *trackedConn) close() {
 	conn.stopAbortOnCancel()
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(lingerSeconds)
-	}
 	_ = conn.Conn.Close()
 }
 
--- a/internal/tenure/permission.go
+++ b/internal/tenure/permission.go
@@ -11,7 +11,8 @@
 	permissionTime = 1500 * time.Millisecond
 	// OrderFlight is the longest time from the check of the permission to the arrival of
 	// the order at its target: the time limit of the exchange, and one retransmission on
-	// a link that loses packets.
+	// a link that loses packets. Connections of orders are reset once the limit has passed
+	// (package delivery), or the system would deliver the order whenever the link is back.
 	OrderFlight = 500 * time.Millisecond
 	// clockMargin covers the difference between the rates of two VMs' clocks.
 	clockMargin = 100 * time.Millisecond
