--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -35,6 +35,7 @@
 	// modelSlots is low, so that a small crowd fills the queue for the target.
 	modelSlots   = 4
 	maxBodyBytes = 4 << 20
+	ordinaryID   = "ordinary" // of the request that is asked for beside a crowd
 	// maxHeadBytes is the limit of the deployments.
 	maxHeadBytes = 16 << 10
 	// limit ends a test that hangs. It is no bound on what is measured.
@@ -125,9 +126,14 @@
 
 // startWithModel starts processes with a target of the plain service and one of the service of models.
 func startWithModel(t *testing.T, count int) []*process {
-	return startAll(t, count, smallest, engine.Settings{}, engine.Settings{
+	return startAll(t, count, smallest, engine.Settings{}, modelSettings())
+}
+
+// modelSettings returns the settings of a target of the service of models.
+func modelSettings() engine.Settings {
+	return engine.Settings{
 		ID: "e0", Service: models, Zone: "riga-a", Model: model, Slots: modelSlots, Adapters: 4, Events: 2, Pause: time.Second, Load: 10 * time.Second,
-	})
+	}
 }
 
 // startAll starts processes with a target of the plain service and further targets.
@@ -218,7 +224,7 @@
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.caller+p.path, strings.NewReader("ordinary"))
 	p.g.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Host = host
-	req.Header.Set("X-Request-Id", "ordinary")
+	req.Header.Set("X-Request-Id", ordinaryID)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
--- a/internal/edge/ignored.go
+++ b/internal/edge/ignored.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cicadaslip/internal/metrics"
 	"cicadaslip/internal/objectstore"
 )
@@ -14,6 +17,8 @@
 	// ignoredLogInterval is the time after which the memory, once full, is cleared, so that
 	// the log gets at most maxIgnoredEntries lines in that time.
 	ignoredLogInterval = time.Minute
+	// maxReasonBytes is the length up to which the reason is kept and logged. It may quote the entry.
+	maxReasonBytes = 512
 )
 
 // ignoredEntry is one version of an entry that can't be used.
@@ -32,6 +37,7 @@
 
 // add reports whether the entry is to be logged now.
 func (e *ignoredEntries) add(now time.Time, entry ignoredEntry) bool {
+	entry.reason = shorten(entry.reason)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, found := e.logged[entry]; found {
@@ -50,11 +56,15 @@
 	return true
 }
 
+// shorten returns the beginning of a reason, in memory of its own.
+func shorten(reason string) string { return strings.Clone(reason[:min(len(reason), maxReasonBytes)]) }
+
 // ignoreEntry counts an entry of a kind that can't be used, and logs each version of it once.
 func (d *Daemon) ignoreEntry(event, kind, key string, at objectstore.Position, err error) {
 	d.metrics.Count(metrics.EdgeEntriesIgnored, kind)
-	if d.ignored.add(time.Now(), ignoredEntry{key: key, revision: at, reason: err.Error()}) {
-		d.log.Warn().Err(err).Str(fieldEvent, event).Str(fieldEntry, key).Int64(fieldEra, at.Era()).Int64(fieldRevision, at.Revision()).Send()
+	reason := shorten(err.Error())
+	if d.ignored.add(time.Now(), ignoredEntry{key: key, revision: at, reason: reason}) {
+		d.log.Warn().Str(zerolog.ErrorFieldName, reason).Str(fieldEvent, event).Str(fieldEntry, key).Int64(fieldEra, at.Era()).Int64(fieldRevision, at.Revision()).Send()
 	}
 }
 
--- a/internal/edge/ignored_test.go
+++ b/internal/edge/ignored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,19 @@
 	g.Expect(e.logged).To(gomega.HaveLen(1))
 }
 
+// Guards against entries that can't be used and take memory without bound, because each is
+// remembered with a reason that quotes it.
+func TestReasonsOfIgnoredEntriesAreShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var e ignoredEntries
+	reason := strings.Repeat("x", 10*maxReasonBytes)
+	g.Expect(e.add(time.Now(), ignoredEntry{key: "k", reason: reason})).To(gomega.BeTrue())
+	for entry := range e.logged {
+		g.Expect(len(entry.reason)).To(gomega.BeNumerically("<=", maxReasonBytes))
+	}
+	g.Expect(e.add(time.Now(), ignoredEntry{key: "k", reason: reason})).To(gomega.BeFalse())
+}
+
 // Guards against an object whose handling panics each time that it is listed, so that the others are
 // not followed any more.
 func TestPanicOverAnObjectHidesNoOther(t *testing.T) {
