--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,8 @@
 	// readBufferBytes is the largest size of the head of a response, apart from what it repeats of the
 	// request.
 	readBufferBytes = 4 << 10
+	// maxInterimBytes is the largest size of the interim responses before the head of a response.
+	maxInterimBytes = 4 << 10
 	// receiveBufferBytes limits the kernel's receive buffer for a response that is not read because
 	// its caller reads slowly. Without a limit it grows to several megabytes.
 	receiveBufferBytes = 128 << 10
@@ -147,6 +149,7 @@
 	}
 	e := &Exchange{client: c, conn: conn, method: r.Method, input: input{conn: conn}, connectTime: time.Since(startedAt), writeDone: make(chan struct{})}
 	e.reader = bufio.NewReaderSize(&e.input, readBufferBytes+r.EchoBytes)
+	e.input.maxHead = e.reader.Size() + maxInterimBytes
 	_ = conn.SetDeadline(timeouts.Deadline)
 	e.stopAbort = context.AfterFunc(ctx, e.abort)
 	if r.Connected != nil && !r.Connected() {
@@ -188,7 +191,7 @@
 	e.givenUp = true
 	_ = e.conn.SetReadDeadline(time.Now().Add(wait))
 	e.abortMu.Unlock()
-	next := &Exchange{method: e.method, input: input{conn: e.conn, unread: e.input.head}}
+	next := &Exchange{method: e.method, input: input{conn: e.conn, unread: e.input.head, maxHead: e.input.maxHead}}
 	next.reader = bufio.NewReaderSize(&next.input, e.reader.Size())
 	if next.readHead() != nil {
 		return 0, nil, false
@@ -269,6 +272,7 @@
 	conn    net.Conn
 	aborted atomic.Bool // the connection was closed by Exchange.abort
 	head    []byte      // bytes read while a head is parsed
+	maxHead int         // largest length of head
 	inHead  bool        // a head is being parsed
 	err     error       // with which reading ended; the parser replaces some
 	unread  []byte      // bytes that come before those of the connection
@@ -284,6 +288,10 @@
 	} else {
 		n, err = i.conn.Read(p)
 	}
+	if i.inHead && len(i.head)+n > i.maxHead {
+		i.err = errs.New(errs.WrongAnswer, "the interim responses of the target are too long")
+		return 0, i.err
+	}
 	if i.inHead {
 		i.head = append(i.head, p[:n]...)
 	}
@@ -296,10 +304,10 @@
 	return n, err
 }
 
-// cause returns the timeout of the connection if that is what made the parser fail with err,
-// otherwise err.
+// cause returns the timeout of the connection, or the limit of a head, if that is what made the
+// parser fail with err, otherwise err.
 func (i *input) cause(err error) error {
-	if IsTimeout(i.err) {
+	if IsTimeout(i.err) || errs.Is(i.err, errs.WrongAnswer) {
 		return i.err
 	}
 	return err
