errs, upstream, platform: Errors do not quote whole answers of targets

Cause: the HTTP library's errors quote the head that it can't read, four bytes for each that can't be printed: 17 to 34 KB for a head of 4 KiB, nine times that for requests with long IDs. The log takes 512 KiB a second, so some 16 such answers in a second kept out all other lines.

Change: errs.Abbreviate cuts causes after 512 bytes.

Evidence: TestEndlessAnswersFail failed before for "no HTTP" and "lines without a space" (new) by the length of the error, and passes.

--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	pkgerrors "github.com/pkg/errors"
@@ -124,6 +125,19 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
+// maxQuotedBytes is the length from which Abbreviate cuts the text of an error.
+const maxQuotedBytes = 512
+
+// Abbreviate returns err, or the beginning of its text, without its cause, if that is long. Parsers
+// quote what they can't read, which may be a whole message of a peer.
+func Abbreviate(err error) error {
+	text := err.Error()
+	if len(text) <= maxQuotedBytes {
+		return err
+	}
+	return errors.New(strings.Clone(text[:maxQuotedBytes]) + "...")
+}
+
 // As returns the first typed error in the chain of err, or nil if err is nil. An
 // error without one is wrapped with the code Internal.
 func As(err error) *Error {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -515,5 +515,5 @@
 	if IsTimeout(err) {
 		return errs.Wrap(err, errs.Timeout, "the target did not respond in time")
 	}
-	return errs.Wrap(err, errs.TruncatedAnswer, "the target closed the connection or sent an invalid response")
+	return errs.Wrap(errs.Abbreviate(err), errs.TruncatedAnswer, "the target closed the connection or sent an invalid response")
 }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -50,6 +50,7 @@
 		"fields of the head":    {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
 		"interim responses":     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
 		"no HTTP":               {"", "\x00\x01\x02\x03"},
+		"lines without a space": {"", strings.Repeat("\x01", 1000) + "\n"},
 		"blank lines":           {"", "\r\n"},
 		"body without a length": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "xxxxxxxxxxxxxxxx"},
 		"chunks":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
@@ -88,6 +89,7 @@
 			g.Eventually(ended).WithTimeout(patience).Should(gomega.Receive(&failure))
 			g.Expect(failure).NotTo(gomega.BeNil())
 			g.Expect(failure.Ran).To(gomega.Equal(errs.RanUnknown))
+			g.Expect(len(failure.Error())).To(gomega.BeNumerically("<", 1000), "the error quotes the answer")
 			g.Expect(heapBytes()).To(gomega.BeNumerically("<", before+16*limit))
 		})
 	}
