linkproxy: A reset that came before the end of a partition is not missed

Traced: the proxy ends its read by a deadline when the partition heals. The deadline may be seen before the reset that has arrived, so the proxy took the connection for an open one and delivered what the client had given up.

--- a/internal/standin/linkproxy/proxy.go
+++ b/internal/standin/linkproxy/proxy.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -119,11 +120,22 @@
 	}()
 	<-healed
 	_ = from.SetReadDeadline(time.Now())
-	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+	err := <-ended
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The deadline may have hidden a reset that had arrived before.
+		_ = from.SetReadDeadline(time.Now().Add(resetWait))
+		var more []byte
+		more, err = io.ReadAll(from)
+		held = append(held, more...)
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
 		_, _ = to.Write(held)
 	}
 }
 
+// resetWait is how long after the end of a partition a connection is looked at for a reset.
+const resetWait = 10 * time.Millisecond
+
 // Partition begins a partition of the clients whose requests are held, none if holds is nil, and
 // ends the one before. What is held, and what follows it on its connection, arrives after the end
 // of the partition, unless the client has reset the connection. The connection is closed then.
