groupclient, groupserver: Replace an owner that was restarted without the store

No VM takes the group over while the VM is cut off; requests for adapters that no target holds are refused.

Cause: the new process answers the other VMs that it does not own the group. They took that neither for an answer of the owner nor for a failed call, so the wait before a challenge did not begin. The model of ownership counts it as a failed call.

Change: so do VMs, unless the answer says that the owner is about to release the group or was replaced.

--- a/internal/groupclient/sync.go
+++ b/internal/groupclient/sync.go
@@ -116,6 +116,10 @@
 		c.opt.Groups.OwnerCallFailed(o.name, epoch)
 		return
 	}
+	if reply.NotOwner && !reply.Stopping {
+		// A process that was started again owns nothing until it has read the store.
+		c.opt.Groups.OwnerCallFailed(o.name, epoch)
+	}
 	if reply.NotOwner || reply.Epoch != epoch {
 		return
 	}
--- a/internal/grouprpc/grouprpc.go
+++ b/internal/grouprpc/grouprpc.go
@@ -127,6 +127,7 @@
 	Known    StoreRevisions // store revisions up to which the owner knows the deployment
 	Config   uint64         // version of the configuration in force at the owner
 	NotOwner bool
+	Stopping bool                            // if NotOwner: the owner is about to release the group, or was replaced
 	Record   tenure.Record                   // if NotOwner, or if the caller knows an older epoch: the group's newest record known to the receiver
 	At       objectstore.Position            // store version of the object that holds Record
 	Seen     map[string]objectstore.Position // newest object position that the owner has seen, by kind of object
--- a/internal/groupserver/serve.go
+++ b/internal/groupserver/serve.go
@@ -148,7 +148,7 @@
 	defer g.mu.Unlock()
 	if g.core == nil || g.halted || request.Epoch > g.epoch {
 		record, _ := g.tenure.Record()
-		return grouprpc.SyncReply{NotOwner: true, Record: record, At: g.version}
+		return grouprpc.SyncReply{NotOwner: true, Stopping: g.core != nil && g.halted, Record: record, At: g.version}
 	}
 	g.recordCall(request.VM)
 	now, stamp := g.manager.now(), bootclock.Now()
--- a/internal/soak/partitioned_test.go
+++ b/internal/soak/partitioned_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,41 +13,56 @@
 )
 
 // partitions is how often the owner is cut off, and partitionLength for how long. A successor
-// orders within that time.
+// orders within that time. orderFlight is about the time limit of an order.
 const (
 	partitions      = 3
 	partitionLength = 4 * time.Second
+	orderFlight     = 100 * time.Millisecond
 )
 
 // Guards against orders of an owner that was cut off, which its operating system delivers after
-// the partition, behind those of a successor, to targets that check no fences.
+// the partition, behind those of a successor, to targets that check no fences. The process may go
+// on or be killed meanwhile.
 func TestPartitionedOwnerSendsNoOrderAfterItsSuccessor(t *testing.T) {
-	g := gomega.NewWithT(t)
 	program := filepath.Join(t.TempDir(), "cicadaslipd")
-	buildDaemon(g, program)
-	r := newRun(Options{Seed: 903, VMs: 3, Program: program, Dir: t.TempDir()})
-	r.linked = true
-	t.Cleanup(r.close)
-	g.Expect(r.checkFences()).To(gomega.BeFalse())
-	g.Expect(r.start()).To(gomega.Succeed())
-	ctx, cancel := context.WithCancel(context.Background())
-	var wait sync.WaitGroup
-	for i := range callers {
-		wait.Go(func() { r.call(ctx, rand.New(rand.NewPCG(1, uint64(i)))) })
+	buildDaemon(gomega.NewWithT(t), program)
+	for name, c := range map[string]struct {
+		seed   uint64
+		killed bool
+	}{"goes on": {903, false}, "killed": {905, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			r := newRun(Options{Seed: c.seed, VMs: 3, Program: program, Dir: t.TempDir()})
+			r.linked = true
+			t.Cleanup(r.close)
+			g.Expect(r.checkFences()).To(gomega.BeFalse())
+			g.Expect(r.start()).To(gomega.Succeed())
+			ctx, cancel := context.WithCancel(context.Background())
+			var wait sync.WaitGroup
+			for i := range callers {
+				wait.Go(func() { r.call(ctx, rand.New(rand.NewPCG(1, uint64(i)))) })
+			}
+			for range partitions {
+				g.Eventually(func() int64 { return newestOrder(r.engines).Token }).WithTimeout(startLimit).Should(gomega.BeNumerically(">", 0))
+				last := newestOrder(r.engines)
+				owner := r.vmOf(last.Holder)
+				heal := r.partition(owner)
+				if c.killed {
+					time.Sleep(orderFlight / 2) // an order is under way
+					g.Expect(owner.restart(syscall.SIGKILL)).To(gomega.Succeed())
+				}
+				time.Sleep(partitionLength)
+				g.Eventually(func() int64 { return newestOrder(r.engines).Token }).WithTimeout(startLimit).Should(gomega.BeNumerically(">", last.Token))
+				heal()
+				time.Sleep(2 * time.Second) // late orders arrive, and the VM is told of its successor
+			}
+			cancel()
+			wait.Wait()
+			for _, target := range r.engines {
+				r.checker.checkOrders(target)
+			}
+			g.Expect(r.checker.violations).To(gomega.BeEmpty())
+		})
 	}
-	for range partitions {
-		g.Eventually(func() int64 { return newestOrder(r.engines).Token }).WithTimeout(startLimit).Should(gomega.BeNumerically(">", 0))
-		last := newestOrder(r.engines)
-		heal := r.partition(r.vmOf(last.Holder))
-		time.Sleep(partitionLength)
-		g.Eventually(func() int64 { return newestOrder(r.engines).Token }).WithTimeout(startLimit).Should(gomega.BeNumerically(">", last.Token))
-		heal()
-		time.Sleep(2 * time.Second) // late orders arrive, and the VM is told of its successor
-	}
-	cancel()
-	wait.Wait()
-	for _, target := range r.engines {
-		r.checker.checkOrders(target)
-	}
-	g.Expect(r.checker.violations).To(gomega.BeEmpty())
 }
